--- /dev/null
+++ b/libs/base/include/azureladder/base/executed.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <azureladder/base/enum_names.hpp>
+
+namespace azureladder {
+
+/// Whether a backend server executed a request.
+enum class executed
+{
+    no,
+    yes,
+    unknown
+};
+
+inline constexpr enum_name<executed> executed_names[] = {
+    {executed::no, "no"},
+    {executed::yes, "yes"},
+    {executed::unknown, "unknown"},
+};
+
+constexpr std::string_view to_string(executed value)
+{
+    return name_in(executed_names, value);
+}
+
+} // namespace azureladder
--- /dev/null
+++ b/libs/base/include/azureladder/base/manual_clock.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <azureladder/base/clock.hpp>
+
+namespace azureladder {
+
+/// Paused clock that advances only on request.
+class manual_clock final : public clock
+{
+public:
+    time_point now() const override { return m_now; }
+    std::int64_t wall_time_us() const override { return to_us(m_now); }
+    void advance(duration step) { m_now += step; }
+
+private:
+    time_point m_now{std::chrono::seconds(1)};
+};
+
+} // namespace azureladder
--- /dev/null
+++ b/libs/base/include/azureladder/base/steady_clock.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <azureladder/base/clock.hpp>
+
+namespace azureladder {
+
+/// Clock of the operating system. Uses CLOCK_BOOTTIME, because CLOCK_MONOTONIC stops while a VM
+/// is suspended and a lease would then outlive its term.
+class steady_clock final : public clock
+{
+public:
+    time_point now() const override;
+    std::int64_t wall_time_us() const override;
+};
+
+} // namespace azureladder
--- /dev/null
+++ b/libs/core/include/azureladder/core/backend_info.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <azureladder/base/endpoint.hpp>
+#include <azureladder/base/enum_names.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace azureladder::core {
+
+/// Whether a backend server checks fencing tokens.
+enum class fencing
+{
+    checked,
+    ignored
+};
+
+inline constexpr enum_name<fencing> fencing_names[] = {
+    {fencing::checked, "checked"},
+    {fencing::ignored, "ignored"},
+};
+
+/// What a backend server announces to the process beside it.
+struct backend_info
+{
+    std::string m_server;
+    std::string m_service;
+    std::string m_zone;
+    endpoint m_address;
+
+    /// Changes when the backend server process restarts.
+    std::string m_start_id;
+
+    std::uint32_t m_slots = 1;
+    std::uint32_t m_connections = 1;
+    fencing m_fencing = fencing::ignored;
+    bool m_cold = false;
+    bool m_draining = false;
+
+    /// Self-reported load between 0 and 1. Shown and used by the least-reported-load policy only.
+    double m_load = 0.0;
+};
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/include/azureladder/core/claims_state.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace azureladder::core {
+
+struct claims_state
+{
+};
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/include/azureladder/core/configuration_state.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <azureladder/base/ids.hpp>
+#include <azureladder/base/time.hpp>
+#include <azureladder/core/events.hpp>
+#include <azureladder/records/document.hpp>
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace azureladder::core {
+
+enum class change_phase
+{
+    writing,
+    reading_back,
+    spreading,
+    accepted,
+    rejected,
+    unknown
+};
+
+inline constexpr enum_name<change_phase> change_phase_names[] = {
+    {change_phase::writing, "writing"},     {change_phase::reading_back, "writing"},
+    {change_phase::spreading, "spreading"}, {change_phase::accepted, "accepted"},
+    {change_phase::rejected, "rejected"},   {change_phase::unknown, "unknown"},
+};
+
+/// A change that an operator asked this node to apply.
+struct pending_change
+{
+    std::string m_apply_id;
+    json m_records;
+    revision_number m_base_revision = 0;
+    change_phase m_phase = change_phase::writing;
+    revision_number m_revision = 0;
+    std::string m_message;
+    operation_id m_operation = 0;
+    std::uint64_t m_store_version = 0;
+    std::uint32_t m_conflicts = 0;
+    bool m_write_outstanding = false;
+    time_point m_started{};
+    time_point m_next_probe{};
+
+    /// Members that acknowledged the revision, with the time of the acknowledgement.
+    std::map<member_ref, time_point> m_acknowledged;
+    std::set<node_id> m_missing;
+    std::size_t m_total = 0;
+
+    /// Plans are read again from the store after the acknowledgements, to see nodes that joined.
+    std::set<operation_id> m_verification_reads;
+    bool m_verified = false;
+};
+
+struct configuration_state
+{
+    records::document m_document;
+
+    /// JSON text of `m_document` as it stands in the store.
+    std::string m_text;
+
+    /// Read of `config` by the join procedure or the periodic poll; zero when none is open.
+    operation_id m_read = 0;
+
+    /// Whether `config` was read from the store since this incarnation's plan was written.
+    bool m_read_after_join = false;
+    time_point m_next_poll{};
+    time_point m_next_pull{};
+
+    /// Changes by apply id, oldest dropped first beyond `max_changes`.
+    std::map<std::string, pending_change> m_changes;
+
+    static constexpr std::size_t max_changes = 256;
+};
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/include/azureladder/core/effects.hpp
@@ -0,0 +1,165 @@
+#pragma once
+
+#include <azureladder/base/enum_names.hpp>
+#include <azureladder/base/json.hpp>
+#include <azureladder/core/events.hpp>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Outputs of the reducer, executed by the runtime in order.
+namespace azureladder::core {
+
+/// Sends a message to a node. The runtime chooses datagram or link by message type.
+struct send_message
+{
+    member_ref m_to;
+    endpoint m_address;
+    message m_message;
+};
+
+/// Reads a key of the platform store; answered by `store_finished`.
+struct store_read
+{
+    operation_id m_operation = 0;
+    std::string m_key;
+};
+
+/// Writes a key when its version is still `m_expected_version` (0: the key does not exist).
+struct store_write
+{
+    operation_id m_operation = 0;
+    std::string m_key;
+    std::string m_value;
+    std::uint64_t m_expected_version = 0;
+};
+
+/// Sends a request to the backend server beside the node; answered by `attempt_finished`.
+struct dispatch_to_backend
+{
+    request_token m_token = 0;
+    attempt_number m_attempt = 0;
+
+    /// Slice and epoch of the key; the space is empty for services that are not divided by key.
+    owned_slice m_slice;
+
+    /// The runtime checks directly before the write that this time has not come.
+    time_point m_send_before{};
+
+    /// Time at which the answer is no longer awaited; sent to the backend server as its deadline.
+    time_point m_deadline{};
+
+    /// A request that must not be resent goes over a fresh connection.
+    bool m_idempotent = true;
+};
+
+/// Sends a request to another node; answered by `attempt_finished`.
+struct forward_request
+{
+    request_token m_token = 0;
+    attempt_number m_attempt = 0;
+    member_ref m_to;
+    endpoint m_address;
+    time_point m_deadline{};
+
+    /// The entry node holds the claim of this request.
+    bool m_claimed = false;
+};
+
+/// Cancels an attempt whose answer is no longer needed.
+struct cancel_attempt
+{
+    request_token m_token = 0;
+    attempt_number m_attempt = 0;
+};
+
+/// Answers a request with the reply of one of its attempts.
+struct answer_with_reply
+{
+    request_token m_token = 0;
+    attempt_number m_attempt = 0;
+};
+
+/// Answers a request with a kept reply.
+struct answer_with_replay
+{
+    request_token m_token = 0;
+    int m_status = 0;
+    std::string m_content_type;
+    std::string m_body;
+};
+
+/// Answers a request with an error. The reducer states whether it was executed.
+struct answer_with_error
+{
+    request_token m_token = 0;
+    error_code m_code = error_code::bad_request;
+    std::string m_message;
+    executed m_executed = executed::no;
+    duration m_retry_after{0};
+};
+
+/// Extends the lease that a fencing backend server holds.
+struct extend_backend_lease
+{
+    time_point m_valid_until{};
+};
+
+/// Tells a fencing backend server the epoch of a slice, or that the slice is no longer granted.
+struct set_backend_grant
+{
+    owned_slice m_slice;
+    bool m_revoked = false;
+};
+
+enum class log_level
+{
+    debug,
+    info,
+    warning,
+    error
+};
+
+inline constexpr enum_name<log_level> log_level_names[] = {
+    {log_level::debug, "debug"},
+    {log_level::info, "info"},
+    {log_level::warning, "warning"},
+    {log_level::error, "error"},
+};
+
+/// Writes one log line. docs/operators.md lists the events.
+struct write_log
+{
+    log_level m_level = log_level::info;
+    std::string m_event;
+
+    /// Object with the fields of the event.
+    json m_fields = json::object();
+};
+
+/// Counts a finished request in the metrics.
+struct record_request
+{
+    std::string m_service;
+    std::string m_customer;
+    request_class m_class = request_class::standard;
+
+    /// "ok" or the name of the error code.
+    std::string m_outcome;
+    duration m_latency{0};
+};
+
+/// All requests have ended and all slices are released: the process may exit.
+struct finish_stop
+{
+};
+
+using effect =
+    std::variant<send_message, store_read, store_write, dispatch_to_backend, forward_request,
+                 cancel_attempt, answer_with_reply, answer_with_replay, answer_with_error,
+                 extend_backend_lease, set_backend_grant, write_log, record_request, finish_stop>;
+
+using effects = std::vector<effect>;
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/include/azureladder/core/routing_state.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace azureladder::core {
+
+struct routing_state
+{
+};
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/step.cpp
@@ -0,0 +1,35 @@
+#include <azureladder/core/step.hpp>
+
+#include <azureladder/base/precondition.hpp>
+#include <azureladder/core/claims.hpp>
+#include <azureladder/core/configuration.hpp>
+#include <azureladder/core/ownership.hpp>
+#include <azureladder/core/routing.hpp>
+
+namespace azureladder::core {
+
+node_state make_node_state(const node_identity& identity, const core_options& options,
+                           std::uint64_t seed)
+{
+    AZURELADDER_PRECONDITION(!identity.m_node.empty(), "a node needs a name");
+    AZURELADDER_PRECONDITION(!identity.m_zone.empty(), "a node needs an availability zone");
+    node_state state;
+    state.m_identity = identity;
+    state.m_options = options;
+    state.m_random.m_state = seed;
+    state.m_incarnation = next_random(state.m_random);
+    return state;
+}
+
+effects step(node_state& state, time_point now, const event& input)
+{
+    effects output;
+    // Configuration first: ownership and routing decide by the revision in effect.
+    step_configuration(state, now, input, output);
+    step_ownership(state, now, input, output);
+    step_claims(state, now, input, output);
+    step_routing(state, now, input, output);
+    return output;
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/records/include/azureladder/records/service_state.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <azureladder/base/enum_names.hpp>
+
+namespace azureladder::records {
+
+/// State of an availability zone or a backend server, set by operators.
+enum class service_state
+{
+    in,
+    out
+};
+
+inline constexpr enum_name<service_state> service_state_names[] = {
+    {service_state::in, "in"},
+    {service_state::out, "out"},
+};
+
+} // namespace azureladder::records
