Add the configuration module of the reducer

A change is written by compare-and-swap under an apply id. A lost answer is settled by writing the same change again: a plain read back is not enough, because the first write may still be on its way. The change is accepted when each node has acknowledged the revision or a majority of its witnesses has refused older revisions for one lease duration, and the plans were read again from the store.

--- a/libs/core/include/azureladder/core/configuration_state.hpp
+++ b/libs/core/include/azureladder/core/configuration_state.hpp
@@ -37,9 +37,15 @@
     revision_number m_revision = 0;
     std::string m_message;
     operation_id m_operation = 0;
-    std::uint64_t m_store_version = 0;
     std::uint32_t m_conflicts = 0;
     bool m_write_outstanding = false;
+
+    /// A write ended without an answer, so the change may be in the store.
+    bool m_may_be_written = false;
+
+    /// Text of the document that was written, and what it changes in zones and backend servers.
+    std::string m_text;
+    json m_placement = json::object();
     time_point m_started{};
     time_point m_next_probe{};
 
@@ -50,6 +56,8 @@
 
     /// Plans are read again from the store after the acknowledgements, to see nodes that joined.
     std::set<operation_id> m_verification_reads;
+    bool m_verification_started = false;
+    bool m_verification_failed = false;
     bool m_verified = false;
 };
 
@@ -66,7 +74,9 @@
     /// Whether `config` was read from the store since this incarnation's plan was written.
     bool m_read_after_join = false;
     time_point m_next_poll{};
-    time_point m_next_pull{};
+
+    /// Whether a peer was asked for its document since the last tick.
+    bool m_pull_sent = false;
 
     /// Changes by apply id, oldest dropped first beyond `max_changes`.
     std::map<std::string, pending_change> m_changes;
--- a/libs/core/include/azureladder/core/ownership.hpp
+++ b/libs/core/include/azureladder/core/ownership.hpp
@@ -8,6 +8,8 @@
 #include <azureladder/core/ownership_state.hpp>
 
 #include <optional>
+#include <string>
+#include <vector>
 
 /// Leases, plans, takeover, release and moves of slices; docs/design.md, section 3.
 namespace azureladder::core {
@@ -17,6 +19,15 @@
 /// Handles events that concern leases and ownership.
 void step_ownership(node_state& state, time_point now, const event& input, effects& output);
 
+/// Whether the plan of the current incarnation is in the store.
+bool plan_written(const node_state& state);
+
+/// Store keys of all plan shards.
+std::vector<std::string> plan_shard_keys(const node_state& state);
+
+/// Plans in the text of a plan shard; unreadable entries are left out.
+std::vector<plan> plans_from_text(const std::string& text);
+
 /// Whether this node holds unexpired grants from the majorities that its plan requires.
 bool holds_lease(const node_state& state, time_point now);
 
