Name the witness's incarnation in lease requests

A witness that restarts has lost its grants and promises, so a request that was meant for its former incarnation must not be granted by the new one. The field lets the witness refuse such a request.

--- a/libs/core/include/azureladder/core/messages.hpp
+++ b/libs/core/include/azureladder/core/messages.hpp
@@ -20,6 +20,9 @@
 struct lease_request
 {
     plan_version m_plan_version = 0;
+
+    /// Incarnation of the witness that is meant; a restarted witness refuses it.
+    incarnation_id m_witness = 0;
     std::uint64_t m_sequence = 0;
     revision_number m_revision = 0;
 
