Add the CBOR codec of all messages between nodes

Nodes need one checked encoding for datagrams and links. Each field is named once in a table of member pointers, because separate encode and decode functions drift apart. Input is scanned before nlohmann::json parses it: its CBOR reader recurses for nested arrays and nested indefinite strings, so a short frame could exhaust the stack.

--- /dev/null
+++ b/libs/wire/include/azureladder/wire/envelope.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <azureladder/base/endpoint.hpp>
+#include <azureladder/base/ids.hpp>
+#include <azureladder/base/result.hpp>
+#include <azureladder/core/messages.hpp>
+#include <azureladder/wire/frames.hpp>
+#include <azureladder/wire/wire_error.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+/// CBOR encoding of everything that nodes send to each other; docs/design.md, section 8.
+namespace azureladder::wire {
+
+/// Version of the protocol. A message of another version is refused.
+inline constexpr std::uint64_t protocol_version = 1;
+
+/// Largest UDP payload, chosen to fit the smallest MTU in use without fragmentation.
+inline constexpr std::size_t max_datagram_bytes = 1'200;
+
+/// Largest frame of a link. Bounds the memory that one frame can take at its receiver.
+inline constexpr std::size_t max_frame_bytes = 2 * 1'024 * 1'024;
+
+using payload = std::variant<core::message, request_frame, reply_frame, cancel_frame>;
+
+/// A message with its sender.
+struct envelope
+{
+    member_ref m_from;
+
+    /// Address of the sender's peer listener; answers go there.
+    endpoint m_reply_to;
+    payload m_payload;
+};
+
+/// Encodes a message. `m_reply_to` must hold an IP address.
+std::vector<std::uint8_t> encode(const envelope& value);
+
+/// Decodes a message and checks the type and range of each field. Throws nothing.
+result<envelope, wire_error> decode(const std::uint8_t* data, std::size_t size);
+
+enum class channel
+{
+    datagram,
+    link
+};
+
+inline constexpr enum_name<channel> channel_names[] = {
+    {channel::datagram, "datagram"},
+    {channel::link, "link"},
+};
+
+/// Whether the encoded message fits into a datagram with any envelope that has a node name of at
+/// most 64 bytes.
+bool fits_datagram(const core::message& value);
+
+/// Channel on which a message travels: datagrams for those that are repeated until they are
+/// answered, as long as they fit; the link for all others.
+channel channel_for(const core::message& value);
+
+} // namespace azureladder::wire
--- /dev/null
+++ b/libs/wire/src/descriptor.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <azureladder/wire/envelope.hpp>
+
+#include <array>
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <type_traits>
+
+/// Building blocks of the message tables in message_table.hpp.
+namespace azureladder::wire {
+
+/// How the characters of a string travel.
+enum class text_style
+{
+    utf8, // names from records and settings; checked to be valid UTF-8
+    bytes // anything a caller or a backend server can choose
+};
+
+/// One field of a message: its key, its member and its largest value, length or count.
+template <class Owner, class Value>
+struct field
+{
+    std::string_view m_key;
+    Value Owner::*m_member;
+    std::uint64_t m_limit;
+    text_style m_style = text_style::utf8;
+};
+
+/// Limits of fields that state none.
+inline constexpr std::uint64_t max_name_bytes = 256;
+inline constexpr std::uint64_t max_list_items = 65'536;
+inline constexpr std::uint64_t max_status = 599;
+inline constexpr std::uint64_t max_duration_us = 86'400'000'000; // one day
+
+template <class Value>
+constexpr std::uint64_t default_limit()
+{
+    if constexpr (std::is_same_v<Value, std::string>)
+        return max_name_bytes;
+    else if constexpr (std::is_same_v<Value, int>)
+        return max_status;
+    else if constexpr (std::is_same_v<Value, duration>)
+        return max_duration_us;
+    else if constexpr (std::is_integral_v<Value>)
+        return std::numeric_limits<Value>::max();
+    else
+        return max_list_items;
+}
+
+template <class Owner, class Value>
+constexpr field<Owner, Value> make_field(std::string_view key, Value Owner::*member,
+                                         std::uint64_t limit = default_limit<Value>())
+{
+    return {key, member, limit, text_style::utf8};
+}
+
+template <class Owner>
+constexpr field<Owner, std::string> make_bytes(std::string_view key, std::string Owner::*member,
+                                               std::uint64_t limit = max_name_bytes)
+{
+    return {key, member, limit, text_style::bytes};
+}
+
+/// Table of the fields of a structure; specialised in message_table.hpp. A message also has
+/// `code` and `via`; a structure with `as_array` travels without keys, in the order of its fields.
+template <class Type>
+struct descriptor;
+
+template <class Type, class = void>
+struct travels_as_array : std::false_type
+{
+};
+
+template <class Type>
+struct travels_as_array<Type, std::void_t<decltype(descriptor<Type>::as_array)>> : std::true_type
+{
+};
+
+/// Number of values of an enumeration, from its table of names; specialised in message_table.hpp.
+template <class Enum>
+inline constexpr std::size_t enum_size = 0;
+
+/// Keys of the envelope. No message field may use them, because both share one map.
+inline constexpr std::string_view version_key = "v";
+inline constexpr std::string_view type_key = "t";
+inline constexpr std::string_view node_key = "n";
+inline constexpr std::string_view incarnation_key = "i";
+inline constexpr std::string_view address_key = "a";
+
+/// Whether the keys of a message differ from each other and from those of the envelope.
+template <class Type>
+constexpr bool has_distinct_keys()
+{
+    return std::apply(
+        [](const auto&... fields) {
+            const std::array<std::string_view, sizeof...(fields) + 5> keys = {
+                version_key, type_key, node_key, incarnation_key, address_key, fields.m_key...};
+            for (std::size_t a = 0; a < keys.size(); ++a) {
+                for (std::size_t b = a + 1; b < keys.size(); ++b) {
+                    if (keys[a] == keys[b])
+                        return false;
+                }
+            }
+            return true;
+        },
+        descriptor<Type>::fields);
+}
+
+} // namespace azureladder::wire
--- /dev/null
+++ b/libs/wire/src/envelope.cpp
@@ -0,0 +1,179 @@
+#include <azureladder/wire/envelope.hpp>
+
+#include "codec.hpp"
+
+namespace azureladder::wire {
+
+namespace {
+
+/// Largest envelope: its keys, a node name of 64 bytes, an incarnation and an IPv6 address.
+constexpr std::size_t max_envelope_bytes = 120;
+
+/// Calls `function` with the described message that the payload holds.
+template <class Function>
+auto visit_payload(const payload& value, Function function)
+{
+    return std::visit(
+        [&](const auto& held) {
+            if constexpr (std::is_same_v<std::decay_t<decltype(held)>, core::message>)
+                return std::visit(function, held);
+            else
+                return function(held);
+        },
+        value);
+}
+
+template <class Message>
+json encode_message(const Message& value)
+{
+    json map = json::object();
+    map[std::string(version_key)] = protocol_version;
+    map[std::string(type_key)] = descriptor<Message>::code;
+    encode_fields(value, map);
+    return map;
+}
+
+/// Decodes the alternative of `Variant` with the type code `code`. Returns whether there is one.
+template <std::size_t Index, class Variant>
+bool decode_by_code(std::uint64_t code, const json& map, Variant& value, decode_error& error)
+{
+    if constexpr (Index < std::variant_size_v<Variant>) {
+        using alternative = std::variant_alternative_t<Index, Variant>;
+        if constexpr (std::is_same_v<alternative, core::message>) {
+            core::message inner;
+            if (!decode_by_code<0>(code, map, inner, error))
+                return decode_by_code<Index + 1>(code, map, value, error);
+            value = std::move(inner);
+            return true;
+        } else {
+            if (code != descriptor<alternative>::code)
+                return decode_by_code<Index + 1>(code, map, value, error);
+            error = decode_fields(map, value.template emplace<Index>());
+            return true;
+        }
+    } else {
+        return false;
+    }
+}
+
+decode_error read_unsigned(const json& map, std::string_view key, std::uint64_t& value)
+{
+    const auto found = map.find(key);
+    if (found == map.end())
+        return refuse(wire_error_kind::missing_field, key);
+    return decode_unsigned(*found, value, std::numeric_limits<std::uint64_t>::max(), key);
+}
+
+decode_error check_version(const json& map)
+{
+    std::uint64_t version = 0;
+    if (auto error = read_unsigned(map, version_key, version))
+        return error;
+    if (version != protocol_version)
+        return refuse(wire_error_kind::unknown_version, version_key);
+    return std::nullopt;
+}
+
+decode_error decode_sender(const json& map, envelope& output)
+{
+    const auto node = map.find(node_key);
+    const auto address = map.find(address_key);
+    if (node == map.end())
+        return refuse(wire_error_kind::missing_field, node_key);
+    if (address == map.end())
+        return refuse(wire_error_kind::missing_field, address_key);
+    if (auto error =
+            decode_string(*node, output.m_from.m_node, max_name_bytes, text_style::utf8, node_key))
+        return error;
+    if (auto error = decode_endpoint(*address, output.m_reply_to, address_key))
+        return error;
+    return read_unsigned(map, incarnation_key, output.m_from.m_incarnation);
+}
+
+/// Checks what a single field cannot show.
+decode_error check_whole(const payload& value)
+{
+    const auto* reply = std::get_if<reply_frame>(&value);
+    if (reply == nullptr)
+        return std::nullopt;
+    const auto* content = std::get_if<reply_content>(&reply->m_result);
+    if (content != nullptr && content->m_body_length != content->m_body.size())
+        return refuse(wire_error_kind::out_of_range, "l");
+    return std::nullopt;
+}
+
+decode_error decode_payload(const json& map, payload& value)
+{
+    std::uint64_t code = 0;
+    if (auto error = read_unsigned(map, type_key, code))
+        return error;
+    decode_error error;
+    if (!decode_by_code<0>(code, map, value, error))
+        return refuse(wire_error_kind::unknown_type, type_key);
+    if (error)
+        return error;
+    return check_whole(value);
+}
+
+decode_error decode_map(const json& map, envelope& output)
+{
+    if (auto error = check_version(map))
+        return error;
+    if (auto error = decode_sender(map, output))
+        return error;
+    return decode_payload(map, output.m_payload);
+}
+
+decode_error decode_bytes(const std::uint8_t* data, std::size_t size, envelope& output)
+{
+    if (size > max_frame_bytes)
+        return refuse(wire_error_kind::too_large, {});
+    if (const auto kind = scan_cbor(data, size))
+        return refuse(*kind, {});
+    const auto map = json::from_cbor(data, data + size, true, false);
+    if (!map.is_object())
+        return refuse(wire_error_kind::malformed, {});
+    return decode_map(map, output);
+}
+
+} // namespace
+
+std::vector<std::uint8_t> encode(const envelope& value)
+{
+    json map =
+        visit_payload(value.m_payload, [](const auto& message) { return encode_message(message); });
+    map[std::string(node_key)] = value.m_from.m_node;
+    map[std::string(incarnation_key)] = value.m_from.m_incarnation;
+    map[std::string(address_key)] = encode_endpoint(value.m_reply_to);
+    return json::to_cbor(map);
+}
+
+result<envelope, wire_error> decode(const std::uint8_t* data, std::size_t size)
+{
+    try {
+        envelope output;
+        if (auto error = decode_bytes(data, size, output))
+            return std::move(*error);
+        return output;
+    } catch (const std::exception&) {
+        return wire_error{wire_error_kind::malformed, {}};
+    }
+}
+
+bool fits_datagram(const core::message& value)
+{
+    const auto map = std::visit([](const auto& message) { return encode_message(message); }, value);
+    return json::to_cbor(map).size() + max_envelope_bytes <= max_datagram_bytes;
+}
+
+channel channel_for(const core::message& value)
+{
+    const auto preferred = std::visit(
+        [](const auto& message) { return descriptor<std::decay_t<decltype(message)>>::via; },
+        value);
+    if (preferred == channel::datagram && fits_datagram(value))
+        return channel::datagram;
+    return channel::link;
+}
+
+} // namespace azureladder::wire
