Add a reader of JSON objects that collects errors by path

Records and settings both need typed and range-checked fields, errors with the path to the field, and a refusal of unknown and repeated fields, which nlohmann-json drops silently.

--- /dev/null
+++ b/libs/base/include/azureladder/base/object_reader.hpp
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <azureladder/base/enum_names.hpp>
+#include <azureladder/base/json.hpp>
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace azureladder {
+
+/// A field of a JSON text that is missing, unknown, of the wrong type or out of range.
+struct field_error
+{
+    /// Path to the field, for example "records[2].slices".
+    std::string m_path;
+
+    /// What was expected and what was found.
+    std::string m_message;
+};
+
+enum class presence
+{
+    optional,
+    required
+};
+
+/// Form of a text field.
+struct text_rule
+{
+    /// Completes "expected ...", for example "a name of 1 to 64 characters".
+    std::string m_expected;
+
+    bool (*m_accepts)(const std::string& text);
+};
+
+/// Whether `text` is valid UTF-8 without control characters and has at most `max_bytes`.
+bool is_plain_text(const std::string& text, std::size_t max_bytes);
+
+/// Reads the fields of one JSON object and adds an error for each that is not as expected. The
+/// read functions leave the output unchanged and return false when the field is absent or wrong.
+class object_reader
+{
+public:
+    /// `object` and `errors` must outlive the reader. A value that is not an object is an error.
+    object_reader(const json& object, std::string path, std::vector<field_error>& errors);
+
+    bool read_boolean(const std::string& name, bool& value, presence need = presence::optional);
+
+    /// Integer from `min` to `max`, both included.
+    template <class Integer>
+    bool read_integer(const std::string& name, std::int64_t min, std::int64_t max, Integer& value,
+                      presence need = presence::optional)
+    {
+        std::int64_t number = 0;
+        if (!read_number(name, min, max, number, need))
+            return false;
+        value = static_cast<Integer>(number);
+        return true;
+    }
+
+    bool read_text(const std::string& name, const text_rule& rule, std::string& value,
+                   presence need = presence::optional);
+
+    /// Array of different texts.
+    bool read_texts(const std::string& name, const text_rule& rule,
+                    std::vector<std::string>& values, presence need = presence::optional);
+
+    template <class Enum, std::size_t Size>
+    bool read_enum(const std::string& name, const enum_name<Enum> (&table)[Size], Enum& value,
+                   presence need = presence::optional)
+    {
+        std::string expected = "one of:";
+        for (const auto& row : table)
+            expected.append(" \"").append(row.m_name).append("\"");
+        const json* field = find(name, expected, need);
+        if (field == nullptr)
+            return false;
+        const auto found = field->is_string()
+                               ? value_in(table, field->template get_ref<const std::string&>())
+                               : std::nullopt;
+        if (!found)
+            return fail_value(path_of(name), expected, *field);
+        value = *found;
+        return true;
+    }
+
+    /// The field when it is an object or an array, else null.
+    const json* read_object(const std::string& name, presence need = presence::optional);
+    const json* read_array(const std::string& name, presence need = presence::optional);
+
+    /// Adds an error for each field that no read function asked for.
+    void finish();
+
+    std::string path_of(const std::string& name) const;
+    void fail(const std::string& name, const std::string& message);
+    std::vector<field_error>& errors() { return m_errors; }
+
+private:
+    const json* find(const std::string& name, const std::string& expected, presence need);
+    bool read_number(const std::string& name, std::int64_t min, std::int64_t max,
+                     std::int64_t& value, presence need);
+    bool fail_value(const std::string& path, const std::string& expected, const json& found);
+
+    const json& m_object;
+    std::string m_path;
+    std::vector<field_error>& m_errors;
+    std::set<std::string> m_known;
+};
+
+/// Parses JSON text, with // and /* */ comments when `comments` is set. Syntax errors and fields
+/// that occur twice in one object are added to `errors`; the result is then of type discarded.
+json parse_json_text(const std::string& text, bool comments, std::vector<field_error>& errors);
+
+} // namespace azureladder
--- /dev/null
+++ b/libs/base/src/object_reader.cpp
@@ -0,0 +1,224 @@
+#include <azureladder/base/object_reader.hpp>
+
+#include <algorithm>
+
+namespace azureladder {
+
+namespace {
+
+/// Longest excerpt of a wrong value in an error message, in bytes.
+constexpr std::size_t max_excerpt = 40;
+
+std::string excerpt(const json& value)
+{
+    if (value.is_structured())
+        return value.is_array() ? "an array" : "an object";
+    std::string text = value.dump(-1, ' ', true, json::error_handler_t::replace);
+    if (text.size() > max_excerpt)
+        text = text.substr(0, max_excerpt) + "...";
+    return text;
+}
+
+/// nlohmann-json starts its messages with an id in brackets.
+std::string without_error_id(const std::string& message)
+{
+    const auto end = message.find("] ");
+    return end == std::string::npos ? message : message.substr(end + 2);
+}
+
+/// Collects fields that occur twice in one object while the parser runs; nlohmann-json would
+/// silently keep the last one.
+class duplicate_finder
+{
+public:
+    void see(json::parse_event_t event, const json& parsed)
+    {
+        using event_type = json::parse_event_t;
+        if (event == event_type::object_start) {
+            m_open.emplace_back();
+        } else if (event == event_type::object_end) {
+            m_open.pop_back();
+        } else if (event == event_type::key) {
+            if (!m_open.back().insert(parsed.get<std::string>()).second)
+                m_duplicates.insert(parsed.get<std::string>());
+        }
+    }
+
+    const std::set<std::string>& duplicates() const { return m_duplicates; }
+
+private:
+    std::vector<std::set<std::string>> m_open;
+    std::set<std::string> m_duplicates;
+};
+
+} // namespace
+
+bool is_plain_text(const std::string& text, std::size_t max_bytes)
+{
+    if (text.size() > max_bytes)
+        return false;
+    const auto is_control = [](unsigned char c) { return c < 0x20 || c == 0x7f; };
+    if (std::any_of(text.begin(), text.end(), is_control))
+        return false;
+    // Invalid UTF-8 is replaced when it is written, so it does not read back as the same text.
+    const std::string written = json(text).dump(-1, ' ', false, json::error_handler_t::replace);
+    return json::parse(written, nullptr, false) == json(text);
+}
+
+object_reader::object_reader(const json& object, std::string path, std::vector<field_error>& errors)
+    : m_object(object), m_path(std::move(path)), m_errors(errors)
+{
+    if (!object.is_object())
+        fail_value(m_path, "an object", object);
+}
+
+std::string object_reader::path_of(const std::string& name) const
+{
+    return m_path.empty() ? name : m_path + "." + name;
+}
+
+void object_reader::fail(const std::string& name, const std::string& message)
+{
+    m_errors.push_back({path_of(name), message});
+}
+
+bool object_reader::fail_value(const std::string& path, const std::string& expected,
+                               const json& found)
+{
+    m_errors.push_back({path, "expected " + expected + ", found " + excerpt(found)});
+    return false;
+}
+
+const json* object_reader::find(const std::string& name, const std::string& expected, presence need)
+{
+    m_known.insert(name);
+    if (!m_object.is_object())
+        return nullptr;
+    const auto found = m_object.find(name);
+    if (found != m_object.end())
+        return &*found;
+    if (need == presence::required)
+        fail(name, "missing; expected " + expected);
+    return nullptr;
+}
+
+bool object_reader::read_boolean(const std::string& name, bool& value, presence need)
+{
+    const json* field = find(name, "true or false", need);
+    if (field == nullptr)
+        return false;
+    if (!field->is_boolean())
+        return fail_value(path_of(name), "true or false", *field);
+    value = field->get<bool>();
+    return true;
+}
+
+bool object_reader::read_number(const std::string& name, std::int64_t min, std::int64_t max,
+                                std::int64_t& value, presence need)
+{
+    const std::string expected =
+        "an integer from " + std::to_string(min) + " to " + std::to_string(max);
+    const json* field = find(name, expected, need);
+    if (field == nullptr)
+        return false;
+    if (!field->is_number_integer())
+        return fail_value(path_of(name), expected, *field);
+    // Values above the signed range become negative in the conversion.
+    const bool too_large = field->is_number_unsigned() && field->get<std::uint64_t>() > INT64_MAX;
+    const auto number = field->get<std::int64_t>();
+    if (too_large || number < min || number > max)
+        return fail_value(path_of(name), expected, *field);
+    value = number;
+    return true;
+}
+
+bool object_reader::read_text(const std::string& name, const text_rule& rule, std::string& value,
+                              presence need)
+{
+    const json* field = find(name, rule.m_expected, need);
+    if (field == nullptr)
+        return false;
+    if (!field->is_string() || !rule.m_accepts(field->get_ref<const std::string&>()))
+        return fail_value(path_of(name), rule.m_expected, *field);
+    value = field->get<std::string>();
+    return true;
+}
+
+bool object_reader::read_texts(const std::string& name, const text_rule& rule,
+                               std::vector<std::string>& values, presence need)
+{
+    const json* field = read_array(name, need);
+    if (field == nullptr)
+        return false;
+    const std::size_t errors_before = m_errors.size();
+    std::vector<std::string> read;
+    std::set<std::string> seen;
+    for (std::size_t i = 0; i < field->size(); ++i) {
+        const json& item = (*field)[i];
+        const std::string item_path = path_of(name) + "[" + std::to_string(i) + "]";
+        if (!item.is_string() || !rule.m_accepts(item.get_ref<const std::string&>()))
+            fail_value(item_path, rule.m_expected, item);
+        else if (!seen.insert(item.get<std::string>()).second)
+            m_errors.push_back({item_path, "occurs twice in the list"});
+        else
+            read.push_back(item.get<std::string>());
+    }
+    if (m_errors.size() != errors_before)
+        return false;
+    values = std::move(read);
+    return true;
+}
+
+const json* object_reader::read_object(const std::string& name, presence need)
+{
+    const json* field = find(name, "an object", need);
+    if (field != nullptr && !field->is_object()) {
+        fail_value(path_of(name), "an object", *field);
+        return nullptr;
+    }
+    return field;
+}
+
+const json* object_reader::read_array(const std::string& name, presence need)
+{
+    const json* field = find(name, "an array", need);
+    if (field != nullptr && !field->is_array()) {
+        fail_value(path_of(name), "an array", *field);
+        return nullptr;
+    }
+    return field;
+}
+
+void object_reader::finish()
+{
+    if (!m_object.is_object())
+        return;
+    std::string known;
+    for (const auto& name : m_known)
+        known += known.empty() ? name : ", " + name;
+    for (const auto& item : m_object.items()) {
+        if (m_known.count(item.key()) == 0)
+            fail(item.key(), "unknown field; expected one of: " + known);
+    }
+}
+
+json parse_json_text(const std::string& text, bool comments, std::vector<field_error>& errors)
+{
+    duplicate_finder finder;
+    const auto callback = [&](int, json::parse_event_t event, json& parsed) {
+        finder.see(event, parsed);
+        return true;
+    };
+    json value;
+    try {
+        value = json::parse(text, callback, true, comments);
+    } catch (const json::exception& error) {
+        errors.push_back({"", "not valid JSON: " + without_error_id(error.what())});
+        return json(json::value_t::discarded);
+    }
+    for (const auto& name : finder.duplicates())
+        errors.push_back({name, "occurs twice in one object"});
+    return finder.duplicates().empty() ? value : json(json::value_t::discarded);
+}
+
+} // namespace azureladder
--- /dev/null
+++ b/libs/base/tests/object_reader_test.cpp
@@ -0,0 +1,42 @@
+#include <azureladder/base/object_reader.hpp>
+
+#include <gtest/gtest.h>
+
+namespace azureladder {
+namespace {
+
+// Guards against a field that is repeated, so that only the last of two values would count.
+TEST(json_text, repeated_fields_are_errors)
+{
+    std::vector<field_error> errors;
+    EXPECT_TRUE(
+        parse_json_text(R"({"a":{"b":1},"c":[{"b":1},{"b":2}]})", false, errors).is_object());
+    EXPECT_TRUE(errors.empty());
+    EXPECT_TRUE(parse_json_text(R"({"a":{"b":1,"b":2}})", false, errors).is_discarded());
+    ASSERT_EQ(errors.size(), 1u);
+    EXPECT_EQ(errors[0].m_path, "b");
+}
+
+// Guards against comments in protocol texts and against texts that throw.
+TEST(json_text, comments_only_where_allowed)
+{
+    std::vector<field_error> errors;
+    const std::string text = "// first\n{ /* second */ \"a\": 1 }";
+    EXPECT_EQ(parse_json_text(text, true, errors), json({{"a", 1}}));
+    EXPECT_TRUE(errors.empty());
+    parse_json_text(text, false, errors);
+    parse_json_text("{\"a\":1e9999}", true, errors);
+    EXPECT_EQ(errors.size(), 2u);
+}
+
+// Guards against text that would be changed when a document is written and read back.
+TEST(json_text, plain_text_is_valid_utf8)
+{
+    EXPECT_TRUE(is_plain_text("výměna", 8));
+    EXPECT_FALSE(is_plain_text("výměna", 7));
+    EXPECT_FALSE(is_plain_text("v\xfd", 8));
+    EXPECT_FALSE(is_plain_text("a\tb", 8));
+}
+
+} // namespace
+} // namespace azureladder
