--- /dev/null
+++ b/libs/records/src/parse_v2.cpp
@@ -0,0 +1,127 @@
+#include "record_parser.hpp"
+
+namespace azureladder::records {
+
+namespace {
+
+const text_rule& prefix_rule()
+{
+    static const text_rule rule{
+        "a key prefix of 1 to 512 bytes of UTF-8 without control characters",
+        [](const std::string& text) {
+            return !text.empty() && is_plain_text(text, max_key_bytes);
+        }};
+    return rule;
+}
+
+void check_unique(const std::vector<key_group>& groups, const std::string& path,
+                  std::vector<field_error>& errors)
+{
+    for (std::size_t i = 0; i < groups.size(); ++i) {
+        const std::string item = path + "[" + std::to_string(i) + "]";
+        for (std::size_t j = 0; j < i; ++j) {
+            if (groups[i].m_name == groups[j].m_name)
+                errors.push_back({item + ".name", "another key group has this name"});
+            if (groups[i].m_prefix == groups[j].m_prefix)
+                errors.push_back({item + ".prefix", "another key group has this prefix"});
+        }
+    }
+}
+
+std::vector<key_group> parse_key_groups(const json& array, const std::string& path,
+                                        std::vector<field_error>& errors)
+{
+    std::vector<key_group> groups;
+    const std::size_t errors_before = errors.size();
+    for (std::size_t i = 0; i < array.size(); ++i) {
+        object_reader reader(array[i], path + "[" + std::to_string(i) + "]", errors);
+        key_group group;
+        reader.read_text("name", name_rule(), group.m_name, presence::required);
+        reader.read_text("prefix", prefix_rule(), group.m_prefix, presence::required);
+        reader.finish();
+        groups.push_back(group);
+    }
+    if (errors.size() == errors_before)
+        check_unique(groups, path, errors);
+    return groups;
+}
+
+void parse_placement(object_reader& reader, service_record& record)
+{
+    reader.read_boolean("divided_by_key", record.m_divided_by_key);
+    reader.read_integer("slices", 1, max_slices, record.m_slices);
+    reader.read_texts("zones", name_rule(), record.m_zones);
+    if (const json* groups = reader.read_array("key_groups")) {
+        record.m_key_groups =
+            parse_key_groups(*groups, reader.path_of("key_groups"), reader.errors());
+        if (!record.m_key_groups.empty() && !record.m_divided_by_key)
+            reader.fail("key_groups", "expected only in a service that is divided by key");
+    }
+    reader.finish();
+}
+
+void parse_execution(object_reader& reader, service_record& record)
+{
+    std::int64_t ms = 0;
+    if (reader.read_integer("max_execution_ms", 1, max_max_execution_ms, ms))
+        record.m_max_execution = milliseconds(ms);
+    if (reader.read_integer("default_timeout_ms", 1, max_timeout_ms, ms))
+        record.m_default_timeout = milliseconds(ms);
+    reader.finish();
+}
+
+void parse_routing(object_reader& reader, service_record& record)
+{
+    reader.read_enum("policy", selection_policy_names, record.m_policy);
+    reader.read_boolean("hedging", record.m_hedging);
+    reader.finish();
+}
+
+const text_rule& reason_rule()
+{
+    static const text_rule rule{
+        "a text of at most 512 bytes of UTF-8 without control characters",
+        [](const std::string& text) { return is_plain_text(text, max_reason_bytes); }};
+    return rule;
+}
+
+} // namespace
+
+service_record parse_service_v2(object_reader& reader)
+{
+    service_record record;
+    const auto parse_part = [&](const char* name, void (*parse)(object_reader&, service_record&)) {
+        if (const json* part = reader.read_object(name)) {
+            object_reader part_reader(*part, reader.path_of(name), reader.errors());
+            parse(part_reader, record);
+        }
+    };
+    parse_part("placement", parse_placement);
+    parse_part("execution", parse_execution);
+    parse_part("routing", parse_routing);
+    return record;
+}
+
+key_policy_record parse_key_policy_v2(object_reader& reader)
+{
+    key_policy_record record;
+    reader.read_text("service", name_rule(), record.m_service, presence::required);
+    reader.read_text("group", group_rule(), record.m_group);
+    if (const json* owners = reader.read_object("owners", presence::required)) {
+        object_reader owners_reader(*owners, reader.path_of("owners"), reader.errors());
+        owners_reader.read_texts("servers", name_rule(), record.m_servers);
+        owners_reader.read_texts("zones", name_rule(), record.m_zones);
+        owners_reader.finish();
+    }
+    return record;
+}
+
+state_record parse_state_v2(object_reader& reader)
+{
+    state_record record;
+    reader.read_enum("state", service_state_names, record.m_state, presence::required);
+    reader.read_text("reason", reason_rule(), record.m_reason);
+    return record;
+}
+
+} // namespace azureladder::records
