Add the audit library: log reader, history checker and traces

Operators must be able to verify afterwards that each request was routed as the records specified. Malformed and cut lines are counted, because a killed process leaves one.

--- /dev/null
+++ b/libs/audit/include/azureladder/audit/history.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <azureladder/audit/event.hpp>
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace azureladder::audit {
+
+/// A line that could not be read.
+struct malformed_line
+{
+    log_position m_position;
+    std::string m_reason;
+
+    /// The last line of a file without a line end: the process ended while it wrote the line.
+    bool m_is_cut = false;
+};
+
+/// Events of several logs, merged by time.
+struct history
+{
+    std::vector<std::string> m_files;
+    std::vector<event> m_events;
+
+    /// The first `max_listed_malformed` malformed lines; `m_malformed_count` counts all.
+    std::vector<malformed_line> m_malformed;
+    std::size_t m_malformed_count = 0;
+
+    /// Lines with an event name that the audit does not read.
+    std::size_t m_skipped_count = 0;
+};
+
+inline constexpr std::size_t max_listed_malformed = 100;
+
+/// Sorts the events by time; events with equal times keep the order in which they were read.
+void merge_by_time(history& events);
+
+} // namespace azureladder::audit
--- /dev/null
+++ b/libs/audit/src/event.cpp
@@ -0,0 +1,112 @@
+#include <azureladder/audit/event.hpp>
+
+namespace azureladder::audit {
+
+namespace {
+
+/// Text of a field; numbers are written in decimal, because ids may be logged as either.
+std::string text_of(const json& line, const char* name)
+{
+    const auto found = line.find(name);
+    if (found == line.end() || found->is_null())
+        return {};
+    return found->is_string() ? found->get<std::string>() : found->dump();
+}
+
+template <class Number>
+Number number_of(const json& line, const char* name)
+{
+    const auto found = line.find(name);
+    return found == line.end() || found->is_null() ? Number() : found->get<Number>();
+}
+
+std::vector<std::string> list_of(const json& line, const char* name)
+{
+    const auto found = line.find(name);
+    return found == line.end() ? std::vector<std::string>()
+                               : found->get<std::vector<std::string>>();
+}
+
+void read_request_fields(const json& line, event& into)
+{
+    into.m_request_id = text_of(line, "request_id");
+    into.m_service = text_of(line, "service");
+    into.m_key = text_of(line, "key");
+    into.m_idempotency_key = text_of(line, "idempotency_key");
+    into.m_method = text_of(line, "method");
+    into.m_attempt = number_of<std::uint32_t>(line, "attempt");
+    into.m_status = number_of<int>(line, "status");
+    into.m_role = text_of(line, "role");
+    if (line.contains("executed"))
+        into.m_executed = value_in(executed_names, text_of(line, "executed"));
+}
+
+void read_slice_fields(const json& line, event& into)
+{
+    into.m_slice.m_space = text_of(line, "space");
+    into.m_slice.m_index = number_of<std::uint32_t>(line, "slice");
+    into.m_epoch = number_of<epoch_number>(line, "epoch");
+    if (line.contains("effective_us"))
+        into.m_effective_us = number_of<std::int64_t>(line, "effective_us");
+}
+
+void read_server_fields(const json& line, event& into)
+{
+    into.m_server = text_of(line, line.contains("server") ? "server" : "backend");
+    into.m_zone = text_of(line, "zone");
+    into.m_in_flight = number_of<std::uint32_t>(line, "in_flight");
+    if (line.contains("bound"))
+        into.m_bound = number_of<std::uint32_t>(line, "bound");
+}
+
+std::string detail_of(const json& line)
+{
+    for (const auto* name : {"to", "reason", "outcome", "apply_id"}) {
+        auto text = text_of(line, name);
+        if (!text.empty())
+            return std::string(name) + " " + text;
+    }
+    return {};
+}
+
+void read_changes(const json& line, service_changes& into)
+{
+    into.m_removed_zones = list_of(line, "removed_zones");
+    into.m_returned_zones = list_of(line, "returned_zones");
+    into.m_removed_servers = list_of(line, "removed_servers");
+    into.m_returned_servers = list_of(line, "returned_servers");
+}
+
+} // namespace
+
+bool is_idempotent_method(std::string_view method)
+{
+    return method != "POST" && method != "PATCH";
+}
+
+std::optional<event> parse_event(const json& line)
+{
+    const auto kind = value_in(event_kind_names, line.at("event").get<std::string>());
+    if (!kind)
+        return std::nullopt;
+    event parsed;
+    parsed.m_kind = *kind;
+    parsed.m_time_us = line.at("time_us").get<std::int64_t>();
+    parsed.m_node = text_of(line, "node");
+    parsed.m_incarnation = text_of(line, "incarnation");
+    parsed.m_revision = number_of<revision_number>(line, "revision");
+    parsed.m_detail = detail_of(line);
+    read_request_fields(line, parsed);
+    read_slice_fields(line, parsed);
+    read_server_fields(line, parsed);
+    if (*kind == event_kind::change_accepted)
+        read_changes(line, parsed.m_changes);
+    if (*kind == event_kind::call_finished) {
+        parsed.m_echoed_request_id = text_of(line, "echoed_request_id");
+        parsed.m_echoed_key = text_of(line, "echoed_key");
+        parsed.m_whole = line.value("whole", true);
+    }
+    return parsed;
+}
+
+} // namespace azureladder::audit
--- /dev/null
+++ b/libs/audit/src/execution_rules.cpp
@@ -0,0 +1,168 @@
+#include "rules.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+
+namespace azureladder::audit {
+
+namespace {
+
+constexpr auto never_us = std::numeric_limits<std::int64_t>::max();
+
+/// Period in which a zone or server must receive no new work.
+struct removal
+{
+    const event* m_change = nullptr;
+    std::int64_t m_from_us = 0;
+    std::int64_t m_until_us = never_us;
+};
+
+using removals = std::map<std::string, std::vector<removal>>;
+using name_list = std::vector<std::string> service_changes::*;
+
+/// First time at which any node installed `revision` or a newer one. A return takes effect at the
+/// nodes before it is accepted.
+std::int64_t first_installed_us(const history& events, revision_number revision)
+{
+    for (const auto& line : events.m_events) {
+        if (line.m_kind == event_kind::revision_installed && line.m_revision >= revision)
+            return line.m_time_us;
+    }
+    return never_us;
+}
+
+void add_removals(const event& change, const std::vector<std::string>& names,
+                  std::int64_t removal_time_us, removals& into)
+{
+    for (const auto& name : names) {
+        auto& of_name = into[name];
+        if (of_name.empty() || of_name.back().m_until_us != never_us)
+            of_name.push_back({&change, change.m_time_us + removal_time_us, never_us});
+    }
+}
+
+void end_removals(const rule_input& input, const event& change,
+                  const std::vector<std::string>& names, removals& into)
+{
+    for (const auto& name : names) {
+        auto& of_name = into[name];
+        if (of_name.empty() || of_name.back().m_until_us != never_us)
+            continue;
+        of_name.back().m_until_us =
+            std::min(change.m_time_us, first_installed_us(input.m_history, change.m_revision));
+    }
+}
+
+removals find_removals(const rule_input& input, name_list removed, name_list returned)
+{
+    removals found;
+    const auto removal_time_us = input.m_options.m_removal_time.count();
+    for (const auto* change : accepted_changes(input.m_history)) {
+        end_removals(input, *change, change->m_changes.*returned, found);
+        add_removals(*change, change->m_changes.*removed, removal_time_us, found);
+    }
+    return found;
+}
+
+/// Removal in effect for `name` at a time; null when it was in service.
+const removal* removal_at(const removals& all, const std::string& name, std::int64_t time_us)
+{
+    const auto of_name = all.find(name);
+    if (of_name == all.end())
+        return nullptr;
+    for (const auto& one : of_name->second) {
+        if (time_us > one.m_from_us && time_us < one.m_until_us)
+            return &one;
+    }
+    return nullptr;
+}
+
+std::map<std::string, std::string> zones_of_servers(const history& events)
+{
+    std::map<std::string, std::string> zones;
+    for (const auto& line : events.m_events) {
+        if (!line.m_server.empty() && !line.m_zone.empty())
+            zones[line.m_server] = line.m_zone;
+    }
+    return zones;
+}
+
+void report_second(rule broken, const std::string& what, const event* first, const event& second,
+                   findings& found)
+{
+    found.add(broken,
+              what + " was executed more than once: at " + first->m_server + " and at " +
+                  second.m_server,
+              {first, &second});
+}
+
+void report_work(rule broken, const char* scope, const removal& removed, const event& start,
+                 duration limit, findings& found)
+{
+    found.add(broken,
+              "server " + start.m_server + " received work more than " +
+                  std::to_string(to_ms(limit)) + " ms after " + scope + " was taken out of service",
+              {removed.m_change, &start});
+}
+
+} // namespace
+
+void check_at_most_once(const rule_input& input, findings& found)
+{
+    for (const auto& one : input.m_executions) {
+        const auto& start = *one.m_start;
+        if (is_idempotent_method(start.m_method))
+            continue;
+        const auto* by_request = input.m_index.by_request(start.m_request_id);
+        if (by_request != &start) {
+            report_second(rule::at_most_once, "non-idempotent request " + start.m_request_id,
+                          by_request, start, found);
+            continue;
+        }
+        if (start.m_idempotency_key.empty())
+            continue;
+        const auto* by_key =
+            input.m_index.by_idempotency_key({start.m_service, start.m_idempotency_key});
+        if (by_key != &start) {
+            report_second(rule::at_most_once,
+                          "idempotency key " + start.m_idempotency_key + " of service " +
+                              start.m_service,
+                          by_key, start, found);
+        }
+    }
+}
+
+void check_cold_bound(const rule_input& input, findings& found)
+{
+    for (const auto& one : input.m_executions) {
+        const auto& start = *one.m_start;
+        if (start.m_bound && start.m_in_flight > *start.m_bound) {
+            found.add(rule::cold_bound,
+                      "server " + start.m_server + " had " + std::to_string(start.m_in_flight) +
+                          " requests in flight; it can handle " + std::to_string(*start.m_bound),
+                      {&start});
+        }
+    }
+}
+
+void check_removals(const rule_input& input, findings& found)
+{
+    const auto zones =
+        find_removals(input, &service_changes::m_removed_zones, &service_changes::m_returned_zones);
+    const auto servers = find_removals(input, &service_changes::m_removed_servers,
+                                       &service_changes::m_returned_servers);
+    const auto zone_of = zones_of_servers(input.m_history);
+    const auto limit = input.m_options.m_removal_time;
+    for (const auto& one : input.m_executions) {
+        const auto& start = *one.m_start;
+        const auto known = zone_of.find(start.m_server);
+        const auto zone = known == zone_of.end() ? std::string() : known->second;
+        if (const auto* removed = removal_at(zones, zone, start.m_time_us))
+            report_work(rule::removed_zone, "its zone", *removed, start, limit, found);
+        if (const auto* removed = removal_at(servers, start.m_server, start.m_time_us))
+            report_work(rule::removed_server, "it", *removed, start, limit, found);
+    }
+}
+
+} // namespace azureladder::audit
--- /dev/null
+++ b/libs/audit/src/findings.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <azureladder/audit/check.hpp>
+
+#include <initializer_list>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace azureladder::audit {
+
+/// Collects the violations that the rules find, bounded for each rule.
+class findings
+{
+public:
+    findings(const history& events, const check_options& options)
+        : m_history(events), m_options(options)
+    {
+    }
+
+    /// Adds a violation with the lines that show it; null lines are left out.
+    void add(rule broken, std::string message, std::initializer_list<const event*> lines);
+
+    std::vector<violation> take() { return std::move(m_violations); }
+
+private:
+    const history& m_history;
+    const check_options& m_options;
+    std::vector<violation> m_violations;
+    std::map<rule, std::size_t> m_counts;
+};
+
+} // namespace azureladder::audit
--- /dev/null
+++ b/libs/audit/src/rules.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "execution_index.hpp"
+#include "findings.hpp"
+
+namespace azureladder::audit {
+
+/// What all rules read.
+struct rule_input
+{
+    const history& m_history;
+    const check_options& m_options;
+    const std::vector<execution>& m_executions;
+    const execution_index& m_index;
+};
+
+/// First acceptance of each revision, in the order of time. A line about an older revision than one
+/// accepted before it is left out, because each node that learns of an acceptance may log it.
+std::vector<const event*> accepted_changes(const history& events);
+
+void check_overlapping_executions(const rule_input& input, findings& found);
+void check_decreasing_epochs(const rule_input& input, findings& found);
+void check_overlapping_ownership(const rule_input& input, findings& found);
+void check_at_most_once(const rule_input& input, findings& found);
+void check_cold_bound(const rule_input& input, findings& found);
+void check_removals(const rule_input& input, findings& found);
+void check_answers(const rule_input& input, findings& found);
+void check_router_refusals(const rule_input& input, findings& found);
+void check_configuration_monotonic(const rule_input& input, findings& found);
+void check_configuration_in_effect(const rule_input& input, findings& found);
+void check_graceful_stop(const rule_input& input, findings& found);
+
+} // namespace azureladder::audit
