Add HTTP server on cxxtools and a client that never resends

Nodes need HTTP towards callers and backend servers. The server reads the body itself with the declared length, because cxxtools counts pipelined bytes as body.

--- /dev/null
+++ b/libs/http/include/azureladder/http/cancel_token.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <atomic>
+
+namespace azureladder::http {
+
+/// Cancels an exchange of `client` from another thread.
+class cancel_token
+{
+public:
+    cancel_token();
+    ~cancel_token();
+    cancel_token(const cancel_token&) = delete;
+    cancel_token& operator=(const cancel_token&) = delete;
+
+    /// Ends the exchange as soon as possible. May be called more than once.
+    void cancel();
+
+    bool cancelled() const { return m_cancelled.load(); }
+
+    /// Descriptor that becomes readable on `cancel()`, or -1 when none could be created.
+    int descriptor() const { return m_descriptor; }
+
+private:
+    std::atomic<bool> m_cancelled{false};
+    int m_descriptor;
+};
+
+} // namespace azureladder::http
--- /dev/null
+++ b/libs/http/include/azureladder/http/client.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <azureladder/base/endpoint.hpp>
+#include <azureladder/base/result.hpp>
+#include <azureladder/http/client_error.hpp>
+#include <azureladder/http/client_options.hpp>
+#include <azureladder/http/message.hpp>
+
+#include <memory>
+
+namespace azureladder::http {
+
+/// HTTP/1.1 client for one server. Never sends a request twice: a pooled connection that turns out
+/// closed is replaced only while no byte of the request has been written. Thread safe.
+class client
+{
+public:
+    explicit client(endpoint server, client_options options = {});
+    ~client();
+    client(const client&) = delete;
+    client& operator=(const client&) = delete;
+
+    /// Sends `message` and waits for the whole reply. `Host` and `Content-Length` are added.
+    result<response, client_error> execute(const request& message,
+                                           const execute_options& options = {});
+
+    const endpoint& server_address() const;
+
+private:
+    class impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace azureladder::http
--- /dev/null
+++ b/libs/http/src/head_syntax.cpp
@@ -0,0 +1,81 @@
+#include "head_syntax.hpp"
+
+#include <algorithm>
+
+namespace azureladder::http {
+
+namespace {
+
+bool is_token_char(char c)
+{
+    constexpr std::string_view others = "!#$%&'*+-.^_`|~";
+    const bool alphanumeric =
+        (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+    return alphanumeric || others.find(c) != std::string_view::npos;
+}
+
+} // namespace
+
+bool is_token(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), is_token_char);
+}
+
+bool is_field_value(std::string_view value)
+{
+    return std::all_of(value.begin(), value.end(), [](char c) {
+        const auto byte = static_cast<unsigned char>(c);
+        return c == '\t' || (byte >= 0x20 && byte != 0x7f);
+    });
+}
+
+std::string_view trim(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t";
+    const auto first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+bool next_line(std::string_view& text, std::string_view& line)
+{
+    const auto end = text.find_first_of("\r\n");
+    if (end == std::string_view::npos || text.substr(end, 2) != "\r\n")
+        return false;
+    line = text.substr(0, end);
+    text.remove_prefix(end + 2);
+    return true;
+}
+
+bool parse_header_lines(std::string_view text, header_fields& headers)
+{
+    std::string_view line;
+    while (next_line(text, line)) {
+        if (line.empty())
+            return text.empty();
+        const auto colon = line.find(':');
+        if (colon == std::string_view::npos || !is_token(line.substr(0, colon)))
+            return false;
+        const auto value = trim(line.substr(colon + 1));
+        if (!is_field_value(value))
+            return false;
+        headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
+    }
+    return false;
+}
+
+bool parse_length(std::string_view text, std::uint64_t& length)
+{
+    constexpr std::size_t max_digits = 18;
+    const auto is_digit = [](char c) { return c >= '0' && c <= '9'; };
+    if (text.empty() || text.size() > max_digits ||
+        !std::all_of(text.begin(), text.end(), is_digit))
+        return false;
+    length = 0;
+    for (const char c : text)
+        length = length * 10 + std::uint64_t(c - '0');
+    return true;
+}
+
+} // namespace azureladder::http
--- /dev/null
+++ b/libs/http/src/head_syntax.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <azureladder/http/message.hpp>
+
+#include <string_view>
+
+namespace azureladder::http {
+
+/// True for a non-empty HTTP token (RFC 9110, 5.6.2): method and header names.
+bool is_token(std::string_view text);
+
+/// True when `value` contains no control character except a tab.
+bool is_field_value(std::string_view value);
+
+/// Text without spaces and tabs at both ends.
+std::string_view trim(std::string_view text);
+
+/// Cuts the next line that ends in CR LF off `text`. Returns false when there is none or when the
+/// line contains another CR or LF.
+bool next_line(std::string_view& text, std::string_view& line);
+
+/// Parses header lines up to and including the empty line. Returns false for a line without
+/// colon, a name that is no token (such as one followed by a space), folded lines, control
+/// characters, and lines that do not end in CR LF.
+bool parse_header_lines(std::string_view text, header_fields& headers);
+
+/// Parses decimal digits only; no sign, no spaces, at most 18 digits.
+bool parse_length(std::string_view text, std::uint64_t& length);
+
+} // namespace azureladder::http
--- /dev/null
+++ b/libs/http/src/request_head.cpp
@@ -0,0 +1,95 @@
+#include "request_head.hpp"
+
+#include "head_syntax.hpp"
+
+#include <azureladder/base/json.hpp>
+
+#include <algorithm>
+
+namespace azureladder::http {
+
+namespace {
+
+constexpr int status_bad_request = 400;
+constexpr int status_length_required = 411;
+constexpr int status_too_large = 413;
+constexpr int status_expectation_failed = 417;
+constexpr int status_version_not_supported = 505;
+
+bool is_target(std::string_view target)
+{
+    return !target.empty() && std::all_of(target.begin(), target.end(), [](char c) {
+        const auto byte = static_cast<unsigned char>(c);
+        return byte > 0x20 && byte < 0x7f;
+    });
+}
+
+} // namespace
+
+result<request, refusal> parse_request_head(std::string_view raw)
+{
+    std::string_view line;
+    if (!next_line(raw, line))
+        return refusal{status_bad_request, "the request line does not end in CR LF"};
+    const auto method_end = line.find(' ');
+    const auto target_end = line.rfind(' ');
+    if (method_end == std::string_view::npos || target_end == method_end)
+        return refusal{status_bad_request, "the request line must be method, target and version"};
+    const auto method = line.substr(0, method_end);
+    const auto target = line.substr(method_end + 1, target_end - method_end - 1);
+    const auto version = line.substr(target_end + 1);
+    if (!is_token(method) || !is_target(target))
+        return refusal{status_bad_request, "the request line has an invalid method or target"};
+    if (version != "HTTP/1.1" && version != "HTTP/1.0")
+        return refusal{status_version_not_supported, "only HTTP/1.1 and HTTP/1.0 are supported"};
+    request parsed;
+    parsed.m_method = method;
+    parsed.m_target = target;
+    if (!parse_header_lines(raw, parsed.m_headers))
+        return refusal{status_bad_request, "a header line is malformed"};
+    return parsed;
+}
+
+result<body_framing, refusal> check_framing(const header_fields& headers,
+                                            std::uint64_t max_body_bytes)
+{
+    const auto lengths = count_headers(headers, "Content-Length");
+    if (count_headers(headers, "Transfer-Encoding") > 0) {
+        if (lengths > 0)
+            return refusal{status_bad_request, "Content-Length together with Transfer-Encoding"};
+        return refusal{status_length_required, "Transfer-Encoding is not supported"};
+    }
+    if (lengths > 1)
+        return refusal{status_bad_request, "more than one Content-Length"};
+    body_framing framing;
+    if (const auto* length = find_header(headers, "Content-Length")) {
+        if (!parse_length(*length, framing.m_length))
+            return refusal{status_bad_request, "Content-Length is not a number"};
+    }
+    if (framing.m_length > max_body_bytes)
+        return refusal{status_too_large, "the body exceeds the limit of " +
+                                             std::to_string(max_body_bytes) + " bytes"};
+    if (const auto* expect = find_header(headers, "Expect")) {
+        if (!equal_ignoring_case(*expect, "100-continue"))
+            return refusal{status_expectation_failed, "only Expect: 100-continue is supported"};
+        framing.m_expects_continue = true;
+    }
+    return framing;
+}
+
+response make_response(const refusal& refused)
+{
+    const json body = {
+        {"error", refused.m_status == status_too_large ? "body_too_large" : "bad_request"},
+        {"message", refused.m_message},
+        {"executed", "no"}};
+    response answer;
+    answer.m_status = refused.m_status;
+    answer.m_headers = {{"Content-Type", "application/json"},
+                        {"Azureladder-Executed", "no"},
+                        {"Connection", "close"}};
+    answer.m_body = body.dump() + "\n";
+    return answer;
+}
+
+} // namespace azureladder::http
--- /dev/null
+++ b/libs/http/src/strict_responder.cpp
@@ -0,0 +1,123 @@
+#include "strict_responder.hpp"
+
+#include "raw_head.hpp"
+#include "socket_io.hpp"
+
+#include <cxxtools/http/reply.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/net/tcpsocket.h>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <istream>
+
+namespace azureladder::http {
+
+namespace {
+
+constexpr milliseconds interim_write_timeout{1'000};
+
+/// True when a response with `status` to `method` has no body by definition.
+bool has_no_body(const std::string& method, int status)
+{
+    return method == "HEAD" || status == 204 || status == 304 || status < 200;
+}
+
+void fill_reply(const std::string& method, const response& message, std::ostream& out,
+                cxxtools::http::Reply& answer)
+{
+    answer.httpReturn(unsigned(message.m_status), std::string(reason_phrase(message.m_status)));
+    for (const auto& field : message.m_headers)
+        answer.addHeader(field.m_name.c_str(), field.m_value.c_str());
+    if (has_no_body(method, message.m_status))
+        return;
+    out.write(message.m_body.data(), std::streamsize(message.m_body.size()));
+}
+
+} // namespace
+
+strict_responder::strict_responder(cxxtools::http::Service& service, server_state& state)
+    : Responder(service), m_state(state)
+{
+}
+
+void strict_responder::beginRequest(cxxtools::net::TcpSocket& socket, std::istream& in,
+                                    cxxtools::http::Request& parsed)
+{
+    m_refusal = receive(socket.getFd(), in, parsed);
+    m_request.m_peer = socket.getPeerAddr();
+    // The body is complete or refused. Without a length cxxtools calls reply() directly and does
+    // not count body bytes, which it does wrongly when more than the body is buffered.
+    parsed.removeHeader("Content-Length");
+}
+
+std::optional<refusal> strict_responder::receive(int descriptor, std::istream& in,
+                                                 const cxxtools::http::Request& parsed)
+{
+    auto head = strict_head(parsed, consumed_bytes(*in.rdbuf()));
+    if (!head)
+        return head.error();
+    m_request = std::move(head.value());
+    const auto framing = check_framing(m_request.m_headers, m_state.m_options.m_max_body_bytes);
+    if (!framing)
+        return framing.error();
+    return read_body(descriptor, in, framing.value());
+}
+
+std::optional<refusal> strict_responder::read_body(int descriptor, std::istream& in,
+                                                   const body_framing& framing)
+{
+    const io_limits limits{io_now() + m_state.m_options.m_body_timeout};
+    const auto length = std::size_t(framing.m_length);
+    const auto buffered = std::size_t(std::max<std::streamsize>(in.rdbuf()->in_avail(), 0));
+    auto& body = m_request.m_body;
+    body.resize(length);
+    const auto head = std::min(buffered, length);
+    in.rdbuf()->sgetn(body.data(), std::streamsize(head));
+    if (framing.m_expects_continue && head < length)
+        send_all(descriptor, "HTTP/1.1 100 Continue\r\n\r\n", {io_now() + interim_write_timeout});
+    for (auto received = head; received < length;) {
+        const auto part =
+            receive_some(descriptor, body.data() + received, length - received, limits);
+        if (part.m_status == io_status::timed_out)
+            return refusal{408, "the body did not arrive in time"};
+        if (part.m_status != io_status::ok)
+            return refusal{400, "the body was cut short"};
+        received += part.m_bytes;
+    }
+    if (buffered > length || bytes_pending(descriptor))
+        return refusal{400, "more bytes than the declared length"};
+    return std::nullopt;
+}
+
+void strict_responder::reply(std::ostream& out, cxxtools::http::Request&,
+                             cxxtools::http::Reply& answer)
+{
+    if (m_refusal) {
+        fill_reply("", make_response(*m_refusal), out, answer);
+        return;
+    }
+    fill_reply(m_request.m_method, m_state.m_handler(m_request), out, answer);
+}
+
+void strict_responder::replyError(std::ostream& out, cxxtools::http::Request&,
+                                  cxxtools::http::Reply& answer, const std::exception&)
+{
+    response failed;
+    failed.m_status = 500;
+    failed.m_headers = {{"Connection", "close"}};
+    fill_reply("", failed, out, answer);
+}
+
+cxxtools::http::Responder* strict_service::createResponder(const cxxtools::http::Request&)
+{
+    return std::make_unique<strict_responder>(*this, m_state).release();
+}
+
+void strict_service::releaseResponder(cxxtools::http::Responder* responder)
+{
+    const std::unique_ptr<cxxtools::http::Responder> owned(responder);
+}
+
+} // namespace azureladder::http
