Load the settings of a node and report everything that is wrong

A node must not open a socket with settings that are only found wrong later, so the whole file is checked first: each field on its own, then rules between fields. All errors are reported in one run.

--- /dev/null
+++ b/libs/settings/src/section_parsers.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <azureladder/base/object_reader.hpp>
+#include <azureladder/settings/node_settings.hpp>
+
+/// Parsers of the sections of a settings file.
+namespace azureladder::settings {
+
+void parse_http(object_reader& reader, node_settings& settings);
+void parse_peer(object_reader& reader, node_settings& settings);
+void parse_store(object_reader& reader, node_settings& settings);
+void parse_log(object_reader& reader, node_settings& settings);
+void parse_cluster(object_reader& reader, node_settings& settings);
+void parse_timing(object_reader& reader, node_settings& settings);
+void parse_limits(object_reader& reader, node_settings& settings);
+
+/// Rules between fields, applied when each field on its own is valid.
+void check_together(const node_settings& settings, std::vector<field_error>& errors);
+
+/// Names of nodes and zones: [a-z0-9._-]{1,64}, not starting with '_'.
+const text_rule& name_rule();
+
+} // namespace azureladder::settings
