--- /dev/null
+++ b/libs/node/src/announcement.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <azureladder/base/result.hpp>
+#include <azureladder/core/backend_info.hpp>
+
+#include <string>
+
+namespace azureladder::node {
+
+/// Parses the body of an announcement of a backend server. The error states what was expected.
+result<core::backend_info, std::string> parse_announcement(const std::string& text);
+
+} // namespace azureladder::node
--- /dev/null
+++ b/libs/node/src/backend_gateway.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <azureladder/base/clock.hpp>
+#include <azureladder/core/backend_info.hpp>
+#include <azureladder/core/effects.hpp>
+#include <azureladder/http/cancel_token.hpp>
+#include <azureladder/http/message.hpp>
+
+#include <boost/asio/thread_pool.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace azureladder::http {
+class client;
+}
+
+namespace azureladder::node {
+
+/// Options of `backend_gateway`.
+struct backend_gateway_options
+{
+    /// Upper limit of requests sent to the backend server at once. The reducer's limit is lower
+    /// unless a backend server announces more slots.
+    std::size_t m_threads = 48;
+
+    /// Largest reply body handed to the reducer for its claims, in bytes.
+    std::size_t m_claim_body_bytes = 4096;
+};
+
+/// Only path from this process to the backend server beside it: sends requests, fencing grants,
+/// lease extensions and cancellations. Each call returns at once; the work is done on own threads.
+class backend_gateway
+{
+public:
+    /// Called on a thread of the gateway with the end of an attempt and the reply, if any.
+    using completion = std::function<void(core::attempt_finished, http::response)>;
+
+    backend_gateway(const clock& time, backend_gateway_options options, completion on_finished);
+    ~backend_gateway();
+
+    backend_gateway(const backend_gateway&) = delete;
+    backend_gateway& operator=(const backend_gateway&) = delete;
+
+    /// Takes over the address and limits of an announcement. A new start id means that the backend
+    /// server lost its grants; they are sent again.
+    void set_backend(const core::backend_info& info);
+
+    void dispatch(const core::dispatch_to_backend& order, const core::request_info& info,
+                  http::request message);
+    void cancel(core::request_token token, core::attempt_number attempt,
+                const std::string& request_id);
+    void extend_lease(incarnation_id incarnation, time_point valid_until);
+    void set_grant(const core::set_backend_grant& grant);
+
+    /// Waits for all calls that were started.
+    void stop();
+
+private:
+    using attempt_key = std::pair<core::request_token, core::attempt_number>;
+
+    std::shared_ptr<http::client> request_client();
+    void run_attempt(const core::dispatch_to_backend& order, bool idempotent,
+                     const std::shared_ptr<http::cancel_token>& token, const http::request& message);
+    bool wait_for_grant(const slice_id& slice, time_point until);
+    void send_grants();
+    bool post_control(const std::string& target, const std::string& body);
+
+    const clock& m_clock;
+    const backend_gateway_options m_options;
+    const completion m_on_finished;
+
+    std::mutex m_mutex;
+    std::condition_variable m_grant_sent;
+    core::backend_info m_info;
+    std::shared_ptr<http::client> m_request_client;
+    std::shared_ptr<http::client> m_control_client;
+    std::map<attempt_key, std::shared_ptr<http::cancel_token>> m_running;
+    std::map<slice_id, epoch_number> m_grants;
+    std::set<slice_id> m_unsent_grants;
+    incarnation_id m_incarnation = 0;
+    time_point m_lease_until{};
+    std::atomic<bool> m_lease_call_pending{false};
+
+    boost::asio::thread_pool m_request_threads;
+    boost::asio::thread_pool m_control_thread;
+};
+
+} // namespace azureladder::node
--- /dev/null
+++ b/libs/node/src/peer_gateway.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "open_request.hpp"
+
+#include <azureladder/base/clock.hpp>
+#include <azureladder/base/result.hpp>
+#include <azureladder/core/effects.hpp>
+#include <azureladder/peer/transport.hpp>
+#include <azureladder/wire/envelope.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace azureladder::node {
+
+/// Events of `peer_gateway`, called on the loop thread.
+struct peer_gateway_callbacks
+{
+    std::function<void(core::message_received)> m_on_message;
+    std::function<void(const peer_origin&, wire::request_frame)> m_on_request;
+    std::function<void(const wire::correlation&)> m_on_cancel;
+    std::function<void(core::attempt_finished, http::response)> m_on_attempt_finished;
+
+    /// An answer to a request that this process no longer waits for.
+    std::function<void(const member_ref&)> m_on_late_reply;
+
+    /// A datagram or frame that could not be decoded.
+    std::function<void(const std::string&)> m_on_invalid_input;
+};
+
+/// Translates between the reducer's effects and the frames and datagrams of the peer transport.
+/// Keeps the forwarded requests that wait for a reply. Used on the loop thread only.
+class peer_gateway
+{
+public:
+    /// `routes` holds addresses of nodes that are reached elsewhere than they advertise.
+    peer_gateway(boost::asio::io_context& io, const peer::transport_options& options,
+                 std::map<node_id, endpoint> routes, const clock& time,
+                 incarnation_id process_id, std::function<member_ref()> self,
+                 peer_gateway_callbacks callbacks);
+
+    /// Opens the listeners.
+    result<void, peer::transport_error> start();
+
+    /// Address under which other nodes reach this one. Valid after `start`.
+    endpoint advertised() const;
+
+    void send(const core::send_message& order);
+    void forward(const core::forward_request& order, const open_request& request);
+    void cancel(core::request_token token, core::attempt_number attempt);
+    void reply(const peer_origin& origin, wire::reply_frame frame);
+    void stop();
+
+private:
+    struct waiting_forward
+    {
+        core::request_token m_token = 0;
+        core::attempt_number m_attempt = 0;
+        member_ref m_to;
+        endpoint m_address;
+        peer::frame_id m_frame = 0;
+    };
+
+    peer::transport_callbacks make_transport_callbacks();
+    void handle_envelope(const wire::envelope& input);
+    void handle_reply(const member_ref& from, const wire::reply_frame& frame);
+    void handle_failed_frame(peer::frame_id frame, bool nothing_was_sent);
+    endpoint route(const node_id& node, const endpoint& advertised) const;
+    wire::envelope make_envelope(wire::payload payload) const;
+
+    const std::map<node_id, endpoint> m_routes;
+    const clock& m_clock;
+    const incarnation_id m_process_id;
+    const std::function<member_ref()> m_self;
+    const peer_gateway_callbacks m_callbacks;
+    std::uint64_t m_last_counter = 0;
+
+    /// By the counter of the correlation id.
+    std::map<std::uint64_t, waiting_forward> m_forwards;
+    std::map<std::pair<core::request_token, core::attempt_number>, std::uint64_t> m_counters;
+    std::map<peer::frame_id, std::uint64_t> m_frames;
+    peer::transport m_transport;
+};
+
+} // namespace azureladder::node
--- /dev/null
+++ b/testbench/deployment/src/process.cpp
@@ -0,0 +1,79 @@
+#include <azureladder/deployment/process.hpp>
+
+#include <azureladder/base/precondition.hpp>
+
+#include <cerrno>
+#include <csignal>
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace azureladder::deployment {
+
+process::process(const std::string& program, const std::vector<std::string>& arguments,
+                 const std::string& output_file)
+{
+    std::vector<char*> argument_pointers;
+    argument_pointers.push_back(const_cast<char*>(program.c_str()));
+    for (const auto& argument : arguments)
+        argument_pointers.push_back(const_cast<char*>(argument.c_str()));
+    argument_pointers.push_back(nullptr);
+
+    constexpr int file_mode = 0644;
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output_file.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, file_mode);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    const int error = posix_spawn(&m_id, program.c_str(), &actions, nullptr,
+                                  argument_pointers.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    AZURELADDER_PRECONDITION(error == 0, program.c_str());
+}
+
+process::~process()
+{
+    if (!running())
+        return;
+    ::kill(m_id, SIGKILL);
+    wait();
+}
+
+void process::send_signal(int number)
+{
+    if (running())
+        ::kill(m_id, number);
+}
+
+bool process::running()
+{
+    if (m_ended)
+        return false;
+    int status = 0;
+    if (waitpid(m_id, &status, WNOHANG) == m_id)
+        note_end(status);
+    return !m_ended;
+}
+
+int process::wait()
+{
+    int status = 0;
+    while (!m_ended) {
+        if (waitpid(m_id, &status, 0) == m_id)
+            note_end(status);
+        else if (errno != EINTR)
+            m_ended = true;
+    }
+    return m_exit_code;
+}
+
+void process::note_end(int status)
+{
+    constexpr int signal_offset = 128;
+    m_ended = true;
+    m_exit_code =
+        WIFEXITED(status) ? WEXITSTATUS(status) : signal_offset + WTERMSIG(status);
+}
+
+} // namespace azureladder::deployment
