Add routing and claims to the reducer

Requests need one place that decides where they go, how often they are sent and what the answer may state about their execution. The routing module validates and admits requests, forwards them to the owner of the slice or to an upstream, queues them for the backend server beside the node, and answers each exactly once. The claims module stores idempotency keys at the owner of the slice and at its standby.

Ruled out: a timer per purpose (one ordered set of wake-up times holds them all) and freeing the slot of a cancelled attempt at once (the backend server may still execute it, so the slot stays in use until the report).

--- /dev/null
+++ b/libs/core/src/claims.cpp
@@ -0,0 +1,187 @@
+#include <azureladder/core/claims.hpp>
+
+#include "claims_internal.hpp"
+
+#include <azureladder/base/hash.hpp>
+#include <azureladder/core/ownership.hpp>
+
+namespace azureladder::core {
+
+namespace {
+
+claim_reply make_reply(const kept_claim& kept)
+{
+    claim_reply reply;
+    reply.m_verdict = claim_verdict::unknown;
+    if (kept.m_claim.m_state == claim_state::in_progress)
+        reply.m_verdict = claim_verdict::in_progress;
+    if (kept.m_claim.m_state != claim_state::executed || !kept.m_claim.m_has_reply)
+        return reply;
+    reply.m_verdict = claim_verdict::replay;
+    reply.m_status = kept.m_claim.m_status;
+    reply.m_content_type = kept.m_claim.m_content_type;
+    reply.m_body = kept.m_claim.m_body;
+    return reply;
+}
+
+claim_reply make_reply(claim_verdict verdict)
+{
+    claim_reply reply;
+    reply.m_verdict = verdict;
+    return reply;
+}
+
+/// Verdict for a key that was seen before. The same request asks again when an answer was lost.
+std::optional<claim_reply> repeat_verdict(const claims_state& claims, const slice_id& slice,
+                                          const std::string& key, const kept_claim& kept,
+                                          const claim_holder& holder)
+{
+    const bool same = kept.m_holder == holder.m_member && kept.m_token == holder.m_token;
+    if (!same || kept.m_claim.m_state != claim_state::in_progress)
+        return make_reply(kept);
+    const auto copy = claims.m_copies.find({slice, key});
+    if (copy != claims.m_copies.end() && copy->second.m_gate)
+        return std::nullopt;
+    return make_reply(claim_verdict::proceed);
+}
+
+kept_claim& store_claim(claims_step& step, claim_table& table, const slice_id& slice,
+                        const std::string& key, const claim_holder& holder)
+{
+    auto& kept = table.m_claims[key];
+    kept.m_claim.m_slice = slice;
+    kept.m_claim.m_key = key;
+    kept.m_created = step.m_now;
+    kept.m_holder = holder.m_member;
+    kept.m_token = holder.m_token;
+    return kept;
+}
+
+void handle_request(claims_step& step, const message_received& input, const claim_request& request)
+{
+    // Only the owner of the slice may answer; the entry node asks the owner that it finds later.
+    if (!serving_epoch(step.m_state, request.m_slice, step.m_now))
+        return;
+    const claim_holder holder{input.m_from, request.m_token, input.m_reply_to};
+    auto reply = begin_claim(step, request.m_slice, request.m_key, holder);
+    if (!reply)
+        return;
+    reply->m_token = request.m_token;
+    step.m_output.emplace_back(send_message{input.m_from, input.m_reply_to, *reply});
+}
+
+/// Dispatches an event to the parts of the module.
+class event_handler
+{
+public:
+    explicit event_handler(claims_step& step) : m_step(step) {}
+
+    void operator()(const timer_tick&)
+    {
+        resend_copies(m_step);
+        send_baselines(m_step);
+        if (m_step.m_now < m_step.m_state.m_claims.m_next_cleanup)
+            return;
+        m_step.m_state.m_claims.m_next_cleanup = m_step.m_now + cleanup_interval;
+        clean_up_claims(m_step);
+        drop_stale_baselines(m_step);
+    }
+
+    void operator()(const message_received& input)
+    {
+        const auto& message = input.m_message;
+        if (const auto* request = std::get_if<claim_request>(&message))
+            handle_request(m_step, input, *request);
+        else if (const auto* result = std::get_if<claim_result>(&message))
+            finish_claim(m_step, input.m_from, *result);
+        else if (const auto* copy = std::get_if<claim_copy>(&message))
+            handle_copy(m_step, input, *copy);
+        else if (const auto* ack = std::get_if<claim_copy_ack>(&message))
+            handle_copy_ack(m_step, input.m_from, *ack);
+        else if (const auto* baseline = std::get_if<claim_baseline>(&message))
+            handle_baseline(m_step, input.m_from, *baseline);
+        else if (std::holds_alternative<table_push>(message))
+            drop_stale_baselines(m_step);
+    }
+
+    template <class Event>
+    void operator()(const Event&)
+    {
+    }
+
+private:
+    claims_step& m_step;
+};
+
+} // namespace
+
+void step_claims(node_state& state, time_point now, const event& input, effects& output)
+{
+    claims_step step{state, now, output};
+    std::visit(event_handler(step), input);
+}
+
+std::optional<claim_reply> begin_claim(claims_step& step, const slice_id& slice,
+                                       const std::string& key, const claim_holder& holder)
+{
+    auto& claims = step.m_state.m_claims;
+    auto& table = claims.m_tables[slice];
+    const auto found = table.m_claims.find(key);
+    if (found != table.m_claims.end())
+        return repeat_verdict(claims, slice, key, found->second, holder);
+    if (step.m_now < table.m_lost_until)
+        return make_reply(claim_verdict::unknown);
+    const auto* plan = find_plan(step.m_state.m_directory, self(step.m_state));
+    if (plan == nullptr || table.m_claims.size() >= step.m_state.m_options.m_claims_per_slice)
+        return make_reply(claim_verdict::refused);
+    store_claim(step, table, slice, key, holder);
+    if (plan->m_standbys.empty())
+        return make_reply(claim_verdict::proceed);
+    copy_claim(step, slice, key, false);
+    auto& copy = claims.m_copies[{slice, key}];
+    copy.m_gate = true;
+    copy.m_reply_to = holder.m_reply_to;
+    return std::nullopt;
+}
+
+void finish_claim(claims_step& step, const member_ref& member, const claim_result& result)
+{
+    const auto& slice = result.m_claim.m_slice;
+    const auto& key = result.m_claim.m_key;
+    auto& table = step.m_state.m_claims.m_tables[slice];
+    const auto found = table.m_claims.find(key);
+    if (found == table.m_claims.end())
+        return;
+    auto& kept = found->second;
+    const bool is_holder = kept.m_holder == member;
+    if (result.m_executed == executed::no) {
+        // Another member's claim, or one from a former owner, must not be withdrawn by mistake.
+        if (!is_holder || kept.m_claim.m_state == claim_state::executed)
+            return;
+        table.m_claims.erase(found);
+        copy_claim(step, slice, key, true);
+        return;
+    }
+    // A former owner's claim names no holder; only a request that proceeded has an outcome.
+    if ((!is_holder && !kept.m_holder.m_node.empty()) ||
+        kept.m_claim.m_state == claim_state::executed)
+        return;
+    const bool is_executed = result.m_executed == executed::yes;
+    kept.m_claim.m_state = is_executed ? claim_state::executed : claim_state::unknown;
+    const auto limit = step.m_state.m_options.m_claim_body_bytes;
+    if (is_executed && result.m_claim.m_has_reply && result.m_claim.m_body.size() <= limit) {
+        kept.m_claim.m_has_reply = true;
+        kept.m_claim.m_status = result.m_claim.m_status;
+        kept.m_claim.m_content_type = result.m_claim.m_content_type;
+        kept.m_claim.m_body = result.m_claim.m_body;
+    }
+    copy_claim(step, slice, key, false);
+}
+
+slice_id claim_slice(const node_state&, const std::string& service,
+                     const std::string& idempotency_key)
+{
+    return {claim_space, slice_of_key(service + "/" + idempotency_key, claim_slice_count)};
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/claims_internal.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <azureladder/core/claims.hpp>
+#include <azureladder/core/node_state.hpp>
+
+#include <optional>
+#include <string>
+
+/// Parts of the claims module, and the calls that the routing module makes for its own requests.
+namespace azureladder::core {
+
+/// One event in progress.
+struct claims_step
+{
+    node_state& m_state;
+    time_point m_now;
+    effects& m_output;
+};
+
+/// Who asks for a claim.
+struct claim_holder
+{
+    member_ref m_member;
+    std::uint64_t m_token = 0;
+
+    /// Where the verdict is sent; unused for requests of this node.
+    endpoint m_reply_to;
+};
+
+/// A claim in progress becomes `unknown` after this time: its entry node is assumed to be lost.
+inline constexpr duration claim_progress_time = seconds(60);
+
+/// Time that a standby has to acknowledge the copy of a new claim.
+inline constexpr duration copy_ack_time = seconds(1);
+
+/// Longest time between two sends of an unacknowledged copy.
+inline constexpr duration longest_copy_interval = seconds(2);
+
+/// Copies sent in one tick, so that a new standby does not stall the node.
+inline constexpr std::size_t copies_per_tick = 256;
+
+/// `claim_baseline` has no acknowledgement, so it is repeated.
+inline constexpr duration baseline_interval = seconds(5);
+inline constexpr duration cleanup_interval = seconds(1);
+
+// claims.cpp
+
+/// Claims `key` for `holder`. Unset while the standby has not acknowledged the copy; the verdict
+/// then follows as a message or, for requests of this node, in `m_local_verdicts`. The node must
+/// serve the slice.
+std::optional<claim_reply> begin_claim(claims_step& step, const slice_id& slice,
+                                       const std::string& key, const claim_holder& holder);
+
+/// Stores the outcome that `member` reports.
+void finish_claim(claims_step& step, const member_ref& member, const claim_result& result);
+
+// claims_copies.cpp
+
+/// Standby of a slice by this node's plan; null when the plan has none.
+const member_ref* standby_of(const node_state& state, const slice_id& slice);
+
+/// Sends a claim to the standby until it is acknowledged.
+void copy_claim(claims_step& step, const slice_id& slice, const std::string& key, bool withdrawn);
+void handle_copy(claims_step& step, const message_received& input, const claim_copy& copy);
+void handle_copy_ack(claims_step& step, const member_ref& from, const claim_copy_ack& ack);
+void handle_baseline(claims_step& step, const member_ref& from, const claim_baseline& baseline);
+void resend_copies(claims_step& step);
+void send_baselines(claims_step& step);
+void drop_stale_baselines(claims_step& step);
+
+/// Delivers the verdict of a claim that waited for its standby.
+void deliver_verdict(claims_step& step, const kept_claim& kept, const endpoint& reply_to,
+                     claim_verdict verdict);
+
+// claims_transfer.cpp
+
+/// States that claims of a slice may be missing. Travels with the claims as one without a key, so
+/// that a later owner answers unseen keys `unknown` too.
+std::optional<claim> lost_marker(const node_state& state, const slice_id& slice, time_point now);
+void clean_up_claims(claims_step& step);
+void import_claim(node_state& state, const claim& value, time_point now);
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/claims_transfer.cpp
@@ -0,0 +1,91 @@
+#include "claims_internal.hpp"
+
+#include <algorithm>
+
+/// Claims that move with their slice, and the end of their retention.
+namespace azureladder::core {
+
+std::optional<claim> lost_marker(const node_state& state, const slice_id& slice, time_point now)
+{
+    const auto table = state.m_claims.m_tables.find(slice);
+    if (table == state.m_claims.m_tables.end() || now >= table->second.m_lost_until)
+        return std::nullopt;
+    claim marker;
+    marker.m_slice = slice;
+    marker.m_state = claim_state::unknown;
+    marker.m_age = state.m_options.m_claim_retention - (table->second.m_lost_until - now);
+    return marker;
+}
+
+std::vector<claim> export_claims(const node_state& state, const slice_id& slice, time_point now)
+{
+    std::vector<claim> exported;
+    const auto table = state.m_claims.m_tables.find(slice);
+    if (table == state.m_claims.m_tables.end())
+        return exported;
+    for (const auto& [key, kept] : table->second.m_claims) {
+        exported.push_back(kept.m_claim);
+        exported.back().m_age = now - kept.m_created;
+    }
+    if (auto marker = lost_marker(state, slice, now))
+        exported.push_back(*marker);
+    return exported;
+}
+
+void import_claim(node_state& state, const claim& value, time_point now)
+{
+    if (value.m_age >= state.m_options.m_claim_retention)
+        return;
+    if (value.m_key.empty()) {
+        auto& lost_until = state.m_claims.m_tables[value.m_slice].m_lost_until;
+        lost_until = std::max(lost_until, now + state.m_options.m_claim_retention - value.m_age);
+        return;
+    }
+    auto& kept = state.m_claims.m_tables[value.m_slice].m_claims[value.m_key];
+    // An outcome that is known already is not replaced by an earlier state.
+    if (kept.m_claim.m_state == claim_state::executed && !kept.m_claim.m_key.empty())
+        return;
+    kept = {};
+    kept.m_claim = value;
+    kept.m_created = now - std::max(value.m_age, duration(0));
+    if (value.m_state == claim_state::in_progress)
+        kept.m_claim.m_state = claim_state::unknown;
+}
+
+void import_claims(node_state& state, const std::vector<claim>& claims, time_point now)
+{
+    for (const auto& value : claims)
+        import_claim(state, value, now);
+}
+
+void mark_claims_lost(node_state& state, const slice_id& slice, time_point now)
+{
+    state.m_claims.m_tables[slice].m_lost_until = now + state.m_options.m_claim_retention;
+}
+
+bool has_claim_baseline(const node_state& state, const owned_slice& slice)
+{
+    const auto found = state.m_claims.m_received_baselines.find(slice.m_slice);
+    return found != state.m_claims.m_received_baselines.end() &&
+           found->second.second == slice.m_epoch;
+}
+
+void clean_up_claims(claims_step& step)
+{
+    auto& tables = step.m_state.m_claims.m_tables;
+    const auto retention = step.m_state.m_options.m_claim_retention;
+    for (auto table = tables.begin(); table != tables.end();) {
+        auto& claims = table->second.m_claims;
+        for (auto found = claims.begin(); found != claims.end();) {
+            auto& kept = found->second;
+            const auto age = step.m_now - kept.m_created;
+            if (kept.m_claim.m_state == claim_state::in_progress && age >= claim_progress_time)
+                kept.m_claim.m_state = claim_state::unknown;
+            found = age >= retention ? claims.erase(found) : std::next(found);
+        }
+        const bool empty = claims.empty() && step.m_now >= table->second.m_lost_until;
+        table = empty ? tables.erase(table) : std::next(table);
+    }
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/concurrency_limit.cpp
@@ -0,0 +1,127 @@
+#include <azureladder/core/concurrency_limit.hpp>
+
+#include <algorithm>
+
+namespace azureladder::core {
+
+namespace {
+
+/// Share of the limit that remains after a refusal.
+constexpr double decrease_factor = 0.7;
+
+/// A backend server is considered cold at this multiple of its usual median latency.
+constexpr double cold_factor = 4.0;
+
+/// Samples before the usual latency is trusted, and share by which each sample moves it.
+constexpr std::uint32_t usual_sample_count = 32;
+constexpr double usual_step = 0.02;
+
+/// Refusals and errors count towards cold detection for this time.
+constexpr duration failure_memory = seconds(2);
+
+bool failed_recently(const concurrency_limit& limit, time_point now)
+{
+    return limit.m_failed_once && now - limit.m_last_failure <= failure_memory;
+}
+
+bool looks_cold(const concurrency_limit& limit, time_point now)
+{
+    if (limit.m_slow_start || !failed_recently(limit, now) ||
+        limit.m_usual_samples < usual_sample_count ||
+        limit.m_recent_samples < concurrency_limit::recent_count)
+        return false;
+    auto sorted = limit.m_recent_us;
+    auto* middle = sorted.begin() + sorted.size() / 2;
+    std::nth_element(sorted.begin(), middle, sorted.end());
+    return *middle >= cold_factor * limit.m_usual_latency_us;
+}
+
+/// Moves the estimate of the median towards the sample by a fixed share.
+void update_usual(concurrency_limit& limit, double latency_us)
+{
+    if (limit.m_usual_samples == 0)
+        limit.m_usual_latency_us = std::max(latency_us, 1.0);
+    else if (latency_us > limit.m_usual_latency_us)
+        limit.m_usual_latency_us *= 1.0 + usual_step;
+    else
+        limit.m_usual_latency_us *= 1.0 - usual_step;
+    ++limit.m_usual_samples;
+}
+
+limit_change grow(concurrency_limit& limit)
+{
+    const auto maximum = static_cast<double>(limit.m_maximum);
+    if (++limit.m_successes < current_limit(limit) || limit.m_limit >= maximum)
+        return limit_change::none;
+    limit.m_successes = 0;
+    limit.m_limit = std::min(maximum, limit.m_slow_start ? limit.m_limit * 2 : limit.m_limit + 1);
+    if (limit.m_limit >= maximum)
+        limit.m_slow_start = false;
+    return limit_change::raised;
+}
+
+limit_change shrink(concurrency_limit& limit, time_point started, time_point now)
+{
+    limit.m_last_failure = now;
+    limit.m_failed_once = true;
+    limit.m_successes = 0;
+    if (looks_cold(limit, now)) {
+        start_cold(limit, now);
+        return limit_change::cold;
+    }
+    if (limit.m_limit <= 1.0 || started < limit.m_last_decrease)
+        return limit_change::none;
+    limit.m_limit = std::max(1.0, limit.m_limit * decrease_factor);
+    limit.m_last_decrease = now;
+    return limit_change::lowered;
+}
+
+} // namespace
+
+std::uint32_t current_limit(const concurrency_limit& limit)
+{
+    return static_cast<std::uint32_t>(limit.m_limit);
+}
+
+void set_maximum(concurrency_limit& limit, std::uint32_t maximum)
+{
+    limit.m_maximum = maximum;
+    limit.m_limit = std::min(limit.m_limit, static_cast<double>(maximum));
+}
+
+void start_cold(concurrency_limit& limit, time_point now)
+{
+    limit.m_limit = std::min(1.0, static_cast<double>(limit.m_maximum));
+    limit.m_slow_start = true;
+    limit.m_successes = 0;
+    limit.m_recent_samples = 0;
+    limit.m_failed_once = false;
+    limit.m_last_decrease = now;
+}
+
+limit_change note_success(concurrency_limit& limit, duration latency, time_point now)
+{
+    const auto latency_us = static_cast<double>(latency.count());
+    limit.m_recent_us[limit.m_recent_samples % concurrency_limit::recent_count] = latency_us;
+    ++limit.m_recent_samples;
+    if (looks_cold(limit, now)) {
+        start_cold(limit, now);
+        return limit_change::cold;
+    }
+    // The latency of a cold start is not the usual one.
+    if (!limit.m_slow_start)
+        update_usual(limit, latency_us);
+    return grow(limit);
+}
+
+limit_change note_refusal(concurrency_limit& limit, time_point started, time_point now)
+{
+    return shrink(limit, started, now);
+}
+
+limit_change note_failure(concurrency_limit& limit, time_point started, time_point now)
+{
+    return shrink(limit, started, now);
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/routing.cpp
@@ -0,0 +1,119 @@
+#include <azureladder/core/routing.hpp>
+
+#include "routing_internal.hpp"
+
+#include <azureladder/base/hash.hpp>
+#include <azureladder/base/precondition.hpp>
+#include <azureladder/core/ownership.hpp>
+
+namespace azureladder::core {
+
+namespace {
+
+/// Dispatches an event to the parts of the module.
+class event_handler
+{
+public:
+    explicit event_handler(routing_step& step) : m_step(step) {}
+
+    void operator()(const timer_tick&)
+    {
+        mark_candidates_stale(m_step.m_state);
+        detect_return_to_service(m_step);
+        cancel_without_lease(m_step);
+        flush_unservable(m_step);
+        expire_attempts(m_step);
+        measure_upstreams(m_step);
+        retry_waiting(m_step);
+    }
+
+    void operator()(const message_received& input)
+    {
+        if (const auto* reply = std::get_if<claim_reply>(&input.m_message)) {
+            handle_claim_reply(m_step, reply->m_token, *reply);
+            return;
+        }
+        mark_candidates_stale(m_step.m_state);
+        retry_waiting(m_step);
+    }
+
+    void operator()(const store_finished&)
+    {
+        mark_candidates_stale(m_step.m_state);
+        retry_waiting(m_step);
+    }
+
+    void operator()(const backend_announced& input) { handle_announcement(m_step, input); }
+    void operator()(const request_arrived& input) { handle_arrival(m_step, input); }
+    void operator()(const request_abandoned& input) { handle_abandoned(m_step, input.m_token); }
+    void operator()(const attempt_finished& input) { handle_attempt_finished(m_step, input); }
+    void operator()(const change_requested&) {}
+    void operator()(const stop_requested&) { m_step.m_state.m_stopping = true; }
+
+private:
+    routing_step& m_step;
+};
+
+} // namespace
+
+void step_routing(node_state& state, time_point now, const event& input, effects& output)
+{
+    routing_step step{state, now, output};
+    take_local_verdicts(step);
+    std::visit(event_handler(step), input);
+    run_due_timers(step);
+    dispatch_queued(step);
+}
+
+std::size_t in_flight(const node_state& state, const slice_id& slice)
+{
+    std::size_t count = 0;
+    const auto& routing = state.m_routing;
+    for (const auto token : queued_tokens(routing.m_queue)) {
+        const auto found = routing.m_requests.find(token);
+        if (found != routing.m_requests.end() && found->second.m_slice == slice)
+            ++count;
+    }
+    for (const auto& [id, attempt] : routing.m_attempts) {
+        if (attempt.m_local && attempt.m_slice.m_slice == slice)
+            ++count;
+    }
+    // Claims of this slice that wait for the standby: their requests are not queued yet.
+    for (const auto& [id, copy] : state.m_claims.m_copies) {
+        if (copy.m_gate && id.first == slice)
+            ++count;
+    }
+    return count;
+}
+
+std::size_t open_requests(const node_state& state)
+{
+    return state.m_routing.m_requests.size();
+}
+
+slice_id slice_for_key(const node_state& state, const std::string& service, const std::string& key)
+{
+    const auto* record = records::find_service(state.m_configuration.m_document, service);
+    AZURELADDER_PRECONDITION(record != nullptr, "the service must exist");
+    return {records::space_of_key(*record, key), slice_of_key(key, record->m_slices)};
+}
+
+open_request* find_request(node_state& state, request_token token)
+{
+    const auto found = state.m_routing.m_requests.find(token);
+    return found == state.m_routing.m_requests.end() ? nullptr : &found->second;
+}
+
+service_measure& measure_of(node_state& state, const std::string& service)
+{
+    const auto [found, is_new] = state.m_routing.m_services.try_emplace(service);
+    if (is_new) {
+        constexpr std::uint32_t retry_floor = 20;
+        constexpr std::uint32_t hedge_floor = 1;
+        found->second.m_retries.m_floor = retry_floor;
+        found->second.m_hedges.m_floor = hedge_floor;
+    }
+    return found->second;
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/routing_answers.cpp
@@ -0,0 +1,124 @@
+#include "routing_internal.hpp"
+
+#include <azureladder/base/hash.hpp>
+
+#include <array>
+#include <cstdio>
+
+/// Answers of requests. Each request is answered exactly once, because the answer drops its state.
+namespace azureladder::core {
+
+namespace {
+
+/// Cancels attempts whose outcome is no longer needed. Their slots stay in use until the report.
+void cancel_open_attempts(routing_step& step, request_token token)
+{
+    auto& attempts = step.m_state.m_routing.m_attempts;
+    for (auto found = attempts.lower_bound({token, 0});
+         found != attempts.end() && found->first.first == token; ++found) {
+        found->second.m_settled = true;
+        if (found->second.m_cancelled)
+            continue;
+        found->second.m_cancelled = true;
+        step.m_output.emplace_back(cancel_attempt{token, found->first.second});
+    }
+}
+
+void report_finished(routing_step& step, const open_request& request, const std::string& outcome,
+                     executed state)
+{
+    const auto latency = step.m_now - request.m_arrived;
+    write_event(step, log_level::info, "request_finished",
+                {{"request_id", request.m_info.m_request_id},
+                 {"service", request.m_info.m_service},
+                 {"executed", to_string(state)},
+                 {"outcome", outcome},
+                 {"latency_us", latency.count()},
+                 {"role", request.m_entry ? "entry" : "upstream"},
+                 {"attempts", request.m_last_attempt}});
+    if (!request.m_entry)
+        return;
+    step.m_output.emplace_back(record_request{request.m_info.m_service, request.m_info.m_customer,
+                                              request.m_info.m_class, outcome, latency});
+}
+
+void drop_request(routing_step& step, request_token token)
+{
+    auto& routing = step.m_state.m_routing;
+    const auto found = routing.m_requests.find(token);
+    const auto& request = found->second;
+    cancel_open_attempts(step, token);
+    routing.m_timers.erase({request.m_wake, token});
+    routing.m_waiting.erase(token);
+    remove_request(routing.m_queue, token);
+    const auto key = routing.m_claim_keys.find(request.m_claim.m_key);
+    if (key != routing.m_claim_keys.end() && key->second == token)
+        routing.m_claim_keys.erase(key);
+    routing.m_requests.erase(found);
+}
+
+/// Code that agrees with what is known about the execution.
+error_code agreeing_code(const open_request& request, error_code code, executed state)
+{
+    if (executed_for(code) == state)
+        return code;
+    // A deadline that passes before anything was executed is the deadline in the queue.
+    return state == executed::unknown ? request.m_lost_code : error_code::deadline_in_queue;
+}
+
+} // namespace
+
+void answer_reply(routing_step& step, const attempt_finished& input)
+{
+    const auto token = input.m_token;
+    const auto& request = *find_request(step.m_state, token);
+    step.m_output.emplace_back(answer_with_reply{token, input.m_attempt});
+    report_finished(step, request, "ok", executed::yes);
+    settle_claim(step, token, request, executed::yes, &input);
+    drop_request(step, token);
+}
+
+void answer_replay(routing_step& step, request_token token, const claim_reply& reply)
+{
+    const auto& request = *find_request(step.m_state, token);
+    step.m_output.emplace_back(
+        answer_with_replay{token, reply.m_status, reply.m_content_type, reply.m_body});
+    write_event(step, log_level::info, "request_replayed",
+                {{"request_id", request.m_info.m_request_id}, {"reason", "claim_executed"}});
+    report_finished(step, request, "ok", executed::yes);
+    drop_request(step, token);
+}
+
+void answer_error(routing_step& step, request_token token, error_code code, const std::string& text)
+{
+    const auto& request = *find_request(step.m_state, token);
+    const bool of_claim =
+        code == error_code::claim_in_progress || code == error_code::claim_unknown;
+    const bool maybe =
+        of_claim || request.m_maybe_executed || open_attempt_count(step.m_state, token) > 0;
+    const auto state = maybe ? executed::unknown : executed::no;
+    const auto agreed = agreeing_code(request, code, state);
+    const bool is_temporary = http_status_for(agreed) == 503;
+    step.m_output.emplace_back(answer_with_error{
+        token, agreed, text, state, is_temporary ? suggested_retry_delay : duration(0)});
+    report_finished(step, request, std::string(to_string(agreed)), state);
+    settle_claim(step, token, request, state, nullptr);
+    drop_request(step, token);
+}
+
+void write_event(routing_step& step, log_level level, const char* name, json fields)
+{
+    step.m_output.emplace_back(write_log{level, name, std::move(fields)});
+}
+
+std::string key_hash_text(const std::string& key)
+{
+    if (key.empty())
+        return {};
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016llx",
+                  static_cast<unsigned long long>(hash64(key)));
+    return text.data();
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/routing_arrival.cpp
@@ -0,0 +1,99 @@
+#include "routing_internal.hpp"
+
+#include <azureladder/core/ownership.hpp>
+#include <azureladder/core/routing.hpp>
+
+/// Admission of requests: validation, default timeout, and the role of this node.
+namespace azureladder::core {
+
+namespace {
+
+struct rejection
+{
+    error_code m_code;
+    const char* m_message;
+};
+
+std::optional<rejection> validate(const request_info& info, const records::service_record* service)
+{
+    if (service == nullptr)
+        return rejection{error_code::unknown_service, "no record states this service"};
+    if (service->m_divided_by_key && info.m_key.empty())
+        return rejection{error_code::missing_key, "the service is divided by key: name a key"};
+    if (info.m_key.size() > max_key_bytes)
+        return rejection{error_code::bad_request, "the key is longer than 512 bytes"};
+    if (info.m_timeout < duration(0) || info.m_timeout > max_timeout)
+        return rejection{error_code::bad_deadline, "the timeout must be 1 to 600,000 ms"};
+    return std::nullopt;
+}
+
+void log_received(routing_step& step, const request_info& info)
+{
+    write_event(step, log_level::info, "request_received",
+                {{"request_id", info.m_request_id},
+                 {"service", info.m_service},
+                 {"key_hash", key_hash_text(info.m_key)},
+                 {"class", to_string(info.m_class)},
+                 {"customer", info.m_customer},
+                 {"idempotent", info.m_idempotent},
+                 {"idempotency_key", info.m_idempotency_key}});
+}
+
+void register_request(routing_step& step, const request_arrived& input,
+                      const records::service_record* service)
+{
+    open_request request;
+    request.m_info = input.m_info;
+    request.m_entry = input.m_info.m_forwarded_by.empty();
+    request.m_arrived = step.m_now;
+    auto timeout = input.m_info.m_timeout;
+    if (timeout <= duration(0) && service != nullptr)
+        timeout = service->m_default_timeout;
+    request.m_deadline = step.m_now + std::min(timeout, max_timeout);
+    if (service != nullptr && service->m_divided_by_key)
+        request.m_slice = slice_for_key(step.m_state, service->m_name, input.m_info.m_key);
+    step.m_state.m_routing.m_requests.emplace(input.m_token, std::move(request));
+}
+
+} // namespace
+
+bool is_divided(const open_request& request)
+{
+    return !request.m_slice.m_space.empty();
+}
+
+void handle_arrival(routing_step& step, const request_arrived& input)
+{
+    auto& state = step.m_state;
+    if (find_request(state, input.m_token) != nullptr) {
+        write_event(step, log_level::error, "request_token_reused",
+                    {{"request_id", input.m_info.m_request_id}, {"reason", "token in use"}});
+        return;
+    }
+    const bool entry = input.m_info.m_forwarded_by.empty();
+    if (entry)
+        log_received(step, input.m_info);
+    const auto* service =
+        records::find_service(state.m_configuration.m_document, input.m_info.m_service);
+    register_request(step, input, service);
+    // Without a lease this node may have missed a revision, so not even the records are certain.
+    if (!holds_lease(state, step.m_now)) {
+        answer_error(step, input.m_token, error_code::not_serving, "this node holds no lease");
+        return;
+    }
+    if (const auto rejected = validate(input.m_info, service)) {
+        answer_error(step, input.m_token, rejected->m_code, rejected->m_message);
+        return;
+    }
+    arm(step, input.m_token);
+    if (!entry) {
+        admit_locally(step, input.m_token);
+        return;
+    }
+    auto& measure = measure_of(state, input.m_info.m_service);
+    count_request(measure.m_retries, step.m_now);
+    count_request(measure.m_hedges, step.m_now);
+    route_request(step, input.m_token);
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/routing_claims.cpp
@@ -0,0 +1,162 @@
+#include "claims_internal.hpp"
+#include "routing_internal.hpp"
+
+#include <azureladder/core/ownership.hpp>
+
+/// Claims of the requests that this node has to answer.
+namespace azureladder::core {
+
+namespace {
+
+claim_result make_result(const open_request& request, executed outcome,
+                         const attempt_finished* reply)
+{
+    claim_result result;
+    result.m_executed = outcome;
+    result.m_claim.m_slice = request.m_claim.m_slice;
+    result.m_claim.m_key = request.m_claim.m_key;
+    result.m_claim.m_state =
+        outcome == executed::yes ? claim_state::executed : claim_state::unknown;
+    if (reply != nullptr && reply->m_has_reply) {
+        result.m_claim.m_has_reply = true;
+        result.m_claim.m_status = reply->m_status;
+        result.m_claim.m_content_type = reply->m_content_type;
+        result.m_claim.m_body = reply->m_body;
+    }
+    return result;
+}
+
+/// Plan of the owner of a slice on another node, if known.
+const plan* remote_owner(const node_state& state, const slice_id& slice)
+{
+    const auto location = locate(state.m_directory, slice);
+    if (!location || location->m_owner == self(state))
+        return nullptr;
+    return find_plan(state.m_directory, location->m_owner);
+}
+
+void claim_locally(routing_step& step, request_token token)
+{
+    auto& request = *find_request(step.m_state, token);
+    claims_step claims{step.m_state, step.m_now, step.m_output};
+    request.m_claim.m_asked = true;
+    const claim_holder holder{self(step.m_state), token, {}};
+    const auto reply = begin_claim(claims, request.m_claim.m_slice, request.m_claim.m_key, holder);
+    if (reply)
+        handle_claim_reply(step, token, *reply);
+    else
+        arm(step, token);
+}
+
+void handle_claim_refusal(routing_step& step, request_token token)
+{
+    auto& request = *find_request(step.m_state, token);
+    if (is_divided(request) && !serving_epoch(step.m_state, request.m_slice, step.m_now))
+        handle_attempt_failure(step, token, error_code::no_owner, true);
+    else
+        answer_error(step, token, error_code::claim_refused,
+                     "the idempotency key could not be stored");
+}
+
+} // namespace
+
+bool needs_claim(const node_state&, const open_request& request)
+{
+    return !request.m_info.m_idempotent && !request.m_info.m_idempotency_key.empty() &&
+           !request.m_info.m_claimed && !request.m_claim.m_held;
+}
+
+void start_claim(routing_step& step, request_token token, const slice_id& slice)
+{
+    auto& request = *find_request(step.m_state, token);
+    request.m_claim.m_slice = slice;
+    request.m_claim.m_key = request.m_info.m_service + "/" + request.m_info.m_idempotency_key;
+    const auto [found, is_new] =
+        step.m_state.m_routing.m_claim_keys.try_emplace(request.m_claim.m_key, token);
+    if (!is_new && found->second != token) {
+        answer_error(step, token, error_code::claim_in_progress,
+                     "a request with this idempotency key is in progress");
+        return;
+    }
+    request.m_phase = request_phase::claiming;
+    ask_claim_owner(step, token);
+}
+
+void ask_claim_owner(routing_step& step, request_token token)
+{
+    auto& state = step.m_state;
+    auto& request = *find_request(state, token);
+    request.m_claim.m_resend_at = step.m_now + state.m_options.m_resend_interval;
+    if (serving_epoch(state, request.m_claim.m_slice, step.m_now)) {
+        claim_locally(step, token);
+        return;
+    }
+    const auto* owner = remote_owner(state, request.m_claim.m_slice);
+    if (owner != nullptr && !is_divided(request)) {
+        request.m_claim.m_asked = true;
+        step.m_output.emplace_back(
+            send_message{owner->m_member, owner->m_peer_address,
+                         claim_request{token, request.m_claim.m_slice, request.m_claim.m_key}});
+    }
+    arm(step, token);
+}
+
+void handle_claim_reply(routing_step& step, std::uint64_t token, const claim_reply& reply)
+{
+    auto* request = find_request(step.m_state, token);
+    if (request == nullptr || request->m_phase != request_phase::claiming)
+        return;
+    write_event(step, log_level::debug, "claim_answered",
+                {{"request_id", request->m_info.m_request_id},
+                 {"reason", std::string(name_in(claim_verdict_names, reply.m_verdict))}});
+    request->m_claim.m_asked = false;
+    switch (reply.m_verdict) {
+    case claim_verdict::proceed:
+        request->m_claim.m_held = true;
+        if (is_divided(*request))
+            admit_locally(step, token);
+        else
+            route_request(step, token);
+        return;
+    case claim_verdict::replay:
+        answer_replay(step, token, reply);
+        return;
+    case claim_verdict::in_progress:
+        answer_error(step, token, error_code::claim_in_progress,
+                     "a request with this idempotency key is in progress");
+        return;
+    case claim_verdict::unknown:
+        answer_error(step, token, error_code::claim_unknown,
+                     "the outcome of an earlier request with this idempotency key is not known");
+        return;
+    case claim_verdict::refused:
+        handle_claim_refusal(step, token);
+        return;
+    }
+}
+
+void take_local_verdicts(routing_step& step)
+{
+    auto verdicts = std::move(step.m_state.m_claims.m_local_verdicts);
+    step.m_state.m_claims.m_local_verdicts.clear();
+    for (const auto& verdict : verdicts)
+        handle_claim_reply(step, verdict.m_token, verdict.m_reply);
+}
+
+void settle_claim(routing_step& step, request_token, const open_request& request, executed outcome,
+                  const attempt_finished* reply)
+{
+    if (!request.m_claim.m_held && !request.m_claim.m_asked)
+        return;
+    const auto result = make_result(request, outcome, reply);
+    if (is_divided(request) || serving_epoch(step.m_state, request.m_claim.m_slice, step.m_now)) {
+        claims_step claims{step.m_state, step.m_now, step.m_output};
+        finish_claim(claims, self(step.m_state), result);
+        return;
+    }
+    const auto* owner = remote_owner(step.m_state, request.m_claim.m_slice);
+    if (owner != nullptr)
+        step.m_output.emplace_back(send_message{owner->m_member, owner->m_peer_address, result});
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/selection.cpp
@@ -0,0 +1,116 @@
+#include "selection.hpp"
+
+#include <algorithm>
+
+namespace azureladder::core {
+
+namespace {
+
+using index_list = std::vector<std::size_t>;
+
+template <class Predicate>
+index_list indices_where(const std::vector<upstream_choice>& choices, Predicate predicate)
+{
+    index_list found;
+    for (std::size_t index = 0; index < choices.size(); ++index) {
+        if (predicate(choices[index]))
+            found.push_back(index);
+    }
+    return found;
+}
+
+/// Upstreams that are not avoided, or all when every one is.
+index_list preferred(const std::vector<upstream_choice>& choices)
+{
+    auto found = indices_where(choices, [](const auto& choice) { return !choice.m_avoided; });
+    return found.empty() ? indices_where(choices, [](const auto&) { return true; }) : found;
+}
+
+bool has_room(const upstream_choice& choice)
+{
+    return static_cast<double>(choice.m_in_flight) < choice.m_limit;
+}
+
+/// Group to choose from: local with room, else any zone with room, else all preferred.
+index_list nearest_group(const std::vector<upstream_choice>& choices)
+{
+    auto group = indices_where(choices, [](const auto& choice) {
+        return !choice.m_avoided && choice.m_local_zone && has_room(choice);
+    });
+    if (group.empty())
+        group = indices_where(
+            choices, [](const auto& choice) { return !choice.m_avoided && has_room(choice); });
+    return group.empty() ? preferred(choices) : group;
+}
+
+double cost(const upstream_choice& choice)
+{
+    // An upstream without measurements looks fast until its first requests are in flight.
+    const double latency = std::max(choice.m_latency_us, 1.0);
+    return (choice.m_in_flight + 1.0) * latency;
+}
+
+} // namespace
+
+std::size_t select_two_choices(const std::vector<upstream_choice>& choices, random_source& random)
+{
+    const auto group = nearest_group(choices);
+    const auto first = next_below(random, group.size());
+    if (group.size() == 1)
+        return group.front();
+    // The second draw skips the first, so that both differ.
+    auto second = next_below(random, group.size() - 1);
+    if (second >= first)
+        ++second;
+    return cost(choices[group[second]]) < cost(choices[group[first]]) ? group[second]
+                                                                      : group[first];
+}
+
+std::size_t select_random(const std::vector<upstream_choice>& choices, random_source& random)
+{
+    const auto group = preferred(choices);
+    return group[next_below(random, group.size())];
+}
+
+std::size_t select_round_robin(const std::vector<upstream_choice>& choices,
+                               std::uint64_t& round_robin)
+{
+    const auto group = preferred(choices);
+    return group[round_robin++ % group.size()];
+}
+
+std::size_t select_least_reported_load(const std::vector<upstream_choice>& choices,
+                                       random_source& random)
+{
+    const auto group = preferred(choices);
+    double least = choices[group.front()].m_reported_load;
+    for (const auto index : group)
+        least = std::min(least, choices[index].m_reported_load);
+    index_list equal;
+    for (const auto index : group) {
+        if (choices[index].m_reported_load <= least)
+            equal.push_back(index);
+    }
+    return equal[next_below(random, equal.size())];
+}
+
+std::optional<std::size_t> select_upstream(records::selection_policy policy,
+                                           const std::vector<upstream_choice>& choices,
+                                           random_source& random, std::uint64_t& round_robin)
+{
+    if (choices.empty())
+        return std::nullopt;
+    switch (policy) {
+    case records::selection_policy::random:
+        return select_random(choices, random);
+    case records::selection_policy::round_robin:
+        return select_round_robin(choices, round_robin);
+    case records::selection_policy::least_reported_load:
+        return select_least_reported_load(choices, random);
+    case records::selection_policy::two_choices:
+        break;
+    }
+    return select_two_choices(choices, random);
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/selection.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <azureladder/core/random.hpp>
+#include <azureladder/records/service_record.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+/// Selection policies for spread services: free functions over plain structs.
+namespace azureladder::core {
+
+/// What a policy may know of an upstream.
+struct upstream_choice
+{
+    std::uint32_t m_in_flight = 0;
+
+    /// Requests in flight that fit before other zones are used.
+    double m_limit = 1.0;
+    double m_latency_us = 0.0;
+    double m_reported_load = -1.0;
+    bool m_local_zone = false;
+
+    /// Ejected, unreachable or leaving; used only when all upstreams are.
+    bool m_avoided = false;
+};
+
+/// Index of the chosen upstream; unset when `choices` is empty.
+std::optional<std::size_t> select_upstream(records::selection_policy policy,
+                                           const std::vector<upstream_choice>& choices,
+                                           random_source& random, std::uint64_t& round_robin);
+
+/// Better of two random upstreams by (in flight x latency); the local zone first.
+std::size_t select_two_choices(const std::vector<upstream_choice>& choices, random_source& random);
+std::size_t select_random(const std::vector<upstream_choice>& choices, random_source& random);
+std::size_t select_round_robin(const std::vector<upstream_choice>& choices,
+                               std::uint64_t& round_robin);
+std::size_t select_least_reported_load(const std::vector<upstream_choice>& choices,
+                                       random_source& random);
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/upstream_measure.cpp
@@ -0,0 +1,146 @@
+#include <azureladder/core/upstream_measure.hpp>
+
+#include <algorithm>
+
+namespace azureladder::core {
+
+namespace {
+
+constexpr double smoothing = 0.2;
+
+/// Latency above this multiple of the minimum, plus the margin, means queueing at the upstream.
+constexpr double queueing_factor = 2.0;
+constexpr double latency_margin_us = 1000.0;
+constexpr double base_rise = 1.002;
+constexpr double window_decrease = 0.9;
+constexpr double refusal_decrease = 0.7;
+constexpr double max_window = 1000.0;
+
+/// An upstream is a straggler above this multiple of the median of its service.
+constexpr double straggler_factor = 3.0;
+constexpr std::uint32_t min_samples = 5;
+constexpr duration first_ejection = seconds(1);
+constexpr duration longest_ejection = seconds(30);
+
+/// An upstream without an ejection for this time starts again with the shortest one.
+constexpr duration ejection_memory = seconds(60);
+constexpr duration avoid_time = milliseconds(500);
+
+/// Replies between two calculations of the percentile, which sorts the window.
+constexpr std::uint64_t percentile_period = 32;
+constexpr std::size_t percentile = 95;
+constexpr std::size_t percent_base = 100;
+
+void update_window(upstream_measure& upstream, double latency_us)
+{
+    auto& base = upstream.m_base_latency_us;
+    base = base <= 0.0 ? latency_us : std::min(latency_us, base * base_rise);
+    if (latency_us > queueing_factor * base + latency_margin_us)
+        upstream.m_window = std::max(1.0, upstream.m_window * window_decrease);
+    else if (upstream.m_in_flight + 1.0 >= upstream.m_window)
+        upstream.m_window = std::min(max_window, upstream.m_window + 1.0 / upstream.m_window);
+}
+
+void update_percentile(service_measure& service, duration latency)
+{
+    constexpr auto count = service_measure::latency_count;
+    service.m_latencies[service.m_latency_samples % count] =
+        static_cast<std::uint32_t>(std::min<std::int64_t>(latency.count(), UINT32_MAX));
+    ++service.m_latency_samples;
+    if (service.m_latency_samples < count || service.m_latency_samples % percentile_period != 0)
+        return;
+    auto sorted = service.m_latencies;
+    auto* rank = sorted.begin() + count * percentile / percent_base;
+    std::nth_element(sorted.begin(), rank, sorted.end());
+    service.m_hedge_delay = std::max<duration>(duration(*rank), milliseconds(1));
+}
+
+void eject(upstream_measure& upstream, time_point now)
+{
+    const bool repeated =
+        upstream.m_ejection_time > duration(0) && now - upstream.m_ejected_until <= ejection_memory;
+    upstream.m_ejection_time =
+        repeated ? std::min(upstream.m_ejection_time * 2, longest_ejection) : first_ejection;
+    upstream.m_ejected_until = now + upstream.m_ejection_time;
+    upstream.m_ejected = true;
+}
+
+bool is_straggler(const upstream_measure& upstream, double median)
+{
+    if (upstream.m_samples < min_samples)
+        return false;
+    const double latency = effective_latency_us(upstream);
+    return latency > straggler_factor * median && latency > median + latency_margin_us;
+}
+
+} // namespace
+
+void note_reply(service_measure& service, upstream_measure& upstream, duration latency)
+{
+    const auto latency_us = static_cast<double>(latency.count());
+    upstream.m_latency_us = upstream.m_samples == 0 ? latency_us
+                                                    : upstream.m_latency_us * (1.0 - smoothing) +
+                                                          latency_us * smoothing;
+    ++upstream.m_samples;
+    update_window(upstream, latency_us);
+    update_percentile(service, latency);
+}
+
+void note_upstream_refusal(upstream_measure& upstream)
+{
+    upstream.m_window = std::max(1.0, upstream.m_window * refusal_decrease);
+}
+
+void note_unavailable(upstream_measure& upstream, time_point now)
+{
+    upstream.m_avoid_until = now + avoid_time;
+    upstream.m_window = 1.0;
+}
+
+double median_latency_us(const service_measure& service)
+{
+    std::vector<double> latencies;
+    for (const auto& [member, upstream] : service.m_upstreams) {
+        if (upstream.m_samples > 0)
+            latencies.push_back(upstream.m_latency_us);
+    }
+    if (latencies.empty())
+        return 0.0;
+    // The lower median, so that one of two upstreams can be a straggler.
+    const auto middle = static_cast<std::ptrdiff_t>((latencies.size() - 1) / 2);
+    std::nth_element(latencies.begin(), latencies.begin() + middle, latencies.end());
+    return latencies[static_cast<std::size_t>(middle)];
+}
+
+double effective_latency_us(const upstream_measure& upstream)
+{
+    return std::max(upstream.m_latency_us, static_cast<double>(upstream.m_oldest_open.count()));
+}
+
+std::vector<member_ref> update_ejections(service_measure& service, time_point now)
+{
+    std::vector<member_ref> changed;
+    std::size_t ejected = 0;
+    const double median = median_latency_us(service);
+    for (auto& [member, upstream] : service.m_upstreams) {
+        if (upstream.m_ejected && now >= upstream.m_ejected_until) {
+            // Old measurements would keep it from being selected, so it starts as an average one.
+            upstream.m_ejected = false;
+            upstream.m_latency_us = median;
+            upstream.m_samples = 1;
+            changed.push_back(member);
+        }
+        ejected += upstream.m_ejected ? 1 : 0;
+    }
+    for (auto& [member, upstream] : service.m_upstreams) {
+        if (upstream.m_ejected || !is_straggler(upstream, median) ||
+            (ejected + 1) * 2 > service.m_upstreams.size())
+            continue;
+        eject(upstream, now);
+        ++ejected;
+        changed.push_back(member);
+    }
+    return changed;
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/tests/fake_ownership.cpp
@@ -0,0 +1,85 @@
+// Link-time stand-in for the ownership and configuration modules; to be deleted when they are
+// merged. Nodes are told apart by name.
+#include "fake_ownership.hpp"
+
+#include <azureladder/core/configuration.hpp>
+#include <azureladder/core/ownership.hpp>
+
+#include <map>
+
+namespace azureladder::core {
+
+namespace {
+
+struct fake_state
+{
+    time_point m_lease_end = time_point::max();
+    std::map<slice_id, epoch_number> m_serving;
+};
+
+std::map<node_id, fake_state>& fakes()
+{
+    static std::map<node_id, fake_state> states;
+    return states;
+}
+
+fake_state& fake_of(const node_state& state)
+{
+    return fakes()[state.m_identity.m_node];
+}
+
+} // namespace
+
+namespace testing {
+
+void reset_ownership()
+{
+    fakes().clear();
+}
+
+void set_lease_end(const node_state& state, time_point end)
+{
+    fake_of(state).m_lease_end = end;
+}
+
+void set_serving(const node_state& state, const slice_id& slice, epoch_number epoch)
+{
+    fake_of(state).m_serving[slice] = epoch;
+}
+
+void stop_serving(const node_state& state, const slice_id& slice)
+{
+    fake_of(state).m_serving.erase(slice);
+}
+
+} // namespace testing
+
+void step_configuration(node_state&, time_point, const event&, effects&) {}
+void step_ownership(node_state&, time_point, const event&, effects&) {}
+
+bool holds_lease(const node_state& state, time_point now)
+{
+    return now < fake_of(state).m_lease_end;
+}
+
+time_point lease_end(const node_state& state)
+{
+    return fake_of(state).m_lease_end;
+}
+
+std::optional<epoch_number> serving_epoch(const node_state& state, const slice_id& slice,
+                                          time_point now)
+{
+    const auto& serving = fake_of(state).m_serving;
+    const auto found = serving.find(slice);
+    if (found == serving.end() || !holds_lease(state, now))
+        return std::nullopt;
+    return found->second;
+}
+
+bool takes_new_work(const node_state& state, time_point now)
+{
+    return holds_lease(state, now) && !state.m_stopping;
+}
+
+} // namespace azureladder::core
