Add datagrams and websocket links between nodes

The runtime needs one object that sends and receives everything between nodes and says of each lost request whether anything was sent. Replies use the replying node's own link instead of the incoming connection, so that each link has one sender and one failure rule. websocketpp refuses every handshake when its extensions are switched off, so they stay on (none is compiled in). Tested by an exchange of datagrams and frames in both directions.

--- /dev/null
+++ b/libs/peer/include/azureladder/peer/transport_options.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <azureladder/base/endpoint.hpp>
+#include <azureladder/base/time.hpp>
+#include <azureladder/wire/envelope.hpp>
+
+#include <cstddef>
+
+namespace azureladder::peer {
+
+struct transport_options
+{
+    /// Address on which datagrams and links are received. Port 0 lets the kernel choose one port
+    /// for both.
+    endpoint m_listen{"127.0.0.1", 0};
+
+    /// Address under which other nodes reach this one; the listen address when its host is empty.
+    /// Port 0 stands for the port that is listened on.
+    endpoint m_advertised;
+
+    /// Largest frame that is sent or accepted.
+    std::size_t m_max_frame_bytes = wire::max_frame_bytes;
+
+    /// Frames are refused when more bytes than this wait on one link.
+    std::size_t m_max_queue_bytes = std::size_t(8) * 1'024 * 1'024;
+
+    /// Longest time for opening a link, and so the longest wait of a frame before it is written.
+    duration m_connect_timeout = seconds(1);
+
+    /// An unused link is closed after this time. An incoming link that was silent for twice this
+    /// time is closed, because its peer has then lost it.
+    duration m_idle_timeout = seconds(60);
+
+    /// Time between pings while replies are awaited.
+    duration m_ping_interval = milliseconds(500);
+
+    /// A link on which replies are awaited is lost after this time without any sign of the peer.
+    duration m_silence_timeout = milliseconds(1'500);
+
+    /// Time without connect attempts after a failed one; doubles with each failure.
+    duration m_first_backoff = milliseconds(50);
+    duration m_last_backoff = seconds(2);
+};
+
+} // namespace azureladder::peer
--- /dev/null
+++ b/libs/peer/src/link.cpp
@@ -0,0 +1,220 @@
+#include "link.hpp"
+
+#include "socket_options.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace azureladder::peer {
+
+link::link(std::shared_ptr<link_services> services, endpoint remote)
+    : m_services(std::move(services)), m_remote(std::move(remote))
+{
+}
+
+void link::send(outgoing_frame frame)
+{
+    const auto now = m_services->m_clock.now();
+    m_last_used = now;
+    if (frame.m_bytes.size() > m_services->m_options.m_max_frame_bytes)
+        return fail(frame);
+    if (m_state == state::open)
+        return write(std::move(frame));
+    if (m_state == state::closed && now >= m_retry_at)
+        connect();
+    const bool fits =
+        m_queued_bytes + frame.m_bytes.size() <= m_services->m_options.m_max_queue_bytes;
+    if (m_state != state::connecting || !fits)
+        return fail(frame);
+    m_queued_bytes += frame.m_bytes.size();
+    m_queue.push_back(std::move(frame));
+}
+
+void link::forget(frame_id id)
+{
+    if (m_written.erase(id) > 0) {
+        m_last_heard = m_services->m_clock.now();
+        return;
+    }
+    const auto found = std::find_if(m_queue.begin(), m_queue.end(),
+                                    [id](const outgoing_frame& frame) { return frame.m_id == id; });
+    if (found == m_queue.end())
+        return;
+    m_queued_bytes -= found->m_bytes.size();
+    m_queue.erase(found);
+}
+
+void link::tick(time_point now, bool paused)
+{
+    const auto& options = m_services->m_options;
+    if (m_state == state::connecting && now - m_connect_started >= options.m_connect_timeout)
+        abandon();
+    if (m_state == state::open)
+        check_silence(now, paused);
+    if (m_state == state::open)
+        close_if_idle(now);
+}
+
+bool link::is_disposable(time_point now) const
+{
+    return m_state == state::closed && now - m_last_used >= m_services->m_options.m_idle_timeout;
+}
+
+void link::shut_down()
+{
+    m_queue.clear();
+    m_queued_bytes = 0;
+    m_written.clear();
+    end_connection();
+}
+
+void link::connect()
+{
+    ++m_attempt;
+    m_connect_started = m_services->m_clock.now();
+    websocketpp::lib::error_code error;
+    auto connection = m_services->m_client.get_connection("ws://" + to_string(m_remote), error);
+    if (error)
+        return abandon();
+    set_handlers(connection);
+    m_connection = connection;
+    m_state = state::connecting;
+    m_services->m_client.connect(connection);
+}
+
+void link::set_handlers(const client_connection& connection)
+{
+    using websocketpp::connection_hdl;
+    const auto self = shared_from_this();
+    const auto attempt = m_attempt;
+    auto* raw = connection.get();
+    connection->set_tcp_pre_init_handler(
+        [raw](const connection_hdl&) { tune_socket(raw->get_raw_socket()); });
+    connection->set_open_handler([self, attempt](const connection_hdl&) { self->opened(attempt); });
+    connection->set_fail_handler([self, attempt](const connection_hdl&) { self->lost(attempt); });
+    connection->set_close_handler([self, attempt](const connection_hdl&) { self->lost(attempt); });
+    connection->set_pong_handler(
+        [self, attempt](const connection_hdl&, const std::string&) { self->heard(attempt); });
+    connection->set_open_handshake_timeout(to_ms(m_services->m_options.m_connect_timeout));
+    // A peer sends only control frames on this connection.
+    connection->set_max_message_size(0);
+}
+
+void link::opened(std::uint64_t attempt)
+{
+    if (attempt != m_attempt)
+        return;
+    ++m_services->m_counters.m_links_opened;
+    m_state = state::open;
+    m_backoff = duration(0);
+    m_last_heard = m_services->m_clock.now();
+    m_last_ping = m_last_heard;
+    auto queue = std::exchange(m_queue, {});
+    m_queued_bytes = 0;
+    for (auto& frame : queue)
+        write(std::move(frame));
+}
+
+void link::lost(std::uint64_t attempt)
+{
+    if (attempt == m_attempt)
+        abandon();
+}
+
+void link::heard(std::uint64_t attempt)
+{
+    if (attempt == m_attempt)
+        m_last_heard = m_services->m_clock.now();
+}
+
+/// Ends the connection and reports its frames.
+void link::abandon()
+{
+    const auto& options = m_services->m_options;
+    const bool was_open = m_state == state::open;
+    end_connection();
+    if (was_open) {
+        ++m_services->m_counters.m_links_lost;
+    } else {
+        m_backoff = std::clamp(m_backoff * 2, options.m_first_backoff, options.m_last_backoff);
+        m_retry_at = m_services->m_clock.now() + m_backoff;
+    }
+    for (const auto& frame : std::exchange(m_queue, {}))
+        fail(frame);
+    m_queued_bytes = 0;
+    for (const auto id : std::exchange(m_written, {})) {
+        ++m_services->m_counters.m_frames_failed;
+        m_services->m_failed(id, false);
+    }
+}
+
+void link::end_connection()
+{
+    ++m_attempt;
+    m_state = state::closed;
+    const auto connection = std::exchange(m_connection, nullptr);
+    if (!connection)
+        return;
+    // Closing the socket makes websocketpp end all its operations on it with an error.
+    boost::system::error_code ignored;
+    connection->get_raw_socket().close(ignored);
+}
+
+void link::write(outgoing_frame frame)
+{
+    const auto& options = m_services->m_options;
+    auto& counters = m_services->m_counters;
+    const auto size = frame.m_bytes.size();
+    if (m_connection->get_buffered_amount() + size > options.m_max_queue_bytes)
+        return fail(frame);
+    const auto error =
+        m_connection->send(frame.m_bytes.data(), size, websocketpp::frame::opcode::binary);
+    if (error)
+        return fail(frame);
+    ++counters.m_frames_sent;
+    counters.m_bytes_sent += size;
+    if (!frame.m_track)
+        return;
+    if (m_written.empty())
+        m_last_heard = m_services->m_clock.now();
+    m_written.insert(frame.m_id);
+}
+
+/// Reports a frame of which nothing was written.
+void link::fail(const outgoing_frame& frame)
+{
+    ++m_services->m_counters.m_frames_failed;
+    if (frame.m_track)
+        m_services->m_failed(frame.m_id, true);
+}
+
+void link::check_silence(time_point now, bool paused)
+{
+    const auto& options = m_services->m_options;
+    if (m_written.empty())
+        return;
+    if (paused)
+        m_last_heard = now;
+    if (now - m_last_heard >= options.m_silence_timeout)
+        return abandon();
+    const bool due = now - std::max(m_last_ping, m_last_heard) >= options.m_ping_interval;
+    if (!due)
+        return;
+    m_last_ping = now;
+    websocketpp::lib::error_code ignored;
+    m_connection->ping("", ignored);
+}
+
+void link::close_if_idle(time_point now)
+{
+    if (!m_written.empty() || now - m_last_used < m_services->m_options.m_idle_timeout)
+        return;
+    // The closing handshake lets the peer read what was written before.
+    websocketpp::lib::error_code ignored;
+    m_connection->close(websocketpp::close::status::going_away, "idle", ignored);
+    m_connection.reset();
+    ++m_attempt;
+    m_state = state::closed;
+}
+
+} // namespace azureladder::peer
--- /dev/null
+++ b/libs/peer/src/link.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "websocket.hpp"
+
+#include <azureladder/base/clock.hpp>
+#include <azureladder/base/endpoint.hpp>
+#include <azureladder/peer/transport_callbacks.hpp>
+#include <azureladder/peer/transport_counters.hpp>
+#include <azureladder/peer/transport_options.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace azureladder::peer {
+
+/// What all links of a transport share.
+struct link_services
+{
+    link_services(const clock& time, const transport_options& options)
+        : m_clock(time), m_options(options)
+    {
+    }
+
+    websocket_client m_client;
+    const clock& m_clock;
+    transport_options m_options;
+    transport_counters m_counters;
+
+    /// Reports a tracked frame that failed.
+    std::function<void(frame_id, bool nothing_was_sent)> m_failed;
+};
+
+struct outgoing_frame
+{
+    frame_id m_id = 0;
+    bool m_track = true;
+    std::vector<std::uint8_t> m_bytes;
+};
+
+/// Connection to one node for outgoing frames, opened by the first frame.
+class link : public std::enable_shared_from_this<link>
+{
+public:
+    link(std::shared_ptr<link_services> services, endpoint remote);
+
+    /// Writes the frame when the link is open, queues it while the link opens, fails it otherwise.
+    void send(outgoing_frame frame);
+
+    /// Forgets a tracked frame. A frame that is still queued is not sent.
+    void forget(frame_id id);
+
+    /// Handles connect timeout, heartbeat and idle time. After a pause of the process, `paused` is
+    /// true and the silence of the peer is measured anew.
+    void tick(time_point now, bool paused);
+
+    /// Whether the link is closed and holds nothing worth keeping.
+    bool is_disposable(time_point now) const;
+
+    /// Closes the connection at once, without reports.
+    void shut_down();
+
+private:
+    enum class state
+    {
+        closed,
+        connecting,
+        open
+    };
+
+    void connect();
+    void set_handlers(const client_connection& connection);
+    void opened(std::uint64_t attempt);
+    void lost(std::uint64_t attempt);
+    void heard(std::uint64_t attempt);
+    void abandon();
+    void end_connection();
+    void write(outgoing_frame frame);
+    void fail(const outgoing_frame& frame);
+    void check_silence(time_point now, bool paused);
+    void close_if_idle(time_point now);
+
+    std::shared_ptr<link_services> m_services;
+    endpoint m_remote;
+    state m_state = state::closed;
+    client_connection m_connection;
+
+    /// Number of the current connection. Handlers of an earlier one are ignored.
+    std::uint64_t m_attempt = 0;
+
+    std::deque<outgoing_frame> m_queue;
+    std::size_t m_queued_bytes = 0;
+
+    /// Tracked frames that were written.
+    std::set<frame_id> m_written;
+
+    duration m_backoff{0};
+    time_point m_retry_at{};
+    time_point m_connect_started{};
+    time_point m_last_used{};
+
+    /// Last sign of the peer, or the time since which a reply is awaited.
+    time_point m_last_heard{};
+    time_point m_last_ping{};
+};
+
+} // namespace azureladder::peer
--- /dev/null
+++ b/libs/peer/src/listener.cpp
@@ -0,0 +1,133 @@
+#include "listener.hpp"
+
+#include "socket_options.hpp"
+
+#include <utility>
+
+namespace azureladder::peer {
+
+using websocketpp::connection_hdl;
+
+listener::listener(boost::asio::io_context& context, const clock& time,
+                   const transport_options& options, listener_handlers handlers)
+    : m_clock(time), m_options(options), m_handlers(std::move(handlers))
+{
+    websocketpp::lib::error_code ignored;
+    m_server.init_asio(&context, ignored);
+    m_server.set_max_message_size(options.m_max_frame_bytes);
+    m_server.set_reuse_addr(true);
+}
+
+boost::system::error_code listener::open(const boost::asio::ip::tcp::endpoint& local)
+{
+    websocketpp::lib::error_code error;
+    m_server.listen(local, error);
+    if (error)
+        return {error.value() == 0 ? 1 : error.value(), boost::system::generic_category()};
+    m_open = true;
+    return {};
+}
+
+std::uint16_t listener::port()
+{
+    boost::system::error_code error;
+    return m_server.get_local_endpoint(error).port();
+}
+
+void listener::accept()
+{
+    set_handlers();
+    websocketpp::lib::error_code ignored;
+    m_server.start_accept(ignored);
+}
+
+void listener::set_handlers()
+{
+    const auto self = shared_from_this();
+    m_server.set_tcp_pre_init_handler([self](const connection_hdl& handle) {
+        websocketpp::lib::error_code error;
+        if (const auto connection = self->m_server.get_con_from_hdl(handle, error))
+            tune_socket(connection->get_raw_socket());
+    });
+    m_server.set_open_handler([self](const connection_hdl& handle) { self->opened(handle); });
+    m_server.set_close_handler(
+        [self](const connection_hdl& handle) { self->m_links.erase(handle.lock().get()); });
+    m_server.set_message_handler(
+        [self](const connection_hdl& handle, const websocket_server::message_ptr& message) {
+            self->received(handle, message);
+        });
+    m_server.set_ping_handler([self](const connection_hdl& handle, const std::string&) {
+        websocketpp::lib::error_code error;
+        if (const auto connection = self->m_server.get_con_from_hdl(handle, error))
+            self->heard(connection);
+        return true;
+    });
+}
+
+void listener::opened(const connection_hdl& handle)
+{
+    websocketpp::lib::error_code error;
+    const auto connection = m_server.get_con_from_hdl(handle, error);
+    if (!connection)
+        return;
+    boost::system::error_code ignored;
+    if (!m_open)
+        connection->get_raw_socket().close(ignored);
+    else
+        m_links[connection.get()] = {connection, m_clock.now()};
+}
+
+void listener::heard(const server_connection& connection)
+{
+    const auto found = m_links.find(connection.get());
+    if (found != m_links.end())
+        found->second.m_last_heard = m_clock.now();
+}
+
+void listener::received(const connection_hdl& handle, const websocket_server::message_ptr& message)
+{
+    websocketpp::lib::error_code error;
+    const auto connection = m_server.get_con_from_hdl(handle, error);
+    if (!connection || !m_open)
+        return;
+    heard(connection);
+    if (message->get_opcode() == websocketpp::frame::opcode::binary)
+        return m_handlers.m_on_frame(message->get_payload());
+    m_handlers.m_on_dropped("text frame");
+    connection->close(websocketpp::close::status::unsupported_data, "", error);
+}
+
+void listener::tick(time_point now)
+{
+    // A peer closes a link that was unused for the idle time, so a longer silence means that the
+    // peer is gone without having closed it.
+    const auto limit = m_options.m_idle_timeout * 2;
+    for (auto it = m_links.begin(); it != m_links.end();) {
+        if (now - it->second.m_last_heard < limit) {
+            ++it;
+            continue;
+        }
+        boost::system::error_code ignored;
+        it->second.m_connection->get_raw_socket().close(ignored);
+        it = m_links.erase(it);
+    }
+}
+
+void listener::close()
+{
+    if (!std::exchange(m_open, false))
+        return;
+    websocketpp::lib::error_code ignored;
+    m_server.stop_listening(ignored);
+    boost::system::error_code unused;
+    for (const auto& [key, link] : std::exchange(m_links, {}))
+        link.m_connection->get_raw_socket().close(unused);
+    // The handlers own this object; connections that still end have their own copies.
+    m_server.set_tcp_pre_init_handler(nullptr);
+    m_server.set_open_handler(nullptr);
+    m_server.set_close_handler(nullptr);
+    m_server.set_message_handler(nullptr);
+    m_server.set_ping_handler(nullptr);
+}
+
+} // namespace azureladder::peer
