Add the load generator azureladder-load

Experiments need an open-loop load: a closed loop would slow down with the system and hide unavailable time. Requests follow a seeded schedule (Poisson or fixed), with uniform, Zipf or moving hot keys, classes, customers and repeats of lost POSTs under the same idempotency key; latency counts from the scheduled arrival and the report states the generator's own lag. The HTTP client of cxxtools was ruled out because it resends a POST on a reused connection; Boost.Beast reads the responses, and a test counts the requests that reach the server.

--- /dev/null
+++ b/testbench/load/src/key_chooser.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "load_settings.hpp"
+#include "random_source.hpp"
+
+#include <string>
+#include <vector>
+
+namespace azureladder::load {
+
+/// Chooses the keys of one service.
+class key_chooser
+{
+public:
+    explicit key_chooser(const key_settings& settings);
+
+    /// Key of a request that arrives `since_start` after the start; empty without keys.
+    std::string choose(random_source& random, duration since_start) const;
+
+private:
+    std::uint32_t choose_index(random_source& random, duration since_start) const;
+
+    key_settings m_settings;
+
+    /// Cumulative probabilities of the Zipf distribution; empty for the others.
+    std::vector<double> m_cumulative;
+};
+
+} // namespace azureladder::load
--- /dev/null
+++ b/testbench/load/src/request_text.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "call.hpp"
+
+#include "http_connection.hpp"
+
+#include <string>
+
+namespace azureladder::load {
+
+/// HTTP request of a call, as docs/design.md, section 4.1, states it.
+std::string request_text(const load_settings& settings, const call& one);
+
+/// Outcome that a complete or interrupted response means.
+call_outcome outcome_of(exchange_state state, const http_reply& reply);
+
+} // namespace azureladder::load
