Adapt the node runtime to settings, transport and announcements

Announcements are parsed with the shared object reader, so that a wrong field names its path and what was expected.

--- a/apps/azureladderd/src/main.cpp
+++ b/apps/azureladderd/src/main.cpp
@@ -53,10 +53,22 @@
     return -1;
 }
 
+azureladder::platform::http_store_options
+store_options_of(const azureladder::settings::node_settings& settings)
+{
+    const auto timeout =
+        std::chrono::duration_cast<azureladder::milliseconds>(settings.m_store.m_timeout);
+    azureladder::platform::http_store_options output;
+    output.m_server = settings.m_store.m_address;
+    output.m_read_timeout = timeout;
+    output.m_write_timeout = timeout;
+    return output;
+}
+
 int run_node(const azureladder::settings::node_settings& settings)
 {
     const azureladder::steady_clock clock;
-    azureladder::platform::http_store store(settings.m_store_address, settings.m_store_timeout);
+    azureladder::platform::http_store store(store_options_of(settings));
     azureladder::node::runtime node(settings, clock, store);
     if (const auto started = node.start(); !started) {
         std::cerr << "azureladderd: " << started.error().m_message << "\n";
--- a/libs/node/src/announcement.hpp
+++ b/libs/node/src/announcement.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <azureladder/base/object_reader.hpp>
 #include <azureladder/base/result.hpp>
 #include <azureladder/core/backend_info.hpp>
 
@@ -8,6 +9,6 @@
 namespace azureladder::node {
 
 /// Parses the body of an announcement of a backend server. The error states what was expected.
-result<core::backend_info, std::string> parse_announcement(const std::string& text);
+result<core::backend_info, field_error> parse_announcement(const std::string& text);
 
 } // namespace azureladder::node
--- a/libs/node/src/runtime.cpp
+++ b/libs/node/src/runtime.cpp
@@ -27,38 +27,39 @@
 http::server_options server_options_of(const settings::node_settings& settings)
 {
     http::server_options options;
-    options.m_endpoint = settings.m_http_listen;
-    options.m_max_threads = settings.m_http_max_threads;
-    options.m_max_body_bytes = settings.m_http_max_body_bytes;
+    options.m_endpoint = settings.m_http.m_listen;
+    options.m_max_threads = settings.m_http.m_max_threads;
+    options.m_max_body_bytes = settings.m_http.m_max_body_bytes;
     return options;
 }
 
 peer::transport_options transport_options_of(const settings::node_settings& settings)
 {
     peer::transport_options options;
-    options.m_listen = settings.m_peer_listen;
-    options.m_advertised = settings.m_peer_advertise;
+    options.m_listen = settings.m_peer.m_listen;
+    options.m_advertised = settings.m_peer.m_advertise.value_or(endpoint());
     return options;
 }
 
 telemetry::logger_options logger_options_of(const settings::node_settings& settings)
 {
     telemetry::logger_options options;
-    options.m_path = settings.m_log_file;
-    options.m_level = settings.m_log_level;
+    options.m_path = settings.m_log.m_file.value_or(std::string());
+    options.m_minimum_level = telemetry::log_level(settings.m_log.m_level);
     options.m_node = settings.m_node;
     return options;
 }
 
 core::node_identity identity_of(const settings::node_settings& settings)
 {
-    return {settings.m_node, settings.m_availability_zone, settings.m_http_advertise,
-            settings.m_peer_advertise};
+    return {settings.m_node, settings.m_zone,
+            settings.m_http.m_advertise.value_or(settings.m_http.m_listen),
+            settings.m_peer.m_advertise.value_or(settings.m_peer.m_listen)};
 }
 
 std::size_t total_limit_of(const settings::node_settings& settings)
 {
-    const std::size_t threads = settings.m_http_max_threads;
+    const std::size_t threads = settings.m_http.m_max_threads;
     return threads > 2 * reserved_threads ? threads - reserved_threads : threads / 2;
 }
 
@@ -74,9 +75,9 @@
 runtime_impl::runtime_impl(const settings::node_settings& settings, const clock& time,
                            platform::store& store)
     : m_settings(settings), m_clock(time), m_timer(m_io),
-      m_logger(logger_options_of(settings), time),
+      m_logger(time, logger_options_of(settings)),
       m_state(core::make_node_state(identity_of(settings), settings.m_core,
-                                    settings.m_seed != 0 ? settings.m_seed : random_id())),
+                                    settings.m_seed ? *settings.m_seed : random_id())),
       m_gate(total_limit_of(settings), std::max<std::size_t>(1, total_limit_of(settings) / 2)),
       m_store(store,
               [this](core::store_finished finished) {
@@ -91,7 +92,7 @@
                         finish_attempt(std::move(finished), std::move(reply));
                     });
                 }),
-      m_peers(m_io, transport_options_of(settings), settings.m_peer_routes, time, random_id(),
+      m_peers(m_io, transport_options_of(settings), settings.m_peer.m_routes, time, random_id(),
               [this] { return core::self(m_state); }, make_peer_callbacks()),
       m_server(server_options_of(settings),
                [this](const http::request& input) { return handle_http(input); })
@@ -112,7 +113,7 @@
         return node_error{node_error_kind::peer_listen_failed, started.error().m_message};
     if (!m_server.start())
         return node_error{node_error_kind::http_listen_failed,
-                          "cannot listen for callers on " + to_string(m_settings.m_http_listen)};
+                          "cannot listen for callers on " + to_string(m_settings.m_http.m_listen)};
     m_logger.write(telemetry::log_level::info, "listening",
                    {{"http", to_string(http_address())}, {"peer", to_string(peer_address())}});
     return success();
@@ -166,7 +167,9 @@
 
 void runtime_impl::handle(const core::event& input)
 {
-    for (const auto& order : core::step(m_state, m_clock.now(), input))
+    const auto output = core::step(m_state, m_clock.now(), input);
+    m_logger.set_incarnation(m_state.m_incarnation);
+    for (const auto& order : output)
         execute(order);
 }
 
--- a/libs/node/src/runtime_http.cpp
+++ b/libs/node/src/runtime_http.cpp
@@ -193,9 +193,10 @@
 {
     auto info = parse_announcement(input.m_body);
     if (!info) {
+        const auto reason = info.error().m_path + ": " + info.error().m_message;
         m_logger.write(telemetry::log_level::warning, "announcement_rejected",
-                       {{"reason", info.error()}});
-        return problem(status_bad_request, "bad_announcement", info.error());
+                       {{"reason", reason}});
+        return problem(status_bad_request, "bad_announcement", reason);
     }
     return on_loop([this, info = std::move(info.value())] {
         m_backend.set_backend(info);
