Add the platform store interface, its HTTP adapter and a store double

Nodes keep configuration and plans in the platform store; writes use a new connection each, and a write that was sent without an answer is reported as unknown.

--- a/libs/http/include/azureladder/http/message.hpp
+++ b/libs/http/include/azureladder/http/message.hpp
@@ -30,6 +30,10 @@
     std::string m_peer;
 };
 
+/// Status of a response that closes the connection instead of being sent. Test doubles use it to
+/// lose an answer.
+inline constexpr int close_without_answer = 0;
+
 /// An HTTP response with its whole body.
 struct response
 {
--- a/libs/http/src/strict_responder.cpp
+++ b/libs/http/src/strict_responder.cpp
@@ -45,7 +45,8 @@
 void strict_responder::beginRequest(cxxtools::net::TcpSocket& socket, std::istream& in,
                                     cxxtools::http::Request& parsed)
 {
-    m_refusal = receive(socket.getFd(), in, parsed);
+    m_descriptor = socket.getFd();
+    m_refusal = receive(m_descriptor, in, parsed);
     m_request.m_peer = socket.getPeerAddr();
     // The body is complete or refused. Without a length cxxtools calls reply() directly and does
     // not count body bytes, which it does wrongly when more than the body is buffered.
@@ -98,7 +99,13 @@
         fill_reply("", make_response(*m_refusal), out, answer);
         return;
     }
-    fill_reply(m_request.m_method, m_state.m_handler(m_request), out, answer);
+    const auto message = m_state.m_handler(m_request);
+    if (message.m_status == close_without_answer) {
+        // cxxtools closes the connection when its write fails.
+        ::shutdown(m_descriptor, SHUT_RDWR);
+        return;
+    }
+    fill_reply(m_request.m_method, message, out, answer);
 }
 
 void strict_responder::replyError(std::ostream& out, cxxtools::http::Request&,
--- a/libs/http/src/strict_responder.hpp
+++ b/libs/http/src/strict_responder.hpp
@@ -36,6 +36,7 @@
     std::optional<refusal> read_body(int descriptor, std::istream& in, const body_framing& framing);
 
     server_state& m_state;
+    int m_descriptor = -1;
     request m_request;
     std::optional<refusal> m_refusal;
 };
--- /dev/null
+++ b/libs/platform/include/azureladder/platform/memory_store.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <azureladder/platform/store.hpp>
+
+#include <map>
+#include <mutex>
+
+namespace azureladder::platform {
+
+/// Number of calls to a `memory_store`, refused ones included.
+struct store_counts
+{
+    std::uint64_t m_reads = 0;
+    std::uint64_t m_writes = 0;
+};
+
+/// Fake of the platform store in memory, with the faults that the platform can show.
+class memory_store final : public store
+{
+public:
+    result<std::optional<stored_value>, store_error> read(const std::string& key) override;
+    result<version, store_error> write(const std::string& key, const std::string& value,
+                                       version expected_version) override;
+
+    /// While down, every call fails with `unavailable`.
+    void set_down(bool down);
+
+    /// The next `count` writes are carried out but answered with `unknown`.
+    void lose_next_answers(unsigned count);
+
+    store_counts counts() const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::string, stored_value> m_values;
+    store_counts m_counts;
+    bool m_down = false;
+    unsigned m_answers_to_lose = 0;
+};
+
+} // namespace azureladder::platform
--- /dev/null
+++ b/libs/platform/include/azureladder/platform/store.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <azureladder/base/result.hpp>
+#include <azureladder/platform/store_error.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+/// The platform's key-value service.
+namespace azureladder::platform {
+
+/// Largest value that the platform store accepts.
+inline constexpr std::size_t max_value_bytes = 1'000'000;
+
+/// Version of a key. Raised by each write; 0 stands for a key that does not exist.
+using version = std::uint64_t;
+
+/// A value with its version.
+struct stored_value
+{
+    std::string m_value;
+    version m_version = 0;
+};
+
+/// Key-value store with compare-and-swap. Calls block; all methods are thread safe.
+class store
+{
+public:
+    virtual ~store() = default;
+
+    /// Value of `key`, or nothing when the key does not exist. Fails only with `unavailable`.
+    virtual result<std::optional<stored_value>, store_error> read(const std::string& key) = 0;
+
+    /// Writes `value` when `key` still has `expected_version` (0: does not exist). Returns the new
+    /// version.
+    virtual result<version, store_error> write(const std::string& key, const std::string& value,
+                                               version expected_version) = 0;
+};
+
+} // namespace azureladder::platform
--- /dev/null
+++ b/libs/platform/src/http_store.cpp
@@ -0,0 +1,154 @@
+#include <azureladder/platform/http_store.hpp>
+
+#include <azureladder/base/json.hpp>
+
+namespace azureladder::platform {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_conflict = 409;
+constexpr int status_too_large = 413;
+constexpr int status_too_many_requests = 429;
+constexpr int status_unavailable = 503;
+
+// A value of 1 MB grows when it is quoted in JSON; each byte takes at most 6 characters.
+constexpr std::size_t max_reply_bytes = 6 * max_value_bytes + 1'024;
+
+std::string target_of(const std::string& key)
+{
+    constexpr std::string_view hex = "0123456789ABCDEF";
+    constexpr std::string_view literal = "/-._~";
+    std::string target = "/v1/kv/";
+    for (const char c : key) {
+        const auto byte = static_cast<unsigned char>(c);
+        const bool alphanumeric =
+            (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+        if (alphanumeric || literal.find(c) != std::string_view::npos)
+            target += c;
+        else
+            (target += '%').append({hex[byte >> 4U], hex[byte & 15U]});
+    }
+    return target;
+}
+
+std::optional<version> version_in(const json& body)
+{
+    const auto found = body.is_object() ? body.find("version") : body.end();
+    if (found == body.end() || !found->is_number_unsigned())
+        return std::nullopt;
+    return found->get<version>();
+}
+
+json parse(const std::string& body)
+{
+    return json::parse(body, nullptr, false);
+}
+
+store_error unavailable(std::string message)
+{
+    return {store_error_kind::unavailable, 0, std::move(message)};
+}
+
+store_error unknown(std::string message)
+{
+    return {store_error_kind::unknown, 0, std::move(message)};
+}
+
+std::string unexpected(int status)
+{
+    return "unexpected status " + std::to_string(status) + " or body";
+}
+
+result<std::optional<stored_value>, store_error> read_result(const http::response& reply)
+{
+    if (reply.m_status == status_not_found)
+        return std::optional<stored_value>();
+    const auto body = reply.m_status == status_ok ? parse(reply.m_body) : json();
+    const auto number = version_in(body);
+    if (!number || !body.contains("value") || !body["value"].is_string())
+        return unavailable(unexpected(reply.m_status));
+    return std::optional(stored_value{body["value"].get<std::string>(), *number});
+}
+
+result<version, store_error> write_result(const http::response& reply)
+{
+    const auto number = version_in(parse(reply.m_body));
+    switch (reply.m_status) {
+    case status_ok:
+        if (number)
+            return *number;
+        break;
+    case status_conflict:
+        if (number)
+            return store_error{store_error_kind::conflict, *number, "the version differs"};
+        break;
+    case status_too_large:
+        return store_error{store_error_kind::too_large, 0, "the value exceeds the limit"};
+    case status_too_many_requests:
+    case status_unavailable:
+        return unavailable("the store refused with status " + std::to_string(reply.m_status));
+    default:
+        break;
+    }
+    return unknown(unexpected(reply.m_status));
+}
+
+http::client_options client_options_of(const http_store_options& options)
+{
+    http::client_options client;
+    client.m_max_connections = options.m_max_connections;
+    client.m_max_pooled = options.m_max_connections;
+    client.m_max_body_bytes = max_reply_bytes;
+    return client;
+}
+
+} // namespace
+
+http_store::http_store(const http_store_options& options)
+    : m_options(options), m_client(options.m_server, client_options_of(options))
+{
+}
+
+result<http::response, http::client_error> http_store::get(const std::string& key)
+{
+    http::execute_options execute;
+    execute.m_timeout = m_options.m_read_timeout;
+    const http::request message{"GET", target_of(key), {}, {}, {}};
+    auto reply = m_client.execute(message, execute);
+    if (reply || reply.error().m_kind != http::client_error_kind::lost)
+        return reply;
+    // The store may close an idle connection just as it is used. Reads may be repeated.
+    execute.m_connection = http::connection_use::fresh;
+    return m_client.execute(message, execute);
+}
+
+result<std::optional<stored_value>, store_error> http_store::read(const std::string& key)
+{
+    const auto reply = get(key);
+    if (!reply)
+        return unavailable(reply.error().m_message);
+    return read_result(reply.value());
+}
+
+result<version, store_error> http_store::write(const std::string& key, const std::string& value,
+                                               version expected_version)
+{
+    http::execute_options execute;
+    execute.m_timeout = m_options.m_write_timeout;
+    execute.m_connection = http::connection_use::fresh;
+    http::request message;
+    message.m_method = "PUT";
+    message.m_target = target_of(key) + "?version=" + std::to_string(expected_version);
+    message.m_headers = {{"Content-Type", "application/octet-stream"}};
+    message.m_body = value;
+    const auto reply = m_client.execute(message, execute);
+    if (reply)
+        return write_result(reply.value());
+    if (http::nothing_was_sent(reply.error().m_kind))
+        return unavailable(reply.error().m_message);
+    return unknown(reply.error().m_message);
+}
+
+} // namespace azureladder::platform
--- /dev/null
+++ b/libs/platform/src/memory_store.cpp
@@ -0,0 +1,67 @@
+#include <azureladder/platform/memory_store.hpp>
+
+namespace azureladder::platform {
+
+namespace {
+
+store_error unavailable()
+{
+    return {store_error_kind::unavailable, 0, "the store is down"};
+}
+
+} // namespace
+
+result<std::optional<stored_value>, store_error> memory_store::read(const std::string& key)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_counts.m_reads;
+    if (m_down)
+        return unavailable();
+    const auto found = m_values.find(key);
+    if (found == m_values.end())
+        return std::optional<stored_value>();
+    return std::optional<stored_value>(found->second);
+}
+
+result<version, store_error> memory_store::write(const std::string& key, const std::string& value,
+                                                 version expected_version)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_counts.m_writes;
+    if (m_down)
+        return unavailable();
+    if (value.size() > max_value_bytes)
+        return store_error{store_error_kind::too_large, 0, "the value exceeds the limit"};
+    const auto found = m_values.find(key);
+    const version current = found == m_values.end() ? 0 : found->second.m_version;
+    const bool matches = current == expected_version;
+    if (matches)
+        m_values[key] = {value, current + 1};
+    if (m_answers_to_lose > 0) {
+        --m_answers_to_lose;
+        return store_error{store_error_kind::unknown, 0, "the answer was lost"};
+    }
+    if (!matches)
+        return store_error{store_error_kind::conflict, current, "the version differs"};
+    return current + 1;
+}
+
+void memory_store::set_down(bool down)
+{
+    const std::lock_guard lock(m_mutex);
+    m_down = down;
+}
+
+void memory_store::lose_next_answers(unsigned count)
+{
+    const std::lock_guard lock(m_mutex);
+    m_answers_to_lose = count;
+}
+
+store_counts memory_store::counts() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_counts;
+}
+
+} // namespace azureladder::platform
