Add tests with real processes for failures of owners, the store and zones

Each test ends with the audit of the logs of routers, backend servers and callers. They guard against two owners, lost slices, repeated executions and changes that are reported as accepted too early.

--- /dev/null
+++ b/tests/integration/cluster_fixture.cpp
@@ -0,0 +1,192 @@
+#include "cluster_fixture.hpp"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+namespace azureladder::integration {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr milliseconds settle_limit{30'000};
+
+std::vector<deployment::node_spec> make_nodes()
+{
+    std::vector<deployment::node_spec> nodes;
+    for (const std::string service : {"reporting", "bookings"}) {
+        for (const std::string zone : {"zone-a", "zone-b", "zone-c"}) {
+            deployment::node_spec spec;
+            spec.m_zone = zone;
+            spec.m_service = service;
+            spec.m_server = service + "-" + zone.back();
+            spec.m_node = "n-" + spec.m_server;
+            nodes.push_back(spec);
+        }
+    }
+    return nodes;
+}
+
+json make_records()
+{
+    return json::parse(R"([
+        {"kind": "service", "schema_version": 1, "name": "reporting", "divided_by_key": true,
+         "slices": 12, "max_execution_ms": 200},
+        {"kind": "service", "schema_version": 2, "name": "bookings",
+         "placement": {"divided_by_key": false}}
+    ])");
+}
+
+json load_configuration(const deployment::cluster& site, unsigned duration_s)
+{
+    json targets = json::array();
+    for (const auto& node : site.nodes())
+        targets.push_back(to_string(site.http_address(node.m_node)));
+    return {{"seed", 7},
+            {"duration_s", duration_s},
+            {"max_requests", 200'000},
+            {"targets", targets},
+            {"services",
+             {{{"name", "reporting"},
+               {"rate", 60},
+               {"path", "/summary"},
+               {"timeout_ms", 3'000},
+               {"keys", {{"distribution", "uniform"}, {"count", 200}}},
+               {"methods", {{{"method", "GET"}, {"weight", 1}}}}},
+              {{"name", "bookings"},
+               {"rate", 60},
+               {"path", "/jobs"},
+               {"timeout_ms", 3'000},
+               {"methods",
+                {{{"method", "GET"}, {"weight", 1}},
+                 {{"method", "POST"},
+                  {"weight", 1},
+                  {"idempotency_key", true},
+                  {"repeats", 2}}}}}}}};
+}
+
+std::string test_directory()
+{
+    const auto* info = ::testing::UnitTest::GetInstance()->current_test_info();
+    const auto path = std::filesystem::temp_directory_path() /
+                      ("azureladder-" + std::to_string(::getpid()) + "-" + info->name());
+    return path.string();
+}
+
+} // namespace
+
+cluster_fixture::cluster_fixture() : m_directory(test_directory())
+{
+    deployment::cluster_options options;
+    options.m_binaries = AZURELADDER_BINARIES;
+    options.m_directory = m_directory;
+    options.m_nodes = make_nodes();
+    options.m_settings = {{"cluster", {{"plan_shards", 2}, {"slice_shards", 2}}}};
+    m_site = std::make_unique<deployment::cluster>(std::move(options));
+}
+
+cluster_fixture::~cluster_fixture()
+{
+    m_load.reset();
+    m_site.reset();
+    if (!HasFailure())
+        std::filesystem::remove_all(m_directory);
+    else
+        std::fprintf(stderr, "logs of the failed test: %s\n", m_directory.c_str());
+}
+
+void cluster_fixture::start()
+{
+    ASSERT_TRUE(m_site->start());
+    const auto applied = m_site->apply("n-reporting-a", make_records());
+    ASSERT_EQ(applied.m_exit_code, 0) << applied.m_output;
+    const auto all_owned = [&] {
+        const auto status = m_site->status("n-bookings-c");
+        return status && (*status)["slices"].contains("reporting") &&
+               (*status)["slices"]["reporting"].size() == 12 && served("n-bookings-c", "k1") &&
+               book("n-bookings-c", "warm-up") == status_ok;
+    };
+    ASSERT_TRUE(deployment::wait_until(all_owned, settle_limit));
+}
+
+void cluster_fixture::start_load(unsigned duration_s)
+{
+    const auto file = m_directory + "/load.json";
+    std::ofstream(file) << load_configuration(*m_site, duration_s).dump(2);
+    m_load = std::make_unique<deployment::process>(
+        std::string(AZURELADDER_BINARIES) + "/azureladder-load",
+        std::vector<std::string>{"--config", file, "--history", m_directory + "/calls.history",
+                                 "--report", m_directory + "/report.json"},
+        m_directory + "/load.out");
+}
+
+json cluster_fixture::finish_load()
+{
+    EXPECT_EQ(m_load->wait(), 0);
+    std::ifstream file(m_directory + "/report.json");
+    std::ostringstream content;
+    content << file.rdbuf();
+    return json::parse(content.str(), nullptr, false);
+}
+
+std::uint64_t cluster_fixture::count(const json& report, const std::string& outcome)
+{
+    std::uint64_t total = 0;
+    for (const auto& entry : report.at("results")) {
+        if (entry.at("outcome") == outcome)
+            total += entry.at("count").get<std::uint64_t>();
+    }
+    return total;
+}
+
+std::uint64_t cluster_fixture::failures(const json& report)
+{
+    std::uint64_t total = 0;
+    for (const auto& entry : report.at("results")) {
+        if (entry.at("outcome") != "ok")
+            total += entry.at("count").get<std::uint64_t>();
+    }
+    return total;
+}
+
+void cluster_fixture::expect_clean_audit()
+{
+    std::vector<std::string> arguments = {"audit"};
+    for (const auto& file : m_site->log_files())
+        arguments.push_back(file);
+    if (std::filesystem::exists(m_directory + "/calls.history"))
+        arguments.push_back(m_directory + "/calls.history");
+    const auto verdict = m_site->command("n-bookings-a", arguments);
+    EXPECT_EQ(verdict.m_exit_code, 0) << verdict.m_output;
+}
+
+std::string cluster_fixture::owner_of(const std::string& entry, const std::string& key)
+{
+    const auto shown = m_site->command(entry, {"--json", "where", "reporting", key});
+    const auto value = json::parse(shown.m_output, nullptr, false);
+    const bool known = value.is_object() && value.contains("owner") && value["owner"].is_string();
+    return known ? value["owner"].get<std::string>() : std::string();
+}
+
+bool cluster_fixture::served(const std::string& entry, const std::string& key)
+{
+    http::request message;
+    message.m_target = "/reporting/summary";
+    message.m_headers.push_back({"Azureladder-Key", key});
+    const auto reply = m_site->call(entry, message);
+    return reply && reply.value().m_status == status_ok;
+}
+
+int cluster_fixture::book(const std::string& entry, const std::string& idempotency_key)
+{
+    http::request message;
+    message.m_method = "POST";
+    message.m_target = "/bookings/jobs";
+    message.m_headers.push_back({"Idempotency-Key", idempotency_key});
+    message.m_body = "{}";
+    const auto reply = m_site->call(entry, message);
+    return reply ? reply.value().m_status : 0;
+}
+
+} // namespace azureladder::integration
--- /dev/null
+++ b/tests/integration/ownership_failure_test.cpp
@@ -0,0 +1,98 @@
+#include "cluster_fixture.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <thread>
+
+namespace azureladder::integration {
+namespace {
+
+using deployment::wait_until;
+
+constexpr milliseconds recovery_limit{15'000};
+constexpr const char* key = "k1";
+constexpr const char* entry = "n-bookings-a";
+
+void pause(milliseconds time)
+{
+    std::this_thread::sleep_for(time);
+}
+
+// Guards against slices that stay without an owner, or get two, when their owner is killed.
+TEST_F(cluster_fixture, owner_killed)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    start_load(6);
+    pause(seconds(2));
+    const auto owner = owner_of(entry, key);
+    ASSERT_FALSE(owner.empty());
+    site().router(owner).send_signal(SIGKILL);
+    site().backend(owner).send_signal(SIGKILL);
+    EXPECT_TRUE(wait_until([&] { return served(entry, key); }, recovery_limit));
+    EXPECT_NE(owner_of(entry, key), owner);
+    finish_load();
+    expect_clean_audit();
+}
+
+// Guards against a paused owner that goes on to serve after its slices were taken over.
+TEST_F(cluster_fixture, owner_frozen_and_resumed)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    start_load(8);
+    pause(seconds(1));
+    const auto owner = owner_of(entry, key);
+    site().router(owner).send_signal(SIGSTOP);
+    EXPECT_TRUE(wait_until([&] { return served(entry, key); }, recovery_limit));
+    pause(seconds(2));
+    site().router(owner).send_signal(SIGCONT);
+    finish_load();
+    EXPECT_TRUE(wait_until([&] { return site().ready(owner); }, recovery_limit));
+    expect_clean_audit();
+}
+
+// Guards against a service that depends on the platform store while nothing else fails.
+TEST_F(cluster_fixture, store_down_for_longer_than_every_lease)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    ASSERT_TRUE(site().control_store({{"down", true}}));
+    start_load(5);
+    const auto report = finish_load();
+    EXPECT_EQ(failures(report), 0U) << report.dump(2);
+    ASSERT_TRUE(site().control_store({{"down", false}}));
+    expect_clean_audit();
+}
+
+// Guards against a takeover that needs the platform store.
+TEST_F(cluster_fixture, owner_killed_while_store_is_down)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    const auto owner = owner_of(entry, key);
+    ASSERT_TRUE(site().control_store({{"down", true}}));
+    start_load(6);
+    pause(seconds(2));
+    site().router(owner).send_signal(SIGKILL);
+    site().backend(owner).send_signal(SIGKILL);
+    EXPECT_TRUE(wait_until([&] { return served(entry, key); }, recovery_limit));
+    finish_load();
+    ASSERT_TRUE(site().control_store({{"down", false}}));
+    expect_clean_audit();
+}
+
+// Guards against a planned stop that cuts requests or leaves slices without an owner.
+TEST_F(cluster_fixture, planned_stop_of_an_owner)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    const auto owner = owner_of(entry, key);
+    start_load(6);
+    pause(seconds(2));
+    site().router(owner).send_signal(SIGTERM);
+    EXPECT_EQ(site().router(owner).wait(), 0);
+    EXPECT_TRUE(wait_until([&] { return served(entry, key); }, recovery_limit));
+    const auto report = finish_load();
+    EXPECT_EQ(count(report, "connection_lost"), 0U) << report.dump(2);
+    EXPECT_EQ(count(report, "truncated"), 0U) << report.dump(2);
+    expect_clean_audit();
+}
+
+} // namespace
+} // namespace azureladder::integration
--- /dev/null
+++ b/tests/integration/service_test.cpp
@@ -0,0 +1,141 @@
+#include "cluster_fixture.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <thread>
+
+namespace azureladder::integration {
+namespace {
+
+using deployment::wait_until;
+
+constexpr const char* entry = "n-bookings-a";
+constexpr int status_ok = 200;
+constexpr int status_conflict = 409;
+constexpr milliseconds recovery_limit{15'000};
+
+std::uint64_t executions(deployment::cluster& site, const std::string& idempotency_key)
+{
+    std::uint64_t total = 0;
+    for (const auto& node : site.nodes()) {
+        http::client client(site.backend_address(node.m_node));
+        http::request message;
+        message.m_target = "/control/executions";
+        const auto reply = client.execute(message);
+        if (!reply)
+            continue;
+        const auto records = json::parse(reply.value().m_body, nullptr, false);
+        for (const auto& record : records) {
+            if (record.value("event", "") == "execution_started" &&
+                record.value("idempotency_key", "") == idempotency_key)
+                ++total;
+        }
+    }
+    return total;
+}
+
+// Guards against a second execution when a caller repeats an order, also through another node.
+TEST_F(cluster_fixture, repeated_order_is_executed_once)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    EXPECT_EQ(book(entry, "order-1"), status_ok);
+    EXPECT_EQ(book("n-reporting-b", "order-1"), status_ok);
+    EXPECT_EQ(book("n-bookings-c", "order-1"), status_ok);
+    EXPECT_EQ(executions(site(), "order-1"), 1U);
+    expect_clean_audit();
+}
+
+// Guards against a second execution when the answer to an order was lost: the backend server
+// freezes during the execution, and the caller repeats the order meanwhile and afterwards.
+TEST_F(cluster_fixture, order_with_lost_answer_is_not_executed_again)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    for (const auto& node : site().nodes()) {
+        if (node.m_service == "bookings")
+            ASSERT_TRUE(site().control_backend(node.m_node, {{"service_time_ms", 3'000}}));
+    }
+    http::request message;
+    message.m_method = "POST";
+    message.m_target = "/bookings/jobs";
+    message.m_headers = {{"Idempotency-Key", "order-2"}, {"Request-Timeout-Ms", "500"}};
+    message.m_body = "{}";
+    const auto first = site().call(entry, message);
+    ASSERT_TRUE(first);
+    const auto* state = http::find_header(first.value().m_headers, "Azureladder-Executed");
+    ASSERT_NE(state, nullptr);
+    EXPECT_EQ(*state, "unknown");
+    EXPECT_EQ(book("n-reporting-b", "order-2"), status_conflict);
+    EXPECT_LE(executions(site(), "order-2"), 1U);
+    expect_clean_audit();
+}
+
+// Guards against new work in a zone that was taken out, and against failed calls meanwhile.
+TEST_F(cluster_fixture, zone_leaves_and_returns)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    start_load(12);
+    std::this_thread::sleep_for(seconds(1));
+    const auto out = site().command(entry, {"zone", "out", "zone-c"});
+    EXPECT_EQ(out.m_exit_code, 0) << out.m_output;
+    std::this_thread::sleep_for(seconds(5));
+    const auto back = site().command(entry, {"zone", "in", "zone-c"});
+    EXPECT_EQ(back.m_exit_code, 0) << back.m_output;
+    const auto report = finish_load();
+    EXPECT_EQ(count(report, "connection_lost"), 0U) << report.dump(2);
+    expect_clean_audit();
+}
+
+// Guards against a change that is reported as accepted although a frozen node, which may resume
+// at any time, still serves by the older revision.
+TEST_F(cluster_fixture, change_is_accepted_while_a_node_is_frozen)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    start_load(8);
+    site().router("n-bookings-c").send_signal(SIGSTOP);
+    const auto out = site().command(entry, {"server", "out", "bookings-b"});
+    EXPECT_EQ(out.m_exit_code, 0) << out.m_output;
+    std::this_thread::sleep_for(seconds(4));
+    site().router("n-bookings-c").send_signal(SIGCONT);
+    finish_load();
+    expect_clean_audit();
+}
+
+// Guards against a change that is reported as rejected or unknown for good although the store
+// took it: the answer of the write is lost.
+TEST_F(cluster_fixture, change_with_lost_answer_is_settled)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    ASSERT_TRUE(site().control_store({{"lose_next_write_answers", 1}}));
+    const auto out = site().command(entry, {"server", "out", "bookings-b"});
+    EXPECT_EQ(out.m_exit_code, 0) << out.m_output;
+    EXPECT_TRUE(wait_until(
+        [&] {
+            const auto status = site().status("n-reporting-c");
+            return status && (*status)["servers"].value("bookings-b", "in") == "out";
+        },
+        recovery_limit));
+    expect_clean_audit();
+}
+
+// Guards against changes of two operators of which one is lost silently.
+TEST_F(cluster_fixture, racing_changes_are_both_kept)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    deployment::command_result first;
+    std::thread other(
+        [&] { first = site().command("n-reporting-b", {"server", "out", "bookings-b"}); });
+    const auto second = site().apply(
+        entry, json::parse(R"([{"kind": "server", "schema_version": 2, "name": "bookings-c",
+                                "state": "out"}])"));
+    other.join();
+    EXPECT_EQ(first.m_exit_code, 0) << first.m_output;
+    EXPECT_EQ(second.m_exit_code, 0) << second.m_output;
+    const auto status = site().status(entry);
+    ASSERT_TRUE(status);
+    EXPECT_EQ((*status)["servers"].value("bookings-b", "in"), "out");
+    EXPECT_EQ((*status)["servers"].value("bookings-c", "in"), "out");
+    expect_clean_audit();
+}
+
+} // namespace
+} // namespace azureladder::integration
