--- /dev/null
+++ b/testbench/backend/include/azureladder/backend_double/fencing_table.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <azureladder/base/time.hpp>
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <utility>
+
+namespace azureladder::backend_double {
+
+/// Slice of a request or grant. Both parts are compared as text, as received.
+using slice_name = std::pair<std::string, std::string>;
+
+/// Lease and grants that the sidecar process has given. Thread safe.
+class fencing_table
+{
+public:
+    /// Replaces the lease. It ends at `expires`.
+    void set_lease(const std::string& incarnation, time_point expires);
+
+    /// End of the lease; the earliest time point when there is none.
+    time_point lease_end() const;
+
+    /// Grants or revokes a slice. False for an epoch below the highest one seen, which a delayed
+    /// message of an earlier owner carries.
+    bool set_grant(const slice_name& slice, std::uint64_t epoch, bool revoked);
+
+    /// True when `slice` is granted with exactly `epoch`.
+    bool is_granted(const slice_name& slice, std::uint64_t epoch) const;
+
+private:
+    struct grant
+    {
+        std::uint64_t m_epoch = 0;
+        bool m_revoked = false;
+    };
+
+    mutable std::mutex m_mutex;
+    std::string m_incarnation;
+    time_point m_lease_end = time_point::min();
+    std::map<slice_name, grant> m_grants;
+};
+
+} // namespace azureladder::backend_double
--- /dev/null
+++ b/testbench/backend/include/azureladder/backend_double/running_requests.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <azureladder/backend_double/fencing_table.hpp>
+#include <azureladder/base/clock.hpp>
+
+#include <condition_variable>
+#include <list>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace azureladder::backend_double {
+
+/// How an execution ended.
+enum class execution_end
+{
+    done,
+    cancelled,
+    deadline_passed,
+    lease_expired
+};
+
+/// Limits of one execution.
+struct execution_limits
+{
+    time_point m_done_at;
+    time_point m_deadline = time_point::max();
+
+    /// Ends the execution when the lease of this table ends; may be null.
+    const fencing_table* m_fencing = nullptr;
+};
+
+/// Requests in execution. Thread safe.
+class running_requests
+{
+public:
+    explicit running_requests(const clock& time) : m_clock(time) {}
+
+    /// Blocks until the execution ends. Uses the real time between readings of the clock.
+    execution_end run(const std::string& request_id, const execution_limits& limits);
+
+    /// Ends all executions of `request_id`. False when there is none.
+    bool cancel(const std::string& request_id);
+
+    /// Makes all executions look at their lease again.
+    void lease_changed();
+
+private:
+    struct running
+    {
+        std::string m_request_id;
+        bool m_cancelled = false;
+    };
+
+    std::optional<execution_end> end_at(time_point now, const running& current,
+                                        const execution_limits& limits) const;
+
+    const clock& m_clock;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::list<running> m_running;
+};
+
+} // namespace azureladder::backend_double
--- /dev/null
+++ b/testbench/backend/src/running_requests.cpp
@@ -0,0 +1,59 @@
+#include <azureladder/backend_double/running_requests.hpp>
+
+#include <algorithm>
+
+namespace azureladder::backend_double {
+
+execution_end running_requests::run(const std::string& request_id, const execution_limits& limits)
+{
+    std::unique_lock lock(m_mutex);
+    const auto current = m_running.insert(m_running.end(), {request_id, false});
+    for (;;) {
+        const auto now = m_clock.now();
+        if (const auto end = end_at(now, *current, limits)) {
+            m_running.erase(current);
+            return *end;
+        }
+        auto next = std::min(limits.m_done_at, limits.m_deadline);
+        if (limits.m_fencing != nullptr)
+            next = std::min(next, limits.m_fencing->lease_end());
+        m_changed.wait_for(lock, next - now);
+    }
+}
+
+std::optional<execution_end> running_requests::end_at(time_point now, const running& current,
+                                                      const execution_limits& limits) const
+{
+    // The lease comes first: work that was done after its end must not count as done.
+    if (limits.m_fencing != nullptr && limits.m_fencing->lease_end() <= now)
+        return execution_end::lease_expired;
+    if (current.m_cancelled)
+        return execution_end::cancelled;
+    if (limits.m_done_at <= now && limits.m_done_at <= limits.m_deadline)
+        return execution_end::done;
+    if (limits.m_deadline <= now)
+        return execution_end::deadline_passed;
+    return std::nullopt;
+}
+
+bool running_requests::cancel(const std::string& request_id)
+{
+    const std::lock_guard lock(m_mutex);
+    bool found = false;
+    for (auto& current : m_running) {
+        if (current.m_request_id == request_id) {
+            current.m_cancelled = true;
+            found = true;
+        }
+    }
+    m_changed.notify_all();
+    return found;
+}
+
+void running_requests::lease_changed()
+{
+    const std::lock_guard lock(m_mutex);
+    m_changed.notify_all();
+}
+
+} // namespace azureladder::backend_double
