Add the operators' command line

apply, zone and server send their records once under a random apply id and follow the change by that id, so a lost answer is never answered by a second change; resending was ruled out because the outcome of the first is unknown. Tested against a fake node on a paused clock: every outcome and exit code, 34 wrong argument lists, lost and unusable answers, and help of each command.

--- /dev/null
+++ b/apps/azureladder/tests/fake_node.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "command.hpp"
+
+#include <azureladder/base/json.hpp>
+
+#include <deque>
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace azureladder::cli {
+
+/// Answers of a node that is not there, by "METHOD target". The last answer of a list is repeated;
+/// calls without an answer are refused as unreachable.
+struct fake_node
+{
+    using answer = result<reply, client_error>;
+
+    std::map<std::string, std::deque<answer>> m_answers;
+
+    /// Calls as "METHOD target", with their bodies.
+    std::vector<std::pair<std::string, std::string>> m_calls;
+    std::vector<std::string> m_connected;
+
+    void on(const std::string& call, int status, const json& body)
+    {
+        m_answers[call].push_back(reply{status, body.dump()});
+    }
+
+    void lose(const std::string& call) { m_answers[call].push_back(client_error{false, "lost"}); }
+
+    std::size_t calls_of(const std::string& call) const
+    {
+        std::size_t count = 0;
+        for (const auto& item : m_calls)
+            count += item.first == call ? 1 : 0;
+        return count;
+    }
+};
+
+class fake_node_client : public node_client
+{
+public:
+    explicit fake_node_client(fake_node& node) : m_node(node) {}
+
+    result<reply, client_error> call(const std::string& method, const std::string& target,
+                                     const std::string& body) override
+    {
+        const std::string call = method + " " + target;
+        m_node.m_calls.emplace_back(call, body);
+        const auto found = m_node.m_answers.find(call);
+        if (found == m_node.m_answers.end())
+            return client_error{true, "connection refused"};
+        auto answer = found->second.front();
+        if (found->second.size() > 1)
+            found->second.pop_front();
+        return answer;
+    }
+
+private:
+    fake_node& m_node;
+};
+
+/// Runs commands against a fake node on a clock that only `m_sleep` advances.
+struct cli_run
+{
+    fake_node m_node;
+    std::ostringstream m_out;
+    std::ostringstream m_error;
+    time_point m_time{};
+
+    exit_code operator()(const std::vector<std::string>& arguments,
+                         const std::vector<command>& commands)
+    {
+        m_out.str("");
+        m_error.str("");
+        environment surroundings{m_out,
+                                 m_error,
+                                 [&](const endpoint& node, duration timeout) {
+                                     m_node.m_connected.push_back(to_string(node) + " " +
+                                                                  std::to_string(to_ms(timeout)));
+                                     return std::make_unique<fake_node_client>(m_node);
+                                 },
+                                 [&] { return m_time; },
+                                 [&](duration delay) { m_time += delay; },
+                                 [] { return std::string("id-1"); }};
+        return run(arguments, commands, surroundings);
+    }
+
+    exit_code operator()(const std::vector<std::string>& arguments)
+    {
+        auto commands = change_commands();
+        for (const auto& more : {record_commands(), status_commands()})
+            commands.insert(commands.end(), more.begin(), more.end());
+        return (*this)(arguments, commands);
+    }
+
+    std::string out() const { return m_out.str(); }
+    std::string error() const { return m_error.str(); }
+};
+
+/// File with `text` in the directory of temporary files; removed at the end of the scope.
+class temporary_file
+{
+public:
+    explicit temporary_file(const std::string& text);
+    ~temporary_file();
+    temporary_file(const temporary_file&) = delete;
+    temporary_file& operator=(const temporary_file&) = delete;
+
+    const std::string& path() const { return m_path; }
+
+private:
+    std::string m_path;
+};
+
+} // namespace azureladder::cli
