--- a/libs/wire/src/codec.hpp
+++ b/libs/wire/src/codec.hpp
@@ -176,6 +176,7 @@
 template <class Type>
 void encode_fields(const Type& value, json& output)
 {
+    static_assert(describes_all_members<Type>(), "a member has no row in message_table.hpp");
     static_assert(has_distinct_keys<Type>(), "two fields have the same key");
     std::apply(
         [&](const auto&... fields) {
@@ -189,6 +190,7 @@
 template <class Type>
 json encode_struct(const Type& value)
 {
+    static_assert(describes_all_members<Type>(), "a member has no row in message_table.hpp");
     if constexpr (travels_as_array<Type>::value) {
         json items = json::array();
         std::apply(
--- a/libs/wire/src/descriptor.hpp
+++ b/libs/wire/src/descriptor.hpp
@@ -91,6 +91,45 @@
 inline constexpr std::string_view incarnation_key = "i";
 inline constexpr std::string_view address_key = "a";
 
+/// Converts to the type of any member; only for `member_count`.
+struct any_member
+{
+    template <class Type>
+    operator Type() const; // NOLINT(google-explicit-constructor)
+};
+
+template <class Type, class = void, class... Members>
+struct accepts_members : std::false_type
+{
+};
+
+template <class Type, class... Members>
+struct accepts_members<Type, std::void_t<decltype(Type{Members()...})>, Members...> : std::true_type
+{
+};
+
+/// Number of members of an aggregate: the longest list of initialisers that it accepts.
+template <class Type, class... Members>
+constexpr std::size_t member_count()
+{
+    if constexpr (accepts_members<Type, void, Members..., any_member>::value)
+        return member_count<Type, Members..., any_member>();
+    else
+        return sizeof...(Members);
+}
+
+/// Whether the table of an aggregate has a row for each member. A member without a row would be
+/// lost on the way without an error.
+template <class Type>
+constexpr bool describes_all_members()
+{
+    if constexpr (std::is_aggregate_v<Type>)
+        return std::tuple_size_v<std::decay_t<decltype(descriptor<Type>::fields)>> ==
+               member_count<Type>();
+    else
+        return true;
+}
+
 /// Whether the keys of a message differ from each other and from those of the envelope.
 template <class Type>
 constexpr bool has_distinct_keys()
