--- a/libs/core/include/azureladder/core/messages.hpp
+++ b/libs/core/include/azureladder/core/messages.hpp
@@ -19,6 +19,8 @@
 /// Asks a witness for a lease of the sender.
 struct lease_request
 {
+    /// Incarnation of the witness that is meant; another one must not grant.
+    incarnation_id m_witness = 0;
     plan_version m_plan_version = 0;
     std::uint64_t m_sequence = 0;
     revision_number m_revision = 0;
