--- a/libs/core/include/azureladder/core/core_options.hpp
+++ b/libs/core/include/azureladder/core/core_options.hpp
@@ -41,6 +41,30 @@
     /// Time between two attempts to acquire unowned slices or to balance slices.
     duration m_balance_interval = milliseconds(500);
 
+    /// Store values over which plans and the slices of each space are spread, used by the node that
+    /// creates the key `cluster`. Many values keep writes of a large fleet apart.
+    std::uint32_t m_plan_shards = 4;
+    std::uint32_t m_slice_shards = 4;
+
+    /// Time without a message after which a witness or standby is replaced. Longer than the lease,
+    /// so that a short loss of messages changes no plan.
+    duration m_member_loss_delay = milliseconds(1500);
+
+    /// Time for which a member that did not answer is not chosen again.
+    duration m_avoid_time = seconds(20);
+
+    /// Time without an announcement after which a backend server counts as lost.
+    duration m_backend_loss_delay = seconds(3);
+
+    /// Time for which the receiver of a handover may write the slice table entry.
+    duration m_handover_timeout = seconds(2);
+
+    /// Time after which a planned stop ends although slices could not be released.
+    duration m_release_timeout = seconds(10);
+
+    /// Longest wait between two attempts to reach the store.
+    duration m_store_backoff_limit = seconds(2);
+
     /// Slices that one node may gain by a balancing move in each balance interval.
     std::size_t m_moves_per_interval = 1;
 
--- a/libs/core/include/azureladder/core/directory.hpp
+++ b/libs/core/include/azureladder/core/directory.hpp
@@ -25,6 +25,10 @@
     std::map<member_ref, plan> m_plans;
 
     std::map<slice_id, slice_location> m_locations;
+
+    /// Sum of the hashes of all entries; kept up to date by the functions below, so that the digest
+    /// of a large directory costs nothing for each lease message.
+    std::uint64_t m_digest = 0;
 };
 
 /// Plan of exactly this incarnation, or null.
@@ -46,6 +50,9 @@
 /// the directory changed.
 bool install_location(directory_state& state, const slice_id& slice, const slice_location& value);
 
+/// Forgets the plan of an incarnation that no slice location names.
+void remove_plan(directory_state& state, const member_ref& member);
+
 /// Digest that differs, with very high probability, between directories with different content.
 std::uint64_t digest(const directory_state& state);
 
--- a/libs/core/include/azureladder/core/ownership.hpp
+++ b/libs/core/include/azureladder/core/ownership.hpp
@@ -43,6 +43,10 @@
 /// zone nor its backend server is out of service.
 bool takes_new_work(const node_state& state, time_point now);
 
+/// Whether the plan of the current incarnation is in the store. The configuration must be read from
+/// the store after that and before the first lease request.
+bool plan_written(const node_state& state);
+
 /// Owner, lease, plan and slices for `status`.
 json ownership_status(const node_state& state, time_point now);
 
--- a/libs/core/include/azureladder/core/ownership_state.hpp
+++ b/libs/core/include/azureladder/core/ownership_state.hpp
@@ -1,9 +1,240 @@
 #pragma once
 
+#include <azureladder/base/enum_names.hpp>
+#include <azureladder/base/ids.hpp>
+#include <azureladder/base/time.hpp>
+#include <azureladder/core/directory.hpp>
+#include <azureladder/core/events.hpp>
+#include <azureladder/core/messages.hpp>
+#include <azureladder/core/plan.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
 namespace azureladder::core {
 
+/// Progress of the procedure by which an incarnation becomes entitled to request leases.
+enum class join_phase
+{
+    idle,
+    reading_cluster,
+    reading_plans,
+    writing_plan,
+    joined
+};
+
+inline constexpr enum_name<join_phase> join_phase_names[] = {
+    {join_phase::idle, "idle"},
+    {join_phase::reading_cluster, "reading_cluster"},
+    {join_phase::reading_plans, "reading_plans"},
+    {join_phase::writing_plan, "writing_plan"},
+    {join_phase::joined, "joined"},
+};
+
+/// Store access that an operation id stands for.
+enum class store_task
+{
+    read_cluster,
+    write_cluster,
+    read_join_shard,
+    read_own_plan,
+    write_own_plan,
+    poll_plans,
+    poll_slices,
+    read_table,
+    write_table
+};
+
+/// A store operation of the ownership module that has not been answered.
+struct store_operation
+{
+    store_task m_task = store_task::read_cluster;
+    std::string m_key;
+
+    /// Incarnation that started it; answers for a former incarnation are ignored.
+    incarnation_id m_incarnation = 0;
+    time_point m_started{};
+
+    /// Plan version or slices that a write contains.
+    plan_version m_version = 0;
+    std::vector<owned_slice> m_slices;
+};
+
+/// Grant of one witness as the node sees it.
+struct held_grant
+{
+    time_point m_valid_until{};
+    plan_version m_version = 0;
+};
+
+/// Lease that this node granted as a witness.
+struct granted_lease
+{
+    /// Highest plan version under which a lease was granted.
+    plan_version m_version = 0;
+    time_point m_expires{};
+
+    /// Set when the lease was found expired; no further lease is granted then.
+    bool m_promised = false;
+    time_point m_promised_at{};
+    time_point m_next_send{};
+    duration m_send_interval{0};
+    std::set<member_ref> m_acknowledged;
+};
+
+enum class slice_phase
+{
+    serving,
+    draining,     // no new work; waits for requests in flight
+    releasing,    // drained; the release is repeated until the standby owns the slice
+    leaving_plan, // drained; waits until a plan without the slice is active
+    handing_over, // the handover is repeated until the target answers
+    taking_back,  // the target did not answer; this node writes the slice table entry again
+};
+
+inline constexpr enum_name<slice_phase> slice_phase_names[] = {
+    {slice_phase::serving, "serving"},           {slice_phase::draining, "draining"},
+    {slice_phase::releasing, "releasing"},       {slice_phase::leaving_plan, "leaving_plan"},
+    {slice_phase::handing_over, "handing_over"}, {slice_phase::taking_back, "taking_back"},
+};
+
+/// A slice that this node owns.
+struct held_slice
+{
+    epoch_number m_epoch = 0;
+    slice_phase m_phase = slice_phase::serving;
+
+    /// The slice table in the store names this incarnation and epoch.
+    bool m_recorded = false;
+
+    /// The records in effect allow this node to serve the slice.
+    bool m_allowed = false;
+
+    /// `ownership_started` has been logged without `ownership_ended`.
+    bool m_announced = false;
+
+    /// End of the wait for executions of the former owner.
+    time_point m_serve_from{};
+
+    /// Receiver of a release or handover; its node is empty when none was chosen.
+    member_ref m_target;
+    bool m_by_release = false;
+    time_point m_phase_since{};
+    time_point m_next_send{};
+
+    /// Why the node became the owner, and why it gives the slice up.
+    std::string m_reason;
+    std::string m_exit_reason;
+};
+
+/// A change of a slice table entry that this node wants to write.
+struct entry_change
+{
+    /// Entry that must stand in the store; the owner's node is empty for a slice never owned.
+    slice_location m_expected;
+    epoch_number m_epoch = 0;
+    std::string m_reason;
+
+    /// The node owns the slice already (takeover); otherwise it does after the write.
+    bool m_held = false;
+    bool m_claims_lost = false;
+
+    /// Giver and claims of a handover.
+    member_ref m_giver;
+    endpoint m_giver_address;
+    std::vector<claim> m_claims;
+};
+
+/// Owner for each slice of a space by rendezvous hashing; kept while the candidates are the same.
+struct space_assignment
+{
+    std::uint64_t m_candidates_hash = 0;
+    std::vector<node_id> m_owner;
+};
+
 struct ownership_state
 {
+    // Join and own plan.
+    join_phase m_phase = join_phase::idle;
+    bool m_started = false;
+    std::uint32_t m_plan_shards = 0;
+    std::uint32_t m_slice_shards = 0;
+    std::set<std::uint32_t> m_shards_to_read;
+    time_point m_join_since{};
+
+    /// Newest plan that the store is known to contain; version zero before the join.
+    plan m_plan;
+
+    /// Newest plan under which a majority of its witnesses granted a lease.
+    plan m_active;
+    std::optional<plan> m_proposal;
+
+    /// Highest version of the own plan seen in the store; above that of `m_plan` when a write that
+    /// was given up took effect later.
+    plan_version m_stored_version = 0;
+
+    // Store access.
+    std::map<operation_id, store_operation> m_operations;
+    time_point m_store_retry_at{};
+    duration m_store_backoff{0};
+    bool m_store_down = false;
+    time_point m_store_down_since{};
+    time_point m_next_store_log{};
+    time_point m_next_poll{};
+    std::size_t m_poll_position = 0;
+
+    // Own lease.
+    std::uint64_t m_sequence = 0;
+    std::map<std::uint64_t, time_point> m_rounds;
+    time_point m_next_round{};
+    revision_number m_round_revision = 0;
+    std::map<member_ref, held_grant> m_grants;
+    std::set<member_ref> m_refused_by;
+    bool m_had_lease = false;
+
+    /// Latest time at which the lease was held, or at which it could first be asked for.
+    time_point m_lease_held_at{};
+    time_point m_backend_lease_until{};
+
+    /// First lease request and latest message, by receiver of lease requests.
+    std::map<member_ref, time_point> m_asked_since;
+    std::map<member_ref, time_point> m_heard;
+
+    /// Members that did not answer, with the time until which they are not chosen.
+    std::map<member_ref, time_point> m_avoid_until;
+
+    // Witness role.
+    std::map<member_ref, granted_lease> m_granted;
+    time_point m_last_tick{};
+    bool m_ticked = false;
+
+    // Standby role: promised version by fenced member and witness.
+    std::map<member_ref, std::map<member_ref, plan_version>> m_promises;
+
+    /// Latest known versions of each plan. A takeover needs the exact version that was promised.
+    std::map<member_ref, std::map<plan_version, plan>> m_plan_history;
+
+    // Slices.
+    std::map<slice_id, held_slice> m_slices;
+    std::map<slice_id, entry_change> m_entry_changes;
+    std::map<slice_id, time_point> m_unowned_since;
+    std::map<std::string, space_assignment> m_assignments;
+    time_point m_next_balance{};
+
+    // Stop.
+    /// Time since which no request is open after a stop was requested.
+    time_point m_stop_idle_since{};
+    bool m_stop_finished = false;
+
+    // Directory synchronisation.
+    std::map<member_ref, time_point> m_next_pull;
+
+    static constexpr std::size_t max_plan_history = 8;
 };
 
 } // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/balance.cpp
@@ -0,0 +1,206 @@
+#include "ownership_internal.hpp"
+
+#include <azureladder/base/hash.hpp>
+#include <azureladder/core/claims.hpp>
+#include <azureladder/core/ownership.hpp>
+#include <azureladder/records/document.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace azureladder::core {
+
+namespace {
+
+/// Time after which the next node in rendezvous order takes a slice that nobody acquired.
+constexpr duration acquire_step = seconds(2);
+
+bool is_eligible(const node_state& state, const plan& candidate, const std::string& space)
+{
+    const auto& document = state.m_configuration.m_document;
+    if (fenced_plan(state, candidate.m_member) != nullptr)
+        return false;
+    if (!records::zone_in_service(document, candidate.m_zone) ||
+        !records::server_in_service(document, candidate.m_server))
+        return false;
+    if (space == claim_space)
+        return true;
+    return candidate.m_service == service_of_space(space) &&
+           records::may_own(document, space, candidate.m_service, candidate.m_server,
+                            candidate.m_zone);
+}
+
+/// Bounded load: no node gets more than 1.25 times the mean number of slices.
+std::size_t load_limit(std::size_t slices, std::size_t nodes)
+{
+    return (slices * 5 + nodes * 4 - 1) / (nodes * 4);
+}
+
+std::vector<node_id> ranked(const slice_id& slice, std::vector<node_id> nodes)
+{
+    std::sort(nodes.begin(), nodes.end(), [&](const node_id& a, const node_id& b) {
+        return rendezvous_score(slice, a) > rendezvous_score(slice, b);
+    });
+    return nodes;
+}
+
+std::vector<node_id> assign(const std::string& space, std::uint32_t slices,
+                            const std::vector<node_id>& nodes)
+{
+    std::vector<node_id> owners(slices);
+    if (nodes.empty())
+        return owners;
+    std::map<node_id, std::size_t> load;
+    const auto limit = load_limit(slices, nodes.size());
+    for (std::uint32_t index = 0; index < slices; ++index) {
+        for (const auto& node : ranked({space, index}, nodes)) {
+            if (load[node] >= limit)
+                continue;
+            ++load[node];
+            owners[index] = node;
+            break;
+        }
+    }
+    return owners;
+}
+
+/// Whether it is this node's turn to write an entry that lacks an owner. The desired owner is
+/// first; the others follow in rendezvous order, so that a lost node does not hold the slice back.
+bool is_own_turn(node_state& state, time_point now, const slice_id& slice,
+                 const std::vector<node_id>& eligible)
+{
+    const auto since = state.m_ownership.m_unowned_since.emplace(slice, now).first->second;
+    const auto& desired = desired_owners(state, slice.m_space);
+    const auto& node = state.m_identity.m_node;
+    if (slice.m_index < desired.size() && desired[slice.m_index] == node)
+        return true;
+    const auto order = ranked(slice, eligible);
+    const auto position = std::find(order.begin(), order.end(), node);
+    if (position == order.end())
+        return false;
+    return now >= since + acquire_step * (position - order.begin() + 1);
+}
+
+void acquire(node_state& state, const slice_id& slice, const slice_location& former)
+{
+    auto& own = state.m_ownership;
+    entry_change change;
+    change.m_expected = former;
+    const bool orphan = former.m_epoch != 0;
+    // An unrecorded takeover may have used the next epoch, so an orphan skips it.
+    change.m_epoch = former.m_epoch + (orphan ? 2 : 1);
+    change.m_reason = orphan ? "orphan" : "acquired";
+    change.m_claims_lost = orphan;
+    own.m_entry_changes[slice] = change;
+    own.m_unowned_since.erase(slice);
+}
+
+bool may_adopt(node_state& state, time_point now, const slice_id& slice,
+               const slice_location& location, const std::vector<node_id>& eligible)
+{
+    // An own entry of a slice that is not held stems from a write whose result came too late.
+    if (location.m_owner == self(state))
+        return true;
+    const auto* fenced = fenced_plan(state, location.m_owner);
+    if (fenced == nullptr)
+        return false;
+    if (fenced->m_standbys.empty())
+        return is_own_turn(state, now, slice, eligible);
+    const auto& standby = fenced->m_standbys[standby_index(*fenced, slice)];
+    if (standby == self(state))
+        return true;
+    return fenced_plan(state, standby) != nullptr && is_own_turn(state, now, slice, eligible);
+}
+
+void acquire_in_space(node_state& state, time_point now, const std::string& space)
+{
+    auto& own = state.m_ownership;
+    const auto eligible = eligible_nodes(state, space);
+    const auto& node = state.m_identity.m_node;
+    if (std::find(eligible.begin(), eligible.end(), node) == eligible.end())
+        return;
+    const auto count = slices_of_space(state, space);
+    for (std::uint32_t index = 0; index < count; ++index) {
+        const slice_id slice{space, index};
+        if (own.m_slices.count(slice) != 0 || own.m_entry_changes.count(slice) != 0)
+            continue;
+        const auto location = locate(state.m_directory, slice);
+        if (!location) {
+            if (is_own_turn(state, now, slice, eligible))
+                acquire(state, slice, slice_location{});
+        } else if (may_adopt(state, now, slice, *location, eligible)) {
+            acquire(state, slice, *location);
+        }
+    }
+}
+
+} // namespace
+
+std::string service_of_space(const std::string& space)
+{
+    return space.substr(0, space.find('/'));
+}
+
+std::uint64_t rendezvous_score(const slice_id& slice, const node_id& node)
+{
+    return hash64(node, hash64(slice.m_space, slice.m_index));
+}
+
+std::vector<std::string> spaces_of_node(const node_state& state, const std::string& service)
+{
+    std::vector<std::string> spaces{claim_space};
+    if (const auto* record = records::find_service(state.m_configuration.m_document, service)) {
+        for (auto& space : records::spaces_of_service(*record))
+            spaces.push_back(std::move(space));
+    }
+    return spaces;
+}
+
+std::uint32_t slices_of_space(const node_state& state, const std::string& space)
+{
+    if (space == claim_space)
+        return claim_slice_count;
+    const auto* record =
+        records::find_service(state.m_configuration.m_document, service_of_space(space));
+    return record == nullptr ? 0 : record->m_slices;
+}
+
+std::vector<node_id> eligible_nodes(const node_state& state, const std::string& space)
+{
+    std::vector<node_id> nodes;
+    for (const auto* candidate : newest_plans(state.m_directory)) {
+        if (is_eligible(state, *candidate, space))
+            nodes.push_back(candidate->m_member.m_node);
+    }
+    return nodes;
+}
+
+const std::vector<node_id>& desired_owners(node_state& state, const std::string& space)
+{
+    const auto eligible = eligible_nodes(state, space);
+    const auto slices = slices_of_space(state, space);
+    std::uint64_t hash = slices;
+    for (const auto& node : eligible)
+        hash = hash64(node, hash);
+    auto& kept = state.m_ownership.m_assignments[space];
+    if (kept.m_candidates_hash != hash || kept.m_owner.size() != slices) {
+        kept.m_candidates_hash = hash;
+        kept.m_owner = assign(space, slices, eligible);
+    }
+    return kept.m_owner;
+}
+
+void step_balance(node_state& state, time_point now)
+{
+    auto& own = state.m_ownership;
+    if (now < own.m_next_balance || !holds_lease(state, now) || !takes_new_work(state, now))
+        return;
+    own.m_next_balance = now + state.m_options.m_balance_interval;
+    if (own.m_store_down || backend_leaving(state, now))
+        return;
+    const auto service = state.m_backend ? state.m_backend->m_service : std::string();
+    for (const auto& space : spaces_of_node(state, service))
+        acquire_in_space(state, now, space);
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/directory_poll.cpp
@@ -0,0 +1,94 @@
+#include "ownership_internal.hpp"
+
+#include <azureladder/core/ownership.hpp>
+#include <azureladder/core/plan_json.hpp>
+#include <azureladder/records/document.hpp>
+
+#include <algorithm>
+
+namespace azureladder::core {
+
+namespace {
+
+std::vector<std::string> known_spaces(const node_state& state)
+{
+    std::vector<std::string> spaces{claim_space};
+    for (const auto& [name, service] : state.m_configuration.m_document.m_services) {
+        for (auto& space : records::spaces_of_service(service))
+            spaces.push_back(std::move(space));
+    }
+    return spaces;
+}
+
+/// Key at `position` of the cycle over all plan shards and slice tables.
+std::string poll_key(const node_state& state, std::size_t position)
+{
+    const auto& own = state.m_ownership;
+    const auto spaces = known_spaces(state);
+    const auto total = own.m_plan_shards + spaces.size() * own.m_slice_shards;
+    position %= total;
+    if (position < own.m_plan_shards)
+        return "plans/" + std::to_string(position);
+    position -= own.m_plan_shards;
+    return "slices/" + spaces[position / own.m_slice_shards] + "/" +
+           std::to_string(position % own.m_slice_shards);
+}
+
+void log_malformed(effects& output, const std::string& key, std::size_t entries)
+{
+    log_event(output, log_level::error, "store_value_malformed",
+              {{"key", key}, {"entries", entries}});
+}
+
+} // namespace
+
+std::string space_of_table_key(const std::string& key)
+{
+    const auto first = key.find('/') + 1;
+    return key.substr(first, key.rfind('/') - first);
+}
+
+void step_poll(node_state& state, time_point now, effects& output)
+{
+    auto& own = state.m_ownership;
+    if (now < own.m_next_poll || !plan_written(state) || !store_ready(state, now))
+        return;
+    own.m_next_poll = now + state.m_options.m_store_poll_interval;
+    forget_former_plans(state);
+    const auto pollers = polling_members(state);
+    if (std::find(pollers.begin(), pollers.end(), self(state)) == pollers.end())
+        return;
+    const auto key = poll_key(state, own.m_poll_position++);
+    const bool plans = key.compare(0, 6, "plans/") == 0;
+    const auto task = plans ? store_task::poll_plans : store_task::poll_slices;
+    if (!has_operation(state, task, key))
+        start_read(state, now, task, key, output);
+}
+
+void learn_plan_shard(node_state& state, const std::string& key, const std::string& text,
+                      effects& output)
+{
+    std::size_t malformed = 0;
+    const auto shard = plan_shard_from_text(text, malformed);
+    if (!shard || malformed != 0)
+        log_malformed(output, key, malformed);
+    if (!shard)
+        return;
+    for (const auto& [member, value] : *shard)
+        learn_plan(state, value);
+}
+
+void learn_slice_table(node_state& state, const std::string& space, const std::string& text,
+                       effects& output)
+{
+    std::size_t malformed = 0;
+    const auto table = slice_table_from_text(text, malformed);
+    if (!table || malformed != 0)
+        log_malformed(output, "slices/" + space, malformed);
+    if (!table)
+        return;
+    for (const auto& [index, location] : *table)
+        learn_location(state, {space, index}, location, output);
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/directory_sync.cpp
@@ -0,0 +1,245 @@
+#include "ownership_internal.hpp"
+
+#include <azureladder/base/hash.hpp>
+#include <azureladder/core/ownership.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace azureladder::core {
+
+namespace {
+
+constexpr duration pull_interval = seconds(1);
+
+/// Room for slices in an owner notice: a datagram holds 1,200 bytes, and envelope, owner and field
+/// names need less than 400 of them.
+constexpr std::size_t notice_bytes = 800;
+
+/// Encoded size of a slice besides the name of its space: field names, index and epoch.
+constexpr std::size_t slice_bytes = 48;
+
+bool is_located(const directory_state& directory, const member_ref& member)
+{
+    return std::any_of(directory.m_locations.begin(), directory.m_locations.end(),
+                       [&](const auto& entry) { return entry.second.m_owner == member; });
+}
+
+/// Whether a slice may still have to be taken over from this plan of a former incarnation.
+bool is_needed(const directory_state& directory, const plan& value)
+{
+    for (const auto& owned : value.m_slices) {
+        const auto location = locate(directory, owned.m_slice);
+        if (!location || location->m_epoch <= owned.m_epoch)
+            return true;
+    }
+    return is_located(directory, value.m_member);
+}
+
+bool is_former(const directory_state& directory, const plan& value)
+{
+    const auto* newest = find_newest_plan(directory, value.m_member.m_node);
+    return newest != nullptr && newest->m_generation > value.m_generation;
+}
+
+void remember_version(ownership_state& own, const plan& value)
+{
+    auto& versions = own.m_plan_history[value.m_member];
+    versions.emplace(value.m_version, value);
+    while (versions.size() > ownership_state::max_plan_history)
+        versions.erase(versions.begin());
+}
+
+} // namespace
+
+void learn_plan(node_state& state, const plan& value)
+{
+    auto& own = state.m_ownership;
+    if (value.m_member == self(state)) {
+        own.m_stored_version = std::max(own.m_stored_version, value.m_version);
+        return;
+    }
+    if (is_former(state.m_directory, value) && !is_needed(state.m_directory, value))
+        return;
+    install_plan(state.m_directory, value);
+    remember_version(own, value);
+}
+
+void learn_own_plan(node_state& state)
+{
+    install_plan(state.m_directory, state.m_ownership.m_plan);
+    remember_version(state.m_ownership, state.m_ownership.m_plan);
+}
+
+void forget_former_plans(node_state& state)
+{
+    std::vector<member_ref> obsolete;
+    for (const auto& [member, value] : state.m_directory.m_plans) {
+        if (is_former(state.m_directory, value) && !is_needed(state.m_directory, value))
+            obsolete.push_back(member);
+    }
+    for (const auto& member : obsolete) {
+        remove_plan(state.m_directory, member);
+        state.m_ownership.m_plan_history.erase(member);
+    }
+}
+
+void learn_location(node_state& state, const slice_id& slice, const slice_location& location,
+                    effects& output)
+{
+    if (!install_location(state.m_directory, slice, location))
+        return;
+    const auto held = state.m_ownership.m_slices.find(slice);
+    if (held == state.m_ownership.m_slices.end() || location.m_owner == self(state))
+        return;
+    if (location.m_epoch <= held->second.m_epoch)
+        return;
+    const bool released = held->second.m_phase == slice_phase::releasing ||
+                          held->second.m_phase == slice_phase::handing_over;
+    if (released) {
+        auto fields = slice_fields(slice, held->second.m_epoch, held->second.m_exit_reason);
+        fields["to"] = member_text(location.m_owner);
+        log_event(output, log_level::info, "released", std::move(fields));
+    }
+    drop_slice(state, slice, released ? "released" : "superseded", output);
+}
+
+void compare_digest(node_state& state, time_point now, const message_received& received,
+                    std::uint64_t other, effects& output)
+{
+    if (other != digest(state.m_directory))
+        pull_table(state, now, received.m_from, received.m_reply_to, output);
+}
+
+void pull_table(node_state& state, time_point now, const member_ref& from, const endpoint& address,
+                effects& output)
+{
+    auto& next = state.m_ownership.m_next_pull[from];
+    if (now < next)
+        return;
+    next = now + pull_interval;
+    output.push_back(send_message{from, address, table_pull{}});
+}
+
+void handle_table_pull(const node_state& state, const message_received& received, effects& output)
+{
+    table_push push;
+    std::map<std::pair<member_ref, plan_version>, const plan*> plans;
+    for (const auto& [member, value] : state.m_directory.m_plans)
+        plans[{member, value.m_version}] = &value;
+    // A standby may need the exact version that was promised, which need not be the newest.
+    for (const auto& [member, versions] : state.m_ownership.m_plan_history) {
+        if (state.m_ownership.m_granted.count(member) == 0 && member != self(state))
+            continue;
+        for (const auto& [version, value] : versions)
+            plans[{member, version}] = &value;
+    }
+    for (const auto& [key, value] : plans)
+        push.m_plans.push_back(*value);
+    for (const auto& [slice, location] : state.m_directory.m_locations)
+        push.m_locations.push_back({{slice, location.m_epoch}, location.m_owner});
+    output.push_back(send_message{received.m_from, received.m_reply_to, std::move(push)});
+}
+
+void handle_table_push(node_state& state, const table_push& push, effects& output)
+{
+    // Locations first: they decide whether plans of former incarnations are still needed.
+    for (const auto& [owned, owner] : push.m_locations)
+        learn_location(state, owned.m_slice, {owner, owned.m_epoch}, output);
+    for (const auto& value : push.m_plans)
+        learn_plan(state, value);
+}
+
+void handle_owner_notice(node_state& state, const owner_notice& notice, effects& output)
+{
+    for (const auto& owned : notice.m_slices)
+        learn_location(state, owned.m_slice, {notice.m_owner, owned.m_epoch}, output);
+}
+
+std::vector<owner_notice> owner_notices(const member_ref& owner,
+                                        const std::vector<owned_slice>& slices)
+{
+    std::vector<owner_notice> notices;
+    std::size_t used = 0;
+    for (const auto& owned : slices) {
+        const auto bytes = slice_bytes + owned.m_slice.m_space.size();
+        if (notices.empty() || used + bytes > notice_bytes) {
+            notices.push_back({owner, {}});
+            used = 0;
+        }
+        notices.back().m_slices.push_back(owned);
+        used += bytes;
+    }
+    return notices;
+}
+
+void announce_owner(const node_state& state, const std::vector<owned_slice>& slices,
+                    effects& output)
+{
+    if (slices.empty())
+        return;
+    const auto notices = owner_notices(self(state), slices);
+    for (const auto* other : newest_plans(state.m_directory)) {
+        if (other->m_member.m_node == state.m_identity.m_node)
+            continue;
+        for (const auto& notice : notices)
+            output.push_back(send_message{other->m_member, other->m_peer_address, notice});
+    }
+}
+
+void confirm_slices(const node_state& state, const message_received& received,
+                    const std::vector<owned_slice>& slices, effects& output)
+{
+    // The notice names the slices that changed hands, which the acknowledgement does not.
+    std::map<member_ref, std::vector<owned_slice>> by_owner;
+    for (const auto& owned : slices) {
+        const auto location = locate(state.m_directory, owned.m_slice);
+        if (location && location->m_epoch > owned.m_epoch)
+            by_owner[location->m_owner].push_back({owned.m_slice, location->m_epoch});
+    }
+    for (const auto& [owner, owned] : by_owner) {
+        for (const auto& notice : owner_notices(owner, owned))
+            output.push_back(send_message{received.m_from, received.m_reply_to, notice});
+    }
+}
+
+void push_own_plan(const node_state& state, effects& output)
+{
+    const auto& own = state.m_ownership;
+    std::vector<member_ref> targets = own.m_plan.m_witnesses;
+    const auto add = [&](const std::vector<member_ref>& members) {
+        for (const auto& member : members) {
+            if (std::find(targets.begin(), targets.end(), member) == targets.end())
+                targets.push_back(member);
+        }
+    };
+    add(own.m_plan.m_previous_witnesses);
+    add(own.m_plan.m_standbys);
+    add(own.m_active.m_standbys);
+    for (const auto& member : targets) {
+        if (const auto* known = find_plan(state.m_directory, member)) {
+            table_push push;
+            push.m_plans.push_back(own.m_plan);
+            output.push_back(send_message{member, known->m_peer_address, std::move(push)});
+        }
+    }
+}
+
+std::vector<member_ref> polling_members(const node_state& state)
+{
+    constexpr std::size_t pollers_per_zone = 2;
+    std::map<std::string, std::vector<std::pair<std::uint64_t, member_ref>>> zones;
+    for (const auto* known : newest_plans(state.m_directory)) {
+        if (fenced_plan(state, known->m_member) == nullptr)
+            zones[known->m_zone].push_back({hash64(known->m_member.m_node), known->m_member});
+    }
+    std::vector<member_ref> result;
+    for (auto& [zone, ranked] : zones) {
+        std::sort(ranked.begin(), ranked.end());
+        for (std::size_t i = 0; i < ranked.size() && i < pollers_per_zone; ++i)
+            result.push_back(ranked[i].second);
+    }
+    return result;
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/lease_holder.cpp
@@ -0,0 +1,223 @@
+#include "ownership_internal.hpp"
+
+#include <azureladder/core/configuration.hpp>
+#include <azureladder/core/ownership.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <set>
+
+namespace azureladder::core {
+
+namespace {
+
+/// End of the lease of a node without witnesses. Half the range leaves room for additions.
+constexpr time_point unlimited{duration::max() / 2};
+
+time_point majority_end(const ownership_state& own, const std::vector<member_ref>& set)
+{
+    if (set.empty())
+        return unlimited;
+    std::vector<time_point> ends;
+    for (const auto& member : set) {
+        const auto found = own.m_grants.find(member);
+        ends.push_back(found == own.m_grants.end() ? time_point{} : found->second.m_valid_until);
+    }
+    std::sort(ends.begin(), ends.end(), std::greater<>());
+    return ends[set.size() / 2];
+}
+
+time_point plan_end(const ownership_state& own, const plan& value)
+{
+    return std::min(majority_end(own, value.m_witnesses),
+                    majority_end(own, value.m_previous_witnesses));
+}
+
+void add_targets(std::set<member_ref>& targets, const std::vector<member_ref>& members)
+{
+    targets.insert(members.begin(), members.end());
+}
+
+/// Standbys are asked too, although their grants do not count: the answers show that they live.
+std::set<member_ref> lease_targets(const ownership_state& own)
+{
+    std::set<member_ref> targets;
+    for (const auto* value : {&own.m_plan, &own.m_active}) {
+        add_targets(targets, value->m_witnesses);
+        add_targets(targets, value->m_previous_witnesses);
+        add_targets(targets, value->m_standbys);
+    }
+    return targets;
+}
+
+bool majority_refused(const ownership_state& own, const std::vector<member_ref>& set)
+{
+    const auto refused = std::count_if(set.begin(), set.end(), [&](const member_ref& member) {
+        return own.m_refused_by.count(member) != 0;
+    });
+    return !set.empty() && std::size_t(refused) * 2 >= set.size();
+}
+
+/// Whether the witnesses that still may grant are no majority any more.
+bool is_fenced(const ownership_state& own)
+{
+    const auto& active = own.m_active.m_version == 0 ? own.m_plan : own.m_active;
+    return majority_refused(own, active.m_witnesses) ||
+           majority_refused(own, active.m_previous_witnesses);
+}
+
+void extend_backend(node_state& state, time_point now, effects& output)
+{
+    auto& own = state.m_ownership;
+    if (!state.m_backend || state.m_backend->m_fencing != fencing::checked)
+        return;
+    const auto until = std::min(lease_end(state), now + state.m_options.m_lease_duration);
+    const bool unlimited_lease = lease_end(state) == unlimited;
+    // Without witnesses nothing renews the lease, so it is extended when half of it has passed.
+    const auto due = unlimited_lease
+                         ? own.m_backend_lease_until - state.m_options.m_lease_duration / 2
+                         : own.m_backend_lease_until;
+    if (until <= now || until <= own.m_backend_lease_until || (unlimited_lease && now < due))
+        return;
+    own.m_backend_lease_until = until;
+    output.push_back(extend_backend_lease{until});
+}
+
+void forget_old_rounds(node_state& state, time_point now)
+{
+    auto& own = state.m_ownership;
+    for (auto it = own.m_rounds.begin(); it != own.m_rounds.end();) {
+        const bool old = it->second + state.m_options.m_lease_duration < now;
+        it = old ? own.m_rounds.erase(it) : std::next(it);
+    }
+    const auto targets = lease_targets(own);
+    for (auto it = own.m_asked_since.begin(); it != own.m_asked_since.end();)
+        it = targets.count(it->first) == 0 ? own.m_asked_since.erase(it) : std::next(it);
+}
+
+void note_lease_change(node_state& state, time_point now, effects& output)
+{
+    auto& own = state.m_ownership;
+    const bool held = holds_lease(state, now);
+    if (own.m_had_lease && !held) {
+        log_event(output, log_level::warning, "lease_lost",
+                  {{"plan_version", own.m_active.m_version}});
+    }
+    own.m_had_lease = held;
+    if (held || own.m_phase != join_phase::joined || !state.m_configuration.m_read_after_join)
+        own.m_lease_held_at = now;
+}
+
+} // namespace
+
+bool holds_lease(const node_state& state, time_point now)
+{
+    return now < lease_end(state);
+}
+
+time_point lease_end(const node_state& state)
+{
+    const auto& own = state.m_ownership;
+    if (own.m_phase != join_phase::joined || !state.m_configuration.m_read_after_join ||
+        own.m_active.m_version == 0)
+        return time_point{};
+    // A takeover under a version that is not active yet needs a majority of the active version's
+    // witnesses as well, because they are its witnesses or its previous witnesses. The first
+    // version with witnesses has no previous ones, so both versions must be held there.
+    if (own.m_active.m_witnesses.empty())
+        return plan_end(own, own.m_plan);
+    return plan_end(own, own.m_active);
+}
+
+void send_lease_round(node_state& state, time_point now, effects& output)
+{
+    auto& own = state.m_ownership;
+    if (own.m_phase != join_phase::joined || !state.m_configuration.m_read_after_join)
+        return;
+    const auto sequence = ++own.m_sequence;
+    own.m_rounds[sequence] = now;
+    own.m_next_round = now + state.m_options.m_lease_interval;
+    own.m_round_revision = state.m_configuration.m_document.m_revision;
+    for (const auto& member : lease_targets(own)) {
+        const auto* known = find_plan(state.m_directory, member);
+        own.m_asked_since.emplace(member, now);
+        if (known == nullptr)
+            continue;
+        lease_request request;
+        request.m_witness = member.m_incarnation;
+        request.m_plan_version = own.m_plan.m_version;
+        request.m_sequence = sequence;
+        request.m_revision = own.m_round_revision;
+        request.m_directory_digest = digest(state.m_directory);
+        output.push_back(send_message{member, known->m_peer_address, request});
+    }
+}
+
+void step_lease(node_state& state, time_point now, effects& output)
+{
+    auto& own = state.m_ownership;
+    forget_old_rounds(state, now);
+    const bool new_revision = own.m_round_revision != state.m_configuration.m_document.m_revision;
+    if (now >= own.m_next_round || new_revision)
+        send_lease_round(state, now, output);
+    check_activation(state, now, output);
+    note_silent_members(state, now);
+    note_lease_change(state, now, output);
+    if (holds_lease(state, now))
+        extend_backend(state, now, output);
+}
+
+void handle_lease_grant(node_state& state, time_point now, const message_received& received,
+                        const lease_grant& grant, effects& output)
+{
+    auto& own = state.m_ownership;
+    const auto round = own.m_rounds.find(grant.m_sequence);
+    if (round == own.m_rounds.end())
+        return;
+    own.m_heard[received.m_from] = now;
+    own.m_avoid_until.erase(received.m_from);
+    constexpr std::int64_t permille = 1000;
+    const auto shortened = state.m_options.m_lease_duration *
+                           (permille - state.m_options.m_clock_rate_error_permille) / permille;
+    auto& held = own.m_grants[received.m_from];
+    held.m_valid_until = std::max(held.m_valid_until, round->second + shortened);
+    held.m_version = std::max(held.m_version, grant.m_plan_version);
+    if (grant.m_revision > state.m_configuration.m_document.m_revision)
+        note_newer_revision(state, received.m_from, received.m_reply_to, grant.m_revision, output);
+    compare_digest(state, now, received, grant.m_directory_digest, output);
+    check_activation(state, now, output);
+    if (holds_lease(state, now))
+        extend_backend(state, now, output);
+}
+
+void handle_lease_refusal(node_state& state, time_point now, const message_received& received,
+                          const lease_refusal& refusal, effects& output)
+{
+    auto& own = state.m_ownership;
+    if (own.m_rounds.find(refusal.m_sequence) == own.m_rounds.end())
+        return;
+    switch (refusal.m_reason) {
+    case lease_refusal_reason::stale_revision:
+        own.m_heard[received.m_from] = now;
+        note_newer_revision(state, received.m_from, received.m_reply_to, refusal.m_revision,
+                            output);
+        return;
+    case lease_refusal_reason::unknown_member: {
+        // The sender answers for its node, which no longer runs the named incarnation.
+        const member_ref gone{received.m_from.m_node, refusal.m_requested_witness};
+        own.m_avoid_until[gone] = now + state.m_options.m_avoid_time;
+        if (find_plan(state.m_directory, received.m_from) == nullptr)
+            pull_table(state, now, received.m_from, received.m_reply_to, output);
+        return;
+    }
+    case lease_refusal_reason::fenced:
+        own.m_refused_by.insert(received.m_from);
+        break;
+    }
+    if (!is_fenced(own))
+        return;
+    log_event(output, log_level::warning, "fenced", {{"plan_version", own.m_plan.m_version}});
+    begin_join(state, now, true, output);
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/lease_witness.cpp
@@ -0,0 +1,166 @@
+#include "ownership_internal.hpp"
+
+#include <azureladder/core/configuration.hpp>
+#include <azureladder/core/ownership.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace azureladder::core {
+
+namespace {
+
+constexpr duration promise_interval_limit = seconds(10);
+
+/// Time after which a promise also goes to the nodes that watch for slices without an owner.
+constexpr duration promise_spread_delay = seconds(1);
+
+void send_refusal(const message_received& received, lease_refusal_reason reason,
+                  const lease_request& request, revision_number revision, effects& output)
+{
+    lease_refusal refusal;
+    refusal.m_reason = reason;
+    refusal.m_sequence = request.m_sequence;
+    refusal.m_revision = revision;
+    if (reason == lease_refusal_reason::unknown_member)
+        refusal.m_requested_witness = request.m_witness;
+    output.push_back(send_message{received.m_from, received.m_reply_to, refusal});
+}
+
+bool knows_version(const node_state& state, const member_ref& member, plan_version version)
+{
+    const auto& history = state.m_ownership.m_plan_history;
+    const auto found = history.find(member);
+    return found != history.end() && found->second.count(version) != 0;
+}
+
+/// Version under which the request is granted; zero when it cannot be granted yet. A version whose
+/// content this witness does not know is not granted, because only its content tells later which
+/// standby takes over.
+plan_version version_to_grant(const node_state& state, const member_ref& member,
+                              plan_version requested)
+{
+    const auto& granted = state.m_ownership.m_granted;
+    const auto found = granted.find(member);
+    const plan_version former = found == granted.end() ? 0 : found->second.m_version;
+    if (requested > former && knows_version(state, member, requested))
+        return requested;
+    return former;
+}
+
+std::set<member_ref> promise_targets(const node_state& state, time_point now,
+                                     const member_ref& member, const granted_lease& granted)
+{
+    std::set<member_ref> targets;
+    const auto history = state.m_ownership.m_plan_history.find(member);
+    if (history != state.m_ownership.m_plan_history.end()) {
+        for (const auto& [version, content] : history->second)
+            targets.insert(content.m_standbys.begin(), content.m_standbys.end());
+    }
+    if (now >= granted.m_promised_at + promise_spread_delay) {
+        const auto pollers = polling_members(state);
+        targets.insert(pollers.begin(), pollers.end());
+        // A node that gave slices to the fenced member has to know of the promise, too.
+        for (const auto* other : newest_plans(state.m_directory)) {
+            const auto& standbys = other->m_standbys;
+            if (std::find(standbys.begin(), standbys.end(), member) != standbys.end())
+                targets.insert(other->m_member);
+        }
+    }
+    for (const auto& acknowledged : granted.m_acknowledged)
+        targets.erase(acknowledged);
+    return targets;
+}
+
+void send_promise(node_state& state, time_point now, const member_ref& member,
+                  granted_lease& granted, effects& output)
+{
+    const fence_promise promise{member, granted.m_version};
+    for (const auto& target : promise_targets(state, now, member, granted)) {
+        if (target == self(state)) {
+            message_received local{self(state), state.m_identity.m_peer_address, promise};
+            handle_fence_promise(state, now, local, promise, output);
+            granted.m_acknowledged.insert(target);
+        } else if (const auto* known = find_plan(state.m_directory, target)) {
+            output.push_back(send_message{target, known->m_peer_address, promise});
+        }
+    }
+    granted.m_next_send = now + granted.m_send_interval;
+    // Lost members never acknowledge; the interval grows so that they cost little.
+    if (now >= granted.m_promised_at + 2 * promise_spread_delay)
+        granted.m_send_interval =
+            std::min<duration>(granted.m_send_interval * 2, promise_interval_limit);
+}
+
+void expire_lease(node_state& state, time_point now, granted_lease& granted)
+{
+    granted.m_promised = true;
+    granted.m_promised_at = now;
+    granted.m_send_interval = state.m_options.m_resend_interval;
+    granted.m_next_send = now;
+}
+
+} // namespace
+
+void handle_lease_request(node_state& state, time_point now, const message_received& received,
+                          const lease_request& request, effects& output)
+{
+    auto& own = state.m_ownership;
+    const auto& member = received.m_from;
+    const auto revision = state.m_configuration.m_document.m_revision;
+    compare_digest(state, now, received, request.m_directory_digest, output);
+    if (request.m_revision > revision)
+        note_newer_revision(state, member, received.m_reply_to, request.m_revision, output);
+    if (request.m_witness != state.m_incarnation || !plan_written(state)) {
+        send_refusal(received, lease_refusal_reason::unknown_member, request, revision, output);
+        return;
+    }
+    const auto found = own.m_granted.find(member);
+    if (found != own.m_granted.end() && found->second.m_promised) {
+        send_refusal(received, lease_refusal_reason::fenced, request, revision, output);
+        return;
+    }
+    if (request.m_revision < revision) {
+        send_refusal(received, lease_refusal_reason::stale_revision, request, revision, output);
+        return;
+    }
+    const auto version = version_to_grant(state, member, request.m_plan_version);
+    if (version < request.m_plan_version)
+        pull_table(state, now, member, received.m_reply_to, output);
+    if (version == 0)
+        return;
+    auto& granted = own.m_granted[member];
+    granted.m_version = version;
+    granted.m_expires = now + state.m_options.m_lease_duration;
+    lease_grant grant;
+    grant.m_plan_version = version;
+    grant.m_sequence = request.m_sequence;
+    grant.m_revision = revision;
+    grant.m_directory_digest = digest(state.m_directory);
+    output.push_back(send_message{member, received.m_reply_to, grant});
+}
+
+void handle_fence_ack(node_state& state, const message_received& received, const fence_ack& ack)
+{
+    const auto found = state.m_ownership.m_granted.find(ack.m_member);
+    if (found != state.m_ownership.m_granted.end())
+        found->second.m_acknowledged.insert(received.m_from);
+}
+
+void step_witness(node_state& state, time_point now, effects& output)
+{
+    auto& own = state.m_ownership;
+    const bool paused =
+        own.m_ticked && now - own.m_last_tick > state.m_options.m_lease_duration / 2;
+    own.m_last_tick = now;
+    own.m_ticked = true;
+    for (auto& [member, granted] : own.m_granted) {
+        // After a pause requests may wait in the queue; they are handled before the next tick.
+        if (!granted.m_promised && !paused && now >= granted.m_expires)
+            expire_lease(state, now, granted);
+        if (granted.m_promised && now >= granted.m_next_send)
+            send_promise(state, now, member, granted, output);
+    }
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/ownership_internal.hpp
@@ -0,0 +1,158 @@
+#pragma once
+
+#include <azureladder/core/directory.hpp>
+#include <azureladder/core/effects.hpp>
+#include <azureladder/core/events.hpp>
+#include <azureladder/core/node_state.hpp>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Functions that the sources of the ownership module share; docs/design.md, section 3.
+namespace azureladder::core {
+
+// ownership_log.cpp
+void log_event(effects& output, log_level level, const char* name, json fields);
+json slice_fields(const slice_id& slice, epoch_number epoch, const std::string& reason);
+std::string member_text(const member_ref& member);
+
+// ownership_store.cpp
+bool store_ready(const node_state& state, time_point now);
+bool has_operation(const node_state& state, store_task task, const std::string& key = "");
+void start_read(node_state& state, time_point now, store_task task, const std::string& key,
+                effects& output);
+void start_write(node_state& state, time_point now, store_operation operation,
+                 const std::string& value, std::uint64_t version, effects& output);
+void handle_store_answer(node_state& state, time_point now, const store_finished& answer,
+                         effects& output);
+
+// ownership_join.cpp
+void begin_join(node_state& state, time_point now, bool new_incarnation, effects& output);
+void step_join(node_state& state, time_point now, effects& output);
+void finish_join_operation(node_state& state, time_point now, const store_operation& operation,
+                           const store_finished& answer, effects& output);
+
+// plan_write.cpp
+std::string plan_key(const node_state& state, const node_id& node);
+void step_plan_write(node_state& state, time_point now, effects& output);
+void finish_plan_operation(node_state& state, time_point now, const store_operation& operation,
+                           const store_finished& answer, effects& output);
+
+// plan_change.cpp
+void propose_plan_change(node_state& state, time_point now);
+void check_activation(node_state& state, time_point now, effects& output);
+bool plan_settled(const node_state& state);
+std::optional<plan> next_plan(const node_state& state, time_point now);
+
+// plan_members.cpp
+std::vector<member_ref> choose_standbys(const node_state& state, time_point now,
+                                        const std::vector<member_ref>& current);
+std::vector<member_ref> choose_witnesses(const node_state& state, time_point now,
+                                         const std::vector<member_ref>& current,
+                                         const std::vector<member_ref>& standbys);
+bool is_usable_member(const node_state& state, time_point now, const member_ref& member);
+void note_silent_members(node_state& state, time_point now);
+
+// lease_holder.cpp
+void send_lease_round(node_state& state, time_point now, effects& output);
+void step_lease(node_state& state, time_point now, effects& output);
+void handle_lease_grant(node_state& state, time_point now, const message_received& received,
+                        const lease_grant& grant, effects& output);
+void handle_lease_refusal(node_state& state, time_point now, const message_received& received,
+                          const lease_refusal& refusal, effects& output);
+bool reachable(const node_state& state, time_point now, const member_ref& member);
+
+// lease_witness.cpp
+void handle_lease_request(node_state& state, time_point now, const message_received& received,
+                          const lease_request& request, effects& output);
+void handle_fence_ack(node_state& state, const message_received& received, const fence_ack& ack);
+void step_witness(node_state& state, time_point now, effects& output);
+
+// takeover.cpp
+const plan* fenced_plan(const node_state& state, const member_ref& member);
+void handle_fence_promise(node_state& state, time_point now, const message_received& received,
+                          const fence_promise& promise, effects& output);
+bool accept_released_slice(node_state& state, time_point now, const plan& content,
+                           const owned_slice& owned, effects& output);
+void step_takeover(node_state& state, time_point now, effects& output);
+
+// slice_holding.cpp
+void hold_slice(node_state& state, time_point now, const owned_slice& owned, held_slice held);
+void drop_slice(node_state& state, const slice_id& slice, const std::string& reason,
+                effects& output);
+void update_serving(node_state& state, time_point now, effects& output);
+bool allowed_by_records(const node_state& state, const slice_id& slice);
+duration fencing_wait(const node_state& state, const slice_id& slice);
+bool node_out_of_service(const node_state& state);
+bool backend_leaving(const node_state& state, time_point now);
+
+// slice_writes.cpp
+std::string table_key(const node_state& state, const slice_id& slice);
+void step_entry_changes(node_state& state, time_point now, effects& output);
+void finish_table_operation(node_state& state, time_point now, const store_operation& operation,
+                            const store_finished& answer, effects& output);
+
+// release.cpp
+void step_release(node_state& state, time_point now, effects& output);
+std::vector<claim> claims_to_send(const node_state& state, const slice_id& slice, time_point now);
+void handle_release(node_state& state, time_point now, const message_received& received,
+                    const release& offer, effects& output);
+
+// planned_stop.cpp
+void step_stop(node_state& state, time_point now, effects& output);
+
+// handover.cpp
+void start_handover(held_slice& held, time_point now, const member_ref& target,
+                    const std::string& reason);
+std::optional<member_ref> handover_target(node_state& state, time_point now, const slice_id& slice);
+void take_back(node_state& state, time_point now, const slice_id& slice, held_slice& held,
+               const std::string& reason);
+void step_handover(node_state& state, time_point now, effects& output);
+void handle_handover(node_state& state, time_point now, const message_received& received,
+                     const handover& offer, effects& output);
+void handle_handover_ack(node_state& state, time_point now, const message_received& received,
+                         const handover_ack& ack, effects& output);
+void send_handover_ack(const entry_change& change, const slice_id& slice, bool accepted,
+                       effects& output);
+
+// balance.cpp
+void step_balance(node_state& state, time_point now);
+std::vector<std::string> spaces_of_node(const node_state& state, const std::string& service);
+std::uint32_t slices_of_space(const node_state& state, const std::string& space);
+std::string service_of_space(const std::string& space);
+std::vector<node_id> eligible_nodes(const node_state& state, const std::string& space);
+const std::vector<node_id>& desired_owners(node_state& state, const std::string& space);
+std::uint64_t rendezvous_score(const slice_id& slice, const node_id& node);
+
+// directory_sync.cpp
+void learn_plan(node_state& state, const plan& value);
+void learn_own_plan(node_state& state);
+void forget_former_plans(node_state& state);
+void learn_location(node_state& state, const slice_id& slice, const slice_location& location,
+                    effects& output);
+void compare_digest(node_state& state, time_point now, const message_received& received,
+                    std::uint64_t other, effects& output);
+void pull_table(node_state& state, time_point now, const member_ref& from, const endpoint& address,
+                effects& output);
+void handle_table_pull(const node_state& state, const message_received& received, effects& output);
+void handle_table_push(node_state& state, const table_push& push, effects& output);
+void handle_owner_notice(node_state& state, const owner_notice& notice, effects& output);
+void announce_owner(const node_state& state, const std::vector<owned_slice>& slices,
+                    effects& output);
+void confirm_slices(const node_state& state, const message_received& received,
+                    const std::vector<owned_slice>& slices, effects& output);
+void push_own_plan(const node_state& state, effects& output);
+std::vector<owner_notice> owner_notices(const member_ref& owner,
+                                        const std::vector<owned_slice>& slices);
+std::vector<member_ref> polling_members(const node_state& state);
+
+// directory_poll.cpp
+void step_poll(node_state& state, time_point now, effects& output);
+void learn_plan_shard(node_state& state, const std::string& key, const std::string& text,
+                      effects& output);
+void learn_slice_table(node_state& state, const std::string& space, const std::string& text,
+                       effects& output);
+std::string space_of_table_key(const std::string& key);
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/ownership_join.cpp
@@ -0,0 +1,161 @@
+#include "ownership_internal.hpp"
+
+#include <azureladder/core/ownership.hpp>
+#include <azureladder/core/plan_json.hpp>
+
+#include <limits>
+
+namespace azureladder::core {
+
+namespace {
+
+constexpr const char* cluster_key = "cluster";
+constexpr std::uint32_t max_shards = 4096;
+
+std::uint32_t shard_count(const json& object, const char* field)
+{
+    const auto found = object.find(field);
+    if (found == object.end() || !found->is_number_unsigned())
+        return 0;
+    const auto value = found->get<std::uint64_t>();
+    return value <= max_shards ? std::uint32_t(value) : 0;
+}
+
+void install_cluster(node_state& state, const std::string& text, effects& output)
+{
+    auto& own = state.m_ownership;
+    const auto object = parse_object(text);
+    const auto plan_shards = object ? shard_count(*object, "plan_shards") : 0;
+    const auto slice_shards = object ? shard_count(*object, "slice_shards") : 0;
+    if (plan_shards == 0 || slice_shards == 0) {
+        log_event(output, log_level::error, "store_value_malformed", {{"key", cluster_key}});
+        return;
+    }
+    own.m_plan_shards = plan_shards;
+    own.m_slice_shards = slice_shards;
+    for (std::uint32_t shard = 0; shard < plan_shards; ++shard)
+        own.m_shards_to_read.insert(shard);
+    own.m_phase = join_phase::reading_plans;
+}
+
+void write_cluster(node_state& state, time_point now, effects& output)
+{
+    const json value = {{"plan_shards", state.m_options.m_plan_shards},
+                        {"slice_shards", state.m_options.m_slice_shards}};
+    store_operation operation;
+    operation.m_task = store_task::write_cluster;
+    operation.m_key = cluster_key;
+    start_write(state, now, operation, value.dump(), 0, output);
+}
+
+/// The first plan has no slices. Witnesses are chosen from the plans that were just read.
+plan first_plan(const node_state& state, time_point now)
+{
+    plan value;
+    value.m_member = self(state);
+    value.m_version = 1;
+    value.m_zone = state.m_identity.m_zone;
+    value.m_http_address = state.m_identity.m_http_address;
+    value.m_peer_address = state.m_identity.m_peer_address;
+    if (state.m_backend) {
+        value.m_service = state.m_backend->m_service;
+        value.m_server = state.m_backend->m_server;
+    }
+    value.m_standbys = choose_standbys(state, now, {});
+    value.m_witnesses = choose_witnesses(state, now, {}, value.m_standbys);
+    return value;
+}
+
+void reset_for_join(node_state& state, time_point now)
+{
+    auto& own = state.m_ownership;
+    own.m_plan = plan{};
+    own.m_active = plan{};
+    own.m_proposal.reset();
+    own.m_stored_version = 0;
+    own.m_rounds.clear();
+    own.m_grants.clear();
+    own.m_refused_by.clear();
+    own.m_had_lease = false;
+    own.m_lease_held_at = now;
+    own.m_asked_since.clear();
+    own.m_heard.clear();
+    own.m_granted.clear();
+    own.m_entry_changes.clear();
+    own.m_unowned_since.clear();
+    own.m_shards_to_read.clear();
+    own.m_join_since = now;
+    own.m_phase = join_phase::reading_cluster;
+    state.m_configuration.m_read_after_join = false;
+}
+
+} // namespace
+
+bool plan_written(const node_state& state)
+{
+    return state.m_ownership.m_phase == join_phase::joined;
+}
+
+void begin_join(node_state& state, time_point now, bool new_incarnation, effects& output)
+{
+    auto& own = state.m_ownership;
+    while (!own.m_slices.empty())
+        drop_slice(state, own.m_slices.begin()->first, "rejoin", output);
+    if (new_incarnation)
+        state.m_incarnation = next_random(state.m_random);
+    // A random start keeps a grant for a former process of this node from matching a request.
+    if (own.m_sequence == 0)
+        own.m_sequence = next_below(state.m_random, std::numeric_limits<std::uint32_t>::max());
+    reset_for_join(state, now);
+}
+
+void step_join(node_state& state, time_point now, effects& output)
+{
+    auto& own = state.m_ownership;
+    if (own.m_phase == join_phase::idle)
+        begin_join(state, now, false, output);
+    if (!store_ready(state, now))
+        return;
+    if (own.m_phase == join_phase::reading_cluster) {
+        const bool open = has_operation(state, store_task::read_cluster) ||
+                          has_operation(state, store_task::write_cluster);
+        if (!open)
+            start_read(state, now, store_task::read_cluster, cluster_key, output);
+    }
+    if (own.m_phase != join_phase::reading_plans)
+        return;
+    for (const auto shard : own.m_shards_to_read) {
+        const auto key = "plans/" + std::to_string(shard);
+        if (!has_operation(state, store_task::read_join_shard, key))
+            start_read(state, now, store_task::read_join_shard, key, output);
+    }
+}
+
+void finish_join_operation(node_state& state, time_point now, const store_operation& operation,
+                           const store_finished& answer, effects& output)
+{
+    auto& own = state.m_ownership;
+    if (operation.m_task == store_task::write_cluster)
+        return; // read again, whatever the result
+    if (operation.m_task == store_task::read_cluster) {
+        if (answer.m_status == store_status::ok)
+            install_cluster(state, answer.m_value, output);
+        else if (answer.m_status == store_status::not_found)
+            write_cluster(state, now, output);
+        step_join(state, now, output);
+        return;
+    }
+    if (answer.m_status == store_status::ok)
+        learn_plan_shard(state, operation.m_key, answer.m_value, output);
+    else if (answer.m_status != store_status::not_found)
+        return;
+    own.m_shards_to_read.erase(
+        std::uint32_t(std::stoul(operation.m_key.substr(operation.m_key.find('/') + 1))));
+    if (!own.m_shards_to_read.empty() || own.m_phase != join_phase::reading_plans)
+        return;
+    own.m_phase = join_phase::writing_plan;
+    own.m_proposal = first_plan(state, now);
+    step_plan_write(state, now, output);
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/ownership_store.cpp
@@ -0,0 +1,117 @@
+#include "ownership_internal.hpp"
+
+#include <algorithm>
+
+namespace azureladder::core {
+
+namespace {
+
+constexpr duration first_store_backoff = milliseconds(100);
+constexpr duration store_log_interval = seconds(5);
+
+void note_store_up(ownership_state& own)
+{
+    own.m_store_down = false;
+    own.m_store_backoff = duration(0);
+    own.m_store_retry_at = time_point{};
+}
+
+void note_store_down(node_state& state, time_point now, effects& output)
+{
+    auto& own = state.m_ownership;
+    if (!own.m_store_down)
+        own.m_store_down_since = now;
+    own.m_store_down = true;
+    own.m_store_backoff = std::clamp(own.m_store_backoff * 2, first_store_backoff,
+                                     state.m_options.m_store_backoff_limit);
+    own.m_store_retry_at = now + own.m_store_backoff;
+    if (now < own.m_next_store_log)
+        return;
+    own.m_next_store_log = now + store_log_interval;
+    log_event(output, log_level::warning, "store_unavailable",
+              {{"down_ms", to_ms(now - own.m_store_down_since)}});
+}
+
+} // namespace
+
+bool store_ready(const node_state& state, time_point now)
+{
+    return now >= state.m_ownership.m_store_retry_at;
+}
+
+bool has_operation(const node_state& state, store_task task, const std::string& key)
+{
+    const auto& operations = state.m_ownership.m_operations;
+    return std::any_of(operations.begin(), operations.end(), [&](const auto& entry) {
+        const auto& operation = entry.second;
+        return operation.m_task == task && operation.m_incarnation == state.m_incarnation &&
+               (key.empty() || operation.m_key == key);
+    });
+}
+
+void start_read(node_state& state, time_point now, store_task task, const std::string& key,
+                effects& output)
+{
+    const auto id = next_operation(state);
+    store_operation operation;
+    operation.m_task = task;
+    operation.m_key = key;
+    operation.m_incarnation = state.m_incarnation;
+    operation.m_started = now;
+    state.m_ownership.m_operations[id] = operation;
+    output.push_back(store_read{id, key});
+}
+
+void start_write(node_state& state, time_point now, store_operation operation,
+                 const std::string& value, std::uint64_t version, effects& output)
+{
+    const auto id = next_operation(state);
+    operation.m_incarnation = state.m_incarnation;
+    operation.m_started = now;
+    output.push_back(store_write{id, operation.m_key, value, version});
+    state.m_ownership.m_operations[id] = std::move(operation);
+}
+
+void handle_store_answer(node_state& state, time_point now, const store_finished& answer,
+                         effects& output)
+{
+    auto& own = state.m_ownership;
+    const auto found = own.m_operations.find(answer.m_operation);
+    if (found == own.m_operations.end())
+        return;
+    const auto operation = std::move(found->second);
+    own.m_operations.erase(found);
+    if (answer.m_status == store_status::unavailable || answer.m_status == store_status::unknown)
+        note_store_down(state, now, output);
+    else
+        note_store_up(own);
+    if (operation.m_incarnation != state.m_incarnation)
+        return;
+
+    switch (operation.m_task) {
+    case store_task::read_cluster:
+    case store_task::write_cluster:
+    case store_task::read_join_shard:
+        finish_join_operation(state, now, operation, answer, output);
+        break;
+    case store_task::read_own_plan:
+    case store_task::write_own_plan:
+        finish_plan_operation(state, now, operation, answer, output);
+        break;
+    case store_task::poll_plans:
+        if (answer.m_status == store_status::ok)
+            learn_plan_shard(state, operation.m_key, answer.m_value, output);
+        break;
+    case store_task::poll_slices:
+        if (answer.m_status == store_status::ok) {
+            learn_slice_table(state, space_of_table_key(operation.m_key), answer.m_value, output);
+        }
+        break;
+    case store_task::read_table:
+    case store_task::write_table:
+        finish_table_operation(state, now, operation, answer, output);
+        break;
+    }
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/plan_change.cpp
@@ -0,0 +1,140 @@
+#include "ownership_internal.hpp"
+
+#include <azureladder/core/claims.hpp>
+
+#include <algorithm>
+
+namespace azureladder::core {
+
+namespace {
+
+std::vector<owned_slice> planned_slices(const ownership_state& own)
+{
+    std::vector<owned_slice> result;
+    for (const auto& [slice, held] : own.m_slices) {
+        const bool leaves = held.m_phase == slice_phase::leaving_plan ||
+                            held.m_phase == slice_phase::handing_over ||
+                            held.m_phase == slice_phase::taking_back;
+        // Only slices that the slice table gives to this node may be in its plan.
+        if (held.m_recorded && !leaves)
+            result.push_back({slice, held.m_epoch});
+    }
+    return result;
+}
+
+bool same_slices(const std::vector<owned_slice>& a, const std::vector<owned_slice>& b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](const owned_slice& left, const owned_slice& right) {
+                          return left.m_slice == right.m_slice && left.m_epoch == right.m_epoch;
+                      });
+}
+
+bool same_members(const std::vector<member_ref>& a, const std::vector<member_ref>& b)
+{
+    return a.size() == b.size() && std::is_permutation(a.begin(), a.end(), b.begin());
+}
+
+bool same_content(const plan& a, const plan& b)
+{
+    return a.m_witnesses == b.m_witnesses && a.m_previous_witnesses == b.m_previous_witnesses &&
+           a.m_standbys == b.m_standbys && a.m_service == b.m_service && a.m_server == b.m_server &&
+           same_slices(a.m_slices, b.m_slices);
+}
+
+/// A release under the current version may reach its standby late, so the version has to stay in
+/// force until the standby has confirmed it.
+bool release_pending(const ownership_state& own)
+{
+    return std::any_of(own.m_slices.begin(), own.m_slices.end(), [](const auto& entry) {
+        return entry.second.m_phase == slice_phase::releasing;
+    });
+}
+
+bool granted_by_majority(const ownership_state& own, const std::vector<member_ref>& set,
+                         plan_version version)
+{
+    std::vector<member_ref> granted;
+    for (const auto& [member, held] : own.m_grants) {
+        if (held.m_version >= version)
+            granted.push_back(member);
+    }
+    return is_majority(granted, set);
+}
+
+std::vector<slice_id> slices_with_new_standby(const plan& before, const plan& after)
+{
+    std::vector<slice_id> result;
+    if (after.m_standbys.empty())
+        return result;
+    for (const auto& owned : after.m_slices) {
+        const auto& standby = after.m_standbys[standby_index(after, owned.m_slice)];
+        const bool known = std::any_of(
+            before.m_slices.begin(), before.m_slices.end(), [&](const owned_slice& former) {
+                return former.m_slice == owned.m_slice && former.m_epoch == owned.m_epoch;
+            });
+        const bool same = known && !before.m_standbys.empty() &&
+                          before.m_standbys[standby_index(before, owned.m_slice)] == standby;
+        if (!same)
+            result.push_back(owned.m_slice);
+    }
+    return result;
+}
+
+} // namespace
+
+bool plan_settled(const node_state& state)
+{
+    const auto& own = state.m_ownership;
+    return own.m_phase == join_phase::joined && !own.m_proposal &&
+           own.m_plan.m_version == own.m_active.m_version;
+}
+
+std::optional<plan> next_plan(const node_state& state, time_point now)
+{
+    const auto& own = state.m_ownership;
+    plan next = own.m_plan;
+    ++next.m_version;
+    if (state.m_backend) {
+        next.m_service = state.m_backend->m_service;
+        next.m_server = state.m_backend->m_server;
+    }
+    next.m_standbys = choose_standbys(state, now, own.m_plan.m_standbys);
+    next.m_slices = planned_slices(own);
+    next.m_previous_witnesses.clear();
+    if (own.m_plan.m_previous_witnesses.empty()) {
+        auto witnesses = choose_witnesses(state, now, own.m_plan.m_witnesses, next.m_standbys);
+        if (!same_members(witnesses, own.m_plan.m_witnesses)) {
+            next.m_previous_witnesses = own.m_plan.m_witnesses;
+            next.m_witnesses = std::move(witnesses);
+        }
+    }
+    if (same_content(next, own.m_plan) && own.m_stored_version <= own.m_plan.m_version)
+        return std::nullopt;
+    return next;
+}
+
+void propose_plan_change(node_state& state, time_point now)
+{
+    auto& own = state.m_ownership;
+    if (!plan_settled(state) || release_pending(own) || !store_ready(state, now))
+        return;
+    own.m_proposal = next_plan(state, now);
+}
+
+void check_activation(node_state& state, time_point now, effects& output)
+{
+    auto& own = state.m_ownership;
+    if (own.m_phase != join_phase::joined || own.m_plan.m_version == own.m_active.m_version)
+        return;
+    const auto version = own.m_plan.m_version;
+    if (!granted_by_majority(own, own.m_plan.m_witnesses, version) ||
+        !granted_by_majority(own, own.m_plan.m_previous_witnesses, version))
+        return;
+    const auto to_copy = slices_with_new_standby(own.m_active, own.m_plan);
+    own.m_active = own.m_plan;
+    if (!to_copy.empty())
+        copy_claims_to_standbys(state, now, to_copy, output);
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/plan_json.cpp
@@ -0,0 +1,156 @@
+#include <azureladder/core/plan_json.hpp>
+
+namespace azureladder::core {
+
+namespace {
+
+json members_to_json(const std::vector<member_ref>& members)
+{
+    json list = json::array();
+    for (const auto& member : members)
+        list.push_back(json::array({member.m_node, member.m_incarnation}));
+    return list;
+}
+
+// The readers below use at() and get(), which throw on a missing field or another type.
+std::vector<member_ref> members_from_json(const json& list)
+{
+    std::vector<member_ref> members;
+    for (const auto& item : list)
+        members.push_back({item.at(0).get<std::string>(), item.at(1).get<incarnation_id>()});
+    return members;
+}
+
+endpoint endpoint_from_json(const json& value)
+{
+    const auto address = parse_endpoint(value.get<std::string>());
+    return address.value_or(endpoint{});
+}
+
+plan read_plan(const json& value)
+{
+    plan result;
+    result.m_member.m_node = value.at("node").get<std::string>();
+    result.m_member.m_incarnation = value.at("incarnation").get<incarnation_id>();
+    result.m_generation = value.at("generation").get<std::uint64_t>();
+    result.m_version = value.at("version").get<plan_version>();
+    result.m_zone = value.at("zone").get<std::string>();
+    result.m_http_address = endpoint_from_json(value.at("http_address"));
+    result.m_peer_address = endpoint_from_json(value.at("peer_address"));
+    result.m_service = value.at("service").get<std::string>();
+    result.m_server = value.at("server").get<std::string>();
+    result.m_witnesses = members_from_json(value.at("witnesses"));
+    result.m_previous_witnesses = members_from_json(value.at("previous_witnesses"));
+    result.m_standbys = members_from_json(value.at("standbys"));
+    for (const auto& item : value.at("slices")) {
+        const slice_id slice{item.at(0).get<std::string>(), item.at(1).get<std::uint32_t>()};
+        result.m_slices.push_back({slice, item.at(2).get<epoch_number>()});
+    }
+    return result;
+}
+
+slice_location read_location(const json& value)
+{
+    return {{value.at(0).get<std::string>(), value.at(1).get<incarnation_id>()},
+            value.at(2).get<epoch_number>()};
+}
+
+std::optional<std::uint32_t> parse_index(const std::string& text)
+{
+    constexpr std::size_t max_digits = 9;
+    if (text.empty() || text.size() > max_digits)
+        return std::nullopt;
+    if (text.find_first_not_of("0123456789") != std::string::npos)
+        return std::nullopt;
+    return std::uint32_t(std::stoul(text));
+}
+
+} // namespace
+
+std::optional<json> parse_object(const std::string& text)
+{
+    if (text.empty())
+        return json::object();
+    auto value = json::parse(text, nullptr, false);
+    if (!value.is_object())
+        return std::nullopt;
+    return value;
+}
+
+std::string plan_field(const member_ref& member)
+{
+    return member.m_node + "/" + std::to_string(member.m_incarnation);
+}
+
+json plan_to_json(const plan& value)
+{
+    json slices = json::array();
+    for (const auto& owned : value.m_slices)
+        slices.push_back(
+            json::array({owned.m_slice.m_space, owned.m_slice.m_index, owned.m_epoch}));
+    return {{"node", value.m_member.m_node},
+            {"incarnation", value.m_member.m_incarnation},
+            {"generation", value.m_generation},
+            {"version", value.m_version},
+            {"zone", value.m_zone},
+            {"http_address", to_string(value.m_http_address)},
+            {"peer_address", to_string(value.m_peer_address)},
+            {"service", value.m_service},
+            {"server", value.m_server},
+            {"witnesses", members_to_json(value.m_witnesses)},
+            {"previous_witnesses", members_to_json(value.m_previous_witnesses)},
+            {"standbys", members_to_json(value.m_standbys)},
+            {"slices", std::move(slices)}};
+}
+
+std::optional<plan> plan_from_json(const json& value)
+{
+    try {
+        return read_plan(value);
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::optional<plan_shard> plan_shard_from_text(const std::string& text, std::size_t& malformed)
+{
+    const auto object = parse_object(text);
+    if (!object)
+        return std::nullopt;
+    plan_shard shard;
+    for (const auto& item : *object) {
+        if (const auto content = plan_from_json(item))
+            shard[content->m_member] = *content;
+        else
+            ++malformed;
+    }
+    return shard;
+}
+
+json location_to_json(const slice_location& value)
+{
+    return json::array({value.m_owner.m_node, value.m_owner.m_incarnation, value.m_epoch});
+}
+
+std::optional<slice_table> slice_table_from_text(const std::string& text, std::size_t& malformed)
+{
+    const auto object = parse_object(text);
+    if (!object)
+        return std::nullopt;
+    slice_table table;
+    for (const auto& [key, item] : object->items()) {
+        const auto index = parse_index(key);
+        if (!index) {
+            ++malformed;
+            continue;
+        }
+        try {
+            table[*index] = read_location(item);
+        } catch (const json::exception&) {
+            ++malformed;
+        }
+    }
+    return table;
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/plan_members.cpp
@@ -0,0 +1,196 @@
+#include "ownership_internal.hpp"
+
+#include <azureladder/base/hash.hpp>
+#include <azureladder/records/document.hpp>
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace azureladder::core {
+
+namespace {
+
+bool contains(const std::vector<member_ref>& members, const member_ref& member)
+{
+    return std::find(members.begin(), members.end(), member) != members.end();
+}
+
+std::uint64_t rank_for(const node_state& state, const node_id& candidate)
+{
+    return hash64(candidate, hash64(state.m_identity.m_node));
+}
+
+std::string own_service(const node_state& state)
+{
+    if (state.m_backend)
+        return state.m_backend->m_service;
+    return state.m_ownership.m_plan.m_service;
+}
+
+/// Plans of the other nodes that may become witnesses or standbys, in rank order.
+std::vector<const plan*> usable_plans(const node_state& state, time_point now)
+{
+    std::vector<const plan*> result;
+    for (const auto* candidate : newest_plans(state.m_directory)) {
+        if (is_usable_member(state, now, candidate->m_member))
+            result.push_back(candidate);
+    }
+    std::sort(result.begin(), result.end(), [&](const plan* a, const plan* b) {
+        return rank_for(state, a->m_member.m_node) < rank_for(state, b->m_member.m_node);
+    });
+    return result;
+}
+
+/// A witness that promised never to grant again is of no further use to this incarnation.
+bool can_witness(const node_state& state, time_point now, const member_ref& member)
+{
+    return is_usable_member(state, now, member) &&
+           state.m_ownership.m_refused_by.count(member) == 0;
+}
+
+std::vector<member_ref> kept_witnesses(const node_state& state, time_point now,
+                                       const std::vector<member_ref>& current)
+{
+    std::vector<member_ref> kept;
+    for (const auto& member : current) {
+        if (can_witness(state, now, member))
+            kept.push_back(member);
+    }
+    return kept;
+}
+
+/// Fills `result` up to the size of `current`: a set must not shrink because its members are
+/// silent, or a node that is cut off could end with no witnesses and hold its lease alone.
+void keep_size(std::vector<member_ref>& result, const std::vector<member_ref>& current)
+{
+    for (const auto& member : current) {
+        if (result.size() < current.size() && !contains(result, member))
+            result.push_back(member);
+    }
+}
+
+/// A standby should be able to serve the slices itself: same service, allowed by the records.
+bool can_stand_by(const node_state& state, const plan& candidate)
+{
+    const auto service = own_service(state);
+    if (service.empty() || spaces_of_node(state, service).size() <= 1)
+        return true;
+    if (candidate.m_service != service)
+        return false;
+    const auto spaces = spaces_of_node(state, service);
+    return std::all_of(spaces.begin(), spaces.end(), [&](const std::string& space) {
+        return space == claim_space ||
+               records::may_own(state.m_configuration.m_document, space, candidate.m_service,
+                                candidate.m_server, candidate.m_zone);
+    });
+}
+
+std::set<std::string> zones_of(const node_state& state, const std::vector<member_ref>& members)
+{
+    std::set<std::string> zones;
+    for (const auto& member : members) {
+        if (const auto* known = find_plan(state.m_directory, member))
+            zones.insert(known->m_zone);
+    }
+    return zones;
+}
+
+} // namespace
+
+bool is_usable_member(const node_state& state, time_point now, const member_ref& member)
+{
+    if (member.m_node == state.m_identity.m_node)
+        return false;
+    const auto& own = state.m_ownership;
+    const auto* newest = find_newest_plan(state.m_directory, member.m_node);
+    if (newest == nullptr || newest->m_member != member)
+        return false;
+    const auto avoided = own.m_avoid_until.find(member);
+    if (avoided != own.m_avoid_until.end() && now < avoided->second)
+        return false;
+    if (fenced_plan(state, member) != nullptr)
+        return false;
+    const auto& document = state.m_configuration.m_document;
+    return records::zone_in_service(document, newest->m_zone) &&
+           records::server_in_service(document, newest->m_server);
+}
+
+std::vector<member_ref> choose_standbys(const node_state& state, time_point now,
+                                        const std::vector<member_ref>& current)
+{
+    const auto candidates = usable_plans(state, now);
+    const auto& own_zone = state.m_identity.m_zone;
+    // Order: able to serve, other zone, already chosen, rank. Stable sort keeps the rank order.
+    std::vector<const plan*> order = candidates;
+    const auto key = [&](const plan* value) {
+        return std::make_tuple(!can_stand_by(state, *value), value->m_zone == own_zone,
+                               !contains(current, value->m_member));
+    };
+    std::stable_sort(order.begin(), order.end(),
+                     [&](const plan* a, const plan* b) { return key(a) < key(b); });
+    std::vector<member_ref> result;
+    const auto count = state.m_options.m_standby_count;
+    const bool any_able = !order.empty() && can_stand_by(state, *order.front());
+    for (const bool new_zone_only : {true, false}) {
+        for (const auto* value : order) {
+            const bool able = !any_able || can_stand_by(state, *value);
+            const bool fits = !new_zone_only || zones_of(state, result).count(value->m_zone) == 0;
+            if (result.size() < count && able && fits && !contains(result, value->m_member))
+                result.push_back(value->m_member);
+        }
+    }
+    // The order decides which standby takes over a slice, so an unchanged set keeps its order.
+    if (result.size() == current.size() &&
+        std::is_permutation(result.begin(), result.end(), current.begin()))
+        return current;
+    return result;
+}
+
+std::vector<member_ref> choose_witnesses(const node_state& state, time_point now,
+                                         const std::vector<member_ref>& current,
+                                         const std::vector<member_ref>& standbys)
+{
+    auto result = kept_witnesses(state, now, current);
+    const auto count = state.m_options.m_witness_count;
+    if (result.size() >= count)
+        return result;
+    // Standbys come first: a standby that is a witness needs one message less for a takeover, and
+    // its grants show that it is reachable.
+    std::vector<member_ref> order = standbys;
+    for (const auto* candidate : usable_plans(state, now)) {
+        if (!contains(order, candidate->m_member))
+            order.push_back(candidate->m_member);
+    }
+    for (const bool new_zone_only : {true, false}) {
+        for (const auto& member : order) {
+            const auto* known = find_plan(state.m_directory, member);
+            const bool fits = !new_zone_only || zones_of(state, result).count(known->m_zone) == 0;
+            const bool able = can_witness(state, now, member);
+            if (result.size() < count && able && fits && !contains(result, member))
+                result.push_back(member);
+        }
+    }
+    keep_size(result, current);
+    return result;
+}
+
+bool reachable(const node_state& state, time_point now, const member_ref& member)
+{
+    const auto& heard = state.m_ownership.m_heard;
+    const auto found = heard.find(member);
+    return found != heard.end() && now < found->second + state.m_options.m_lease_duration;
+}
+
+void note_silent_members(node_state& state, time_point now)
+{
+    auto& own = state.m_ownership;
+    for (const auto& [member, asked] : own.m_asked_since) {
+        const auto heard = own.m_heard.find(member);
+        const auto latest = heard == own.m_heard.end() ? asked : std::max(asked, heard->second);
+        if (now >= latest + state.m_options.m_member_loss_delay)
+            own.m_avoid_until[member] = now + state.m_options.m_avoid_time;
+    }
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/plan_write.cpp
@@ -0,0 +1,154 @@
+#include "ownership_internal.hpp"
+
+#include <azureladder/base/hash.hpp>
+#include <azureladder/core/claims.hpp>
+#include <azureladder/core/plan_json.hpp>
+
+#include <algorithm>
+
+namespace azureladder::core {
+
+namespace {
+
+/// Time after the join from which plans of former incarnations are removed. By then the polling
+/// nodes have read all slice tables, so the directory shows every entry that names one.
+constexpr duration purge_delay = seconds(60);
+
+bool is_located(const directory_state& directory, const member_ref& member)
+{
+    return std::any_of(directory.m_locations.begin(), directory.m_locations.end(),
+                       [&](const auto& entry) { return entry.second.m_owner == member; });
+}
+
+void remove_former_plans(const node_state& state, time_point now, json& object,
+                         const plan_shard& shard)
+{
+    if (state.m_ownership.m_phase != join_phase::joined)
+        return;
+    if (now < state.m_ownership.m_join_since + purge_delay)
+        return;
+    for (const auto& [member, content] : shard) {
+        const bool former = member.m_node == state.m_identity.m_node &&
+                            content.m_generation < state.m_ownership.m_plan.m_generation;
+        if (former && !is_located(state.m_directory, member))
+            object.erase(plan_field(member));
+    }
+}
+
+std::uint64_t next_generation(const plan_shard& shard, const node_id& node)
+{
+    std::uint64_t highest = 0;
+    for (const auto& [member, content] : shard) {
+        if (member.m_node == node)
+            highest = std::max(highest, content.m_generation);
+    }
+    return highest + 1;
+}
+
+void finish_proposal(node_state& state, time_point now, effects& output)
+{
+    auto& own = state.m_ownership;
+    const bool joining = own.m_phase == join_phase::writing_plan;
+    own.m_plan = std::move(*own.m_proposal);
+    own.m_proposal.reset();
+    learn_own_plan(state);
+    log_event(output, log_level::info, "plan_written", {{"version", own.m_plan.m_version}});
+    if (joining) {
+        own.m_phase = join_phase::joined;
+        own.m_join_since = now;
+        log_event(output, log_level::info, "node_started",
+                  {{"generation", own.m_plan.m_generation}});
+    }
+    push_own_plan(state, output);
+    // Grants under the new version make it active; asking at once shortens the change.
+    send_lease_round(state, now, output);
+    check_activation(state, now, output);
+}
+
+/// Returns false when the proposal is in the store already.
+bool prepare_proposal(node_state& state, const plan_shard& shard)
+{
+    auto& own = state.m_ownership;
+    const auto stored = shard.find(own.m_proposal->m_member);
+    if (stored == shard.end()) {
+        if (own.m_phase == join_phase::writing_plan)
+            own.m_proposal->m_generation = next_generation(shard, state.m_identity.m_node);
+        return true;
+    }
+    if (plan_to_json(stored->second) == plan_to_json(*own.m_proposal))
+        return false;
+    // An earlier proposal that was given up can have reached the store. Its version was never
+    // announced in a lease request; the next one must be higher.
+    own.m_proposal->m_version = std::max(own.m_proposal->m_version, stored->second.m_version + 1);
+    return true;
+}
+
+void write_proposal(node_state& state, time_point now, const store_operation& read,
+                    const store_finished& answer, effects& output)
+{
+    auto object = parse_object(answer.m_value);
+    if (!object) {
+        log_event(output, log_level::error, "store_value_malformed", {{"key", read.m_key}});
+        state.m_ownership.m_store_retry_at = now + state.m_options.m_store_backoff_limit;
+        return;
+    }
+    if (state.m_ownership.m_phase == join_phase::joined) {
+        // The wish may have changed while the store was down.
+        state.m_ownership.m_proposal = next_plan(state, now);
+        if (!state.m_ownership.m_proposal)
+            return;
+    }
+    std::size_t malformed = 0;
+    const auto shard = plan_shard_from_text(answer.m_value, malformed).value_or(plan_shard{});
+    if (!prepare_proposal(state, shard)) {
+        finish_proposal(state, now, output);
+        return;
+    }
+    const auto& proposal = *state.m_ownership.m_proposal;
+    remove_former_plans(state, now, *object, shard);
+    (*object)[plan_field(proposal.m_member)] = plan_to_json(proposal);
+    store_operation operation;
+    operation.m_task = store_task::write_own_plan;
+    operation.m_key = read.m_key;
+    operation.m_version = proposal.m_version;
+    start_write(state, now, operation, object->dump(), answer.m_version, output);
+}
+
+} // namespace
+
+std::string plan_key(const node_state& state, const node_id& node)
+{
+    return "plans/" + std::to_string(hash64(node) % state.m_ownership.m_plan_shards);
+}
+
+void step_plan_write(node_state& state, time_point now, effects& output)
+{
+    if (!state.m_ownership.m_proposal || !store_ready(state, now))
+        return;
+    if (has_operation(state, store_task::read_own_plan) ||
+        has_operation(state, store_task::write_own_plan))
+        return;
+    start_read(state, now, store_task::read_own_plan, plan_key(state, state.m_identity.m_node),
+               output);
+}
+
+void finish_plan_operation(node_state& state, time_point now, const store_operation& operation,
+                           const store_finished& answer, effects& output)
+{
+    auto& own = state.m_ownership;
+    if (!own.m_proposal)
+        return;
+    if (operation.m_task == store_task::read_own_plan) {
+        if (answer.m_status == store_status::ok)
+            write_proposal(state, now, operation, answer, output);
+        else if (answer.m_status == store_status::not_found)
+            write_proposal(state, now, operation, store_finished{}, output);
+        return;
+    }
+    if (answer.m_status == store_status::ok && operation.m_version == own.m_proposal->m_version)
+        finish_proposal(state, now, output);
+    else
+        step_plan_write(state, now, output);
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/slice_holding.cpp
@@ -0,0 +1,119 @@
+#include "ownership_internal.hpp"
+
+#include <azureladder/core/ownership.hpp>
+#include <azureladder/records/document.hpp>
+
+namespace azureladder::core {
+
+namespace {
+
+void announce_start(node_state& state, const slice_id& slice, held_slice& held, effects& output)
+{
+    held.m_announced = true;
+    log_event(output, log_level::info, "ownership_started",
+              slice_fields(slice, held.m_epoch, held.m_reason));
+    if (state.m_backend && state.m_backend->m_fencing == fencing::checked &&
+        slice.m_space != claim_space)
+        output.push_back(set_backend_grant{{slice, held.m_epoch}, false});
+}
+
+void announce_end(node_state& state, const slice_id& slice, held_slice& held,
+                  const std::string& reason, effects& output)
+{
+    if (!held.m_announced)
+        return;
+    held.m_announced = false;
+    log_event(output, log_level::info, "ownership_ended",
+              slice_fields(slice, held.m_epoch, reason));
+    if (state.m_backend && state.m_backend->m_fencing == fencing::checked &&
+        slice.m_space != claim_space)
+        output.push_back(set_backend_grant{{slice, held.m_epoch}, true});
+}
+
+std::string end_reason(const node_state& state, const held_slice& held, time_point now)
+{
+    if (!holds_lease(state, now))
+        return "lease_expired";
+    if (!held.m_allowed)
+        return "not_allowed";
+    return held.m_exit_reason;
+}
+
+} // namespace
+
+bool node_out_of_service(const node_state& state)
+{
+    const auto& document = state.m_configuration.m_document;
+    const auto server =
+        state.m_backend ? state.m_backend->m_server : state.m_ownership.m_plan.m_server;
+    return !records::zone_in_service(document, state.m_identity.m_zone) ||
+           !records::server_in_service(document, server);
+}
+
+bool backend_leaving(const node_state& state, time_point now)
+{
+    if (!state.m_backend)
+        return false;
+    return state.m_backend->m_draining ||
+           now >= state.m_backend_seen + state.m_options.m_backend_loss_delay;
+}
+
+bool allowed_by_records(const node_state& state, const slice_id& slice)
+{
+    if (slice.m_space == claim_space)
+        return !node_out_of_service(state);
+    if (!state.m_backend)
+        return false;
+    return service_of_space(slice.m_space) == state.m_backend->m_service &&
+           records::may_own(state.m_configuration.m_document, slice.m_space,
+                            state.m_backend->m_service, state.m_backend->m_server,
+                            state.m_identity.m_zone);
+}
+
+duration fencing_wait(const node_state& state, const slice_id& slice)
+{
+    // Claims live in the owner's memory: no backend server executes anything for their slices.
+    if (slice.m_space == claim_space)
+        return duration(0);
+    if (state.m_backend && state.m_backend->m_fencing == fencing::checked)
+        return duration(0);
+    const auto* service =
+        records::find_service(state.m_configuration.m_document, service_of_space(slice.m_space));
+    const auto execution = service == nullptr ? duration(0) : service->m_max_execution;
+    return execution + state.m_options.m_max_send_delay;
+}
+
+void hold_slice(node_state& state, time_point now, const owned_slice& owned, held_slice held)
+{
+    held.m_epoch = owned.m_epoch;
+    held.m_phase = slice_phase::serving;
+    held.m_phase_since = now;
+    held.m_allowed = allowed_by_records(state, owned.m_slice);
+    state.m_ownership.m_slices[owned.m_slice] = std::move(held);
+}
+
+void drop_slice(node_state& state, const slice_id& slice, const std::string& reason,
+                effects& output)
+{
+    auto& own = state.m_ownership;
+    const auto found = own.m_slices.find(slice);
+    if (found == own.m_slices.end())
+        return;
+    announce_end(state, slice, found->second, reason, output);
+    own.m_slices.erase(found);
+    own.m_entry_changes.erase(slice);
+}
+
+void update_serving(node_state& state, time_point now, effects& output)
+{
+    for (auto& [slice, held] : state.m_ownership.m_slices) {
+        held.m_allowed = allowed_by_records(state, slice);
+        const bool serves = serving_epoch(state, slice, now).has_value();
+        if (serves && !held.m_announced)
+            announce_start(state, slice, held, output);
+        else if (!serves && held.m_announced)
+            announce_end(state, slice, held, end_reason(state, held, now), output);
+    }
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/slice_writes.cpp
@@ -0,0 +1,188 @@
+#include "ownership_internal.hpp"
+
+#include <azureladder/core/claims.hpp>
+#include <azureladder/core/ownership.hpp>
+#include <azureladder/core/plan_json.hpp>
+
+#include <set>
+
+namespace azureladder::core {
+
+namespace {
+
+bool is_own_entry(const node_state& state, const slice_location& entry, const entry_change& change)
+{
+    return entry.m_owner == self(state) && entry.m_epoch == change.m_epoch;
+}
+
+bool is_expected(const slice_location& entry, const entry_change& change)
+{
+    return entry.m_owner == change.m_expected.m_owner && entry.m_epoch == change.m_expected.m_epoch;
+}
+
+void start_owning(node_state& state, time_point now, const slice_id& slice,
+                  const entry_change& change)
+{
+    if (change.m_claims_lost)
+        mark_claims_lost(state, slice, now);
+    import_claims(state, change.m_claims, now);
+    held_slice held;
+    held.m_reason = change.m_reason;
+    held.m_recorded = true;
+    if (change.m_claims_lost)
+        held.m_serve_from = now + fencing_wait(state, slice);
+    hold_slice(state, now, {slice, change.m_epoch}, held);
+}
+
+/// Returns whether the node owns the slice now.
+bool finish_change(node_state& state, time_point now, const owned_slice& written, effects& output)
+{
+    auto& own = state.m_ownership;
+    const auto& slice = written.m_slice;
+    const auto found = own.m_entry_changes.find(slice);
+    if (found == own.m_entry_changes.end() || found->second.m_epoch != written.m_epoch)
+        return false;
+    const auto change = std::move(found->second);
+    own.m_entry_changes.erase(found);
+    const auto held = own.m_slices.find(slice);
+    if (!change.m_held) {
+        start_owning(state, now, slice, change);
+    } else if (held != own.m_slices.end()) {
+        held->second.m_recorded = true;
+        held->second.m_epoch = change.m_epoch;
+        if (held->second.m_phase == slice_phase::taking_back) {
+            held->second.m_phase = slice_phase::serving;
+            held->second.m_reason = change.m_reason;
+        }
+    } else {
+        return false;
+    }
+    learn_location(state, slice, {self(state), change.m_epoch}, output);
+    if (!change.m_giver.m_node.empty())
+        send_handover_ack(change, slice, true, output);
+    return true;
+}
+
+void finish_changes(node_state& state, time_point now, const std::vector<owned_slice>& written,
+                    effects& output)
+{
+    std::vector<owned_slice> owned;
+    for (const auto& entry : written) {
+        if (finish_change(state, now, entry, output))
+            owned.push_back(entry);
+    }
+    update_serving(state, now, output);
+    announce_owner(state, owned, output);
+}
+
+void fail_change(node_state& state, const slice_id& slice, const slice_location& entry,
+                 effects& output)
+{
+    auto& own = state.m_ownership;
+    const auto found = own.m_entry_changes.find(slice);
+    if (found == own.m_entry_changes.end())
+        return;
+    const auto change = std::move(found->second);
+    own.m_entry_changes.erase(found);
+    if (!change.m_giver.m_node.empty())
+        send_handover_ack(change, slice, false, output);
+    if (entry.m_epoch != 0)
+        learn_location(state, slice, entry, output);
+    if (change.m_held && own.m_slices.count(slice) != 0) {
+        // Another entry with a lower epoch cannot follow from the protocol; keep the slice out of
+        // service rather than serve it beside an unknown owner.
+        log_event(output, log_level::error, "slice_table_conflict",
+                  slice_fields(slice, change.m_epoch, member_text(entry.m_owner)));
+        drop_slice(state, slice, "slice_table_conflict", output);
+    }
+}
+
+/// Applies the changes of one shard whose expected entry stands; returns the slices to write.
+std::vector<owned_slice> apply_changes(node_state& state, time_point now, const std::string& key,
+                                       const slice_table& table, json& object, effects& output)
+{
+    std::vector<slice_id> slices;
+    for (const auto& [slice, change] : state.m_ownership.m_entry_changes) {
+        if (table_key(state, slice) == key)
+            slices.push_back(slice);
+    }
+    std::vector<owned_slice> written;
+    std::vector<owned_slice> present;
+    for (const auto& slice : slices) {
+        const auto& change = state.m_ownership.m_entry_changes.at(slice);
+        const auto stored = table.find(slice.m_index);
+        const auto entry = stored == table.end() ? slice_location{} : stored->second;
+        if (is_own_entry(state, entry, change)) {
+            present.push_back({slice, change.m_epoch});
+        } else if (is_expected(entry, change)) {
+            object[std::to_string(slice.m_index)] = location_to_json({self(state), change.m_epoch});
+            written.push_back({slice, change.m_epoch});
+        } else {
+            fail_change(state, slice, entry, output);
+        }
+    }
+    finish_changes(state, now, present, output);
+    return written;
+}
+
+void write_table(node_state& state, time_point now, const store_operation& read,
+                 const store_finished& answer, effects& output)
+{
+    auto object = parse_object(answer.m_value);
+    if (!object) {
+        log_event(output, log_level::error, "store_value_malformed", {{"key", read.m_key}});
+        state.m_ownership.m_store_retry_at = now + state.m_options.m_store_backoff_limit;
+        return;
+    }
+    std::size_t malformed = 0;
+    const auto table = slice_table_from_text(answer.m_value, malformed).value_or(slice_table{});
+    learn_slice_table(state, space_of_table_key(read.m_key), answer.m_value, output);
+    store_operation operation;
+    operation.m_task = store_task::write_table;
+    operation.m_key = read.m_key;
+    operation.m_slices = apply_changes(state, now, read.m_key, table, *object, output);
+    if (operation.m_slices.empty() || !holds_lease(state, now))
+        return;
+    start_write(state, now, operation, object->dump(), answer.m_version, output);
+}
+
+} // namespace
+
+std::string table_key(const node_state& state, const slice_id& slice)
+{
+    return "slices/" + slice.m_space + "/" +
+           std::to_string(slice.m_index % state.m_ownership.m_slice_shards);
+}
+
+void step_entry_changes(node_state& state, time_point now, effects& output)
+{
+    const auto& own = state.m_ownership;
+    if (own.m_entry_changes.empty() || !store_ready(state, now) || !holds_lease(state, now))
+        return;
+    std::set<std::string> keys;
+    for (const auto& [slice, change] : own.m_entry_changes)
+        keys.insert(table_key(state, slice));
+    for (const auto& key : keys) {
+        if (!has_operation(state, store_task::read_table, key) &&
+            !has_operation(state, store_task::write_table, key))
+            start_read(state, now, store_task::read_table, key, output);
+    }
+}
+
+void finish_table_operation(node_state& state, time_point now, const store_operation& operation,
+                            const store_finished& answer, effects& output)
+{
+    if (operation.m_task == store_task::read_table) {
+        if (answer.m_status == store_status::ok)
+            write_table(state, now, operation, answer, output);
+        else if (answer.m_status == store_status::not_found)
+            write_table(state, now, operation, store_finished{}, output);
+        return;
+    }
+    if (answer.m_status == store_status::ok)
+        finish_changes(state, now, operation.m_slices, output);
+    // After a conflict or a lost answer the next step reads the value again and compares.
+    step_entry_changes(state, now, output);
+}
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/tests/cluster_harness.hpp
@@ -0,0 +1,164 @@
+#pragma once
+
+#include <azureladder/core/node_state.hpp>
+#include <azureladder/core/step.hpp>
+#include <azureladder/records/document.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace azureladder::core::testing {
+
+/// Faults of the simulated network and store. All chances are in parts per thousand.
+struct fault_options
+{
+    std::uint32_t m_loss = 0;
+    std::uint32_t m_duplication = 0;
+    duration m_min_delay = milliseconds(1);
+    duration m_max_delay = milliseconds(3);
+    std::uint32_t m_store_lost_answers = 0;
+    duration m_store_delay = milliseconds(3);
+};
+
+/// In-memory platform store with compare-and-swap.
+struct simulated_store
+{
+    struct entry
+    {
+        std::string m_value;
+        std::uint64_t m_version = 0;
+    };
+    std::map<std::string, entry> m_entries;
+    bool m_down = false;
+    std::uint64_t m_calls = 0;
+};
+
+struct simulated_node
+{
+    node_identity m_identity;
+    backend_info m_backend;
+    node_state m_state;
+    bool m_running = false;
+    bool m_backend_up = true;
+    bool m_finished = false;
+    time_point m_paused_until{};
+    time_point m_next_announcement{};
+
+    /// Difference of the clock from simulated time, and its rate error in parts per thousand.
+    duration m_clock_offset{0};
+    std::int64_t m_rate_permille = 0;
+
+    /// Counts the processes of this node, so that events for a former one are dropped.
+    std::uint64_t m_process = 0;
+    std::vector<event> m_waiting;
+};
+
+/// Runs several nodes over a simulated network and store, in one thread and repeatable from its
+/// seed. Checks after each event that no two nodes serve one slice and that epochs do not decrease.
+class cluster_harness
+{
+public:
+    explicit cluster_harness(std::uint64_t seed, const core_options& options = core_options());
+
+    void add_node(const std::string& name, const std::string& zone, const std::string& service,
+                  fencing checks = fencing::checked);
+    void start(const std::string& name);
+    void start_all();
+
+    /// Ends the process without notice.
+    void kill(const std::string& name);
+    void pause(const std::string& name, duration time);
+    void stop(const std::string& name);
+
+    /// Messages between the two nodes are dropped in both directions while blocked.
+    void set_blocked(const std::string& a, const std::string& b, bool blocked);
+    void set_isolated(const std::string& name, bool isolated);
+
+    /// Replaces the configuration in the store by one with `records` added; nodes poll it.
+    void apply(const json& records);
+
+    void run_for(duration time);
+    bool run_until(const std::function<bool()>& condition, duration limit);
+
+    time_point now() const { return m_now; }
+    simulated_node& node(const std::string& name) { return m_nodes.at(name); }
+    std::vector<std::string> names() const;
+    time_point local_time(const simulated_node& target) const;
+
+    /// Name of the node that serves the slice now; empty when there is none.
+    std::string server_of(const slice_id& slice) const;
+    std::size_t served(const std::string& name) const;
+
+    /// All slices of the claim space and of all services in the configuration.
+    std::vector<slice_id> all_slices() const;
+    bool all_served() const;
+
+    /// Passes an event to a node now.
+    void inject(const std::string& name, const event& input);
+
+    fault_options m_faults;
+    simulated_store m_store;
+
+    /// Violations of the invariants, in words.
+    std::vector<std::string> m_violations;
+
+    /// Requests in flight that the nodes report for each slice, by node.
+    std::size_t m_log_count = 0;
+    std::map<std::string, std::size_t> m_events_logged;
+    std::vector<std::string> m_log;
+    bool m_keep_log = false;
+
+private:
+    struct scheduled
+    {
+        time_point m_time;
+        std::uint64_t m_order = 0;
+        std::string m_node;
+        std::uint64_t m_process = 0;
+        event m_event;
+    };
+    struct later
+    {
+        bool operator()(const scheduled& a, const scheduled& b) const
+        {
+            return std::tie(a.m_time, a.m_order) > std::tie(b.m_time, b.m_order);
+        }
+    };
+
+    void schedule(duration delay, const std::string& name, event input);
+    void deliver(simulated_node& target, const event& input);
+    void execute(simulated_node& source, const effect& output);
+    void send(simulated_node& source, const send_message& output);
+    void access_store(simulated_node& source, const store_read& output);
+    void access_store(simulated_node& source, const store_write& output);
+    void answer(simulated_node& source, store_finished result);
+    void check(simulated_node& changed);
+    bool is_blocked(const std::string& a, const std::string& b) const;
+    bool chance(std::uint32_t permille);
+    void resume(simulated_node& target);
+    void announce_backend(simulated_node& target);
+
+    core_options m_options;
+    random_source m_random;
+    time_point m_now{seconds(100)};
+    std::uint64_t m_order = 0;
+    std::map<std::string, simulated_node> m_nodes;
+    std::priority_queue<scheduled, std::vector<scheduled>, later> m_queue;
+    std::set<std::pair<std::string, std::string>> m_blocked;
+    std::set<std::string> m_isolated;
+    records::document m_document;
+
+    struct last_service
+    {
+        std::string m_node;
+        epoch_number m_epoch = 0;
+    };
+    std::map<slice_id, last_service> m_last;
+};
+
+} // namespace azureladder::core::testing
