Read all plan shards to verify that a change is accepted

The configuration module reads the plans from the store after the acknowledgements, so that a node that joined meanwhile is seen. The fakes of the ownership tests are replaced by the real modules; routing tests keep theirs in a program of their own.

--- a/cmake/library.cmake
+++ b/cmake/library.cmake
@@ -1,7 +1,8 @@
 # Declares the library libs/<name> with its sources, public headers and tests.
-#   azureladder_library(<name> [DEPENDS <azureladder library>...] [LINK <other target>...])
+#   azureladder_library(<name> [OWN_TESTS] [DEPENDS <azureladder library>...] [LINK <target>...])
+# With OWN_TESTS the caller declares the test programs.
 function(azureladder_library name)
-  cmake_parse_arguments(ARG "" "" "DEPENDS;LINK" ${ARGN})
+  cmake_parse_arguments(ARG "OWN_TESTS" "" "DEPENDS;LINK" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS src/*.cpp)
   if(sources)
     add_library(azureladder_${name} STATIC ${sources})
@@ -19,7 +20,7 @@
   target_link_libraries(azureladder_${name} ${scope} Threads::Threads ${ARG_LINK})
 
   file(GLOB test_sources CONFIGURE_DEPENDS tests/*.cpp)
-  if(test_sources)
+  if(test_sources AND NOT ARG_OWN_TESTS)
     azureladder_test(${name}_test SOURCES ${test_sources} DEPENDS ${name})
     target_include_directories(${name}_test PRIVATE src)
   endif()
--- a/libs/core/src/plan_json.cpp
+++ b/libs/core/src/plan_json.cpp
@@ -1,5 +1,7 @@
 #include <azureladder/core/plan_json.hpp>
 
+#include <azureladder/core/ownership.hpp>
+
 namespace azureladder::core {
 
 namespace {
@@ -153,4 +155,16 @@
     return table;
 }
 
+std::vector<plan> plans_from_text(const std::string& text)
+{
+    std::size_t malformed = 0;
+    std::vector<plan> plans;
+    const auto shard = plan_shard_from_text(text, malformed);
+    if (!shard)
+        return plans;
+    for (const auto& entry : *shard)
+        plans.push_back(entry.second);
+    return plans;
+}
+
 } // namespace azureladder::core
--- a/libs/core/src/plan_write.cpp
+++ b/libs/core/src/plan_write.cpp
@@ -151,4 +151,12 @@
         step_plan_write(state, now, output);
 }
 
+std::vector<std::string> plan_shard_keys(const node_state& state)
+{
+    std::vector<std::string> keys;
+    for (std::uint32_t shard = 0; shard < state.m_ownership.m_plan_shards; ++shard)
+        keys.push_back("plans/" + std::to_string(shard));
+    return keys;
+}
+
 } // namespace azureladder::core
