--- a/libs/core/include/azureladder/core/upstream_measure.hpp
+++ b/libs/core/include/azureladder/core/upstream_measure.hpp
@@ -72,14 +72,20 @@
     /// 95th percentile of the latest latencies; zero until known.
     duration m_hedge_delay{0};
 
-    attempt_budget m_retries;
-    attempt_budget m_hedges;
+    /// Retries and hedges that are allowed whatever the traffic in the budget period.
+    static constexpr std::uint32_t retry_floor = 20;
+    static constexpr std::uint32_t hedge_floor = 1;
+    attempt_budget m_retries{{}, retry_floor};
+    attempt_budget m_hedges{{}, hedge_floor};
     std::uint64_t m_round_robin = 0;
 };
 
 /// Accounts a whole reply of an upstream.
 void note_reply(service_measure& service, upstream_measure& upstream, duration latency);
 
+/// Accounts a cancelled attempt: its latency is at least `age`.
+void note_unanswered(upstream_measure& upstream, duration age);
+
 /// Lowers the number of requests that fit at an upstream that refused one.
 void note_upstream_refusal(upstream_measure& upstream);
 
--- a/libs/core/src/routing.cpp
+++ b/libs/core/src/routing.cpp
@@ -106,14 +106,7 @@
 
 service_measure& measure_of(node_state& state, const std::string& service)
 {
-    const auto [found, is_new] = state.m_routing.m_services.try_emplace(service);
-    if (is_new) {
-        constexpr std::uint32_t retry_floor = 20;
-        constexpr std::uint32_t hedge_floor = 1;
-        found->second.m_retries.m_floor = retry_floor;
-        found->second.m_hedges.m_floor = hedge_floor;
-    }
-    return found->second;
+    return state.m_routing.m_services[service];
 }
 
 } // namespace azureladder::core
--- a/libs/core/src/routing_answers.cpp
+++ b/libs/core/src/routing_answers.cpp
@@ -16,10 +16,13 @@
     auto& attempts = step.m_state.m_routing.m_attempts;
     for (auto found = attempts.lower_bound({token, 0});
          found != attempts.end() && found->first.first == token; ++found) {
-        found->second.m_settled = true;
-        if (found->second.m_cancelled)
+        auto& attempt = found->second;
+        attempt.m_settled = true;
+        if (attempt.m_cancelled)
             continue;
-        found->second.m_cancelled = true;
+        attempt.m_cancelled = true;
+        auto& measure = measure_of(step.m_state, attempt.m_service);
+        note_unanswered(measure.m_upstreams[attempt.m_to], step.m_now - attempt.m_started);
         step.m_output.emplace_back(cancel_attempt{token, found->first.second});
     }
 }
--- a/libs/core/src/upstream_measure.cpp
+++ b/libs/core/src/upstream_measure.cpp
@@ -55,6 +55,14 @@
     service.m_hedge_delay = std::max<duration>(duration(*rank), milliseconds(1));
 }
 
+void smooth_latency(upstream_measure& upstream, double latency_us)
+{
+    upstream.m_latency_us = upstream.m_samples == 0 ? latency_us
+                                                    : upstream.m_latency_us * (1.0 - smoothing) +
+                                                          latency_us * smoothing;
+    ++upstream.m_samples;
+}
+
 void eject(upstream_measure& upstream, time_point now)
 {
     const bool repeated =
@@ -78,14 +86,18 @@
 void note_reply(service_measure& service, upstream_measure& upstream, duration latency)
 {
     const auto latency_us = static_cast<double>(latency.count());
-    upstream.m_latency_us = upstream.m_samples == 0 ? latency_us
-                                                    : upstream.m_latency_us * (1.0 - smoothing) +
-                                                          latency_us * smoothing;
-    ++upstream.m_samples;
+    smooth_latency(upstream, latency_us);
     update_window(upstream, latency_us);
     update_percentile(service, latency);
 }
 
+void note_unanswered(upstream_measure& upstream, duration age)
+{
+    const auto age_us = static_cast<double>(age.count());
+    if (age_us > upstream.m_latency_us)
+        smooth_latency(upstream, age_us);
+}
+
 void note_upstream_refusal(upstream_measure& upstream)
 {
     upstream.m_window = std::max(1.0, upstream.m_window * refusal_decrease);
--- a/libs/core/tests/fake_ownership.cpp
+++ b/libs/core/tests/fake_ownership.cpp
@@ -1,8 +1,7 @@
-// Link-time stand-in for the ownership and configuration modules; to be deleted when they are
-// merged. Nodes are told apart by name.
+// Link-time stand-in for the ownership module; to be deleted when it is merged. Nodes are told
+// apart by name.
 #include "fake_ownership.hpp"
 
-#include <azureladder/core/configuration.hpp>
 #include <azureladder/core/ownership.hpp>
 
 #include <map>
@@ -54,9 +53,6 @@
 
 } // namespace testing
 
-void step_configuration(node_state&, time_point, const event&, effects&) {}
-void step_ownership(node_state&, time_point, const event&, effects&) {}
-
 bool holds_lease(const node_state& state, time_point now)
 {
     return now < fake_of(state).m_lease_end;
--- a/libs/core/tests/fake_ownership.hpp
+++ b/libs/core/tests/fake_ownership.hpp
@@ -2,8 +2,8 @@
 
 #include <azureladder/core/node_state.hpp>
 
-// Link-time stand-in for the ownership and configuration modules. Only the functions below depend
-// on it: when the real modules are merged, they set `ownership_state` instead.
+// Link-time stand-in for the ownership module. Only the functions below depend on it: when the real
+// module is merged, they set `ownership_state` instead.
 namespace azureladder::core::testing {
 
 void reset_ownership();
--- a/libs/core/tests/routing_fixture.cpp
+++ b/libs/core/tests/routing_fixture.cpp
@@ -11,8 +11,12 @@
 
 } // namespace
 
-routing_fixture::routing_fixture() : m_state(make_node_state(make_identity(), {}, 7))
+routing_fixture::routing_fixture()
 {
+    constexpr std::uint64_t seed = 7;
+    m_state.m_identity = make_identity();
+    m_state.m_random.m_state = seed;
+    m_state.m_incarnation = 1;
     reset_ownership();
     auto& services = m_state.m_configuration.m_document.m_services;
     services["shop"].m_name = "shop";
@@ -25,7 +29,10 @@
 
 void routing_fixture::run(const event& input)
 {
-    m_output = step(m_state, m_now, input);
+    m_output.clear();
+    // The other modules are not under test, so their steps are left out.
+    step_claims(m_state, m_now, input, m_output);
+    step_routing(m_state, m_now, input, m_output);
 }
 
 void routing_fixture::advance(duration time)
@@ -34,8 +41,8 @@
     const auto end = m_now + time;
     while (m_now < end) {
         m_now += m_state.m_options.m_tick_interval;
-        for (auto& value : step(m_state, m_now, timer_tick{}))
-            collected.push_back(std::move(value));
+        run(timer_tick{});
+        collected.insert(collected.end(), m_output.begin(), m_output.end());
     }
     m_output = std::move(collected);
 }
@@ -62,7 +69,7 @@
                                const std::string& service)
 {
     plan value;
-    value.m_member = {node, node == "a" ? m_state.m_incarnation : 1};
+    value.m_member = {node, 1};
     value.m_generation = 1;
     value.m_version = 1;
     value.m_zone = zone;
--- a/libs/core/tests/routing_fixture.hpp
+++ b/libs/core/tests/routing_fixture.hpp
@@ -3,8 +3,8 @@
 #include "fake_ownership.hpp"
 
 #include <azureladder/core/claims.hpp>
+#include <azureladder/core/node_state.hpp>
 #include <azureladder/core/routing.hpp>
-#include <azureladder/core/step.hpp>
 
 #include <gtest/gtest.h>
 
