Limit the nesting of JSON texts from outside to 32 levels

nlohmann-json parses any depth, but copies of a value recurse, so a change of 1 MB of brackets could exhaust the stack of a node. The parser callback drops deeper values while it runs. Tested at 32 and 33 levels and at one million.

--- a/libs/base/include/azureladder/base/object_reader.hpp
+++ b/libs/base/include/azureladder/base/object_reader.hpp
@@ -109,8 +109,9 @@
     std::set<std::string> m_known;
 };
 
-/// Parses JSON text, with // and /* */ comments when `comments` is set. Syntax errors and fields
-/// that occur twice in one object are added to `errors`; the result is then of type discarded.
+/// Parses JSON text, with // and /* */ comments when `comments` is set. Syntax errors, fields that
+/// occur twice in one object and nesting deeper than 32 levels are added to `errors`; the result
+/// is then of type discarded.
 json parse_json_text(const std::string& text, bool comments, std::vector<field_error>& errors);
 
 } // namespace azureladder
--- a/libs/base/src/object_reader.cpp
+++ b/libs/base/src/object_reader.cpp
@@ -26,14 +26,22 @@
     return end == std::string::npos ? message : message.substr(end + 2);
 }
 
-/// Collects fields that occur twice in one object while the parser runs; nlohmann-json would
-/// silently keep the last one.
-class duplicate_finder
+/// Deepest nesting of a text. Copies of a JSON value recurse, so that a deep text from outside
+/// could exhaust the stack.
+constexpr int max_depth = 32;
+
+/// Looks at a text while the parser runs: nlohmann-json would silently keep the last of two fields
+/// with the same name, and accepts any depth.
+class text_checker
 {
 public:
-    void see(json::parse_event_t event, const json& parsed)
+    /// False when the value that starts here must not be kept.
+    bool see(int depth, json::parse_event_t event, const json& parsed)
     {
         using event_type = json::parse_event_t;
+        m_too_deep = m_too_deep || depth > max_depth;
+        if (m_too_deep)
+            return false;
         if (event == event_type::object_start) {
             m_open.emplace_back();
         } else if (event == event_type::object_end) {
@@ -42,11 +50,19 @@
             if (!m_open.back().insert(parsed.get<std::string>()).second)
                 m_duplicates.insert(parsed.get<std::string>());
         }
+        return true;
     }
 
-    const std::set<std::string>& duplicates() const { return m_duplicates; }
+    void report(std::vector<field_error>& errors) const
+    {
+        if (m_too_deep)
+            errors.push_back({"", "nested deeper than " + std::to_string(max_depth) + " levels"});
+        for (const auto& name : m_duplicates)
+            errors.push_back({name, "occurs twice in one object"});
+    }
 
 private:
+    bool m_too_deep = false;
     std::vector<std::set<std::string>> m_open;
     std::set<std::string> m_duplicates;
 };
@@ -204,21 +220,19 @@
 
 json parse_json_text(const std::string& text, bool comments, std::vector<field_error>& errors)
 {
-    duplicate_finder finder;
-    const auto callback = [&](int, json::parse_event_t event, json& parsed) {
-        finder.see(event, parsed);
-        return true;
+    text_checker checker;
+    const auto callback = [&](int depth, json::parse_event_t event, json& parsed) {
+        return checker.see(depth, event, parsed);
     };
+    const std::size_t errors_before = errors.size();
     json value;
     try {
         value = json::parse(text, callback, true, comments);
+        checker.report(errors);
     } catch (const json::exception& error) {
         errors.push_back({"", "not valid JSON: " + without_error_id(error.what())});
-        return json(json::value_t::discarded);
     }
-    for (const auto& name : finder.duplicates())
-        errors.push_back({name, "occurs twice in one object"});
-    return finder.duplicates().empty() ? value : json(json::value_t::discarded);
+    return errors.size() == errors_before ? value : json(json::value_t::discarded);
 }
 
 } // namespace azureladder
--- a/libs/base/tests/object_reader_test.cpp
+++ b/libs/base/tests/object_reader_test.cpp
@@ -17,6 +17,26 @@
     EXPECT_EQ(errors[0].m_path, "b");
 }
 
+// Guards against a deep text that exhausts the stack when the value is copied.
+TEST(json_text, depth_is_limited)
+{
+    const auto nested = [](int depth) {
+        std::string text;
+        for (int i = 0; i < depth; ++i)
+            text += i % 2 == 0 ? "[" : "{\"a\":";
+        text += "1";
+        for (int i = depth - 1; i >= 0; --i)
+            text += i % 2 == 0 ? "]" : "}";
+        return text;
+    };
+    std::vector<field_error> errors;
+    EXPECT_TRUE(parse_json_text(nested(32), false, errors).is_array());
+    EXPECT_TRUE(errors.empty());
+    EXPECT_TRUE(parse_json_text(nested(33), false, errors).is_discarded());
+    EXPECT_TRUE(parse_json_text(nested(1000000), false, errors).is_discarded());
+    EXPECT_EQ(errors.size(), 2u);
+}
+
 // Guards against comments in protocol texts and against texts that throw.
 TEST(json_text, comments_only_where_allowed)
 {
