Check every combination of options of a change

Options may stand anywhere between the arguments and must not influence each other. The test runs all 64 combinations of the six options of the zone command and checks the call, the body, the waiting time and the form of the output of each.

--- a/apps/azureladder/tests/arguments_test.cpp
+++ b/apps/azureladder/tests/arguments_test.cpp
@@ -73,6 +73,34 @@
     }
 }
 
+// Guards against options that are lost or change their meaning next to others.
+TEST(arguments, every_combination_of_options)
+{
+    const std::vector<arguments> options = {{"--json"},         {"--node", "10.0.0.1:7"},
+                                            {"--timeout-ms=9"}, {"--base-revision", "5"},
+                                            {"--wait-ms", "0"}, {"--reason", "a b"}};
+    for (unsigned chosen = 0; chosen < 1U << options.size(); ++chosen) {
+        arguments all = {"zone", "out", "z1"};
+        for (std::size_t i = 0; i < options.size(); ++i) {
+            if ((chosen & (1U << i)) != 0)
+                all.insert(i % 2 == 0 ? all.end() : all.begin() + 1, options[i].begin(),
+                           options[i].end());
+        }
+        cli_run cli;
+        cli.m_node.on("POST /_azureladder/v1/operator/changes", 202, json::object());
+        cli.m_node.on("GET /_azureladder/v1/operator/changes/id-1", 200, {{"state", "writing"}});
+        EXPECT_EQ(cli(all), exit_code::unknown);
+        const json body = json::parse(cli.m_node.m_calls[1].second);
+        EXPECT_EQ(json::accept(cli.out()), (chosen & 1) != 0);
+        EXPECT_EQ(cli.m_node.m_connected[0],
+                  std::string(chosen & 2 ? "10.0.0.1:7" : "127.0.0.1:8080") +
+                      (chosen & 4 ? " 9" : " 5000"));
+        EXPECT_EQ(body["base_revision"], chosen & 8 ? 5 : 0);
+        EXPECT_EQ(cli.m_time, time_point{} + (chosen & 16 ? seconds(0) : seconds(15)));
+        EXPECT_EQ(body["records"][0].value("reason", ""), chosen & 32 ? "a b" : "");
+    }
+}
+
 // Guards against a command or an option without help.
 TEST(arguments, help_names_everything)
 {
