--- a/testbench/load/src/random_source.hpp
+++ b/testbench/common/include/azureladder/testbench/random_source.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "load_settings.hpp"
-
 #include <cmath>
+#include <cstddef>
+#include <cstdint>
 #include <random>
 #include <vector>
 
-namespace azureladder::load {
+namespace azureladder::testbench {
 
 /// Seeded random numbers that are equal on all platforms, unlike the standard distributions.
 class random_source
@@ -47,4 +47,4 @@
     std::mt19937_64 m_engine;
 };
 
-} // namespace azureladder::load
+} // namespace azureladder::testbench
--- a/testbench/load/src/key_chooser.hpp
+++ b/testbench/load/src/key_chooser.hpp
@@ -1,13 +1,16 @@
 #pragma once
 
 #include "load_settings.hpp"
-#include "random_source.hpp"
+
+#include <azureladder/testbench/random_source.hpp>
 
 #include <string>
 #include <vector>
 
 namespace azureladder::load {
 
+using testbench::random_source;
+
 /// Chooses the keys of one service.
 class key_chooser
 {
--- a/testbench/load/src/schedule.hpp
+++ b/testbench/load/src/schedule.hpp
@@ -2,7 +2,8 @@
 
 #include "key_chooser.hpp"
 #include "load_settings.hpp"
-#include "random_source.hpp"
+
+#include <azureladder/testbench/random_source.hpp>
 
 #include <optional>
 #include <string>
