Add the experiment runner azureladder-bench

Figures about unavailable time, imbalance, churn and tail latency must come from repeatable runs of the whole deployment. Python's standard library was chosen over a C++ program, because it is shorter and the runner is not on a measured path.

--- /dev/null
+++ b/testbench/bench/azureladder_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments with a whole deployment of azureladder on loopback addresses."""
--- /dev/null
+++ b/testbench/bench/azureladder_bench/measures.py
@@ -0,0 +1,192 @@
+"""Computes the measures of one run from the caller's history, the logs and /proc."""
+
+import collections
+import dataclasses
+import json
+import math
+
+US_PER_MS = 1000
+US_PER_S = 1000000
+SHARES = {"p50_us": 0.5, "p90_us": 0.9, "p99_us": 0.99, "p99.9_us": 0.999, "max_us": 1.0}
+
+
+@dataclasses.dataclass
+class Call:
+    """One call of the history."""
+
+    service: str
+    key: str
+    scheduled_us: int
+    finished_us: int
+    outcome: str
+    executed: str
+    server: str
+
+    def latency_us(self):
+        """Time from the scheduled arrival to the end of the call."""
+        return self.finished_us - self.scheduled_us
+
+    def is_ok(self):
+        """Whether the caller received a success."""
+        return self.outcome == "ok"
+
+
+def json_lines(path):
+    """Objects of a JSON-lines file; lines that cannot be parsed are left out."""
+    with open(path, encoding="utf-8", errors="replace") as file:
+        for line in file:
+            try:
+                yield json.loads(line)
+            except json.JSONDecodeError:
+                continue
+
+
+def read_calls(path):
+    """Finished calls of a history in the order of their scheduled arrival."""
+    started = {}
+    calls = []
+    for line in json_lines(path):
+        if line["event"] == "call_started":
+            started[line["request_id"]] = line
+        elif line["event"] == "call_finished" and line["request_id"] in started:
+            start = started.pop(line["request_id"])
+            calls.append(Call(start["service"], start["key"], start["scheduled_mono_us"],
+                              line["mono_us"], line["outcome"], line["executed"],
+                              line["server"]))
+    calls.sort(key=lambda call: call.scheduled_us)
+    return calls
+
+
+def percentile(values, share):
+    """Smallest of the sorted values that is at least as large as the given share of them."""
+    return values[max(0, math.ceil(share * len(values)) - 1)] if values else 0
+
+
+def latencies(calls):
+    """Percentiles of the latencies of the successful calls."""
+    values = sorted(call.latency_us() for call in calls if call.is_ok())
+    return {name: percentile(values, share) for name, share in SHARES.items()}
+
+
+def outcomes(calls):
+    """Number of calls by outcome and by what the caller knows of the execution."""
+    by_outcome = collections.Counter(call.outcome for call in calls)
+    by_executed = collections.Counter(call.executed for call in calls)
+    return {"outcomes": dict(by_outcome), "executed": dict(by_executed)}
+
+
+def unavailable_times_us(calls):
+    """Lengths of the periods from a first failed call to the end of the next successful one."""
+    periods = []
+    first_failed_us = None
+    for call in calls:
+        if not call.is_ok():
+            first_failed_us = first_failed_us or call.scheduled_us
+        elif first_failed_us is not None:
+            periods.append(call.finished_us - first_failed_us)
+            first_failed_us = None
+    if first_failed_us is not None:
+        periods.append(calls[-1].finished_us - first_failed_us)
+    return periods
+
+
+def unavailable(calls, is_divided):
+    """Longest and total unavailable time, for each key when the service is divided by key."""
+    groups = collections.defaultdict(list)
+    for call in calls:
+        groups[call.key if is_divided else ""].append(call)
+    periods = [period for group in groups.values() for period in unavailable_times_us(group)]
+    return {"longest_ms": max(periods, default=0) / US_PER_MS, "periods": len(periods),
+            "total_ms": sum(periods) / US_PER_MS}
+
+
+def imbalance(calls, servers):
+    """Requests of the busiest server divided by the mean of all servers of the service."""
+    counts = collections.Counter(call.server for call in calls if call.server)
+    total = sum(counts.values())
+    return max(counts.values()) * len(servers) / total if total and servers else 0
+
+
+def service_measures(calls, is_divided, servers):
+    """All measures of one service in a period."""
+    ok_count = sum(call.is_ok() for call in calls)
+    return {"calls": len(calls), "ok": ok_count,
+            "ok_share": ok_count / len(calls) if calls else 0,
+            "latency": latencies(calls), "unavailable": unavailable(calls, is_divided),
+            "imbalance": imbalance(calls, servers), **outcomes(calls)}
+
+
+def in_window(calls, start_us, window):
+    """Calls that arrived in a window of seconds after the start of the load."""
+    first_us = start_us + window["from_s"] * US_PER_S
+    last_us = start_us + window["to_s"] * US_PER_S
+    return [call for call in calls if first_us <= call.scheduled_us < last_us]
+
+
+def by_service(calls, divided, servers):
+    """Measures of each service and of all calls together."""
+    result = {}
+    for service in sorted(servers):
+        own = [call for call in calls if call.service == service]
+        if own:
+            result[service] = service_measures(own, service in divided, servers[service])
+    result["all"] = service_measures(calls, False, [])
+    return result
+
+
+def ownership_changes(logs, since_us):
+    """Number of slices that got an owner after a time, by the reason in the logs."""
+    reasons = collections.Counter()
+    for path in logs:
+        with open(path, encoding="utf-8", errors="replace") as file:
+            relevant = [line for line in file if '"ownership_started"' in line]
+        for text in relevant:
+            try:
+                line = json.loads(text)
+            except json.JSONDecodeError:
+                continue
+            if line.get("event") == "ownership_started" and line.get("mono_us", 0) >= since_us:
+                reasons[str(line.get("reason", "unknown"))] += 1
+    return dict(reasons)
+
+
+def difference(after, before):
+    """Difference of the numbers of two flat objects."""
+    return {name: value - before.get(name, 0) for name, value in after.items()
+            if isinstance(value, (int, float))}
+
+
+def proxy_traffic(links):
+    """Bytes and units that passed and were dropped, by pair of zones."""
+    traffic = {}
+    for link in links:
+        source, _, target = link["name"].partition("->")
+        pair = f"{source.partition('/')[0]}->{target.partition('/')[0]}"
+        sums = traffic.setdefault(pair, collections.Counter())
+        for direction in ("forward", "backward"):
+            for field in ("passed_bytes", "passed_units", "dropped_units"):
+                sums[field] += link[direction][field]
+    return {pair: dict(sums) for pair, sums in traffic.items()}
+
+
+def flat_metrics(run):
+    """Numbers of a run that are compared between variants."""
+    metrics = {}
+    for service, values in run["services"].items():
+        metrics[f"{service}.ok_share"] = values["ok_share"]
+        for name in ("p50_us", "p99_us", "p99.9_us"):
+            metrics[f"{service}.{name}"] = values["latency"][name]
+        metrics[f"{service}.unavailable_longest_ms"] = values["unavailable"]["longest_ms"]
+        if service != "all":
+            metrics[f"{service}.imbalance"] = values["imbalance"]
+    router = run["usage"].get("router", {})
+    calls = run["services"]["all"]["calls"]
+    metrics["router.cpu_s"] = router.get("cpu_s", 0)
+    metrics["router.cpu_us_per_call"] = router.get("cpu_s", 0) * US_PER_S / max(calls, 1)
+    metrics["router.max_resident_kb"] = router.get("max_resident_kb", 0)
+    metrics["ownership_changes"] = sum(run["ownership_changes"].values())
+    metrics["violations"] = run["audit"]["violations"]
+    for window, services in run["windows"].items():
+        metrics[f"{window}.ok_share"] = services["all"]["ok_share"]
+        metrics[f"{window}.p99_us"] = services["all"]["latency"]["p99_us"]
+    return metrics
--- /dev/null
+++ b/testbench/bench/azureladder_bench/run.py
@@ -0,0 +1,151 @@
+"""Executes one run: one repetition of one variant."""
+
+import json
+import time
+
+from . import measures, network
+from .deployment import Deployment
+from .experiment import merged, read_json_with_comments
+from .processes import ProcessGroup
+from .timeline import Timeline
+
+STEP_S = 0.02
+SAMPLE_S = 1
+LOAD_LIMIT_S = 120
+AUDIT_LIMIT_S = 300
+US_PER_S = 1000000
+
+
+def boot_time_us():
+    """Clock of `mono_us` in all logs."""
+    return int(time.clock_gettime(time.CLOCK_BOOTTIME) * US_PER_S)
+
+
+def divided_services(experiment):
+    """Services of the records of which each key has one owner."""
+    records = read_json_with_comments(experiment.deployment / "records.json")
+    rows = records if isinstance(records, list) else records["records"]
+    return {row["name"] for row in rows
+            if row.get("kind") == "service" and (row.get("divided_by_key")
+                                                 or row.get("spec", {}).get("divided_by_key"))}
+
+
+class Run:
+    """One run in a directory of its own."""
+
+    def __init__(self, experiment, variant, seed, build, directory):
+        self.experiment = experiment
+        self.variant = variant
+        self.seed = seed
+        self.build = build
+        self.directory = directory
+        self.deployment = None
+        self.group = None
+
+    def execute(self):
+        """Starts everything, runs the load and returns the measures."""
+        self.directory.mkdir(parents=True)
+        with ProcessGroup() as self.group:
+            self.deployment = Deployment(self.experiment, self.variant, self.build,
+                                         self.directory, self.group)
+            self.deployment.start()
+            time.sleep(self.experiment.warmup_s)
+            result = self.run_load()
+            time.sleep(self.experiment.settle_s)
+            late = self.stop_deployment()
+        result["not_stopped_in_time"] = late
+        result["audit"] = self.audit()
+        result["metrics"] = measures.flat_metrics(result)
+        return result
+
+    def start_load(self):
+        """Starts the load generator."""
+        settings = merged(self.experiment.load, self.variant.load)
+        settings = merged(settings, {"seed": self.seed, "id_prefix": f"load-{self.seed}",
+                                     "targets": self.deployment.caller_targets()})
+        path = self.directory / "load.json"
+        path.write_text(json.dumps(settings, indent=1), encoding="utf-8")
+        return self.group.start(
+            "load", "load",
+            [self.deployment.program("azureladder-load"), "--config", path, "--history",
+             self.directory / "callers.jsonl", "--report", self.directory / "load-report.json"],
+            self.directory / "load.out")
+
+    def run_load(self):
+        """Runs the load with the timeline and collects the measures."""
+        self.group.sample()
+        usage_before = self.group.usage()
+        calls_before = self.deployment.store_calls()
+        start_us = boot_time_us()
+        load = self.start_load()
+        timeline = Timeline(self.deployment, self.experiment.timeline)
+        self.follow(load, timeline, start_us)
+        if load.popen.returncode != 0:
+            raise RuntimeError(f"the load generator ended with status {load.popen.returncode}; "
+                               f"see {self.directory}/load.out")
+        self.group.sample()
+        return self.collect(start_us, timeline, usage_before, calls_before)
+
+    def follow(self, load, timeline, start_us):
+        """Executes the timeline until the load has ended and all actions are done."""
+        limit_s = self.experiment.load["duration_s"] + LOAD_LIMIT_S
+        next_sample_s = SAMPLE_S
+        while load.is_running() or timeline.waiting or timeline.commands:
+            elapsed_s = (boot_time_us() - start_us) / US_PER_S
+            if elapsed_s > limit_s:
+                raise RuntimeError(f"the run did not end within {limit_s} s")
+            timeline.step(elapsed_s)
+            if elapsed_s >= next_sample_s:
+                self.group.sample()
+                next_sample_s += SAMPLE_S
+            time.sleep(STEP_S)
+
+    def collect(self, start_us, timeline, usage_before, calls_before):
+        """Measures of the run so far."""
+        calls = measures.read_calls(self.directory / "callers.jsonl")
+        divided = divided_services(self.experiment)
+        servers = {}
+        for node in self.deployment.nodes.values():
+            servers.setdefault(node.service, []).append(node.server)
+        usage = self.group.usage()
+        for role, values in usage.items():
+            # CPU time of the start-up is not part of the measurement.
+            values["cpu_s"] -= usage_before.get(role, {}).get("cpu_s", 0)
+        report = json.loads((self.directory / "load-report.json").read_text(encoding="utf-8"))
+        return {
+            "variant": self.variant.name, "seed": self.seed, "directory": str(self.directory),
+            "services": measures.by_service(calls, divided, servers),
+            "windows": {
+                window["name"]: measures.by_service(
+                    measures.in_window(calls, start_us, window), divided, servers)
+                for window in self.experiment.windows},
+            "timeline": timeline.done, "usage": usage,
+            "store_calls": measures.difference(self.deployment.store_calls(), calls_before),
+            "traffic": measures.proxy_traffic(self.deployment.proxy_status()),
+            "ownership_changes": measures.ownership_changes(
+                [path for path in self.deployment.logs() if path.suffix == ".log"], start_us),
+            "load": report}
+
+    def stop_deployment(self):
+        """Stops the routers gracefully, then everything else; returns what had to be killed."""
+        routers = [one for one in self.deployment.routers.values() if one.is_running()]
+        late = self.group.stop(routers)
+        network.wait_until(lambda: not any(one.is_running() for one in routers), 1)
+        return late
+
+    def audit(self):
+        """Checks all logs with the operators' command line."""
+        output = self.directory / "audit.json"
+        with ProcessGroup() as group:
+            process = group.start(
+                "audit", "audit",
+                [self.deployment.program("azureladder"), "--json", "audit",
+                 *self.deployment.logs(), self.directory / "callers.jsonl"], output)
+            status = process.wait(AUDIT_LIMIT_S)
+        try:
+            report = json.loads(output.read_text(encoding="utf-8"))
+        except json.JSONDecodeError:
+            return {"status": status, "violations": -1, "error": "no report; see audit.json"}
+        by_rule = report.get("violations_by_rule", {})
+        return {"status": status, "violations": sum(by_rule.values()), "by_rule": by_rule,
+                "events": report.get("events"), "malformed": report.get("malformed_count")}
--- /dev/null
+++ b/testbench/bench/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the experiment runner."""
