Audit: accept ends that a paused process logs late

A process that was paused beyond its lease writes the end of an ownership or execution only when it runs again, so the log times of a correct takeover overlap.

--- a/libs/audit/include/azureladder/audit/event.hpp
+++ b/libs/audit/include/azureladder/audit/event.hpp
@@ -92,8 +92,9 @@
     std::string m_server;
     std::string m_zone;
 
-    /// Destination of a forwarded request, or the reason, outcome or role of other lines.
+    /// Destination of a forwarded request, outcome of a finished one or apply id of a change.
     std::string m_detail;
+    std::string m_reason;
 
     /// Slice of the key; the space is empty when the service is not divided by key.
     slice_id m_slice;
@@ -110,8 +111,8 @@
     /// Role of the node that finished a request; empty when the line does not state it.
     std::string m_role;
 
-    /// Wall clock time at which an ownership ended in the node's own view, when it was logged
-    /// later, for example by a process that was paused beyond its lease.
+    /// Wall clock time at which an ownership or execution ended, when the line states that this
+    /// was earlier than `m_time_us`: a paused process notices the end of its lease late.
     std::optional<std::int64_t> m_effective_us;
 
     std::string m_echoed_request_id;
--- a/libs/audit/src/execution_index.cpp
+++ b/libs/audit/src/execution_index.cpp
@@ -36,7 +36,7 @@
     if (open == server.m_open.end())
         return;
     executions[open->second].m_finish = &line;
-    executions[open->second].m_end_us = line.m_time_us;
+    executions[open->second].m_end_us = line.m_effective_us.value_or(line.m_time_us);
     server.m_open.erase(open);
 }
 
--- a/libs/audit/src/execution_rules.cpp
+++ b/libs/audit/src/execution_rules.cpp
@@ -78,14 +78,24 @@
     return nullptr;
 }
 
+/// Zones of servers as their own lines state them, or else the zone of the node that dispatches
+/// to the server.
 std::map<std::string, std::string> zones_of_servers(const history& events)
 {
-    std::map<std::string, std::string> zones;
+    std::map<std::string, std::string> stated;
+    std::map<std::string, std::string> of_nodes;
+    std::map<std::string, std::string> dispatching_nodes;
     for (const auto& line : events.m_events) {
         if (!line.m_server.empty() && !line.m_zone.empty())
-            zones[line.m_server] = line.m_zone;
+            stated[line.m_server] = line.m_zone;
+        else if (!line.m_node.empty() && !line.m_zone.empty())
+            of_nodes[line.m_node] = line.m_zone;
+        if (line.m_kind == event_kind::request_dispatched)
+            dispatching_nodes[line.m_server] = line.m_node;
     }
-    return zones;
+    for (const auto& [server, node] : dispatching_nodes)
+        stated.emplace(server, of_nodes[node]);
+    return stated;
 }
 
 void report_second(rule broken, const std::string& what, const event* first, const event& second,
--- a/libs/audit/src/format.cpp
+++ b/libs/audit/src/format.cpp
@@ -35,6 +35,7 @@
     append(text, "echoed_key", line.m_echoed_key);
     if (!line.m_whole)
         append(text, "whole", std::string("false"));
+    append(text, "reason", line.m_reason);
     append(text, "detail", line.m_detail);
 }
 
