Close links gracefully, accept after errors, and test the transport

A reply that is still queued when a process stops would be lost, so close flushes all links through the closing handshake. The accept loop of websocketpp repeats at once on errors and would spin without free file descriptors; an own loop waits for the next tick. Frames on an idle link that is closing open a new connection.

--- a/libs/peer/include/azureladder/peer/transport.hpp
+++ b/libs/peer/include/azureladder/peer/transport.hpp
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -37,6 +38,11 @@
     /// Opens the listening sockets. Must be called once, before anything is sent.
     result<void, transport_error> start();
 
+    /// Sends what is queued, closes all outgoing links and then calls `done`. Frames that are sent
+    /// later fail. Takes at most the connect timeout and one second; incoming messages are still
+    /// delivered. Call `stop` afterwards.
+    void close(std::function<void()> done);
+
     /// Closes all sockets at once and drops what is queued, without callbacks.
     void stop();
 
--- a/libs/peer/src/link.cpp
+++ b/libs/peer/src/link.cpp
@@ -20,11 +20,13 @@
         return fail(frame);
     if (m_state == state::open)
         return write(std::move(frame));
-    if (m_state == state::closed && now >= m_retry_at)
+    if (m_state == state::closing && !m_close_when_open)
+        detach();
+    if (m_state == state::closed && now >= m_retry_at && !m_close_when_open)
         connect();
     const bool fits =
         m_queued_bytes + frame.m_bytes.size() <= m_services->m_options.m_max_queue_bytes;
-    if (m_state != state::connecting || !fits)
+    if (m_state != state::connecting || m_close_when_open || !fits)
         return fail(frame);
     m_queued_bytes += frame.m_bytes.size();
     m_queue.push_back(std::move(frame));
@@ -55,6 +57,13 @@
         close_if_idle(now);
 }
 
+void link::close()
+{
+    m_close_when_open = true;
+    if (m_state == state::open)
+        start_closing("stopping");
+}
+
 bool link::is_disposable(time_point now) const
 {
     return m_state == state::closed && now - m_last_used >= m_services->m_options.m_idle_timeout;
@@ -113,6 +122,8 @@
     m_queued_bytes = 0;
     for (auto& frame : queue)
         write(std::move(frame));
+    if (m_close_when_open)
+        start_closing("stopping");
 }
 
 void link::lost(std::uint64_t attempt)
@@ -131,11 +142,11 @@
 void link::abandon()
 {
     const auto& options = m_services->m_options;
-    const bool was_open = m_state == state::open;
+    const auto before = m_state;
     end_connection();
-    if (was_open) {
+    if (before == state::open) {
         ++m_services->m_counters.m_links_lost;
-    } else {
+    } else if (before != state::closing) {
         m_backoff = std::clamp(m_backoff * 2, options.m_first_backoff, options.m_last_backoff);
         m_retry_at = m_services->m_clock.now() + m_backoff;
     }
@@ -148,11 +159,17 @@
     }
 }
 
-void link::end_connection()
+/// Leaves the connection to its closing handshake.
+client_connection link::detach()
 {
     ++m_attempt;
     m_state = state::closed;
-    const auto connection = std::exchange(m_connection, nullptr);
+    return std::exchange(m_connection, nullptr);
+}
+
+void link::end_connection()
+{
+    const auto connection = detach();
     if (!connection)
         return;
     // Closing the socket makes websocketpp end all its operations on it with an error.
@@ -209,12 +226,18 @@
 {
     if (!m_written.empty() || now - m_last_used < m_services->m_options.m_idle_timeout)
         return;
-    // The closing handshake lets the peer read what was written before.
-    websocketpp::lib::error_code ignored;
-    m_connection->close(websocketpp::close::status::going_away, "idle", ignored);
-    m_connection.reset();
-    ++m_attempt;
-    m_state = state::closed;
+    start_closing("idle");
+}
+
+/// The peer answers the close frame after it has read all frames before it. Without an answer
+/// websocketpp ends the connection after `timeout_close_handshake`.
+void link::start_closing(const char* reason)
+{
+    m_state = state::closing;
+    websocketpp::lib::error_code error;
+    m_connection->close(websocketpp::close::status::going_away, reason, error);
+    if (error)
+        abandon();
 }
 
 } // namespace azureladder::peer
--- a/libs/peer/src/link.hpp
+++ b/libs/peer/src/link.hpp
@@ -57,6 +57,11 @@
     /// true and the silence of the peer is measured anew.
     void tick(time_point now, bool paused);
 
+    /// Sends what is queued and closes the link. Later frames fail.
+    void close();
+
+    bool is_closed() const { return m_state == state::closed; }
+
     /// Whether the link is closed and holds nothing worth keeping.
     bool is_disposable(time_point now) const;
 
@@ -68,7 +73,8 @@
     {
         closed,
         connecting,
-        open
+        open,
+        closing
     };
 
     void connect();
@@ -77,9 +83,11 @@
     void lost(std::uint64_t attempt);
     void heard(std::uint64_t attempt);
     void abandon();
+    client_connection detach();
     void end_connection();
     void write(outgoing_frame frame);
     void fail(const outgoing_frame& frame);
+    void start_closing(const char* reason);
     void check_silence(time_point now, bool paused);
     void close_if_idle(time_point now);
 
@@ -87,6 +95,7 @@
     endpoint m_remote;
     state m_state = state::closed;
     client_connection m_connection;
+    bool m_close_when_open = false;
 
     /// Number of the current connection. Handlers of an earlier one are ignored.
     std::uint64_t m_attempt = 0;
--- a/libs/peer/src/listener.cpp
+++ b/libs/peer/src/listener.cpp
@@ -37,8 +37,38 @@
 void listener::accept()
 {
     set_handlers();
-    websocketpp::lib::error_code ignored;
-    m_server.start_accept(ignored);
+    accept_next();
+}
+
+void listener::accept_next()
+{
+    using transport_pointer = websocket_server::transport_con_ptr;
+    const auto connection = m_server.get_connection();
+    websocketpp::lib::error_code error;
+    m_accepting = true;
+    m_server.async_accept(
+        transport_pointer(connection),
+        [self = shared_from_this(), connection](const websocketpp::lib::error_code& failure) {
+            self->accepted(connection, failure);
+        },
+        error);
+    if (error)
+        m_accepting = false;
+}
+
+void listener::accepted(const server_connection& connection,
+                        const websocketpp::lib::error_code& error)
+{
+    m_accepting = false;
+    if (error) {
+        connection->terminate(error);
+        // The loop of websocketpp would accept again at once and, without free file descriptors,
+        // fail again at once. The next tick tries again instead.
+        return;
+    }
+    connection->start();
+    if (m_open)
+        accept_next();
 }
 
 void listener::set_handlers()
@@ -99,6 +129,8 @@
 
 void listener::tick(time_point now)
 {
+    if (m_open && !m_accepting)
+        accept_next();
     // A peer closes a link that was unused for the idle time, so a longer silence means that the
     // peer is gone without having closed it.
     const auto limit = m_options.m_idle_timeout * 2;
--- a/libs/peer/src/listener.hpp
+++ b/libs/peer/src/listener.hpp
@@ -36,7 +36,7 @@
     /// Starts to accept links.
     void accept();
 
-    /// Closes links whose peer has been silent for too long.
+    /// Closes links whose peer has been silent for too long, and accepts again after an error.
     void tick(time_point now);
 
     bool has_links() const { return !m_links.empty(); }
@@ -51,6 +51,8 @@
     };
 
     void set_handlers();
+    void accept_next();
+    void accepted(const server_connection& connection, const websocketpp::lib::error_code& error);
     void opened(const websocketpp::connection_hdl& handle);
     void received(const websocketpp::connection_hdl& handle,
                   const websocket_server::message_ptr& message);
@@ -62,6 +64,7 @@
     listener_handlers m_handlers;
     std::map<const void*, incoming> m_links;
     bool m_open = false;
+    bool m_accepting = false;
 };
 
 } // namespace azureladder::peer
--- a/libs/peer/src/transport.cpp
+++ b/libs/peer/src/transport.cpp
@@ -20,6 +20,11 @@
     return m_impl->start();
 }
 
+void transport::close(std::function<void()> done)
+{
+    m_impl->close(std::move(done));
+}
+
 void transport::stop()
 {
     m_impl->stop();
--- a/libs/peer/src/transport_impl.cpp
+++ b/libs/peer/src/transport_impl.cpp
@@ -95,6 +95,27 @@
                                       std::move(handlers));
 }
 
+void transport::impl::close(std::function<void()> done)
+{
+    AZURELADDER_PRECONDITION(m_running, "the transport must be running");
+    m_on_closed = std::move(done);
+    m_closing = true;
+    for (const auto& [key, link] : m_links)
+        link->close();
+}
+
+/// Tells the user when all links are closed; checked on each tick.
+void transport::impl::finish_closing()
+{
+    if (!m_on_closed)
+        return;
+    for (const auto& [key, link] : m_links) {
+        if (!link->is_closed())
+            return;
+    }
+    std::exchange(m_on_closed, nullptr)();
+}
+
 void transport::impl::stop()
 {
     if (!std::exchange(m_running, false))
@@ -106,6 +127,7 @@
         link->shut_down();
     m_tracked.clear();
     m_failures.clear();
+    m_on_closed = nullptr;
 }
 
 endpoint transport::impl::advertised() const
@@ -129,8 +151,11 @@
 {
     AZURELADDER_PRECONDITION(m_running, "the transport must be running");
     auto& entry = m_links[{to.m_host, to.m_port}];
-    if (!entry)
+    if (!entry) {
         entry = std::make_shared<link>(m_services, to);
+        if (m_closing)
+            entry->close();
+    }
     const auto id = ++m_last_frame;
     if (track)
         m_tracked[id] = entry;
@@ -205,6 +230,7 @@
     }
     m_listener->tick(now);
     schedule_tick();
+    finish_closing();
 }
 
 } // namespace azureladder::peer
--- a/libs/peer/src/transport_impl.hpp
+++ b/libs/peer/src/transport_impl.hpp
@@ -24,6 +24,7 @@
          transport_callbacks callbacks);
 
     result<void, transport_error> start();
+    void close(std::function<void()> done);
     void stop();
     endpoint advertised() const;
     void send_datagram(const endpoint& to, const std::vector<std::uint8_t>& bytes);
@@ -45,6 +46,7 @@
     void deliver_failures();
     void schedule_tick();
     void tick();
+    void finish_closing();
 
     boost::asio::io_context& m_context;
     transport_callbacks m_callbacks;
@@ -54,6 +56,8 @@
     boost::asio::steady_timer m_timer;
     time_point m_last_tick{};
     bool m_running = false;
+    bool m_closing = false;
+    std::function<void()> m_on_closed;
     endpoint m_advertised;
 
     std::map<link_key, std::shared_ptr<link>> m_links;
--- a/libs/peer/tests/transport_test.cpp
+++ b/libs/peer/tests/transport_test.cpp
@@ -1,77 +1,186 @@
-#include <azureladder/base/steady_clock.hpp>
-#include <azureladder/peer/transport.hpp>
+#include "test_node.hpp"
 
-#include <gtest/gtest.h>
+#include <boost/asio/ip/tcp.hpp>
 
 #include <memory>
-#include <optional>
 
 namespace azureladder::peer {
 namespace {
 
-/// A transport with a record of its callbacks.
-struct node
+class transport_test : public testing::Test
 {
-    explicit node(boost::asio::io_context& context, const clock& time,
-                  const transport_options& options = {})
-        : m_transport(context, time, options, callbacks())
-    {
-        EXPECT_TRUE(m_transport.start());
-    }
+protected:
+    boost::asio::io_context m_context;
+    manual_clock m_time;
+    test_node m_a{m_context, m_time};
+};
 
-    transport_callbacks callbacks()
-    {
-        transport_callbacks result;
-        result.m_on_envelope = [this](const wire::envelope& value, wire::channel via) {
-            m_received.push_back(value);
-            m_channels.push_back(via);
-        };
-        result.m_on_frame_failed = [this](frame_id id, bool nothing_was_sent) {
-            m_failed.emplace_back(id, nothing_was_sent);
-        };
-        return result;
-    }
+// Guards against messages that arrive on one channel or in one direction only.
+TEST_F(transport_test, carries_datagrams_and_frames_both_ways)
+{
+    test_node b(m_context, m_time);
+    m_a.m_transport.send_datagram(b.address(), m_a.encode(core::message(core::revision_probe{7})));
+    ASSERT_TRUE(run_until(m_context, [&] { return b.m_received.size() == 1; }));
+    EXPECT_EQ(b.m_received[0].second, wire::channel::datagram);
+    const auto id = m_a.send_to(b.address());
+    ASSERT_TRUE(run_until(m_context, [&] { return b.m_received.size() == 2; }));
+    EXPECT_EQ(b.m_received[1].second, wire::channel::link);
+    b.m_transport.send_frame(b.m_received[1].first.m_reply_to, b.encode(wire::reply_frame{}),
+                             false);
+    ASSERT_TRUE(run_until(m_context, [&] { return m_a.m_received.size() == 1; }));
+    m_a.m_transport.frame_done(id);
+    EXPECT_TRUE(m_a.m_failed.empty());
+}
+
+// Guards against bodies that are cut or refused below the size limit, and sent above it.
+TEST_F(transport_test, carries_frames_up_to_the_size_limit)
+{
+    test_node b(m_context, m_time);
+    wire::request_frame request;
+    request.m_body.assign(wire::max_frame_bytes - 1'000, 'x');
+    m_a.m_transport.send_frame(b.address(), m_a.encode(request));
+    ASSERT_TRUE(run_until(m_context, [&] { return b.m_received.size() == 1; }));
+    const auto& received = std::get<wire::request_frame>(b.m_received[0].first.m_payload);
+    EXPECT_EQ(received.m_body, request.m_body);
+    request.m_body.assign(wire::max_frame_bytes, 'x');
+    const auto id = m_a.m_transport.send_frame(b.address(), m_a.encode(request));
+    ASSERT_TRUE(run_until(m_context, [&] { return !m_a.m_failed.empty(); }));
+    EXPECT_EQ(m_a.m_failed, (failures{{id, true}}));
+}
+
+// Guards against frames that wait for a node that is not there, and against a link that is never
+// opened again.
+TEST_F(transport_test, refused_connect_fails_frames_until_the_backoff_ends)
+{
+    const auto address = closed_address(m_context, m_time);
+    const auto first = m_a.send_to(address);
+    ASSERT_TRUE(run_until(m_context, [&] { return m_a.m_failed.size() == 1; }));
+    transport_options options;
+    options.m_listen = address;
+    test_node b(m_context, m_time, options);
+    const auto second = m_a.send_to(address);
+    ASSERT_TRUE(run_until(m_context, [&] { return m_a.m_failed.size() == 2; }));
+    EXPECT_EQ(m_a.m_failed, (failures{{first, true}, {second, true}}));
+    m_time.advance(options.m_first_backoff);
+    m_a.send_to(address);
+    ASSERT_TRUE(run_until(m_context, [&] { return b.m_received.size() == 1; }));
+}
+
+// Guards against frames that wait for longer than the connect timeout for a node that accepts
+// connections and then says nothing.
+TEST_F(transport_test, connect_timeout_fails_frames_as_not_sent)
+{
+    using boost::asio::ip::tcp;
+    const tcp::acceptor silent(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    const auto id = m_a.send_to({"127.0.0.1", silent.local_endpoint().port()});
+    m_time.advance(transport_options().m_connect_timeout);
+    ASSERT_TRUE(run_until(m_context, [&] { return !m_a.m_failed.empty(); }));
+    EXPECT_EQ(m_a.m_failed, (failures{{id, true}}));
+}
 
-    std::vector<std::uint8_t> encode(const wire::payload& value)
-    {
-        return wire::encode({{"node", 1}, m_transport.advertised(), value});
+// Guards against a request that was perhaps executed and is reported as not sent, and against
+// reports of frames whose reply has arrived or that nobody tracks.
+TEST_F(transport_test, lost_link_fails_written_frames_as_perhaps_sent)
+{
+    auto b = std::make_unique<test_node>(m_context, m_time);
+    const auto answered = m_a.send_to(b->address());
+    const auto waiting = m_a.send_to(b->address());
+    m_a.m_transport.send_frame(b->address(), m_a.encode(wire::cancel_frame{}), false);
+    ASSERT_TRUE(run_until(m_context, [&] { return b->m_received.size() == 3; }));
+    m_a.m_transport.frame_done(answered);
+    b.reset();
+    ASSERT_TRUE(run_until(m_context, [&] { return !m_a.m_failed.empty(); }));
+    EXPECT_EQ(m_a.m_failed, (failures{{waiting, false}}));
+}
+
+// Guards against requests that wait for ever on a half-open link.
+TEST_F(transport_test, silent_peer_is_noticed_while_replies_are_awaited)
+{
+    boost::asio::io_context frozen;
+    test_node b(frozen, m_time);
+    const auto id = m_a.send_to(b.address());
+    ASSERT_TRUE(run_until(m_context, [&] {
+        frozen.poll();
+        return b.m_received.size() == 1;
+    }));
+    ASSERT_TRUE(run_until(m_context, [&] {
+        m_time.advance(milliseconds(100));
+        return !m_a.m_failed.empty();
+    }));
+    EXPECT_EQ(m_a.m_failed, (failures{{id, false}}));
+}
+
+// Guards against a heartbeat that ends the link of a peer that needs long for its reply.
+TEST_F(transport_test, slow_reply_does_not_end_the_link)
+{
+    test_node b(m_context, m_time);
+    m_a.send_to(b.address());
+    ASSERT_TRUE(run_until(m_context, [&] { return b.m_received.size() == 1; }));
+    // 400 ms of the clock in each tick of 100 ms, so that pings and pongs are handled in between.
+    for (int i = 0; i < 12; ++i) {
+        m_time.advance(milliseconds(400));
+        m_context.run_for(std::chrono::milliseconds(110));
     }
+    EXPECT_TRUE(m_a.m_failed.empty());
+    EXPECT_EQ(m_a.m_transport.counters().m_links_lost, 0U);
+}
 
-    std::vector<wire::envelope> m_received;
-    std::vector<wire::channel> m_channels;
-    std::vector<std::pair<frame_id, bool>> m_failed;
-    transport m_transport;
-};
+// Guards against links that are kept for ever, or not opened again.
+TEST_F(transport_test, idle_link_is_closed_and_opened_again)
+{
+    test_node b(m_context, m_time);
+    m_a.m_transport.frame_done(m_a.send_to(b.address()));
+    m_a.m_transport.send_frame(b.address(), m_a.encode(wire::cancel_frame{}), false);
+    ASSERT_TRUE(run_until(m_context, [&] { return b.m_received.size() == 1; }));
+    m_time.advance(transport_options().m_idle_timeout);
+    ASSERT_TRUE(run_until(m_context, [&] { return m_a.m_transport.link_count() == 0; }));
+    m_a.send_to(b.address());
+    ASSERT_TRUE(run_until(m_context, [&] { return b.m_received.size() == 2; }));
+    EXPECT_EQ(m_a.m_transport.counters().m_links_opened, 2U);
+    EXPECT_EQ(m_a.m_transport.counters().m_links_lost, 0U);
+}
 
-/// Runs the io_context until `done` holds. The limit only ends a test that would hang.
-template <class Condition>
-bool run_until(boost::asio::io_context& context, Condition done)
+// Guards against replies that are lost when a process stops after its last request.
+TEST_F(transport_test, close_delivers_what_is_queued)
 {
-    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(30);
-    while (!done() && std::chrono::steady_clock::now() < limit)
-        context.run_one_for(std::chrono::milliseconds(50));
-    return done();
+    test_node b(m_context, m_time);
+    wire::request_frame request;
+    request.m_body.assign(1'000'000, 'x');
+    for (int i = 0; i < 4; ++i)
+        m_a.m_transport.send_frame(b.address(), m_a.encode(request), false);
+    bool closed = false;
+    m_a.m_transport.close([&] { closed = true; });
+    const auto late = m_a.send_to(b.address());
+    ASSERT_TRUE(run_until(m_context, [&] { return closed; }));
+    EXPECT_EQ(b.m_received.size(), 4U);
+    EXPECT_EQ(m_a.m_failed, (failures{{late, true}}));
 }
 
-// Guards against messages that arrive on one channel or in one direction only.
-TEST(transport, carries_datagrams_and_frames_both_ways)
+// Guards against a queue that grows without bound while a link opens.
+TEST_F(transport_test, queue_of_a_link_is_limited)
+{
+    using boost::asio::ip::tcp;
+    const tcp::acceptor silent(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    const std::vector<std::uint8_t> bytes(1'000'000);
+    for (int i = 0; i < 10; ++i)
+        m_a.m_transport.send_frame({"127.0.0.1", silent.local_endpoint().port()}, bytes);
+    ASSERT_TRUE(run_until(m_context, [&] { return m_a.m_failed.size() == 2; }));
+    EXPECT_EQ(m_a.m_failed, (failures{{9, true}, {10, true}}));
+}
+
+// Guards against use of destroyed objects by operations that are still pending.
+TEST_F(transport_test, pending_operations_outlive_the_transport)
 {
-    boost::asio::io_context context;
-    const steady_clock time;
-    node a(context, time);
-    node b(context, time);
-    a.m_transport.send_datagram(b.m_transport.advertised(),
-                                a.encode(core::message(core::revision_probe{7})));
-    ASSERT_TRUE(run_until(context, [&] { return b.m_received.size() == 1; }));
-    const auto id =
-        a.m_transport.send_frame(b.m_transport.advertised(), a.encode(wire::cancel_frame{{1, 2}}));
-    ASSERT_TRUE(run_until(context, [&] { return b.m_received.size() == 2; }));
-    EXPECT_EQ(b.m_channels[0], wire::channel::datagram);
-    EXPECT_EQ(b.m_channels[1], wire::channel::link);
-    b.m_transport.send_frame(b.m_received[1].m_reply_to, b.encode(wire::reply_frame{}), false);
-    ASSERT_TRUE(run_until(context, [&] { return a.m_received.size() == 1; }));
-    a.m_transport.frame_done(id);
-    EXPECT_TRUE(a.m_failed.empty());
+    auto b = std::make_unique<test_node>(m_context, m_time);
+    auto c = std::make_unique<test_node>(m_context, m_time);
+    c->send_to(b->address());
+    c.reset();
+    b->send_to(m_a.address());
+    b->send_to(closed_address(m_context, m_time));
+    m_context.poll();
+    b.reset();
+    m_context.run_for(std::chrono::milliseconds(300));
+    EXPECT_TRUE(m_a.m_failed.empty());
 }
 
 } // namespace
