--- a/libs/node/src/runtime.cpp
+++ b/libs/node/src/runtime.cpp
@@ -1,6 +1,7 @@
 #include "runtime_impl.hpp"
 
-#include <azureladder/base/hash.hpp>
+#include <azureladder/core/directory.hpp>
+#include <azureladder/core/ownership.hpp>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -176,11 +177,11 @@
 void runtime_impl::update_gauges()
 {
     const auto now = m_clock.now();
-    m_metrics.set_gauge("azureladder_open_requests", double(m_requests.size()));
-    m_metrics.set_gauge("azureladder_holds_lease", core::holds_lease(m_state, now) ? 1 : 0);
-    m_metrics.set_gauge("azureladder_configuration_revision",
+    m_metrics.set_gauge("open_requests", double(m_requests.size()));
+    m_metrics.set_gauge("holds_lease", core::holds_lease(m_state, now) ? 1 : 0);
+    m_metrics.set_gauge("configuration_revision",
                         double(m_state.m_configuration.m_document.m_revision));
-    m_metrics.set_gauge("azureladder_known_nodes",
+    m_metrics.set_gauge("known_nodes",
                         double(core::newest_plans(m_state.m_directory).size()));
 }
 
@@ -233,11 +234,11 @@
         finish_attempt(std::move(finished), std::move(reply));
     };
     callbacks.m_on_late_reply = [this](const member_ref& from) {
-        m_metrics.add_counter("azureladder_late_replies_total", 1);
+        m_metrics.add_counter("late_replies_total", 1);
         m_logger.write(telemetry::log_level::debug, "late_reply_dropped", {{"from", from.m_node}});
     };
     callbacks.m_on_invalid_input = [this](const std::string& reason) {
-        m_metrics.add_counter("azureladder_invalid_peer_messages_total", 1);
+        m_metrics.add_counter("invalid_peer_messages_total", 1);
         m_logger.write(telemetry::log_level::warning, "invalid_peer_message", {{"reason", reason}});
     };
     return callbacks;
--- a/libs/node/src/runtime_http.cpp
+++ b/libs/node/src/runtime_http.cpp
@@ -3,6 +3,7 @@
 #include "status.hpp"
 
 #include <azureladder/base/scope_guard.hpp>
+#include <azureladder/core/configuration.hpp>
 
 #include <boost/asio/post.hpp>
 
