Summarise slices by owner in the status of a node

A node lists every slice with its owner, which as one line of JSON was unreadable with 16,384 slices. Tested with the form that the node sends.

--- a/apps/azureladder/src/status_commands.cpp
+++ b/apps/azureladder/src/status_commands.cpp
@@ -65,6 +65,26 @@
     print_table(out, rows);
 }
 
+/// Number of slices of each space and of each of its owners.
+void print_slices(std::ostream& out, const json& status)
+{
+    const json spaces = status.value("slices", json());
+    if (!spaces.is_object() || spaces.empty())
+        return;
+    out << "slices:\n";
+    std::vector<std::vector<std::string>> rows = {{"SPACE", "SLICES", "OWNERS"}};
+    for (const auto& space : spaces.items()) {
+        std::map<std::string, std::size_t> owners;
+        for (const auto& slice : space.value())
+            ++owners[cell(slice, "owner")];
+        std::string list;
+        for (const auto& [owner, count] : owners)
+            list += (list.empty() ? "" : ", ") + owner + " " + std::to_string(count);
+        rows.push_back({space.key(), std::to_string(space.value().size()), list});
+    }
+    print_table(out, rows);
+}
+
 void print_status(std::ostream& out, const json& status)
 {
     const bool serving = status.value("serving", json()) == true;
@@ -72,7 +92,7 @@
         << cell(status, "revision") << ", " << (serving ? "serving" : "not serving") << "\n";
     print_map(out, "zones", status, "zones");
     print_map(out, "servers", status, "servers");
-    print_map(out, "slices", status, "slices");
+    print_slices(out, status);
     const json plans = status.value("plans", json());
     if (plans.is_array() && !plans.empty()) {
         out << "nodes:\n";
--- a/apps/azureladder/tests/query_commands_test.cpp
+++ b/apps/azureladder/tests/query_commands_test.cpp
@@ -73,22 +73,26 @@
 TEST(status, shows_the_node_and_its_view)
 {
     cli_run cli;
-    cli.m_node.on(status, 200,
-                  {{"node", "n1"},
-                   {"zone", "z1"},
-                   {"revision", 7},
-                   {"serving", true},
-                   {"plans",
-                    {{{"node", "n1"},
-                      {"zone", "z1"},
-                      {"server", "s1"},
-                      {"service", "catalogue"},
-                      {"version", 3},
-                      {"slices", {1, 2}}},
-                     {{"node", "n2"}, {"zone", "z2"}, {"server", ""}}}},
-                   {"zones", {{"z2", "out"}}}});
+    cli.m_node.on(
+        status, 200,
+        {{"node", "n1"},
+         {"zone", "z1"},
+         {"revision", 7},
+         {"serving", true},
+         {"plans",
+          {{{"node", "n1"},
+            {"zone", "z1"},
+            {"server", "s1"},
+            {"service", "catalogue"},
+            {"version", 3},
+            {"slices", {1, 2}}},
+           {{"node", "n2"}, {"zone", "z2"}, {"server", ""}}}},
+         {"slices", {{"reporting", {{"0", {{"owner", "n2"}}}, {"1", {{"owner", "n1"}}}}}}},
+         {"zones", {{"z2", "out"}}}});
     EXPECT_EQ(cli({"status"}), exit_code::ok);
-    EXPECT_EQ(cli.out(), "node n1 in zone z1, revision 7, serving\nzones:\n  z2  out\nnodes:\n"
+    EXPECT_EQ(cli.out(), "node n1 in zone z1, revision 7, serving\nzones:\n  z2  out\n"
+                         "slices:\n  SPACE      SLICES  OWNERS\n"
+                         "  reporting  2       n1 1, n2 1\nnodes:\n"
                          "  NODE  ZONE  SERVER  SERVICE    VERSION  SLICES\n"
                          "  n1    z1    s1      catalogue  3        2\n"
                          "  n2    z2    -       -          -        -\n");
