Refuse requests with ambiguous framing before the handler sees them

cxxtools accepts conflicting lengths, spaces before a colon and bytes beyond the body, so that a second request could become part of the first.

--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -86,6 +86,8 @@
     auto text = to_wire(message, to_string(m_server), pooled);
     if (!text)
         return client_error{kind::not_sent, "the request cannot be represented in HTTP"};
+    if (is_cancelled(options))
+        return client_error{kind::not_sent, "cancelled before the exchange"};
     const int cancel = options.m_cancel ? options.m_cancel->descriptor() : -1;
     const io_limits limits{io_now() + options.m_timeout, cancel};
     if (!m_pool.acquire_slot(limits.m_deadline, options.m_cancel.get()))
--- /dev/null
+++ b/libs/http/src/reply_writer.cpp
@@ -0,0 +1,112 @@
+#include "reply_writer.hpp"
+
+#include "head_syntax.hpp"
+#include "socket_io.hpp"
+
+#include <cxxtools/http/reply.h>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <ostream>
+
+namespace azureladder::http {
+
+namespace {
+
+constexpr int status_handler_failed = 500;
+constexpr milliseconds refusal_write_timeout{1'000};
+constexpr milliseconds refusal_read_timeout{500};
+constexpr std::size_t refusal_read_block_bytes = 16'384;
+
+// cxxtools holds all headers of a message in 4,096 bytes and throws above that. It adds Server,
+// Date, Connection and Content-Length itself.
+constexpr std::size_t max_header_bytes = cxxtools::http::MessageHeader::MAXHEADERSIZE - 256;
+
+constexpr std::string_view omitted_headers[] = {"Transfer-Encoding", "Keep-Alive", "Trailer",
+                                                "Upgrade",           "Server",     "Date"};
+
+/// True when a response with `status` to `method` has no body by definition.
+bool has_no_body(const std::string& method, int status)
+{
+    return method == "HEAD" || status == 204 || status == 304;
+}
+
+bool is_omitted(const header_field& field)
+{
+    if (equal_ignoring_case(field.m_name, "Connection"))
+        return !equal_ignoring_case(field.m_value, "close");
+    return std::any_of(
+        std::begin(omitted_headers), std::end(omitted_headers),
+        [&field](std::string_view name) { return equal_ignoring_case(field.m_name, name); });
+}
+
+bool can_be_sent(const response& message)
+{
+    std::size_t size = 0;
+    for (const auto& field : message.m_headers) {
+        if (!is_token(field.m_name) || !is_field_value(field.m_value))
+            return false;
+        size += field.m_name.size() + field.m_value.size() + 2;
+    }
+    constexpr int first_final_status = 200;
+    constexpr int last_status = 599;
+    return size <= max_header_bytes && message.m_status >= first_final_status &&
+           message.m_status <= last_status;
+}
+
+response unsendable()
+{
+    return {status_handler_failed,
+            {{"Content-Type", "application/json"}},
+            "{\"error\":\"internal\",\"message\":\"the response header cannot be sent\","
+            "\"executed\":\"unknown\"}\n"};
+}
+
+/// Length as given by the handler where no body shows it, otherwise the size of the body.
+std::string length_of(const std::string& method, const response& message)
+{
+    const auto* given = find_header(message.m_headers, "Content-Length");
+    if (given != nullptr && has_no_body(method, message.m_status))
+        return *given;
+    return std::to_string(message.m_body.size());
+}
+
+} // namespace
+
+void write_reply(const std::string& method, const response& message, std::ostream& out,
+                 cxxtools::http::Reply& answer)
+{
+    if (!can_be_sent(message)) {
+        write_reply(method, unsendable(), out, answer);
+        return;
+    }
+    answer.httpReturn(unsigned(message.m_status), std::string(reason_phrase(message.m_status)));
+    for (const auto& field : message.m_headers) {
+        if (!is_omitted(field) && !equal_ignoring_case(field.m_name, "Content-Length"))
+            answer.addHeader(field.m_name.c_str(), field.m_value.c_str());
+    }
+    answer.addHeader("Content-Length", length_of(method, message).c_str());
+    if (!has_no_body(method, message.m_status))
+        out.write(message.m_body.data(), std::streamsize(message.m_body.size()));
+}
+
+void send_refusal(int descriptor, const refusal& refused)
+{
+    const auto message = make_response(refused);
+    std::string text = "HTTP/1.1 " + std::to_string(message.m_status) + " " +
+                       std::string(reason_phrase(message.m_status)) + "\r\n";
+    for (const auto& field : message.m_headers)
+        text += field.m_name + ": " + field.m_value + "\r\n";
+    text += "Content-Length: " + std::to_string(message.m_body.size()) + "\r\n\r\n";
+    text += message.m_body;
+    send_all(descriptor, text, {io_now() + refusal_write_timeout});
+    ::shutdown(descriptor, SHUT_WR);
+    const io_limits limits{io_now() + refusal_read_timeout};
+    char ignored[refusal_read_block_bytes];
+    while (io_now() < limits.m_deadline &&
+           receive_some(descriptor, ignored, sizeof(ignored), limits).m_status == io_status::ok) {
+    }
+}
+
+} // namespace azureladder::http
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -78,11 +78,10 @@
 class server::impl
 {
 public:
-    impl(server_options options, handler handle) : m_service(m_state)
+    impl(server_options options, handler handle)
+        : m_state(std::move(options), std::move(handle)), m_bound(m_state.m_options.m_endpoint),
+          m_service(m_state)
     {
-        m_state.m_options = std::move(options);
-        m_state.m_handler = std::move(handle);
-        m_bound = m_state.m_options.m_endpoint;
     }
 
     ~impl() { stop(); }
@@ -102,9 +101,10 @@
 
     void stop()
     {
-        m_state.m_refusing = true;
+        m_state.refuse();
         if (!m_thread.joinable())
             return;
+        m_state.wait_until_idle();
         m_loop.exit();
         m_thread.join();
         m_server.reset();
@@ -165,7 +165,7 @@
 
 void server::stop_accepting()
 {
-    m_impl->m_state.m_refusing = true;
+    m_impl->m_state.refuse();
 }
 
 void server::stop()
--- a/libs/http/src/server_state.hpp
+++ b/libs/http/src/server_state.hpp
@@ -3,18 +3,40 @@
 #include <azureladder/http/server.hpp>
 #include <azureladder/http/server_options.hpp>
 
-#include <atomic>
 #include <condition_variable>
 #include <mutex>
 
 namespace azureladder::http {
 
 /// What the server and its responders share.
-struct server_state
+class server_state
 {
-    server_options m_options;
-    handler m_handler;
-    std::atomic<bool> m_refusing{false};
+public:
+    server_state(server_options options, handler handle)
+        : m_options(std::move(options)), m_handler(std::move(handle))
+    {
+    }
+
+    /// Counts a request as running. False when requests are refused.
+    bool enter();
+
+    /// Ends a request that `enter()` has counted.
+    void leave();
+
+    /// Refuses all requests from now on.
+    void refuse();
+
+    /// Waits until no request is running.
+    void wait_until_idle();
+
+    const server_options m_options;
+    const handler m_handler;
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_idle;
+    bool m_refusing = false;
+    unsigned m_running = 0;
 };
 
 } // namespace azureladder::http
--- a/libs/http/src/strict_responder.cpp
+++ b/libs/http/src/strict_responder.cpp
@@ -1,6 +1,7 @@
 #include "strict_responder.hpp"
 
 #include "raw_head.hpp"
+#include "reply_writer.hpp"
 #include "socket_io.hpp"
 
 #include <cxxtools/http/reply.h>
@@ -18,23 +19,6 @@
 
 constexpr milliseconds interim_write_timeout{1'000};
 
-/// True when a response with `status` to `method` has no body by definition.
-bool has_no_body(const std::string& method, int status)
-{
-    return method == "HEAD" || status == 204 || status == 304 || status < 200;
-}
-
-void fill_reply(const std::string& method, const response& message, std::ostream& out,
-                cxxtools::http::Reply& answer)
-{
-    answer.httpReturn(unsigned(message.m_status), std::string(reason_phrase(message.m_status)));
-    for (const auto& field : message.m_headers)
-        answer.addHeader(field.m_name.c_str(), field.m_value.c_str());
-    if (has_no_body(method, message.m_status))
-        return;
-    out.write(message.m_body.data(), std::streamsize(message.m_body.size()));
-}
-
 } // namespace
 
 strict_responder::strict_responder(cxxtools::http::Service& service, server_state& state)
@@ -42,11 +26,25 @@
 {
 }
 
+strict_responder::~strict_responder()
+{
+    if (m_entered)
+        m_state.leave();
+}
+
 void strict_responder::beginRequest(cxxtools::net::TcpSocket& socket, std::istream& in,
                                     cxxtools::http::Request& parsed)
 {
     m_descriptor = socket.getFd();
     m_refusal = receive(m_descriptor, in, parsed);
+    if (!m_refusal) {
+        m_entered = m_state.enter();
+        if (!m_entered)
+            m_refusal = refusal{503, "the server is stopping"};
+    }
+    // The connection is not used any further; the reply that cxxtools then writes goes nowhere.
+    if (m_refusal)
+        send_refusal(m_descriptor, *m_refusal);
     m_request.m_peer = socket.getPeerAddr();
     // The body is complete or refused. Without a length cxxtools calls reply() directly and does
     // not count body bytes, which it does wrongly when more than the body is buffered.
@@ -95,26 +93,20 @@
 void strict_responder::reply(std::ostream& out, cxxtools::http::Request&,
                              cxxtools::http::Reply& answer)
 {
-    if (m_refusal) {
-        fill_reply("", make_response(*m_refusal), out, answer);
+    if (m_refusal)
         return;
-    }
     const auto message = m_state.m_handler(m_request);
-    if (message.m_status == close_without_answer) {
+    if (message.m_status == close_without_answer)
         // cxxtools closes the connection when its write fails.
         ::shutdown(m_descriptor, SHUT_RDWR);
-        return;
-    }
-    fill_reply(m_request.m_method, message, out, answer);
+    else
+        write_reply(m_request.m_method, message, out, answer);
 }
 
 void strict_responder::replyError(std::ostream& out, cxxtools::http::Request&,
                                   cxxtools::http::Reply& answer, const std::exception&)
 {
-    response failed;
-    failed.m_status = 500;
-    failed.m_headers = {{"Connection", "close"}};
-    fill_reply("", failed, out, answer);
+    write_reply("", {500, {{"Connection", "close"}}, {}}, out, answer);
 }
 
 cxxtools::http::Responder* strict_service::createResponder(const cxxtools::http::Request&)
--- a/libs/http/src/strict_responder.hpp
+++ b/libs/http/src/strict_responder.hpp
@@ -22,6 +22,7 @@
 {
 public:
     strict_responder(cxxtools::http::Service& service, server_state& state);
+    ~strict_responder() override;
 
     void beginRequest(cxxtools::net::TcpSocket& socket, std::istream& in,
                       cxxtools::http::Request& parsed) override;
@@ -39,6 +40,7 @@
     int m_descriptor = -1;
     request m_request;
     std::optional<refusal> m_refusal;
+    bool m_entered = false;
 };
 
 /// Creates a `strict_responder` for each request.
--- /dev/null
+++ b/libs/http/tests/server_test.cpp
@@ -0,0 +1,154 @@
+#include "raw_socket.hpp"
+
+#include <azureladder/http/client.hpp>
+#include <azureladder/http/server.hpp>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <future>
+#include <stdexcept>
+#include <thread>
+
+namespace azureladder::http {
+namespace {
+
+using testing::HasSubstr;
+using testing::Not;
+using testing::StartsWith;
+
+// Guards against a body after the header of a HEAD response, which the caller would read as the
+// start of the next response, and against a wrong length in it.
+TEST(http_server, head_has_the_length_but_no_body)
+{
+    server target({}, [](const request& message) {
+        response answer{200, {}, "hello"};
+        if (message.m_target == "/given")
+            answer.m_headers.push_back({"Content-Length", "77"});
+        return answer;
+    });
+    ASSERT_TRUE(target.start());
+    raw_socket socket(target.bound_address());
+    socket.send("HEAD /body HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_THAT(socket.receive_until("\r\n\r\n"), HasSubstr("Content-Length: 5\r\n"));
+    socket.send("HEAD /given HTTP/1.1\r\nHost: x\r\n\r\n");
+    const auto second = socket.receive_until("\r\n\r\n");
+    EXPECT_THAT(second, StartsWith("HTTP/1.1 200 OK\r\n"));
+    EXPECT_THAT(second, HasSubstr("Content-Length: 77\r\n"));
+}
+
+// Guards against headers of a forwarded response that contradict the framing of this one.
+TEST(http_server, response_headers_are_as_given_except_framing)
+{
+    server target({}, [](const request&) {
+        return response{201,
+                        {{"Content-Type", "text/x"},
+                         {"Content-Length", "99"},
+                         {"Transfer-Encoding", "chunked"},
+                         {"Set-Cookie", "a"},
+                         {"Set-Cookie", "b"}},
+                        "hello"};
+    });
+    ASSERT_TRUE(target.start());
+    raw_socket socket(target.bound_address());
+    socket.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    const auto answer = socket.receive_until("hello");
+    EXPECT_THAT(answer, StartsWith("HTTP/1.1 201 Created\r\n"));
+    EXPECT_THAT(answer, HasSubstr("Content-Type: text/x\r\n"));
+    EXPECT_THAT(answer, HasSubstr("Content-Length: 5\r\n"));
+    EXPECT_THAT(answer, Not(HasSubstr("99")));
+    EXPECT_THAT(answer, Not(HasSubstr("chunked")));
+    EXPECT_THAT(answer, HasSubstr("Set-Cookie: a\r\nSet-Cookie: b\r\n"));
+}
+
+// Guards against a handler that splits the response, overflows the header or ends the server.
+TEST(http_server, unsendable_responses_become_500)
+{
+    server target({}, [](const request& message) {
+        if (message.m_target == "/throw")
+            throw std::runtime_error("handler failed");
+        const auto value =
+            message.m_target == "/split" ? std::string("a\r\nX: y") : std::string(5'000, 'v');
+        return response{200, {{"X-Value", value}}, "hello"};
+    });
+    ASSERT_TRUE(target.start());
+    client caller(target.bound_address());
+    for (const auto* path : {"/throw", "/split", "/large"}) {
+        const auto reply = caller.execute({"GET", path, {}, {}, {}});
+        ASSERT_TRUE(reply) << path << reply.error().m_message;
+        EXPECT_EQ(reply.value().m_status, 500) << path;
+        EXPECT_EQ(find_header(reply.value().m_headers, "X-Value"), nullptr);
+    }
+}
+
+// Guards against a header above the size that cxxtools holds reaching the handler in part.
+TEST(http_server, oversized_header_closes_the_connection)
+{
+    std::atomic<int> calls{0};
+    server target({}, [&calls](const request&) {
+        ++calls;
+        return response{};
+    });
+    ASSERT_TRUE(target.start());
+    raw_socket socket(target.bound_address());
+    socket.send("GET / HTTP/1.1\r\nX: " + std::string(5'000, 'x') + "\r\n\r\n");
+    EXPECT_THAT(socket.receive_all(), Not(HasSubstr("200")));
+    EXPECT_EQ(calls, 0);
+}
+
+// Guards against a planned stop that interrupts a running request or loses its response.
+TEST(http_server, stop_waits_for_running_requests_and_their_responses)
+{
+    std::promise<void> entered;
+    std::promise<void> may_finish;
+    server target({}, [&](const request&) {
+        entered.set_value();
+        may_finish.get_future().wait();
+        return response{200, {}, std::string(8'000'000, 'x') + "end"};
+    });
+    ASSERT_TRUE(target.start());
+    raw_socket socket(target.bound_address());
+    socket.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    entered.get_future().wait();
+    std::thread stopper([&target] { target.stop(); });
+    may_finish.set_value();
+    EXPECT_THAT(socket.receive_until("xend"), StartsWith("HTTP/1.1 200 OK\r\n"));
+    stopper.join();
+}
+
+// Guards against new work after the server has been told to take none, on open connections too.
+TEST(http_server, requests_after_stop_accepting_are_refused)
+{
+    std::atomic<int> calls{0};
+    server target({}, [&calls](const request&) {
+        ++calls;
+        return response{200, {}, "hello"};
+    });
+    ASSERT_TRUE(target.start());
+    raw_socket open(target.bound_address());
+    open.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    open.receive_until("hello");
+    target.stop_accepting();
+    open.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_THAT(open.receive_all(), StartsWith("HTTP/1.1 503 "));
+    raw_socket fresh(target.bound_address());
+    fresh.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    const auto refused = fresh.receive_all();
+    EXPECT_THAT(refused, StartsWith("HTTP/1.1 503 "));
+    EXPECT_THAT(refused, HasSubstr("Azureladder-Executed: no\r\n"));
+    EXPECT_EQ(calls, 1);
+}
+
+// Guards against a server that seems to start on an address that is taken.
+TEST(http_server, start_fails_on_a_taken_address)
+{
+    server first({}, [](const request&) { return response{}; });
+    ASSERT_TRUE(first.start());
+    server_options options;
+    options.m_endpoint = first.bound_address();
+    server second(options, [](const request&) { return response{}; });
+    EXPECT_FALSE(second.start());
+}
+
+} // namespace
+} // namespace azureladder::http
