--- a/libs/http/include/azureladder/http/server_options.hpp
+++ b/libs/http/include/azureladder/http/server_options.hpp
@@ -22,7 +22,7 @@
     /// Larger request bodies are refused with 413 before they are read.
     std::size_t m_max_body_bytes = std::size_t(1024) * 1024;
 
-    /// Longest time between the header of a request and the end of its body.
+    /// Longest time for the rest of a header, and again for the body of a request.
     milliseconds m_body_timeout{10'000};
 
     /// Idle connections are closed after this time.
--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -1,9 +1,6 @@
 #include "connection.hpp"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
-#include <sys/socket.h>
 
 namespace azureladder::http {
 
@@ -11,13 +8,6 @@
 
 constexpr std::size_t read_block_bytes = 16'384;
 
-// Requests are written in one call; waiting for more bytes would only delay them.
-void disable_send_delay(int descriptor)
-{
-    const int on = 1;
-    ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-}
-
 } // namespace
 
 io_status connection::open(const endpoint& server, const io_limits& limits,
--- a/libs/http/src/head_syntax.cpp
+++ b/libs/http/src/head_syntax.cpp
@@ -21,6 +21,21 @@
     return !text.empty() && std::all_of(text.begin(), text.end(), is_token_char);
 }
 
+bool is_target(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+        const auto byte = static_cast<unsigned char>(c);
+        return byte > 0x20 && byte < 0x7f;
+    });
+}
+
+bool has_no_body(std::string_view method, int status)
+{
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    return method == "HEAD" || status == no_content || status == not_modified;
+}
+
 bool is_field_value(std::string_view value)
 {
     return std::all_of(value.begin(), value.end(), [](char c) {
--- a/libs/http/src/head_syntax.hpp
+++ b/libs/http/src/head_syntax.hpp
@@ -9,6 +9,12 @@
 /// True for a non-empty HTTP token (RFC 9110, 5.6.2): method and header names.
 bool is_token(std::string_view text);
 
+/// True for a non-empty request target without spaces, control characters and non-ASCII bytes.
+bool is_target(std::string_view text);
+
+/// True when a response with `status` to `method` has no body by definition.
+bool has_no_body(std::string_view method, int status);
+
 /// True when `value` contains no control character except a tab.
 bool is_field_value(std::string_view value);
 
--- a/libs/http/src/reply_reader.cpp
+++ b/libs/http/src/reply_reader.cpp
@@ -36,11 +36,6 @@
     return status >= 100;
 }
 
-bool has_no_body(const std::string& method, int status)
-{
-    return method == "HEAD" || status == 204 || status == 304;
-}
-
 bool parse_hex(std::string_view text, std::uint64_t& value)
 {
     value = 0;
--- a/libs/http/src/reply_writer.cpp
+++ b/libs/http/src/reply_writer.cpp
@@ -26,12 +26,6 @@
 constexpr std::string_view omitted_headers[] = {"Transfer-Encoding", "Keep-Alive", "Trailer",
                                                 "Upgrade",           "Server",     "Date"};
 
-/// True when a response with `status` to `method` has no body by definition.
-bool has_no_body(const std::string& method, int status)
-{
-    return method == "HEAD" || status == 204 || status == 304;
-}
-
 bool is_omitted(const header_field& field)
 {
     if (equal_ignoring_case(field.m_name, "Connection"))
--- a/libs/http/src/request_head.cpp
+++ b/libs/http/src/request_head.cpp
@@ -4,8 +4,6 @@
 
 #include <azureladder/base/json.hpp>
 
-#include <algorithm>
-
 namespace azureladder::http {
 
 namespace {
@@ -16,14 +14,6 @@
 constexpr int status_expectation_failed = 417;
 constexpr int status_version_not_supported = 505;
 
-bool is_target(std::string_view target)
-{
-    return !target.empty() && std::all_of(target.begin(), target.end(), [](char c) {
-        const auto byte = static_cast<unsigned char>(c);
-        return byte > 0x20 && byte < 0x7f;
-    });
-}
-
 } // namespace
 
 result<request, refusal> parse_request_head(std::string_view raw)
--- a/libs/http/src/request_text.cpp
+++ b/libs/http/src/request_text.cpp
@@ -21,14 +21,6 @@
         [name](std::string_view replaced) { return equal_ignoring_case(name, replaced); });
 }
 
-bool is_target(std::string_view target)
-{
-    return !target.empty() && std::all_of(target.begin(), target.end(), [](char c) {
-        const auto byte = static_cast<unsigned char>(c);
-        return byte > 0x20 && byte < 0x7f;
-    });
-}
-
 bool states_length(const request& message)
 {
     const auto& method = message.m_method;
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -120,6 +120,7 @@
         m_server->minThreads(options.m_min_threads);
         m_server->maxThreads(options.m_max_threads);
         m_server->keepAliveTimeout(cxxtools::Milliseconds(double(options.m_idle_timeout.count())));
+        m_server->readTimeout(cxxtools::Milliseconds(double(options.m_body_timeout.count())));
         m_server->addService(cxxtools::Regex(".*"), m_service);
     }
 
--- a/libs/http/src/socket_io.cpp
+++ b/libs/http/src/socket_io.cpp
@@ -2,6 +2,8 @@
 
 #include <azureladder/base/steady_clock.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -84,6 +86,12 @@
     return {io_status::ok, total};
 }
 
+void disable_send_delay(int descriptor)
+{
+    const int on = 1;
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
 bool input_pending(int descriptor)
 {
     char byte = 0;
--- a/libs/http/src/socket_io.hpp
+++ b/libs/http/src/socket_io.hpp
@@ -44,6 +44,10 @@
 /// Writes all of `data`; `m_bytes` counts what the kernel took, also on failure.
 io_result send_all(int descriptor, std::string_view data, const io_limits& limits);
 
+/// Sends small segments at once instead of waiting for the acknowledgement of earlier ones, which
+/// the peer may delay by 40 ms.
+void disable_send_delay(int descriptor);
+
 /// True when bytes or the end of the stream are waiting to be read.
 bool input_pending(int descriptor);
 
--- a/libs/http/src/strict_responder.cpp
+++ b/libs/http/src/strict_responder.cpp
@@ -36,6 +36,7 @@
                                     cxxtools::http::Request& parsed)
 {
     m_descriptor = socket.getFd();
+    disable_send_delay(m_descriptor);
     m_refusal = receive(m_descriptor, in, parsed);
     if (!m_refusal) {
         m_entered = m_state.enter();
--- /dev/null
+++ b/libs/platform/tests/http_store_test.cpp
@@ -0,0 +1,105 @@
+#include <azureladder/http/server.hpp>
+#include <azureladder/platform/http_store.hpp>
+
+#include <gtest/gtest.h>
+
+#include <mutex>
+
+namespace azureladder::platform {
+namespace {
+
+/// Store behind a server that gives one fixed answer and keeps the last request.
+class http_store_test : public testing::Test
+{
+protected:
+    http::response handle(const http::request& message)
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_calls;
+        m_seen = message;
+        return m_answer;
+    }
+
+    void answer(int status, std::string body)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_answer = {status, {}, std::move(body)};
+    }
+
+    store_error write_error(int status, std::string body)
+    {
+        answer(status, std::move(body));
+        const auto outcome = m_store.write("k", "v", 3);
+        EXPECT_FALSE(outcome) << status;
+        return outcome ? store_error() : outcome.error();
+    }
+
+    std::mutex m_mutex;
+    int m_calls = 0;
+    http::request m_seen;
+    http::response m_answer;
+    http::server m_server{{}, [this](const auto& message) { return handle(message); }};
+    bool m_started = m_server.start();
+    http_store m_store{{m_server.bound_address(), seconds(20), seconds(20), 4}};
+};
+
+// Guards against a call that differs from the platform's interface.
+TEST_F(http_store_test, calls_are_those_of_the_platform)
+{
+    answer(200, R"({"version":4})");
+    EXPECT_EQ(m_store.write("slices/a b/1", "text", 3).value(), 4U);
+    EXPECT_EQ(m_seen.m_method, "PUT");
+    EXPECT_EQ(m_seen.m_target, "/v1/kv/slices/a%20b/1?version=3");
+    EXPECT_EQ(m_seen.m_body, "text");
+    answer(200, R"({"value":"te\"xt","version":4})");
+    const auto read = m_store.read("config").value();
+    EXPECT_EQ(m_seen.m_method, "GET");
+    EXPECT_EQ(m_seen.m_target, "/v1/kv/config");
+    EXPECT_EQ(read->m_value, "te\"xt");
+    EXPECT_EQ(read->m_version, 4U);
+    answer(404, "{}");
+    EXPECT_FALSE(m_store.read("config").value());
+}
+
+// Guards against an error that claims to have had no effect, or the reverse.
+TEST_F(http_store_test, write_errors)
+{
+    const auto conflict = write_error(409, R"({"version":7})");
+    EXPECT_EQ(conflict.m_kind, store_error_kind::conflict);
+    EXPECT_EQ(conflict.m_current_version, 7U);
+    EXPECT_EQ(write_error(413, "").m_kind, store_error_kind::too_large);
+    EXPECT_EQ(write_error(503, "").m_kind, store_error_kind::unavailable);
+    EXPECT_EQ(write_error(429, "").m_kind, store_error_kind::unavailable);
+    EXPECT_EQ(write_error(500, "").m_kind, store_error_kind::unknown);
+    EXPECT_EQ(write_error(200, "{").m_kind, store_error_kind::unknown);
+    EXPECT_EQ(write_error(409, "[]").m_kind, store_error_kind::unknown);
+}
+
+// Guards against a write that is sent again after its answer was lost.
+TEST_F(http_store_test, lost_answer_of_a_write_is_unknown_and_not_repeated)
+{
+    EXPECT_EQ(write_error(http::close_without_answer, "").m_kind, store_error_kind::unknown);
+    EXPECT_EQ(m_calls, 1);
+}
+
+// Guards against a missing value where the store gave no answer.
+TEST_F(http_store_test, failed_reads_are_unavailable)
+{
+    for (const int status : {503, 500, 200, http::close_without_answer}) {
+        answer(status, "{}");
+        const auto outcome = m_store.read("k");
+        ASSERT_FALSE(outcome) << status;
+        EXPECT_EQ(outcome.error().m_kind, store_error_kind::unavailable) << status;
+    }
+}
+
+// Guards against a write to a store that is not there being reported as unknown.
+TEST_F(http_store_test, refused_connection_is_unavailable)
+{
+    m_server.stop();
+    EXPECT_EQ(m_store.write("k", "v", 0).error().m_kind, store_error_kind::unavailable);
+    EXPECT_EQ(m_store.read("k").error().m_kind, store_error_kind::unavailable);
+}
+
+} // namespace
+} // namespace azureladder::platform
