Move slices for balance and test faults of whole clusters

Owners hand over one slice per interval, one giver for each receiver at a time, so that a returning node gains slices within the stated limit. The zone test still fails at one instant, probably because it observes a slice during a move; being examined.

--- a/libs/core/src/balance.cpp
+++ b/libs/core/src/balance.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace azureladder::core {
 
@@ -134,6 +135,70 @@
     }
 }
 
+bool move_pending(const ownership_state& own)
+{
+    return std::any_of(own.m_slices.begin(), own.m_slices.end(), [](const auto& entry) {
+        return entry.second.m_phase != slice_phase::serving;
+    });
+}
+
+/// Whether this node is the first, by name, of the nodes that have slices for `receiver`. One giver
+/// at a time keeps the slices that a returning node gains in an interval within the limit.
+bool is_first_giver(node_state& state, const std::vector<std::string>& spaces,
+                    const node_id& receiver)
+{
+    for (const auto& space : spaces) {
+        const auto& desired = desired_owners(state, space);
+        for (std::uint32_t index = 0; index < desired.size(); ++index) {
+            const auto location = locate(state.m_directory, {space, index});
+            if (desired[index] != receiver || !location || location->m_owner.m_node == receiver)
+                continue;
+            if (location->m_owner.m_node < state.m_identity.m_node &&
+                fenced_plan(state, location->m_owner) == nullptr)
+                return false;
+        }
+    }
+    return true;
+}
+
+/// Receiver of a slice that belongs to another node by the assignment, if it can be moved now.
+std::optional<member_ref> receiver_of(node_state& state, time_point now, const slice_id& slice,
+                                      const held_slice& held)
+{
+    const auto& desired = desired_owners(state, slice.m_space);
+    if (slice.m_index >= desired.size() || !held.m_recorded || !held.m_announced)
+        return std::nullopt;
+    const auto& node = desired[slice.m_index];
+    if (node.empty() || node == state.m_identity.m_node)
+        return std::nullopt;
+    const auto* newest = find_newest_plan(state.m_directory, node);
+    if (newest == nullptr || !is_usable_member(state, now, newest->m_member))
+        return std::nullopt;
+    return newest->m_member;
+}
+
+void move_slices(node_state& state, time_point now, const std::vector<std::string>& spaces)
+{
+    auto& own = state.m_ownership;
+    if (!plan_settled(state) || move_pending(own))
+        return;
+    std::size_t moves = 0;
+    std::set<node_id> refused;
+    for (auto& [slice, held] : own.m_slices) {
+        if (moves >= state.m_options.m_moves_per_interval)
+            return;
+        const auto receiver = receiver_of(state, now, slice, held);
+        if (!receiver || refused.count(receiver->m_node) != 0)
+            continue;
+        if (!is_first_giver(state, spaces, receiver->m_node)) {
+            refused.insert(receiver->m_node);
+            continue;
+        }
+        start_handover(held, now, *receiver, "balance");
+        ++moves;
+    }
+}
+
 } // namespace
 
 std::string service_of_space(const std::string& space)
@@ -199,8 +264,10 @@
     if (own.m_store_down || backend_leaving(state, now))
         return;
     const auto service = state.m_backend ? state.m_backend->m_service : std::string();
-    for (const auto& space : spaces_of_node(state, service))
+    const auto spaces = spaces_of_node(state, service);
+    for (const auto& space : spaces)
         acquire_in_space(state, now, space);
+    move_slices(state, now, spaces);
 }
 
 } // namespace azureladder::core
--- /dev/null
+++ b/libs/core/tests/cluster_fault_schedule.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "cluster_harness.hpp"
+
+#include <string>
+#include <vector>
+
+namespace azureladder::core::testing {
+
+enum class fault_kind
+{
+    kill_node,
+    restart_node,
+    pause_node,
+    isolate_node,
+    heal_node,
+    block_link,
+    heal_link,
+    store_down,
+    store_up,
+    zone_out,
+    zone_in,
+    stop_node,
+};
+
+/// One step of a fault schedule.
+struct fault_step
+{
+    fault_kind m_kind = fault_kind::kill_node;
+    std::size_t m_node = 0;
+    std::size_t m_other = 0;
+
+    /// Length of a pause, and time until the next step.
+    duration m_length{0};
+    duration m_wait{0};
+};
+
+std::string to_text(const fault_step& step);
+
+/// Applies the step. At most one zone is out and the store comes back by itself in `end_faults`.
+void apply_fault(cluster_harness& cluster, const fault_step& step);
+
+/// Ends all faults: starts nodes that do not run and heals links, store and zones.
+void end_faults(cluster_harness& cluster);
+
+/// Schedule made from a seed.
+std::vector<fault_step> make_schedule(std::uint64_t seed, std::size_t steps, std::size_t nodes);
+
+} // namespace azureladder::core::testing
--- /dev/null
+++ b/libs/core/tests/ownership_property_test.cpp
@@ -0,0 +1,66 @@
+#include "cluster_scenarios.hpp"
+#include "cluster_fault_schedule.hpp"
+
+#include <azureladder/core/ownership.hpp>
+
+#include <rapidcheck.h>
+
+#include <iostream>
+
+namespace azureladder::core::testing {
+
+namespace {
+
+constexpr std::size_t node_count = 6;
+
+/// Runs a schedule over a lossy network and returns the violations of the invariants.
+std::vector<std::string> violations_of(std::uint64_t seed, const std::vector<fault_step>& steps)
+{
+    cluster_harness cluster(seed);
+    add_six_nodes(cluster);
+    // Clock rates differ by up to 2 %, the assumption of section 3.3.
+    cluster.node("a1").m_rate_permille = 10;
+    cluster.node("b1").m_rate_permille = -9;
+    cluster.m_faults.m_loss = 20;
+    cluster.m_faults.m_duplication = 20;
+    cluster.m_faults.m_max_delay = milliseconds(40);
+    cluster.m_faults.m_store_lost_answers = 50;
+    cluster.start_all();
+    cluster.run_for(seconds(10));
+    for (const auto& step : steps) {
+        apply_fault(cluster, step);
+        cluster.run_for(step.m_wait);
+    }
+    return cluster.m_violations;
+}
+
+std::string describe(std::uint64_t seed, const std::vector<fault_step>& steps)
+{
+    std::string text = "seed " + std::to_string(seed);
+    for (const auto& step : steps)
+        text += "\n" + to_text(step);
+    return text;
+}
+
+} // namespace
+
+// Guards against two owners of a slice and against epochs that go back, under combined faults.
+TEST(ownership_property, one_owner_under_combined_faults)
+{
+    rc::detail::TestParams params;
+    params.seed = 20261204;
+    params.maxSuccess = 60;
+    rc::detail::TestMetadata metadata;
+    const auto property = [] {
+        const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
+        const auto schedule = make_schedule(seed, 12, node_count);
+        const auto violations = violations_of(seed, schedule);
+        if (!violations.empty())
+            RC_FAIL(violations.front() + "\n" + describe(seed, schedule));
+    };
+    const auto result = rc::detail::checkTestable(property, metadata, params);
+    rc::detail::printResultMessage(result, std::cerr);
+    EXPECT_TRUE(result.is<rc::detail::SuccessResult>());
+}
+
+} // namespace azureladder::core::testing
