Move queued requests without the retry budget and test the backend protection

When a zone leaves, queued requests of its entry nodes have made no attempt, so sending them elsewhere multiplies no load; charging them to the retry budget failed callers. A backend server that announces no connections no longer gets a limit of zero, which could never grow.

--- a/libs/core/src/routing_attempts.cpp
+++ b/libs/core/src/routing_attempts.cpp
@@ -86,7 +86,8 @@
         return;
     auto& service = measure_of(step.m_state, attempt.m_service);
     auto& upstream = service.m_upstreams[attempt.m_to];
-    upstream.m_reported_load = std::max(upstream.m_reported_load, input.m_reported_load);
+    if (input.m_reported_load >= 0.0)
+        upstream.m_reported_load = input.m_reported_load;
     note_reply(service, upstream, step.m_now - attempt.m_started);
 }
 
@@ -129,7 +130,10 @@
 void repeat_spread(routing_step& step, request_token token, error_code code)
 {
     auto& request = *find_request(step.m_state, token);
-    if (!take_retry(step, request)) {
+    // A request that only waited in the queue has made no attempt, so another node is its first.
+    const bool moved =
+        request.m_last_attempt == 0 && is_unavailable(code) && request.m_retries < max_retries;
+    if (!moved && !take_retry(step, request)) {
         log_decision(step, request, "retry_denied", code);
         answer_error(step, token, code, "no further attempt is allowed");
         return;
--- a/libs/core/src/routing_backend.cpp
+++ b/libs/core/src/routing_backend.cpp
@@ -81,8 +81,9 @@
     const bool turned_cold = input.m_info.m_cold && (is_new || !state.m_backend->m_cold);
     state.m_backend = input.m_info;
     state.m_backend_seen = step.m_now;
+    // A limit of zero could never grow again, because it grows by replies.
     set_maximum(state.m_routing.m_limit,
-                std::min(input.m_info.m_slots, input.m_info.m_connections));
+                std::max(1U, std::min(input.m_info.m_slots, input.m_info.m_connections)));
     if (is_new)
         begin_cold_start(step, "new start id");
     else if (turned_cold)
--- a/libs/core/src/routing_candidates.cpp
+++ b/libs/core/src/routing_candidates.cpp
@@ -43,7 +43,7 @@
         if (former_self || !may_run(state.m_configuration.m_document, service, *value))
             continue;
         measure.m_candidates.push_back(
-            {value->m_member, value->m_peer_address, value->m_zone, value->m_server});
+            {value->m_member, value->m_peer_address, value->m_zone == state.m_identity.m_zone});
     }
     measure.m_candidates_stale = false;
     drop_old_measures(measure);
@@ -54,7 +54,7 @@
 {
     const auto& state = step.m_state;
     upstream_choice choice;
-    choice.m_local_zone = candidate.m_zone == state.m_identity.m_zone;
+    choice.m_local_zone = candidate.m_local_zone;
     const auto found = measure.m_upstreams.find(candidate.m_member);
     const upstream_measure known =
         found == measure.m_upstreams.end() ? upstream_measure{} : found->second;
--- a/libs/core/src/routing_choice.cpp
+++ b/libs/core/src/routing_choice.cpp
@@ -31,9 +31,9 @@
         wait_for_owner(step, token, error_code::no_owner);
         return;
     }
-    forward_attempt(step, token,
-                    {owner->m_member, owner->m_peer_address, owner->m_zone, owner->m_server},
-                    false);
+    forward_attempt(
+        step, token,
+        {owner->m_member, owner->m_peer_address, owner->m_zone == state.m_identity.m_zone}, false);
 }
 
 void route_spread(routing_step& step, request_token token)
@@ -45,7 +45,7 @@
                     claim_slice(state, request.m_info.m_service, request.m_info.m_idempotency_key));
         return;
     }
-    const auto* target = choose_upstream(step, request, request.m_last_attempt == 0);
+    const auto* target = choose_upstream(step, request, false);
     if (target == nullptr)
         target = choose_upstream(step, request, true);
     if (target == nullptr) {
--- a/libs/core/src/routing_timers.cpp
+++ b/libs/core/src/routing_timers.cpp
@@ -138,6 +138,9 @@
         upstream.m_oldest_open = std::max(upstream.m_oldest_open, step.m_now - attempt.m_started);
     }
     for (auto& [name, service] : routing.m_services) {
+        // Services divided by key have no candidates: a key has one owner, however slow.
+        if (service.m_candidates.empty())
+            continue;
         for (const auto& member : update_ejections(service, step.m_now)) {
             const auto& upstream = service.m_upstreams[member];
             write_event(step, log_level::info,
--- /dev/null
+++ b/libs/core/tests/routing_backend_test.cpp
@@ -0,0 +1,202 @@
+#include "routing_fixture.hpp"
+
+namespace azureladder::core::testing {
+
+namespace {
+
+/// The only upstream of "shop" is the backend server beside the node.
+class routing_backend : public routing_fixture
+{
+protected:
+    routing_backend()
+    {
+        m_state.m_directory.m_plans.erase({"b", 1});
+        m_state.m_directory.m_plans.erase({"c", 1});
+        announce();
+    }
+
+    request_token arrive_class(request_class priority, bool forwarded = false)
+    {
+        auto info = make_info("shop");
+        info.m_class = priority;
+        info.m_forwarded_by = forwarded ? "b" : "";
+        return arrive(info);
+    }
+
+    std::uint32_t limit() const { return current_limit(m_state.m_routing.m_limit); }
+
+    /// Ends the open attempts with replies and returns how many there were.
+    std::size_t answer_all()
+    {
+        const auto attempts = m_state.m_routing.m_attempts;
+        for (const auto& [id, attempt] : attempts)
+            finish(id.first, id.second, attempt_outcome::answered);
+        return attempts.size();
+    }
+};
+
+// Guards against full load on a backend server that has just started.
+TEST_F(routing_backend, cold_start_doubles_the_limit_up_to_the_slots)
+{
+    for (const std::uint32_t expected : {1U, 2U, 4U, 4U}) {
+        EXPECT_EQ(limit(), expected);
+        for (int count = 0; count < 8; ++count)
+            arrive_class(request_class::standard);
+        EXPECT_EQ(m_state.m_routing.m_attempts.size(), expected);
+        for (std::uint32_t done = 0; done < expected; ++done) {
+            const auto id = m_state.m_routing.m_attempts.begin()->first;
+            finish(id.first, id.second, attempt_outcome::answered);
+        }
+    }
+}
+
+// Guards against a restart, a cold announcement or a silence that goes unnoticed.
+TEST_F(routing_backend, new_start_cold_announcement_and_silence_start_cold)
+{
+    warm_up();
+    announce(false, "s2");
+    EXPECT_EQ(limit(), 1U);
+    warm_up();
+    announce(true, "s2");
+    EXPECT_EQ(limit(), 1U);
+    warm_up();
+    announce(true, "s2");
+    EXPECT_EQ(limit(), slots);
+    announce(false, "s2");
+    m_now += seconds(4);
+    announce(false, "s2");
+    EXPECT_EQ(limit(), 1U);
+}
+
+// Guards against dispatches to a backend server that is lost or drains.
+TEST_F(routing_backend, silent_or_draining_backend_gets_nothing)
+{
+    m_now += milliseconds(3001);
+    arrive_class(request_class::standard, true);
+    EXPECT_EQ(error().m_code, error_code::not_serving);
+    announce();
+    m_state.m_backend->m_draining = true;
+    arrive_class(request_class::standard, true);
+    EXPECT_EQ(error().m_executed, executed::no);
+    EXPECT_TRUE(all<dispatch_to_backend>().empty());
+}
+
+// Guards against batch work that starves, and against batch work that delays callers who wait.
+TEST_F(routing_backend, classes_are_served_in_order_with_one_in_ten_for_the_lowest)
+{
+    request_queue queue;
+    push_request(queue, request_class::batch, 100);
+    push_request(queue, request_class::standard, 50);
+    for (request_token token = 1; token <= 12; ++token)
+        push_request(queue, request_class::interactive, token);
+    for (request_token token = 1; token <= 9; ++token)
+        EXPECT_EQ(pop_request(queue), token);
+    EXPECT_EQ(pop_request(queue), 100U);
+    EXPECT_EQ(pop_request(queue), 10U);
+}
+
+// Guards against an unbounded queue, and against a full queue of batch work that turns callers
+// away.
+TEST_F(routing_backend, full_queue_sheds_the_lowest_class)
+{
+    std::vector<request_token> batch;
+    for (std::uint32_t count = 0; count < 1 + 4 * slots; ++count)
+        batch.push_back(arrive_class(request_class::batch));
+    EXPECT_EQ(queue_length(m_state.m_routing.m_queue), 4 * slots);
+    arrive_class(request_class::batch, true);
+    EXPECT_EQ(error().m_code, error_code::overloaded);
+    EXPECT_EQ(error().m_executed, executed::no);
+    arrive_class(request_class::interactive);
+    EXPECT_EQ(error().m_token, batch.back());
+    EXPECT_EQ(queue_length(m_state.m_routing.m_queue), 4 * slots);
+}
+
+// Guards against a limit that stays high while the backend server sheds, or falls for each of the
+// refusals that one overload causes.
+TEST_F(routing_backend, refusals_lower_the_limit_once_for_each_round)
+{
+    warm_up();
+    std::vector<request_token> tokens;
+    for (std::uint32_t count = 0; count < slots; ++count)
+        tokens.push_back(arrive_class(request_class::standard, true));
+    m_now += milliseconds(5);
+    for (const auto token : tokens)
+        finish(token, 1, attempt_outcome::refused);
+    EXPECT_EQ(limit(), 2U);
+    EXPECT_EQ(error().m_code, error_code::refused_by_backend);
+}
+
+// Guards against a backend server that became cold without notice and fails under full load.
+TEST_F(routing_backend, high_latency_with_failures_counts_as_cold)
+{
+    concurrency_limit value;
+    set_maximum(value, slots);
+    value.m_limit = slots;
+    for (int count = 0; count < 64; ++count)
+        note_success(value, milliseconds(2), m_now);
+    for (int count = 0; count < 8; ++count)
+        EXPECT_NE(note_success(value, milliseconds(20), m_now), limit_change::cold);
+    EXPECT_EQ(note_failure(value, m_now, m_now), limit_change::cold);
+    EXPECT_EQ(current_limit(value), 1U);
+}
+
+// Guards against a slot that is used again while the backend server still executes.
+TEST_F(routing_backend, cancelled_request_keeps_its_slot_until_the_report)
+{
+    const auto first = arrive_class(request_class::standard);
+    arrive_class(request_class::standard);
+    run(request_abandoned{first});
+    EXPECT_EQ(all<cancel_attempt>().size(), 1U);
+    EXPECT_TRUE(all<dispatch_to_backend>().empty());
+    finish(first, 1, attempt_outcome::lost);
+    EXPECT_EQ(all<dispatch_to_backend>().size(), 1U);
+}
+
+// Guards against work of a slice that goes on after the lease has ended.
+TEST_F(routing_backend, lease_end_cancels_slices_and_empties_the_queue)
+{
+    announce(false, "s1", "reports");
+    serve(slice_of("k1"));
+    const auto token = arrive(make_info("reports"));
+    auto info = make_info("reports");
+    info.m_forwarded_by = "b";
+    arrive(info);
+    set_lease_end(m_state, m_now);
+    advance(milliseconds(20));
+    EXPECT_EQ(all<cancel_attempt>().size(), 1U);
+    EXPECT_EQ(error().m_code, error_code::not_serving);
+    finish(token, 1, attempt_outcome::lease_ended);
+    EXPECT_EQ(in_flight(m_state, slice_of("k1")), 0U);
+}
+
+// Guards against queued work that reaches a server out of service, and full load on its return.
+TEST_F(routing_backend, zone_out_empties_the_queue_and_return_starts_cold)
+{
+    arrive_class(request_class::standard, true);
+    arrive_class(request_class::standard, true);
+    auto& zones = m_state.m_configuration.m_document.m_zones;
+    zones["z1"] = records::service_state::out;
+    advance(milliseconds(20));
+    EXPECT_EQ(error().m_code, error_code::zone_out);
+    answer_all();
+    warm_up();
+    zones["z1"] = records::service_state::in;
+    advance(milliseconds(20));
+    EXPECT_EQ(limit(), 1U);
+}
+
+// Guards against a planned stop that drops queued requests or takes new ones.
+TEST_F(routing_backend, stopping_node_finishes_its_queue_and_refuses_new_work)
+{
+    const auto first = arrive_class(request_class::standard, true);
+    arrive_class(request_class::standard, true);
+    run(stop_requested{});
+    arrive_class(request_class::standard, true);
+    EXPECT_EQ(error().m_code, error_code::stopping);
+    finish(first, 1, attempt_outcome::answered);
+    EXPECT_EQ(all<dispatch_to_backend>().size(), 1U);
+}
+
+} // namespace
+
+} // namespace azureladder::core::testing
