Audit: accept empty slice fields of executions

A run of the load generator against the backend server double showed 9,960 of 39,840 lines as malformed: the double writes "slice" and "epoch" as empty texts when the request belongs to a service that is not divided by key.

--- a/libs/audit/tests/log_reader_test.cpp
+++ b/libs/audit/tests/log_reader_test.cpp
@@ -40,6 +40,15 @@
     EXPECT_EQ(events.m_malformed_count, 1U);
 }
 
+// Guards against executions of services not divided by key that count as malformed.
+TEST(log_reader, accepts_empty_slice_fields)
+{
+    const auto events = history_of(
+        {R"("time_us":1,"event":"execution_started","server":"s","slice":"","epoch":"")"});
+    ASSERT_EQ(events.m_events.size(), 1U);
+    EXPECT_EQ(events.m_events[0].m_epoch, 0U);
+}
+
 // Guards against an audit that passes because a log is missing.
 TEST(log_reader, reports_a_missing_file)
 {
