--- a/testbench/bench/azureladder_bench/run.py
+++ b/testbench/bench/azureladder_bench/run.py
@@ -25,9 +25,9 @@
     """Services of the records of which each key has one owner."""
     records = read_json_with_comments(experiment.deployment / "records.json")
     rows = records if isinstance(records, list) else records["records"]
-    return {row["name"] for row in rows
-            if row.get("kind") == "service" and (row.get("divided_by_key")
-                                                 or row.get("spec", {}).get("divided_by_key"))}
+    # Schema version 2 groups the field under "placement".
+    return {row["name"] for row in rows if row.get("kind") == "service"
+            and (row.get("divided_by_key") or row.get("placement", {}).get("divided_by_key"))}
 
 
 class Run:
