Log the revision of each incarnation and show witnesses and standbys

The audit reported a node that dispatched with revision 0: a frozen node had joined again under a new incarnation, whose revision was installed under the old one and not logged again. Ruled out: a node that serves an older revision; its document was current. The test of a lost answer expected a backend server that honours its deadline to lose the answer; it answers 504 itself. The backend servers are now frozen with the order in their sockets.

--- a/libs/core/src/configuration.cpp
+++ b/libs/core/src/configuration.cpp
@@ -58,7 +58,12 @@
         return;
     }
     // A read that began before this incarnation's plan was written may miss an accepted change.
-    configuration.m_read_after_join = plan_written(state);
+    if (configuration.m_read_after_join || !plan_written(state))
+        return;
+    configuration.m_read_after_join = true;
+    // States the revision of the new incarnation also when it was installed under an earlier one.
+    json fields = {{"revision", configuration.m_document.m_revision}};
+    output.emplace_back(write_log{log_level::info, "revision_installed", std::move(fields)});
 }
 
 void handle_message(node_state& state, time_point now, const message_received& input,
--- a/libs/core/tests/cluster_harness.cpp
+++ b/libs/core/tests/cluster_harness.cpp
@@ -96,8 +96,8 @@
 
 void cluster_harness::apply(const json& records)
 {
-    const auto changed = 
-        records::apply_records(m_document, records, "apply-" + std::to_string(m_document.m_revision));
+    const auto changed = records::apply_records(m_document, records,
+                                                "apply-" + std::to_string(m_document.m_revision));
     m_document = changed.value();
     auto& stored = m_store.m_entries["config"];
     stored.m_value = records::to_text(m_document);
--- a/libs/core/tests/ownership_property_test.cpp
+++ b/libs/core/tests/ownership_property_test.cpp
@@ -1,5 +1,5 @@
-#include "cluster_scenarios.hpp"
 #include "cluster_fault_schedule.hpp"
+#include "cluster_scenarios.hpp"
 
 #include <azureladder/core/ownership.hpp>
 
--- a/libs/node/src/status.cpp
+++ b/libs/node/src/status.cpp
@@ -8,6 +8,14 @@
 
 namespace {
 
+json node_names(const std::vector<member_ref>& members)
+{
+    json names = json::array();
+    for (const auto& member : members)
+        names.push_back(member.m_node);
+    return names;
+}
+
 json plans_json(const core::directory_state& directory)
 {
     json plans = json::array();
@@ -20,6 +28,8 @@
                          {"service", member->m_service},
                          {"server", member->m_server},
                          {"http", to_string(member->m_http_address)},
+                         {"witnesses", node_names(member->m_witnesses)},
+                         {"standbys", node_names(member->m_standbys)},
                          {"slices", member->m_slices.size()}});
     }
     return plans;
--- a/tests/integration/cluster_fixture.cpp
+++ b/tests/integration/cluster_fixture.cpp
@@ -43,27 +43,41 @@
     json targets = json::array();
     for (const auto& node : site.nodes())
         targets.push_back(to_string(site.http_address(node.m_node)));
-    return {{"seed", 7},
-            {"duration_s", duration_s},
-            {"max_requests", 200'000},
-            {"targets", targets},
-            {"services",
-             {{{"name", "reporting"},
-               {"rate", 60},
-               {"path", "/summary"},
-               {"timeout_ms", 3'000},
-               {"keys", {{"distribution", "uniform"}, {"count", 200}}},
-               {"methods", {{{"method", "GET"}, {"weight", 1}}}}},
-              {{"name", "bookings"},
-               {"rate", 60},
-               {"path", "/jobs"},
-               {"timeout_ms", 3'000},
-               {"methods",
-                {{{"method", "GET"}, {"weight", 1}},
-                 {{"method", "POST"},
-                  {"weight", 1},
-                  {"idempotency_key", true},
-                  {"repeats", 2}}}}}}}};
+    return {
+        {"seed", 7},
+        {"duration_s", duration_s},
+        {"max_requests", 200'000},
+        {"targets", targets},
+        {"services",
+         {{{"name", "reporting"},
+           {"rate", 60},
+           {"path", "/summary"},
+           {"timeout_ms", 3'000},
+           {"keys", {{"distribution", "uniform"}, {"count", 200}}},
+           {"methods", {{{"method", "GET"}, {"weight", 1}}}}},
+          {{"name", "bookings"},
+           {"rate", 60},
+           {"path", "/jobs"},
+           {"timeout_ms", 3'000},
+           {"methods",
+            {{{"method", "GET"}, {"weight", 1}},
+             {{"method", "POST"}, {"weight", 1}, {"idempotency_key", true}, {"repeats", 2}}}}}}}};
+}
+
+/// Whether every owner of `reporting` has only nodes as standbys that can serve its slices.
+bool covered(const json& status)
+{
+    for (const auto& plan : status.at("plans")) {
+        if (plan.at("service") != "reporting")
+            continue;
+        for (const auto& standby : plan.at("standbys")) {
+            if (standby.get<std::string>().rfind("n-reporting", 0) != 0)
+                return false;
+        }
+        if (plan.at("standbys").empty())
+            return false;
+    }
+    return true;
 }
 
 std::string test_directory()
@@ -104,7 +118,7 @@
     const auto all_owned = [&] {
         const auto status = m_site->status("n-bookings-c");
         return status && (*status)["slices"].contains("reporting") &&
-               (*status)["slices"]["reporting"].size() == 12 && served("n-bookings-c", "k1") &&
+               (*status)["slices"]["reporting"].size() == 12 && covered(*status) && served("n-bookings-c", "k1") &&
                book("n-bookings-c", "warm-up") == status_ok;
     };
     ASSERT_TRUE(deployment::wait_until(all_owned, settle_limit));
--- a/tests/integration/service_test.cpp
+++ b/tests/integration/service_test.cpp
@@ -34,6 +34,15 @@
     return total;
 }
 
+template <class Function>
+void for_each_booking_backend(deployment::cluster& site, Function function)
+{
+    for (const auto& node : site.nodes()) {
+        if (node.m_service == "bookings")
+            function(site.backend(node.m_node));
+    }
+}
+
 // Guards against a second execution when a caller repeats an order, also through another node.
 TEST_F(cluster_fixture, repeated_order_is_executed_once)
 {
@@ -45,15 +54,12 @@
     expect_clean_audit();
 }
 
-// Guards against a second execution when the answer to an order was lost: the backend server
-// freezes during the execution, and the caller repeats the order meanwhile and afterwards.
+// Guards against a second execution when the answer to an order was lost: the backend servers
+// freeze with the order in their sockets and resume later, and the caller repeats the order.
 TEST_F(cluster_fixture, order_with_lost_answer_is_not_executed_again)
 {
     ASSERT_NO_FATAL_FAILURE(start());
-    for (const auto& node : site().nodes()) {
-        if (node.m_service == "bookings")
-            ASSERT_TRUE(site().control_backend(node.m_node, {{"service_time_ms", 3'000}}));
-    }
+    for_each_booking_backend(site(), [](auto& backend) { backend.send_signal(SIGSTOP); });
     http::request message;
     message.m_method = "POST";
     message.m_target = "/bookings/jobs";
@@ -63,8 +69,10 @@
     ASSERT_TRUE(first);
     const auto* state = http::find_header(first.value().m_headers, "Azureladder-Executed");
     ASSERT_NE(state, nullptr);
-    EXPECT_EQ(*state, "unknown");
+    EXPECT_EQ(*state, "unknown") << first.value().m_body;
+    for_each_booking_backend(site(), [](auto& backend) { backend.send_signal(SIGCONT); });
     EXPECT_EQ(book("n-reporting-b", "order-2"), status_conflict);
+    EXPECT_EQ(book(entry, "order-2"), status_conflict);
     EXPECT_LE(executions(site(), "order-2"), 1U);
     expect_clean_audit();
 }
@@ -122,8 +130,9 @@
 {
     ASSERT_NO_FATAL_FAILURE(start());
     deployment::command_result first;
-    std::thread other(
-        [&] { first = site().command("n-reporting-b", {"server", "out", "bookings-b"}); });
+    std::thread other([&] {
+        first = site().command("n-reporting-b", {"server", "out", "bookings-b"});
+    });
     const auto second = site().apply(
         entry, json::parse(R"([{"kind": "server", "schema_version": 2, "name": "bookings-c",
                                 "state": "out"}])"));
