Drain datagrams on demand and wait after a lost link

A witness that was paused must handle the requests that have arrived before it judges leases by its clock; the order of ready handlers in an io_context is not fixed, so the runtime needs a call that reads the socket empty. A link that is lost now waits 50 ms before the next connect, because a peer that accepts and closes would otherwise cause one connection for each frame. New tests: draining, missing file descriptors, connections without handshake.

--- a/libs/peer/include/azureladder/peer/transport.hpp
+++ b/libs/peer/include/azureladder/peer/transport.hpp
@@ -52,9 +52,13 @@
     /// Sends a datagram, or drops it when the kernel does not take it at once.
     void send_datagram(const endpoint& to, const std::vector<std::uint8_t>& bytes);
 
+    /// Delivers the datagrams that have arrived already; `m_on_envelope` is called from within. A
+    /// process that was paused calls this before it judges by its clock what was not received.
+    void receive_pending();
+
     /// Queues a frame on the link to `to` and opens the link when necessary. A tracked frame is
     /// reported by `m_on_frame_failed` until `frame_done` is called; an untracked one is dropped
-    /// when its link fails. While a failed connect is followed by its backoff, frames fail at once.
+    /// when its link fails. During the backoff after a loss, frames fail at once as not sent.
     frame_id send_frame(const endpoint& to, std::vector<std::uint8_t> bytes, bool track = true);
 
     /// Ends the tracking of a frame, because its reply arrived or is no longer awaited.
--- a/libs/peer/include/azureladder/peer/transport_callbacks.hpp
+++ b/libs/peer/include/azureladder/peer/transport_callbacks.hpp
@@ -11,7 +11,8 @@
 /// Id of a frame in one transport. Never reused; zero is no frame.
 using frame_id = std::uint64_t;
 
-/// Called on the thread of the io_context, never from within a call of the transport.
+/// Called on the thread of the io_context; from within a call of the transport only by
+/// `receive_pending`.
 struct transport_callbacks
 {
     /// A message arrived.
--- a/libs/peer/include/azureladder/peer/transport_options.hpp
+++ b/libs/peer/include/azureladder/peer/transport_options.hpp
@@ -37,7 +37,7 @@
     /// A link on which replies are awaited is lost after this time without any sign of the peer.
     duration m_silence_timeout = milliseconds(1'500);
 
-    /// Time without connect attempts after a failed one; doubles with each failure.
+    /// Time without connect attempts after a link was lost; doubles with each failed attempt.
     duration m_first_backoff = milliseconds(50);
     duration m_last_backoff = seconds(2);
 };
--- a/libs/peer/src/datagram_socket.cpp
+++ b/libs/peer/src/datagram_socket.cpp
@@ -6,6 +6,16 @@
 
 using boost::asio::ip::udp;
 
+namespace {
+
+/// Room for the answers of a whole region to one probe. The kernel may grant less.
+constexpr int receive_buffer_bytes = 1'024 * 1'024;
+
+/// Bounds one call of `receive_pending` under a flood.
+constexpr int max_pending_datagrams = 4'096;
+
+} // namespace
+
 datagram_socket::datagram_socket(boost::asio::io_context& context, receive_handler handler)
     : m_socket(context), m_handler(std::move(handler))
 {
@@ -19,6 +29,8 @@
         m_socket.bind(local, error);
     if (!error)
         m_socket.non_blocking(true, error);
+    boost::system::error_code ignored;
+    m_socket.set_option(udp::socket::receive_buffer_size(receive_buffer_bytes), ignored);
     if (error)
         close();
     else
@@ -36,6 +48,21 @@
     return !error;
 }
 
+void datagram_socket::receive_pending()
+{
+    // The buffer of the pending asynchronous operation must not be used here.
+    decltype(m_buffer) buffer;
+    for (int i = 0; i < max_pending_datagrams && m_socket.is_open(); ++i) {
+        boost::system::error_code error;
+        udp::endpoint sender;
+        const auto size = m_socket.receive_from(boost::asio::buffer(buffer), sender, 0, error);
+        if (error == boost::asio::error::would_block)
+            return;
+        if (!error)
+            m_handler(buffer.data(), size);
+    }
+}
+
 void datagram_socket::close()
 {
     boost::system::error_code ignored;
--- a/libs/peer/src/datagram_socket.hpp
+++ b/libs/peer/src/datagram_socket.hpp
@@ -29,6 +29,9 @@
     /// Returns whether the kernel took the datagram.
     bool send(const endpoint& to, const std::vector<std::uint8_t>& bytes);
 
+    /// Handles the datagrams that the kernel holds now.
+    void receive_pending();
+
     void close();
 
 private:
--- a/libs/peer/src/link.cpp
+++ b/libs/peer/src/link.cpp
@@ -144,12 +144,13 @@
     const auto& options = m_services->m_options;
     const auto before = m_state;
     end_connection();
-    if (before == state::open) {
+    if (before == state::open)
         ++m_services->m_counters.m_links_lost;
-    } else if (before != state::closing) {
+    if (before == state::closing)
+        m_backoff = duration(0);
+    else
         m_backoff = std::clamp(m_backoff * 2, options.m_first_backoff, options.m_last_backoff);
-        m_retry_at = m_services->m_clock.now() + m_backoff;
-    }
+    m_retry_at = m_services->m_clock.now() + m_backoff;
     for (const auto& frame : std::exchange(m_queue, {}))
         fail(frame);
     m_queued_bytes = 0;
--- a/libs/peer/src/transport.cpp
+++ b/libs/peer/src/transport.cpp
@@ -40,6 +40,11 @@
     m_impl->send_datagram(to, bytes);
 }
 
+void transport::receive_pending()
+{
+    m_impl->receive_pending();
+}
+
 frame_id transport::send_frame(const endpoint& to, std::vector<std::uint8_t> bytes, bool track)
 {
     return m_impl->send_frame(to, std::move(bytes), track);
--- a/libs/peer/src/transport_impl.cpp
+++ b/libs/peer/src/transport_impl.cpp
@@ -146,6 +146,12 @@
     m_services->m_counters.m_bytes_sent += bytes.size();
 }
 
+void transport::impl::receive_pending()
+{
+    AZURELADDER_PRECONDITION(m_running, "the transport must be running");
+    m_datagrams->receive_pending();
+}
+
 frame_id transport::impl::send_frame(const endpoint& to, std::vector<std::uint8_t> bytes,
                                      bool track)
 {
--- a/libs/peer/src/transport_impl.hpp
+++ b/libs/peer/src/transport_impl.hpp
@@ -28,6 +28,7 @@
     void stop();
     endpoint advertised() const;
     void send_datagram(const endpoint& to, const std::vector<std::uint8_t>& bytes);
+    void receive_pending();
     frame_id send_frame(const endpoint& to, std::vector<std::uint8_t> bytes, bool track);
     void frame_done(frame_id id);
     const transport_counters& counters() const { return m_services->m_counters; }
--- a/libs/peer/src/websocket.hpp
+++ b/libs/peer/src/websocket.hpp
@@ -54,7 +54,7 @@
     /// No timer for pongs: the link judges the silence of its peer itself.
     static constexpr long timeout_pong = 0;
 
-    /// A node of the target size has about 2,200 connections, so each buffer is small.
+    /// A node of a cluster with 1,100 nodes can have 2,200 connections, so each buffer is small.
     static constexpr std::size_t connection_read_buffer_size = 2'048;
 
     /// Only the opening handshake uses HTTP, and it has no body.
--- a/libs/peer/tests/hostile_input_test.cpp
+++ b/libs/peer/tests/hostile_input_test.cpp
@@ -4,6 +4,9 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/write.hpp>
 
+#include <sys/resource.h>
+
+#include <cstring>
 #include <random>
 
 namespace azureladder::peer {
@@ -114,5 +117,31 @@
     expect_traffic_goes_on();
 }
 
+// Guards against connections that hold memory without ever becoming a link.
+TEST_F(hostile_input_test, connection_without_handshake_is_closed)
+{
+    send_bytes("GET / HTTP/1.1\r\n");
+    EXPECT_TRUE(run_until(m_context, [&] { return is_closed(); }));
+}
+
+// Guards against an accept loop that spins while the process has no free file descriptor: `poll`
+// would not return. A link is accepted once there is one again.
+TEST_F(hostile_input_test, missing_file_descriptors_do_not_spin)
+{
+    expect_traffic_goes_on();
+    m_sockets.emplace_back(m_context).open(tcp::v4());
+    rlimit before{};
+    ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+    const rlimit none{0, before.rlim_max};
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &none), 0);
+    m_sockets.back().connect(target());
+    m_sockets.back().send(boost::asio::buffer(handshake, std::strlen(handshake)));
+    m_context.poll();
+    EXPECT_EQ(m_sockets.back().available(), 0U);
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &before), 0);
+    EXPECT_TRUE(run_until(m_context, [&] { return m_sockets.back().available() > 0; }));
+    expect_traffic_goes_on();
+}
+
 } // namespace
 } // namespace azureladder::peer
--- a/libs/peer/tests/transport_test.cpp
+++ b/libs/peer/tests/transport_test.cpp
@@ -32,6 +32,21 @@
     EXPECT_TRUE(m_a.m_failed.empty());
 }
 
+// Guards against a witness that declares a lease expired although the request for its renewal has
+// arrived.
+TEST_F(transport_test, pending_datagrams_are_delivered_on_demand)
+{
+    test_node b(m_context, m_time);
+    constexpr std::size_t count = 20;
+    for (std::size_t i = 0; i < count; ++i)
+        m_a.m_transport.send_datagram(b.address(),
+                                      m_a.encode(core::message(core::revision_probe{i})));
+    b.m_transport.receive_pending();
+    EXPECT_EQ(b.m_received.size(), count);
+    m_a.m_transport.send_datagram(b.address(), m_a.encode(core::message(core::revision_probe{7})));
+    EXPECT_TRUE(run_until(m_context, [&] { return b.m_received.size() == count + 1; }));
+}
+
 // Guards against bodies that are cut or refused below the size limit, and sent above it.
 TEST_F(transport_test, carries_frames_up_to_the_size_limit)
 {
