Check that enumerations on the wire have complete name tables

A received value is checked against the number of names, which is right only if the table lists 0, 1, 2 and so on; an incomplete table now stops the build. Kept content types may be as long as kept bodies, because a longer one would make the receiver refuse the whole claim.

--- a/libs/wire/src/codec.hpp
+++ b/libs/wire/src/codec.hpp
@@ -136,7 +136,9 @@
 {
     std::uint64_t number = 0;
     if constexpr (std::is_enum_v<Value>) {
-        static_assert(enum_size<Value> > 0, "the enumeration needs a size in message_table.hpp");
+        static_assert(
+            enum_size<Value> > 0,
+            "the enumeration needs a complete table of names and its size in message_table.hpp");
         limit = enum_size<Value> - 1;
     }
     if (auto error = decode_unsigned(input, number, limit, key))
--- a/libs/wire/src/descriptor.hpp
+++ b/libs/wire/src/descriptor.hpp
@@ -84,6 +84,18 @@
 template <class Enum>
 inline constexpr std::size_t enum_size = 0;
 
+/// Number of rows of a table that lists the values 0, 1, 2 and so on; 0 for any other table, whose
+/// values could not be checked by a single comparison.
+template <class Enum, std::size_t Size>
+constexpr std::size_t count_values(const enum_name<Enum> (&table)[Size])
+{
+    for (std::size_t i = 0; i < Size; ++i) {
+        if (std::size_t(table[i].m_value) != i)
+            return 0;
+    }
+    return Size;
+}
+
 /// Keys of the envelope. No message field may use them, because both share one map.
 inline constexpr std::string_view version_key = "v";
 inline constexpr std::string_view type_key = "t";
--- a/libs/wire/src/message_table.hpp
+++ b/libs/wire/src/message_table.hpp
@@ -7,23 +7,24 @@
 namespace azureladder::wire {
 
 template <>
-inline constexpr std::size_t enum_size<executed> = std::size(executed_names);
+inline constexpr std::size_t enum_size<executed> = count_values(executed_names);
 template <>
-inline constexpr std::size_t enum_size<request_class> = std::size(request_class_names);
+inline constexpr std::size_t enum_size<request_class> = count_values(request_class_names);
 template <>
-inline constexpr std::size_t enum_size<core::error_code> = std::size(core::error_code_names);
+inline constexpr std::size_t enum_size<core::error_code> = count_values(core::error_code_names);
 template <>
 inline constexpr std::size_t
-    enum_size<core::lease_refusal_reason> = std::size(core::lease_refusal_reason_names);
+    enum_size<core::lease_refusal_reason> = count_values(core::lease_refusal_reason_names);
 template <>
-inline constexpr std::size_t enum_size<core::claim_state> = std::size(core::claim_state_names);
+inline constexpr std::size_t enum_size<core::claim_state> = count_values(core::claim_state_names);
 template <>
-inline constexpr std::size_t enum_size<core::claim_verdict> = std::size(core::claim_verdict_names);
+inline constexpr std::size_t
+    enum_size<core::claim_verdict> = count_values(core::claim_verdict_names);
 
 /// Longest "service/idempotency key": 256 bytes of service name, a slash and 128 bytes of key.
 inline constexpr std::uint64_t max_claim_key_bytes = 385;
 
-/// Longest kept body of a claim; docs/design.md, section 4.2.
+/// Longest kept body and content type of a claim; docs/design.md, section 4.2.
 inline constexpr std::uint64_t max_kept_body_bytes = 4'096;
 inline constexpr std::uint64_t max_header_bytes = 65'536;
 inline constexpr std::uint64_t max_headers = 256;
@@ -90,7 +91,7 @@
         make_bytes("k", &core::claim::m_key, max_claim_key_bytes),
         make_field("st", &core::claim::m_state), make_field("g", &core::claim::m_age),
         make_field("h", &core::claim::m_has_reply), make_field("c", &core::claim::m_status),
-        make_bytes("ct", &core::claim::m_content_type),
+        make_bytes("ct", &core::claim::m_content_type, max_kept_body_bytes),
         make_bytes("b", &core::claim::m_body, max_kept_body_bytes));
 };
 
@@ -247,7 +248,7 @@
         std::make_tuple(make_field("o", &core::claim_reply::m_token),
                         make_field("q", &core::claim_reply::m_verdict),
                         make_field("c", &core::claim_reply::m_status),
-                        make_bytes("ct", &core::claim_reply::m_content_type),
+                        make_bytes("ct", &core::claim_reply::m_content_type, max_kept_body_bytes),
                         make_bytes("b", &core::claim_reply::m_body, max_kept_body_bytes));
 };
 
