Name the system's reason when the peer address cannot be used

websocketpp maps the error codes of the system to one of its own, so a port in use was reported as a missing file. The listener now repeats a failed attempt with a plain acceptor and reports that error. Passing websocketpp's code through was ruled out because its category has no useful text.

--- a/libs/peer/src/listener.cpp
+++ b/libs/peer/src/listener.cpp
@@ -6,11 +6,33 @@
 
 namespace azureladder::peer {
 
+using boost::asio::ip::tcp;
 using websocketpp::connection_hdl;
 
+namespace {
+
+/// Error of listening on `local`. websocketpp replaces the error codes of the system by one of its
+/// own, so the attempt is repeated without it.
+boost::system::error_code find_listen_error(boost::asio::io_context& context,
+                                            const tcp::endpoint& local)
+{
+    tcp::acceptor acceptor(context);
+    boost::system::error_code error;
+    acceptor.open(local.protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(local, error);
+    if (!error)
+        acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    return error ? error : boost::asio::error::make_error_code(boost::asio::error::try_again);
+}
+
+} // namespace
+
 listener::listener(boost::asio::io_context& context, const clock& time,
                    const transport_options& options, listener_handlers handlers)
-    : m_clock(time), m_options(options), m_handlers(std::move(handlers))
+    : m_context(context), m_clock(time), m_options(options), m_handlers(std::move(handlers))
 {
     websocketpp::lib::error_code ignored;
     m_server.init_asio(&context, ignored);
@@ -18,12 +40,12 @@
     m_server.set_reuse_addr(true);
 }
 
-boost::system::error_code listener::open(const boost::asio::ip::tcp::endpoint& local)
+boost::system::error_code listener::open(const tcp::endpoint& local)
 {
     websocketpp::lib::error_code error;
     m_server.listen(local, error);
     if (error)
-        return {error.value() == 0 ? 1 : error.value(), boost::system::generic_category()};
+        return find_listen_error(m_context, local);
     m_open = true;
     return {};
 }
--- a/libs/peer/src/listener.hpp
+++ b/libs/peer/src/listener.hpp
@@ -58,6 +58,7 @@
                   const websocket_server::message_ptr& message);
     void heard(const server_connection& connection);
 
+    boost::asio::io_context& m_context;
     websocket_server m_server;
     const clock& m_clock;
     transport_options m_options;
--- a/libs/peer/tests/transport_test.cpp
+++ b/libs/peer/tests/transport_test.cpp
@@ -171,6 +171,19 @@
     EXPECT_EQ(m_a.m_failed, (failures{{late, true}}));
 }
 
+// Guards against a start that fails without a useful message.
+TEST_F(transport_test, start_names_the_reason_of_a_failure)
+{
+    transport_options options;
+    options.m_listen = m_a.address();
+    const auto in_use = transport(m_context, m_time, options, {}).start();
+    ASSERT_FALSE(in_use);
+    EXPECT_EQ(in_use.error().m_message,
+              "cannot listen on " + to_string(m_a.address()) + ": Address already in use");
+    options.m_listen.m_host = "localhost";
+    EXPECT_FALSE(transport(m_context, m_time, options, {}).start());
+}
+
 // Guards against a queue that grows without bound while a link opens.
 TEST_F(transport_test, queue_of_a_link_is_limited)
 {
