--- a/libs/peer/tests/transport_test.cpp
+++ b/libs/peer/tests/transport_test.cpp
@@ -32,6 +32,21 @@
     EXPECT_TRUE(m_a.m_failed.empty());
 }
 
+// Guards against a witness that declares a lease expired although the request for its renewal has
+// arrived.
+TEST_F(transport_test, pending_datagrams_are_delivered_on_demand)
+{
+    test_node b(m_context, m_time);
+    constexpr std::size_t count = 20;
+    for (std::size_t i = 0; i < count; ++i)
+        m_a.m_transport.send_datagram(b.address(),
+                                      m_a.encode(core::message(core::revision_probe{i})));
+    b.m_transport.receive_pending();
+    EXPECT_EQ(b.m_received.size(), count);
+    m_a.m_transport.send_datagram(b.address(), m_a.encode(core::message(core::revision_probe{7})));
+    EXPECT_TRUE(run_until(m_context, [&] { return b.m_received.size() == count + 1; }));
+}
+
 // Guards against bodies that are cut or refused below the size limit, and sent above it.
 TEST_F(transport_test, carries_frames_up_to_the_size_limit)
 {
@@ -156,6 +171,19 @@
     EXPECT_EQ(m_a.m_failed, (failures{{late, true}}));
 }
 
+// Guards against a start that fails without a useful message.
+TEST_F(transport_test, start_names_the_reason_of_a_failure)
+{
+    transport_options options;
+    options.m_listen = m_a.address();
+    const auto in_use = transport(m_context, m_time, options, {}).start();
+    ASSERT_FALSE(in_use);
+    EXPECT_EQ(in_use.error().m_message,
+              "cannot listen on " + to_string(m_a.address()) + ": Address already in use");
+    options.m_listen.m_host = "localhost";
+    EXPECT_FALSE(transport(m_context, m_time, options, {}).start());
+}
+
 // Guards against a queue that grows without bound while a link opens.
 TEST_F(transport_test, queue_of_a_link_is_limited)
 {
