Let a stop refuse requests whose body is incomplete

The wait for the body now also ends when the server stops, and the request is answered 503, not executed; requests in a handler still finish. Only stop() does this, because stop_accepting() must not cut callers early.

--- a/libs/http/include/azureladder/http/message.hpp
+++ b/libs/http/include/azureladder/http/message.hpp
@@ -26,7 +26,7 @@
     header_fields m_headers;
     std::string m_body;
 
-    /// "IP:port" of the caller. Empty in requests to be sent.
+    /// IP address of the caller. Empty in requests to be sent.
     std::string m_peer;
 };
 
--- a/libs/http/src/request_head.cpp
+++ b/libs/http/src/request_head.cpp
@@ -12,8 +12,16 @@
 constexpr int status_length_required = 411;
 constexpr int status_too_large = 413;
 constexpr int status_expectation_failed = 417;
+constexpr int status_unavailable = 503;
 constexpr int status_version_not_supported = 505;
 
+const char* error_name(int status)
+{
+    if (status == status_too_large)
+        return "body_too_large";
+    return status == status_unavailable ? "stopping" : "bad_request";
+}
+
 } // namespace
 
 result<request, refusal> parse_request_head(std::string_view raw)
@@ -69,10 +77,9 @@
 
 response make_response(const refusal& refused)
 {
-    const json body = {
-        {"error", refused.m_status == status_too_large ? "body_too_large" : "bad_request"},
-        {"message", refused.m_message},
-        {"executed", "no"}};
+    const json body = {{"error", error_name(refused.m_status)},
+                       {"message", refused.m_message},
+                       {"executed", "no"}};
     response answer;
     answer.m_status = refused.m_status;
     answer.m_headers = {{"Content-Type", "application/json"},
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -101,10 +101,9 @@
 
     void stop()
     {
-        m_state.refuse();
         if (!m_thread.joinable())
             return;
-        m_state.wait_until_idle();
+        m_state.finish();
         m_loop.exit();
         m_thread.join();
         m_server.reset();
--- a/libs/http/src/server_state.cpp
+++ b/libs/http/src/server_state.cpp
@@ -25,8 +25,10 @@
     m_refusing = true;
 }
 
-void server_state::wait_until_idle()
+void server_state::finish()
 {
+    refuse();
+    m_finishing.cancel();
     std::unique_lock lock(m_mutex);
     m_idle.wait(lock, [this] { return m_running == 0; });
 }
--- a/libs/http/src/server_state.hpp
+++ b/libs/http/src/server_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <azureladder/http/cancel_token.hpp>
 #include <azureladder/http/server.hpp>
 #include <azureladder/http/server_options.hpp>
 
@@ -26,13 +27,17 @@
     /// Refuses all requests from now on.
     void refuse();
 
-    /// Waits until no request is running.
-    void wait_until_idle();
+    /// Refuses requests whose body is incomplete and waits until no request is running.
+    void finish();
+
+    /// Becomes readable in `finish()`.
+    int finish_descriptor() const { return m_finishing.descriptor(); }
 
     const server_options m_options;
     const handler m_handler;
 
 private:
+    cancel_token m_finishing;
     std::mutex m_mutex;
     std::condition_variable m_idle;
     bool m_refusing = false;
--- a/libs/http/src/strict_responder.cpp
+++ b/libs/http/src/strict_responder.cpp
@@ -19,6 +19,11 @@
 
 constexpr milliseconds interim_write_timeout{1'000};
 
+refusal stopping()
+{
+    return {503, "the server is stopping"};
+}
+
 } // namespace
 
 strict_responder::strict_responder(cxxtools::http::Service& service, server_state& state)
@@ -41,7 +46,7 @@
     if (!m_refusal) {
         m_entered = m_state.enter();
         if (!m_entered)
-            m_refusal = refusal{503, "the server is stopping"};
+            m_refusal = stopping();
     }
     // The connection is not used any further; the reply that cxxtools then writes goes nowhere.
     if (m_refusal)
@@ -68,7 +73,8 @@
 std::optional<refusal> strict_responder::read_body(int descriptor, std::istream& in,
                                                    const body_framing& framing)
 {
-    const io_limits limits{io_now() + m_state.m_options.m_body_timeout};
+    const io_limits limits{io_now() + m_state.m_options.m_body_timeout,
+                           m_state.finish_descriptor()};
     const auto length = std::size_t(framing.m_length);
     const auto buffered = std::size_t(std::max<std::streamsize>(in.rdbuf()->in_avail(), 0));
     auto& body = m_request.m_body;
@@ -82,6 +88,8 @@
             receive_some(descriptor, body.data() + received, length - received, limits);
         if (part.m_status == io_status::timed_out)
             return refusal{408, "the body did not arrive in time"};
+        if (part.m_status == io_status::cancelled)
+            return stopping();
         if (part.m_status != io_status::ok)
             return refusal{400, "the body was cut short"};
         received += part.m_bytes;
--- a/libs/http/tests/server_test.cpp
+++ b/libs/http/tests/server_test.cpp
@@ -116,6 +116,20 @@
     stopper.join();
 }
 
+// Guards against a stop that waits for a caller which does not finish its body.
+TEST(http_server, stop_does_not_wait_for_incomplete_bodies)
+{
+    server_options options;
+    options.m_body_timeout = seconds(1'000);
+    server target(options, [](const request&) { return response{}; });
+    ASSERT_TRUE(target.start());
+    raw_socket socket(target.bound_address());
+    socket.send("POST / HTTP/1.1\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n");
+    socket.receive_until("\r\n\r\n");
+    target.stop();
+    EXPECT_THAT(socket.receive_all(), StartsWith("HTTP/1.1 503 "));
+}
+
 // Guards against new work after the server has been told to take none, on open connections too.
 TEST(http_server, requests_after_stop_accepting_are_refused)
 {
