Cancel open attempts before the answer

The runtime forgets a request with its answer, so a cancellation that follows the answer never reached the backend server: the loser of a hedge and work of an abandoned request ran to their deadlines and kept their slots. Keeping the request in the runtime until the last report was ruled out, because it holds headers and body.

The log field for the target's incarnation is now to_incarnation; the line's own incarnation already uses that name.

--- a/libs/core/src/routing_answers.cpp
+++ b/libs/core/src/routing_answers.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 /// Cancels attempts whose outcome is no longer needed. Their slots stay in use until the report.
+/// Must come before the answer, because the runtime forgets the request with its answer.
 void cancel_open_attempts(routing_step& step, request_token token)
 {
     auto& attempts = step.m_state.m_routing.m_attempts;
@@ -50,7 +51,6 @@
     auto& routing = step.m_state.m_routing;
     const auto found = routing.m_requests.find(token);
     const auto& request = found->second;
-    cancel_open_attempts(step, token);
     routing.m_timers.erase({request.m_wake, token});
     routing.m_waiting.erase(token);
     remove_request(routing.m_queue, token);
@@ -75,6 +75,7 @@
 {
     const auto token = input.m_token;
     const auto& request = *find_request(step.m_state, token);
+    cancel_open_attempts(step, token);
     step.m_output.emplace_back(answer_with_reply{token, input.m_attempt});
     report_finished(step, request, "ok", executed::yes);
     settle_claim(step, token, request, executed::yes, &input);
@@ -101,6 +102,7 @@
         of_claim || request.m_maybe_executed || open_attempt_count(step.m_state, token) > 0;
     const auto state = maybe ? executed::unknown : executed::no;
     const auto agreed = agreeing_code(request, code, state);
+    cancel_open_attempts(step, token);
     const bool is_temporary = http_status_for(agreed) == 503;
     step.m_output.emplace_back(answer_with_error{
         token, agreed, text, state, is_temporary ? suggested_retry_delay : duration(0)});
--- a/libs/core/src/routing_choice.cpp
+++ b/libs/core/src/routing_choice.cpp
@@ -158,7 +158,7 @@
                 {{"request_id", request.m_info.m_request_id},
                  {"attempt", number},
                  {"to", target.m_member.m_node},
-                 {"incarnation", target.m_member.m_incarnation}});
+                 {"to_incarnation", target.m_member.m_incarnation}});
     step.m_output.emplace_back(forward_request{token, number, target.m_member, target.m_address,
                                                request.m_deadline,
                                                !is_divided(request) && request.m_claim.m_held});
--- a/libs/core/tests/routing_backend_test.cpp
+++ b/libs/core/tests/routing_backend_test.cpp
@@ -146,7 +146,9 @@
     const auto first = arrive_class(request_class::standard);
     arrive_class(request_class::standard);
     run(request_abandoned{first});
-    EXPECT_EQ(all<cancel_attempt>().size(), 1U);
+    // The runtime forgets the request with its answer, so the cancellation has to come first.
+    ASSERT_FALSE(m_output.empty());
+    EXPECT_TRUE(std::holds_alternative<cancel_attempt>(m_output.front()));
     EXPECT_TRUE(all<dispatch_to_backend>().empty());
     finish(first, 1, attempt_outcome::lost);
     EXPECT_EQ(all<dispatch_to_backend>().size(), 1U);
