Keep no reply of unknown execution for replay

The integration test order_with_lost_answer_is_not_executed_again received a replayed 504: the backend server had answered at its own deadline without knowing whether it executed, and the claim kept that reply as the outcome. A reply whose attempt states "unknown" now makes the claim unknown, so a repeat is answered 409. Ruled out: deciding by the status 504, which a backend server may also use for a request that it did execute.

--- a/libs/core/src/routing_answers.cpp
+++ b/libs/core/src/routing_answers.cpp
@@ -77,8 +77,11 @@
     const auto& request = *find_request(step.m_state, token);
     cancel_open_attempts(step, token);
     step.m_output.emplace_back(answer_with_reply{token, input.m_attempt});
-    report_finished(step, request, "ok", executed::yes);
-    settle_claim(step, token, request, executed::yes, &input);
+    // A backend server that ran out of time may reply without knowing whether it executed; such a
+    // reply must not be replayed as the outcome.
+    const auto state = input.m_executed == executed::unknown ? executed::unknown : executed::yes;
+    report_finished(step, request, "ok", state);
+    settle_claim(step, token, request, state, &input);
     drop_request(step, token);
 }
 
--- a/libs/core/src/routing_claims.cpp
+++ b/libs/core/src/routing_claims.cpp
@@ -17,7 +17,7 @@
     result.m_claim.m_key = request.m_claim.m_key;
     result.m_claim.m_state =
         outcome == executed::yes ? claim_state::executed : claim_state::unknown;
-    if (reply != nullptr && reply->m_has_reply) {
+    if (outcome == executed::yes && reply != nullptr && reply->m_has_reply) {
         result.m_claim.m_has_reply = true;
         result.m_claim.m_status = reply->m_status;
         result.m_claim.m_content_type = reply->m_content_type;
--- a/libs/core/tests/claims_test.cpp
+++ b/libs/core/tests/claims_test.cpp
@@ -249,6 +249,20 @@
     EXPECT_EQ(all<answer_with_replay>()[0].m_body, "booked");
 }
 
+// Guards against the replay of a reply by which the backend server states that it does not know.
+TEST_F(claims, reply_with_unknown_execution_is_not_replayed)
+{
+    const auto token = arrive(make_write());
+    acknowledge();
+    auto finished = make_finished(token, 1, attempt_outcome::answered);
+    finished.m_executed = executed::unknown;
+    finished.m_has_reply = true;
+    run(finished);
+    EXPECT_EQ(all<answer_with_reply>().size(), 1U);
+    arrive(make_write());
+    EXPECT_EQ(error().m_code, error_code::claim_unknown);
+}
+
 // Guards against an entry node that dispatches without a verdict, gives up after one lost message,
 // or keeps the owner uninformed.
 TEST_F(claims, entry_node_asks_the_owner_until_it_answers)
--- a/libs/core/tests/routing_fixture.cpp
+++ b/libs/core/tests/routing_fixture.cpp
@@ -118,6 +118,9 @@
     finished.m_token = token;
     finished.m_attempt = attempt;
     finished.m_outcome = outcome;
+    if (outcome == attempt_outcome::lost)
+        return finished;
+    finished.m_executed = outcome == attempt_outcome::answered ? executed::yes : executed::no;
     finished.m_status = outcome == attempt_outcome::answered ? 200 : 0;
     return finished;
 }
