--- a/libs/audit/include/azureladder/audit/event.hpp
+++ b/libs/audit/include/azureladder/audit/event.hpp
@@ -6,6 +6,7 @@
 #include <azureladder/base/json.hpp>
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -118,7 +119,9 @@
     std::string m_echoed_request_id;
     std::string m_echoed_key;
     bool m_whole = true;
-    service_changes m_changes;
+
+    /// Null in all lines but change_accepted, to keep the other events small.
+    std::shared_ptr<const service_changes> m_changes;
 };
 
 /// Whether a method may be executed more than once without harm.
--- a/libs/audit/include/azureladder/audit/history.hpp
+++ b/libs/audit/include/azureladder/audit/history.hpp
@@ -3,6 +3,7 @@
 #include <azureladder/audit/event.hpp>
 
 #include <cstddef>
+#include <deque>
 #include <string>
 #include <vector>
 
@@ -22,7 +23,9 @@
 struct history
 {
     std::vector<std::string> m_files;
-    std::vector<event> m_events;
+
+    /// A deque, because a growing vector would need room for all events twice.
+    std::deque<event> m_events;
 
     /// The first `max_listed_malformed` malformed lines; `m_malformed_count` counts all.
     std::vector<malformed_line> m_malformed;
--- a/libs/audit/src/event.cpp
+++ b/libs/audit/src/event.cpp
@@ -81,12 +81,14 @@
     return {};
 }
 
-void read_changes(const json& line, service_changes& into)
+std::shared_ptr<const service_changes> changes_of(const json& line)
 {
-    into.m_removed_zones = list_of(line, "removed_zones");
-    into.m_returned_zones = list_of(line, "returned_zones");
-    into.m_removed_servers = list_of(line, "removed_servers");
-    into.m_returned_servers = list_of(line, "returned_servers");
+    auto changes = std::make_shared<service_changes>();
+    changes->m_removed_zones = list_of(line, "removed_zones");
+    changes->m_returned_zones = list_of(line, "returned_zones");
+    changes->m_removed_servers = list_of(line, "removed_servers");
+    changes->m_returned_servers = list_of(line, "returned_servers");
+    return changes;
 }
 
 } // namespace
@@ -114,7 +116,7 @@
     read_slice_fields(line, parsed);
     read_server_fields(line, parsed);
     if (*kind == event_kind::change_accepted)
-        read_changes(line, parsed.m_changes);
+        parsed.m_changes = changes_of(line);
     if (*kind == event_kind::call_finished) {
         parsed.m_echoed_request_id = text_of(line, "echoed_request_id");
         parsed.m_echoed_key = text_of(line, "echoed_key");
--- a/libs/audit/src/execution_rules.cpp
+++ b/libs/audit/src/execution_rules.cpp
@@ -59,8 +59,8 @@
     removals found;
     const auto removal_time_us = input.m_options.m_removal_time.count();
     for (const auto* change : accepted_changes(input.m_history)) {
-        end_removals(input, *change, change->m_changes.*returned, found);
-        add_removals(*change, change->m_changes.*removed, removal_time_us, found);
+        end_removals(input, *change, (*change->m_changes).*returned, found);
+        add_removals(*change, (*change->m_changes).*removed, removal_time_us, found);
     }
     return found;
 }
--- a/libs/audit/src/format.cpp
+++ b/libs/audit/src/format.cpp
@@ -26,6 +26,14 @@
     append(text, name, joined);
 }
 
+void append_changes(std::string& text, const service_changes& changes)
+{
+    append(text, "removed_zones", changes.m_removed_zones);
+    append(text, "returned_zones", changes.m_returned_zones);
+    append(text, "removed_servers", changes.m_removed_servers);
+    append(text, "returned_servers", changes.m_returned_servers);
+}
+
 void append_outcome(std::string& text, const event& line)
 {
     append(text, "status", std::uint64_t(line.m_status));
@@ -85,10 +93,8 @@
     if (line.m_bound)
         append(text, "bound", std::to_string(*line.m_bound));
     append(text, "role", line.m_role);
-    append(text, "removed_zones", line.m_changes.m_removed_zones);
-    append(text, "returned_zones", line.m_changes.m_returned_zones);
-    append(text, "removed_servers", line.m_changes.m_removed_servers);
-    append(text, "returned_servers", line.m_changes.m_returned_servers);
+    if (line.m_changes)
+        append_changes(text, *line.m_changes);
     append_outcome(text, line);
     return text;
 }
--- a/libs/audit/src/log_reader.cpp
+++ b/libs/audit/src/log_reader.cpp
@@ -1,6 +1,7 @@
 #include <azureladder/audit/log_reader.hpp>
 
 #include <algorithm>
+#include <numeric>
 
 namespace azureladder::audit {
 
@@ -47,8 +48,28 @@
 
 void merge_by_time(history& events)
 {
-    std::stable_sort(events.m_events.begin(), events.m_events.end(),
-                     [](const event& a, const event& b) { return a.m_time_us < b.m_time_us; });
+    auto& list = events.m_events;
+    std::vector<std::size_t> order(list.size());
+    std::iota(order.begin(), order.end(), std::size_t(0));
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+        return list[a].m_time_us < list[b].m_time_us;
+    });
+    // Each event is moved once, along the cycles of the permutation; sorting the events themselves
+    // would move each of them many times and need a second copy of all.
+    for (std::size_t start = 0; start < order.size(); ++start) {
+        if (order[start] == start)
+            continue;
+        auto first = std::move(list[start]);
+        auto at = start;
+        while (order[at] != start) {
+            const auto next = order[at];
+            list[at] = std::move(list[next]);
+            order[at] = at;
+            at = next;
+        }
+        list[at] = std::move(first);
+        order[at] = at;
+    }
 }
 
 result<log_reader, log_error> log_reader::open(const std::string& path)
--- a/libs/audit/tests/log_reader_test.cpp
+++ b/libs/audit/tests/log_reader_test.cpp
@@ -57,6 +57,24 @@
     EXPECT_EQ(to_string(events.error()), "/nonexistent/log.jsonl: the log cannot be opened");
 }
 
+// Guards against a merge that loses, doubles or reorders events with equal times.
+TEST(merge_by_time, is_a_stable_permutation)
+{
+    std::vector<std::string> lines;
+    for (int i = 0; i < 200; ++i)
+        lines.push_back(R"("event":"node_started","time_us":)" + std::to_string(i * 37 % 50) +
+                        R"(,"node":"n)" + std::to_string(i) + '"');
+    const auto events = history_of(lines);
+    ASSERT_EQ(events.m_events.size(), 200U);
+    for (std::size_t i = 1; i < events.m_events.size(); ++i) {
+        const auto& earlier = events.m_events[i - 1];
+        const auto& later = events.m_events[i];
+        EXPECT_LT(std::pair(earlier.m_time_us, earlier.m_position.m_line),
+                  std::pair(later.m_time_us, later.m_position.m_line));
+        EXPECT_EQ(later.m_node, "n" + std::to_string(later.m_position.m_line - 1));
+    }
+}
+
 // Guards against logs of several processes that are not merged by time.
 TEST(trace, orders_the_steps_of_all_logs)
 {
