--- a/libs/audit/tests/log_reader_test.cpp
+++ b/libs/audit/tests/log_reader_test.cpp
@@ -61,6 +61,7 @@
 TEST(merge_by_time, is_a_stable_permutation)
 {
     std::vector<std::string> lines;
+    lines.reserve(200);
     for (int i = 0; i < 200; ++i)
         lines.push_back(R"("event":"node_started","time_us":)" + std::to_string(i * 37 % 50) +
                         R"(,"node":"n)" + std::to_string(i) + '"');
