Choose listening ports outside the range of outgoing connections

Ruled out: two processes with the same port, since the address book hands out each once. After a pause the runtime now delivers waiting datagrams before the clock, and operators' JSON is parsed with a nesting limit.

--- a/libs/node/src/peer_gateway.cpp
+++ b/libs/node/src/peer_gateway.cpp
@@ -208,6 +208,11 @@
     return m_transport.advertised();
 }
 
+void peer_gateway::receive_pending()
+{
+    m_transport.receive_pending();
+}
+
 void peer_gateway::stop()
 {
     m_transport.stop();
--- a/libs/node/src/runtime.cpp
+++ b/libs/node/src/runtime.cpp
@@ -157,6 +157,12 @@
 
 void runtime_impl::on_tick()
 {
+    // After a pause, messages that arrived meanwhile come before the clock: a witness must not
+    // declare a lease expired while the renewal waits in its socket.
+    const auto now = m_clock.now();
+    if (now - m_last_tick > m_settings.m_core.m_lease_duration / 2)
+        m_peers.receive_pending();
+    m_last_tick = now;
     handle(core::timer_tick{});
     m_ready = core::takes_new_work(m_state, m_clock.now()) && !m_stop_requested;
     if (m_clock.now() >= m_next_gauges) {
--- a/libs/node/src/runtime_http.cpp
+++ b/libs/node/src/runtime_http.cpp
@@ -2,6 +2,7 @@
 #include "runtime_impl.hpp"
 #include "status.hpp"
 
+#include <azureladder/base/object_reader.hpp>
 #include <azureladder/base/scope_guard.hpp>
 #include <azureladder/core/configuration.hpp>
 
@@ -31,6 +32,14 @@
 /// each request at its deadline, which is at most 600 s away; this is a second line of defence.
 constexpr std::chrono::seconds answer_timeout{605};
 
+constexpr std::int64_t max_revision = std::int64_t(1) << 53U;
+constexpr std::size_t max_apply_id_bytes = 128;
+
+const text_rule apply_id_rule = {"a text of 1 to 128 bytes", [](const std::string& text) {
+                                     return !text.empty() &&
+                                            is_plain_text(text, max_apply_id_bytes);
+                                 }};
+
 http::response json_response(int status, const json& body)
 {
     http::response answer;
@@ -208,23 +217,21 @@
 
 http::response runtime_impl::handle_change(const http::request& input)
 {
-    const auto body = json::parse(input.m_body, nullptr, false);
-    const bool valid = body.is_object() && body.contains("apply_id") &&
-                       body["apply_id"].is_string() && body.contains("records") &&
-                       body["records"].is_array();
-    if (!valid)
-        return problem(status_bad_request, "bad_request",
-                       "expected {\"apply_id\": text, \"records\": [...]}");
+    // Parsed with a limit of the nesting: copies of deeply nested JSON could exhaust the stack.
+    std::vector<field_error> errors;
+    const auto body = parse_json_text(input.m_body, false, errors);
     core::change_requested change;
-    change.m_apply_id = body["apply_id"].get<std::string>();
-    change.m_records = body["records"];
-    const auto base = body.find("base_revision");
-    if (base != body.end()) {
-        if (!base->is_number_unsigned())
-            return problem(status_bad_request, "bad_request",
-                           "base_revision: expected a whole number");
-        change.m_base_revision = base->get<revision_number>();
+    if (errors.empty()) {
+        object_reader reader(body, "", errors);
+        reader.read_text("apply_id", apply_id_rule, change.m_apply_id, presence::required);
+        reader.read_integer("base_revision", 0, max_revision, change.m_base_revision);
+        if (const auto* records = reader.read_array("records", presence::required))
+            change.m_records = *records;
+        reader.finish();
     }
+    if (!errors.empty())
+        return problem(status_bad_request, "bad_request",
+                       errors.front().m_path + ": " + errors.front().m_message);
     return on_loop([this, change = std::move(change)] {
         handle(change);
         return json_response(status_accepted, {{"apply_id", change.m_apply_id}});
--- a/libs/node/src/runtime_impl.hpp
+++ b/libs/node/src/runtime_impl.hpp
@@ -98,6 +98,7 @@
     bool m_slices_released = false;
     time_point m_stop_started{};
     time_point m_next_gauges{};
+    time_point m_last_tick{};
     int m_exit_code = 0;
 
     store_gateway m_store;
--- a/testbench/bench/azureladder_bench/network.py
+++ b/testbench/bench/azureladder_bench/network.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import random
 import socket
 import time
 
@@ -9,14 +10,19 @@
 POLL_S = 0.05
 
 
+# Below the range from which the kernel takes the ports of outgoing connections (32768 to 60999):
+# a port of that range can be taken between its choice and the start of the process.
+LISTEN_PORTS = range(10000, 30000)
+
+
 def free_port():
     """A port that is free for TCP and UDP at the moment."""
     while True:
+        port = random.choice(LISTEN_PORTS)
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream, \
                 socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
-            stream.bind(("127.0.0.1", 0))
-            port = stream.getsockname()[1]
             try:
+                stream.bind(("127.0.0.1", port))
                 datagrams.bind(("127.0.0.1", port))
             except OSError:
                 continue
--- a/testbench/deployment/src/cluster.cpp
+++ b/testbench/deployment/src/cluster.cpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <sstream>
 #include <thread>
 
@@ -19,6 +20,11 @@
 constexpr milliseconds poll_interval{10};
 constexpr milliseconds control_timeout{2'000};
 
+// Below the range from which the kernel takes the ports of outgoing connections (32768 to 60999):
+// a port of that range can be taken between its choice and the start of the process.
+constexpr std::uint16_t first_listen_port = 10'000;
+constexpr std::uint16_t last_listen_port = 29'999;
+
 std::string read_file(const std::string& path)
 {
     std::ifstream file(path);
@@ -301,14 +307,18 @@
 {
     using boost::asio::ip::tcp;
     using boost::asio::ip::udp;
-    boost::asio::io_context context;
+    static std::mt19937 random(std::random_device{}());
+    std::uniform_int_distribution<std::uint16_t> ports(first_listen_port, last_listen_port);
     const auto loopback = boost::asio::ip::address_v4::loopback();
+    boost::asio::io_context context;
     while (true) {
-        const tcp::acceptor acceptor(context, tcp::endpoint(loopback, 0), false);
-        const auto port = acceptor.local_endpoint().port();
-        udp::socket datagrams(context, udp::v4());
+        const auto port = ports(random);
         boost::system::error_code error;
-        datagrams.bind(udp::endpoint(loopback, port), error);
+        tcp::socket stream(context, tcp::v4());
+        stream.bind(tcp::endpoint(loopback, port), error);
+        udp::socket datagrams(context, udp::v4());
+        if (!error)
+            datagrams.bind(udp::endpoint(loopback, port), error);
         if (!error)
             return {"127.0.0.1", port};
     }
--- a/tests/integration/cluster_fixture.cpp
+++ b/tests/integration/cluster_fixture.cpp
@@ -118,8 +118,8 @@
     const auto all_owned = [&] {
         const auto status = m_site->status("n-bookings-c");
         return status && (*status)["slices"].contains("reporting") &&
-               (*status)["slices"]["reporting"].size() == 12 && covered(*status) && served("n-bookings-c", "k1") &&
-               book("n-bookings-c", "warm-up") == status_ok;
+               (*status)["slices"]["reporting"].size() == 12 && covered(*status) &&
+               served("n-bookings-c", "k1") && book("n-bookings-c", "warm-up") == status_ok;
     };
     ASSERT_TRUE(deployment::wait_until(all_owned, settle_limit));
 }
