Answer lease renewals while the backend double drains

After SIGTERM the double refused all calls, so its lease ran out and the last executions were aborted: a planned stop interrupted requests in flight. It now sheds new work, keeps answering control calls until no request is in execution, and stops the server afterwards. ThreadSanitizer also showed an unlocked read in the store adapter test, which is fixed; its other report lies inside cxxtools. Tried with SIGTERM during a 1.2 s execution and a lease of 600 ms: 200, exit 0.

--- a/libs/platform/tests/http_store_test.cpp
+++ b/libs/platform/tests/http_store_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <mutex>
 
 namespace azureladder::platform {
@@ -34,8 +35,14 @@
         return outcome ? store_error() : outcome.error();
     }
 
+    http::request seen()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_seen;
+    }
+
     std::mutex m_mutex;
-    int m_calls = 0;
+    std::atomic<int> m_calls{0};
     http::request m_seen;
     http::response m_answer;
     http::server m_server{{}, [this](const auto& message) { return handle(message); }};
@@ -48,13 +55,13 @@
 {
     answer(200, R"({"version":4})");
     EXPECT_EQ(m_store.write("slices/a b/1", "text", 3).value(), 4U);
-    EXPECT_EQ(m_seen.m_method, "PUT");
-    EXPECT_EQ(m_seen.m_target, "/v1/kv/slices/a%20b/1?version=3");
-    EXPECT_EQ(m_seen.m_body, "text");
+    EXPECT_EQ(seen().m_method, "PUT");
+    EXPECT_EQ(seen().m_target, "/v1/kv/slices/a%20b/1?version=3");
+    EXPECT_EQ(seen().m_body, "text");
     answer(200, R"({"value":"te\"xt","version":4})");
     const auto read = m_store.read("config").value();
-    EXPECT_EQ(m_seen.m_method, "GET");
-    EXPECT_EQ(m_seen.m_target, "/v1/kv/config");
+    EXPECT_EQ(seen().m_method, "GET");
+    EXPECT_EQ(seen().m_target, "/v1/kv/config");
     EXPECT_EQ(read->m_value, "te\"xt");
     EXPECT_EQ(read->m_version, 4U);
     answer(404, "{}");
--- a/testbench/backend/app/main.cpp
+++ b/testbench/backend/app/main.cpp
@@ -117,6 +117,8 @@
     service.capacity().drain();
     if (announcer)
         announcer->announce();
+    // Lease renewals must still be answered, or the requests in execution would be aborted.
+    service.capacity().wait_until_idle();
     server.stop();
     return EXIT_SUCCESS;
 }
--- a/testbench/backend/include/azureladder/backend_double/work_capacity.hpp
+++ b/testbench/backend/include/azureladder/backend_double/work_capacity.hpp
@@ -4,6 +4,7 @@
 #include <azureladder/base/clock.hpp>
 #include <azureladder/base/json.hpp>
 
+#include <condition_variable>
 #include <mutex>
 #include <random>
 
@@ -49,7 +50,11 @@
     /// when a field has the wrong type or an unknown name; then nothing changes.
     bool apply(const json& settings);
 
+    /// Refuses all further requests.
     void drain();
+
+    /// Blocks until no request is in execution.
+    void wait_until_idle();
     load_report report() const;
 
 private:
@@ -59,6 +64,7 @@
 
     const clock& m_clock;
     mutable std::mutex m_mutex;
+    std::condition_variable m_idle;
     std::mt19937_64 m_random;
     unsigned m_slots;
     unsigned m_cold_slots;
--- a/testbench/backend/src/work_capacity.cpp
+++ b/testbench/backend/src/work_capacity.cpp
@@ -75,6 +75,8 @@
 {
     const std::lock_guard lock(m_mutex);
     --m_in_flight;
+    if (m_in_flight == 0)
+        m_idle.notify_all();
 }
 
 duration work_capacity::next_service_time(bool overload)
@@ -120,6 +122,12 @@
     m_draining = true;
 }
 
+void work_capacity::wait_until_idle()
+{
+    std::unique_lock lock(m_mutex);
+    m_idle.wait(lock, [this] { return m_in_flight == 0; });
+}
+
 load_report work_capacity::report() const
 {
     const std::lock_guard lock(m_mutex);
--- a/testbench/backend/tests/backend_double_test.cpp
+++ b/testbench/backend/tests/backend_double_test.cpp
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <future>
 #include <thread>
 
@@ -161,6 +162,24 @@
     EXPECT_EQ(m_log.records()[1]["work_end_mono_us"], to_us(m_clock.now()));
 }
 
+// Guards against a planned stop that ends while a request is in execution.
+TEST_F(backend_double_test, drained_double_is_idle_only_after_the_last_execution)
+{
+    work_capacity capacity(m_clock, quick());
+    capacity.enter();
+    capacity.drain();
+    EXPECT_STREQ(capacity.enter().m_refusal, "draining");
+    std::atomic<bool> idle{false};
+    std::thread waiter([&] {
+        capacity.wait_until_idle();
+        idle = true;
+    });
+    EXPECT_FALSE(idle);
+    capacity.leave();
+    waiter.join();
+    EXPECT_TRUE(idle);
+}
+
 // Guards against an execution that ignores its deadline.
 TEST_F(backend_double_test, deadline_ends_the_execution)
 {
