Name the request and its outcome in responses of the server itself

Each response of a node carries Request-Id and Azureladder-Executed, but refusals in front of the handler and failed handlers left them out, so a caller could not match them.

--- a/libs/http/src/reply_writer.cpp
+++ b/libs/http/src/reply_writer.cpp
@@ -49,14 +49,6 @@
            message.m_status <= last_status;
 }
 
-response unsendable()
-{
-    return {status_handler_failed,
-            {{"Content-Type", "application/json"}},
-            "{\"error\":\"internal\",\"message\":\"the response header cannot be sent\","
-            "\"executed\":\"unknown\"}\n"};
-}
-
 /// Length as given by the handler where no body shows it, otherwise the size of the body.
 std::string length_of(const std::string& method, const response& message)
 {
@@ -68,13 +60,24 @@
 
 } // namespace
 
-void write_reply(const std::string& method, const response& message, std::ostream& out,
+response failed_response(const request& answered)
+{
+    response failed{
+        status_handler_failed, {{"Azureladder-Executed", "unknown"}, {"Connection", "close"}}, {}};
+    const auto request_id = request_id_of(answered.m_headers);
+    if (!request_id.empty())
+        failed.m_headers.push_back({"Request-Id", request_id});
+    return failed;
+}
+
+void write_reply(const request& answered, const response& message, std::ostream& out,
                  cxxtools::http::Reply& answer)
 {
     if (!can_be_sent(message)) {
-        write_reply(method, unsendable(), out, answer);
+        write_reply(answered, failed_response(answered), out, answer);
         return;
     }
+    const auto& method = answered.m_method;
     answer.httpReturn(unsigned(message.m_status), std::string(reason_phrase(message.m_status)));
     for (const auto& field : message.m_headers) {
         if (!is_omitted(field) && !equal_ignoring_case(field.m_name, "Content-Length"))
@@ -85,9 +88,9 @@
         out.write(message.m_body.data(), std::streamsize(message.m_body.size()));
 }
 
-void send_refusal(int descriptor, const refusal& refused)
+void send_refusal(int descriptor, const refusal& refused, const request& refused_request)
 {
-    const auto message = make_response(refused);
+    const auto message = make_response(refused, refused_request);
     std::string text = "HTTP/1.1 " + std::to_string(message.m_status) + " " +
                        std::string(reason_phrase(message.m_status)) + "\r\n";
     for (const auto& field : message.m_headers)
--- a/libs/http/src/request_head.cpp
+++ b/libs/http/src/request_head.cpp
@@ -75,18 +75,33 @@
     return framing;
 }
 
-response make_response(const refusal& refused)
+response make_response(const refusal& refused, const request& refused_request)
 {
-    const json body = {{"error", error_name(refused.m_status)},
-                       {"message", refused.m_message},
-                       {"executed", "no"}};
+    json body = {{"error", error_name(refused.m_status)},
+                 {"message", refused.m_message},
+                 {"executed", "no"}};
     response answer;
     answer.m_status = refused.m_status;
     answer.m_headers = {{"Content-Type", "application/json"},
                         {"Azureladder-Executed", "no"},
                         {"Connection", "close"}};
+    const auto request_id = request_id_of(refused_request.m_headers);
+    if (!request_id.empty()) {
+        body["request_id"] = request_id;
+        answer.m_headers.push_back({"Request-Id", request_id});
+    }
     answer.m_body = body.dump() + "\n";
     return answer;
 }
 
+std::string request_id_of(const header_fields& headers)
+{
+    constexpr std::size_t max_request_id_characters = 128;
+    const auto* value = find_header(headers, "Request-Id");
+    // A target has the same characters as an id: visible ASCII.
+    const bool valid =
+        value != nullptr && value->size() <= max_request_id_characters && is_target(*value);
+    return valid ? *value : std::string();
+}
+
 } // namespace azureladder::http
--- a/libs/http/src/request_head.hpp
+++ b/libs/http/src/request_head.hpp
@@ -29,7 +29,11 @@
 result<body_framing, refusal> check_framing(const header_fields& headers,
                                             std::uint64_t max_body_bytes);
 
-/// Response that carries `refused`.
-response make_response(const refusal& refused);
+/// Response to `refused_request`, of which only the parsed part is filled. It names the request
+/// when the request states a valid id.
+response make_response(const refusal& refused, const request& refused_request);
+
+/// Request-Id of `message` when it is valid (1 to 128 visible ASCII characters), otherwise empty.
+std::string request_id_of(const header_fields& headers);
 
 } // namespace azureladder::http
--- a/libs/http/src/strict_responder.cpp
+++ b/libs/http/src/strict_responder.cpp
@@ -50,7 +50,7 @@
     }
     // The connection is not used any further; the reply that cxxtools then writes goes nowhere.
     if (m_refusal)
-        send_refusal(m_descriptor, *m_refusal);
+        send_refusal(m_descriptor, *m_refusal, m_request);
     m_request.m_peer = socket.getPeerAddr();
     // The body is complete or refused. Without a length cxxtools calls reply() directly and does
     // not count body bytes, which it does wrongly when more than the body is buffered.
@@ -109,13 +109,13 @@
         // cxxtools closes the connection when its write fails.
         ::shutdown(m_descriptor, SHUT_RDWR);
     else
-        write_reply(m_request.m_method, message, out, answer);
+        write_reply(m_request, message, out, answer);
 }
 
 void strict_responder::replyError(std::ostream& out, cxxtools::http::Request&,
                                   cxxtools::http::Reply& answer, const std::exception&)
 {
-    write_reply("", {500, {{"Connection", "close"}}, {}}, out, answer);
+    write_reply(m_request, failed_response(m_request), out, answer);
 }
 
 cxxtools::http::Responder* strict_service::createResponder(const cxxtools::http::Request&)
--- a/libs/http/tests/server_test.cpp
+++ b/libs/http/tests/server_test.cpp
@@ -74,10 +74,12 @@
     ASSERT_TRUE(target.start());
     client caller(target.bound_address());
     for (const auto* path : {"/throw", "/split", "/large"}) {
-        const auto reply = caller.execute({"GET", path, {}, {}, {}});
+        const auto reply = caller.execute({"GET", path, {{"Request-Id", "r1"}}, {}, {}});
         ASSERT_TRUE(reply) << path << reply.error().m_message;
         EXPECT_EQ(reply.value().m_status, 500) << path;
         EXPECT_EQ(find_header(reply.value().m_headers, "X-Value"), nullptr);
+        EXPECT_EQ(*find_header(reply.value().m_headers, "Azureladder-Executed"), "unknown");
+        EXPECT_EQ(*find_header(reply.value().m_headers, "Request-Id"), "r1");
     }
 }
 
@@ -146,10 +148,11 @@
     open.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
     EXPECT_THAT(open.receive_all(), StartsWith("HTTP/1.1 503 "));
     raw_socket fresh(target.bound_address());
-    fresh.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    fresh.send("GET / HTTP/1.1\r\nRequest-Id: r1\r\n\r\n");
     const auto refused = fresh.receive_all();
     EXPECT_THAT(refused, StartsWith("HTTP/1.1 503 "));
     EXPECT_THAT(refused, HasSubstr("Azureladder-Executed: no\r\n"));
+    EXPECT_THAT(refused, HasSubstr("Request-Id: r1\r\n"));
     EXPECT_EQ(calls, 1);
 }
 
