--- a/libs/node/src/peer_gateway.cpp
+++ b/libs/node/src/peer_gateway.cpp
@@ -208,6 +208,11 @@
     return m_transport.advertised();
 }
 
+const peer::transport_counters& peer_gateway::traffic() const
+{
+    return m_transport.counters();
+}
+
 void peer_gateway::receive_pending()
 {
     m_transport.receive_pending();
--- a/libs/node/src/peer_gateway.hpp
+++ b/libs/node/src/peer_gateway.hpp
@@ -52,6 +52,8 @@
     void forward(const core::forward_request& order, const open_request& request);
     void cancel(core::request_token token, core::attempt_number attempt);
     void reply(const peer_origin& origin, wire::reply_frame frame);
+    const peer::transport_counters& traffic() const;
+
     /// Delivers the datagrams that have already arrived.
     void receive_pending();
     void stop();
--- a/libs/node/src/runtime.cpp
+++ b/libs/node/src/runtime.cpp
@@ -189,6 +189,12 @@
     m_metrics.set_gauge("configuration_revision",
                         double(m_state.m_configuration.m_document.m_revision));
     m_metrics.set_gauge("known_nodes", double(core::newest_plans(m_state.m_directory).size()));
+    const auto& traffic = m_peers.traffic();
+    m_metrics.set_counter("peer_bytes_sent_total", traffic.m_bytes_sent);
+    m_metrics.set_counter("peer_bytes_received_total", traffic.m_bytes_received);
+    m_metrics.set_counter("peer_datagrams_sent_total", traffic.m_datagrams_sent);
+    m_metrics.set_counter("peer_frames_sent_total", traffic.m_frames_sent);
+    m_metrics.set_counter("peer_links_lost_total", traffic.m_links_lost);
 }
 
 void runtime_impl::begin_stop()
