--- a/tests/integration/cluster_fixture.cpp
+++ b/tests/integration/cluster_fixture.cpp
@@ -62,7 +62,6 @@
            {"methods",
             {{{"method", "GET"}, {"weight", 1}},
              {{"method", "POST"}, {"weight", 1}, {"idempotency_key", true}, {"repeats", 2}}}}}}}};
-<<<<<<< HEAD
 }
 
 /// Whether every owner of `reporting` has only nodes as standbys that can serve its slices.
@@ -79,8 +78,6 @@
             return false;
     }
     return true;
-=======
->>>>>>> ownership
 }
 
 std::string test_directory()
