Exchange only the differing parts of the directory

Cause of the traffic of 87 to 217 kB/s during balancing: each change made all digests differ, and each node answered with its whole table once a second. Pulls now carry the digests of 64 buckets, and the answer holds the entries of differing buckets. Ruled out: the idle lease traffic, which is 2.5 kB/s sent (4 nodes, 60 s after the start).

--- a/libs/core/include/azureladder/core/directory.hpp
+++ b/libs/core/include/azureladder/core/directory.hpp
@@ -3,6 +3,8 @@
 #include <azureladder/base/ids.hpp>
 #include <azureladder/core/plan.hpp>
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -12,6 +14,10 @@
 /// slice tables, brought up to date by notices and pulls from peers.
 namespace azureladder::core {
 
+/// Parts into which the entries are hashed, so that two directories that differ in a few entries
+/// exchange only the parts that differ.
+inline constexpr std::size_t directory_bucket_count = 64;
+
 /// Owner of a slice as far as this node knows.
 struct slice_location
 {
@@ -26,11 +32,18 @@
 
     std::map<slice_id, slice_location> m_locations;
 
-    /// Sum of the hashes of all entries; kept up to date by the functions below, so that the digest
-    /// of a large directory costs nothing for each lease message.
+    /// Sums of the hashes of the entries in each bucket; kept up to date by the functions below, so
+    /// that the digest of a large directory costs nothing for each lease message.
+    std::array<std::uint64_t, directory_bucket_count> m_bucket_digests{};
+
+    /// Sum over all buckets.
     std::uint64_t m_digest = 0;
 };
 
+/// Bucket of all plans of an incarnation, and bucket of a slice. Part of the protocol.
+std::size_t bucket_of(const member_ref& member);
+std::size_t bucket_of(const slice_id& slice);
+
 /// Plan of exactly this incarnation, or null.
 const plan* find_plan(const directory_state& state, const member_ref& member);
 
--- a/libs/core/include/azureladder/core/messages.hpp
+++ b/libs/core/include/azureladder/core/messages.hpp
@@ -230,6 +230,9 @@
 /// Asks for plans and slice locations.
 struct table_pull
 {
+    /// Digest of each bucket of the sender's directory; the answer leaves out equal buckets. Empty
+    /// asks for everything that the receiver keeps, with former versions of plans.
+    std::vector<std::uint64_t> m_bucket_digests;
 };
 
 /// Carries all plans and slice locations that the sender knows.
--- a/libs/core/src/directory.cpp
+++ b/libs/core/src/directory.cpp
@@ -25,8 +25,32 @@
                   text_of(value.m_owner) + "/" + std::to_string(value.m_epoch));
 }
 
+std::uint64_t bucket_hash(const std::string& text)
+{
+    constexpr std::uint64_t bucket_seed = 1;
+    return hash64(text, bucket_seed);
+}
+
+/// Adds to the digests of a bucket; the sums wrap around, so that a difference removes an entry.
+void add_to_digest(directory_state& state, std::size_t bucket, std::uint64_t difference)
+{
+    state.m_bucket_digests[bucket] += difference;
+    state.m_digest += difference;
+}
+
 } // namespace
 
+std::size_t bucket_of(const member_ref& member)
+{
+    return bucket_hash("plan/" + text_of(member)) % directory_bucket_count;
+}
+
+std::size_t bucket_of(const slice_id& slice)
+{
+    return bucket_hash("slice/" + slice.m_space + "/" + std::to_string(slice.m_index)) %
+           directory_bucket_count;
+}
+
 const plan* find_plan(const directory_state& state, const member_ref& member)
 {
     const auto found = state.m_plans.find(member);
@@ -69,12 +93,12 @@
     const auto found = state.m_plans.find(value.m_member);
     if (found == state.m_plans.end()) {
         state.m_plans[value.m_member] = value;
-        state.m_digest += plan_hash(value);
+        add_to_digest(state, bucket_of(value.m_member), plan_hash(value));
         return true;
     }
     if (found->second.m_version >= value.m_version)
         return false;
-    state.m_digest += plan_hash(value) - plan_hash(found->second);
+    add_to_digest(state, bucket_of(value.m_member), plan_hash(value) - plan_hash(found->second));
     found->second = value;
     return true;
 }
@@ -84,12 +108,13 @@
     const auto found = state.m_locations.find(slice);
     if (found == state.m_locations.end()) {
         state.m_locations[slice] = value;
-        state.m_digest += location_hash(slice, value);
+        add_to_digest(state, bucket_of(slice), location_hash(slice, value));
         return true;
     }
     if (found->second.m_epoch >= value.m_epoch)
         return false;
-    state.m_digest += location_hash(slice, value) - location_hash(slice, found->second);
+    add_to_digest(state, bucket_of(slice),
+                  location_hash(slice, value) - location_hash(slice, found->second));
     found->second = value;
     return true;
 }
@@ -99,7 +124,7 @@
     const auto found = state.m_plans.find(member);
     if (found == state.m_plans.end())
         return;
-    state.m_digest -= plan_hash(found->second);
+    add_to_digest(state, bucket_of(member), std::uint64_t(0) - plan_hash(found->second));
     state.m_plans.erase(found);
 }
 
--- a/libs/core/src/directory_sync.cpp
+++ b/libs/core/src/directory_sync.cpp
@@ -50,6 +50,34 @@
         versions.erase(versions.begin());
 }
 
+void send_pull(node_state& state, time_point now, const member_ref& from, const endpoint& address,
+               table_pull pull, effects& output)
+{
+    auto& next = state.m_ownership.m_next_pull[from];
+    if (now < next)
+        return;
+    next = now + pull_interval;
+    output.push_back(send_message{from, address, std::move(pull)});
+}
+
+/// The entries in buckets whose digest differs from the sender's of the pull.
+table_push differing_entries(const directory_state& directory, const table_pull& pull)
+{
+    const auto differs = [&](std::size_t bucket) {
+        return pull.m_bucket_digests[bucket] != directory.m_bucket_digests[bucket];
+    };
+    table_push push;
+    for (const auto& [member, value] : directory.m_plans) {
+        if (differs(bucket_of(member)))
+            push.m_plans.push_back(value);
+    }
+    for (const auto& [slice, location] : directory.m_locations) {
+        if (differs(bucket_of(slice)))
+            push.m_locations.push_back({{slice, location.m_epoch}, location.m_owner});
+    }
+    return push;
+}
+
 } // namespace
 
 void learn_plan(node_state& state, const plan& value)
@@ -107,22 +135,28 @@
 void compare_digest(node_state& state, time_point now, const message_received& received,
                     std::uint64_t other, effects& output)
 {
-    if (other != digest(state.m_directory))
-        pull_table(state, now, received.m_from, received.m_reply_to, output);
+    if (other == digest(state.m_directory))
+        return;
+    const auto& digests = state.m_directory.m_bucket_digests;
+    table_pull pull;
+    pull.m_bucket_digests.assign(digests.begin(), digests.end());
+    send_pull(state, now, received.m_from, received.m_reply_to, std::move(pull), output);
 }
 
 void pull_table(node_state& state, time_point now, const member_ref& from, const endpoint& address,
                 effects& output)
 {
-    auto& next = state.m_ownership.m_next_pull[from];
-    if (now < next)
-        return;
-    next = now + pull_interval;
-    output.push_back(send_message{from, address, table_pull{}});
+    send_pull(state, now, from, address, table_pull{}, output);
 }
 
-void handle_table_pull(const node_state& state, const message_received& received, effects& output)
+void handle_table_pull(const node_state& state, const message_received& received,
+                       const table_pull& pull, effects& output)
 {
+    if (pull.m_bucket_digests.size() == directory_bucket_count) {
+        output.push_back(send_message{received.m_from, received.m_reply_to,
+                                      differing_entries(state.m_directory, pull)});
+        return;
+    }
     table_push push;
     std::map<std::pair<member_ref, plan_version>, const plan*> plans;
     for (const auto& [member, value] : state.m_directory.m_plans)
--- a/libs/core/src/ownership.cpp
+++ b/libs/core/src/ownership.cpp
@@ -73,7 +73,10 @@
     {
         handle_handover_ack(m_state, m_now, m_received, value, m_output);
     }
-    void operator()(const table_pull&) { handle_table_pull(m_state, m_received, m_output); }
+    void operator()(const table_pull& value)
+    {
+        handle_table_pull(m_state, m_received, value, m_output);
+    }
     void operator()(const table_push& value) { handle_table_push(m_state, value, m_output); }
 
     /// Messages of the other modules.
--- a/libs/core/src/ownership_internal.hpp
+++ b/libs/core/src/ownership_internal.hpp
@@ -135,7 +135,8 @@
                     std::uint64_t other, effects& output);
 void pull_table(node_state& state, time_point now, const member_ref& from, const endpoint& address,
                 effects& output);
-void handle_table_pull(const node_state& state, const message_received& received, effects& output);
+void handle_table_pull(const node_state& state, const message_received& received,
+                       const table_pull& pull, effects& output);
 void handle_table_push(node_state& state, const table_push& push, effects& output);
 void handle_owner_notice(node_state& state, const owner_notice& notice, effects& output);
 void announce_owner(const node_state& state, const std::vector<owned_slice>& slices,
--- a/libs/wire/src/message_table.hpp
+++ b/libs/wire/src/message_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "descriptor.hpp"
+#include <azureladder/core/directory.hpp>
 
 /// The fields of all messages, each named once for both directions. A new field is one line here;
 /// a receiver refuses messages without it.
@@ -317,7 +318,8 @@
 {
     static constexpr std::uint8_t code = 21;
     static constexpr channel via = channel::link;
-    static constexpr auto fields = std::make_tuple();
+    static constexpr auto fields = std::make_tuple(make_field(
+        "b", &core::table_pull::m_bucket_digests, std::uint64_t(core::directory_bucket_count)));
 };
 
 template <>
