Await the report of an attempt that reached its own deadline

An integration run (owner_killed) showed live owners answering backend_lost, "unknown", for attempts that the runtime never sent: they waited for a grant until max_execution had passed, and the reducer gave them up at that moment, before the runtime could report not_sent. An attempt is now given up 100 ms after its deadline or cancellation. Ruled out: a later deadline for the backend server, because a takeover waits for max_execution.

Why the grant of that slice was not sent for 1.4 s is a question of the node library.

--- a/libs/core/src/routing_backend.cpp
+++ b/libs/core/src/routing_backend.cpp
@@ -212,7 +212,7 @@
         if (!attempt.m_local || attempt.m_cancelled || attempt.m_slice.m_slice.m_space.empty())
             continue;
         attempt.m_cancelled = true;
-        attempt.m_deadline = std::min(attempt.m_deadline, step.m_now + cancel_grace);
+        attempt.m_deadline = std::min(attempt.m_deadline, step.m_now);
         step.m_output.emplace_back(cancel_attempt{id.first, id.second});
         if (const auto* request = find_request(state, id.first))
             write_event(step, log_level::info, "request_cancelled",
--- a/libs/core/src/routing_internal.hpp
+++ b/libs/core/src/routing_internal.hpp
@@ -41,8 +41,9 @@
 /// The backend server announces itself each second; after this silence nothing is dispatched.
 inline constexpr duration announcement_timeout = seconds(3);
 
-/// Time that the runtime has to report a cancelled attempt before the request goes on without it.
-inline constexpr duration cancel_grace = milliseconds(200);
+/// Time after its deadline or cancellation in which the runtime reports how an attempt ended, which
+/// may prove that nothing was sent; then the request goes on without the report.
+inline constexpr duration report_delay = milliseconds(100);
 
 /// Time after its deadline at which an attempt that was never reported gives its slot back.
 inline constexpr duration report_grace = seconds(5);
--- a/libs/core/src/routing_timers.cpp
+++ b/libs/core/src/routing_timers.cpp
@@ -19,7 +19,7 @@
     for (auto found = attempts.lower_bound({token, 0});
          found != attempts.end() && found->first.first == token; ++found) {
         if (!found->second.m_settled)
-            next = std::min(next, found->second.m_deadline);
+            next = std::min(next, found->second.m_deadline + report_delay);
     }
     return next;
 }
@@ -32,7 +32,7 @@
     for (auto found = attempts.lower_bound({token, 0});
          found != attempts.end() && found->first.first == token; ++found) {
         auto& attempt = found->second;
-        if (attempt.m_settled || attempt.m_deadline > step.m_now)
+        if (attempt.m_settled || step.m_now < attempt.m_deadline + report_delay)
             continue;
         attempt.m_settled = true;
         if (!attempt.m_cancelled)
--- a/libs/core/tests/routing_backend_test.cpp
+++ b/libs/core/tests/routing_backend_test.cpp
@@ -171,6 +171,22 @@
     EXPECT_EQ(in_flight(m_state, slice_of("k1")), 0U);
 }
 
+// Guards against "unknown" for an attempt whose report, due at its deadline, proves the opposite,
+// and against a request that waits for a report that never comes.
+TEST_F(routing_backend, report_at_the_deadline_of_an_attempt_is_awaited)
+{
+    warm_up();
+    m_state.m_configuration.m_document.m_services["shop"].m_max_execution = milliseconds(200);
+    const auto first = arrive_class(request_class::standard, true);
+    const auto second = arrive_class(request_class::standard, true);
+    advance(milliseconds(220));
+    finish(first, 1, attempt_outcome::not_sent);
+    EXPECT_EQ(error().m_executed, executed::no);
+    advance(milliseconds(100));
+    EXPECT_EQ(error().m_token, second);
+    EXPECT_EQ(error().m_executed, executed::unknown);
+}
+
 // Guards against queued work that reaches a server out of service, and full load on its return.
 TEST_F(routing_backend, zone_out_empties_the_queue_and_return_starts_cold)
 {
