Bound the requests that hold or wait for claims

While no node owns a claim slice (seen when the store went down during a move of the slice), each non-idempotent request of that slice waited to its deadline without a bound on their number. An entry node now keeps at most 1,024 requests with claims and answers further ones claim_refused, not executed. Ruled out: a separate list of waiting claims; the table of claim keys exists already.

--- a/libs/core/src/routing_claims.cpp
+++ b/libs/core/src/routing_claims.cpp
@@ -78,6 +78,11 @@
                      "a request with this idempotency key is in progress");
         return;
     }
+    if (step.m_state.m_routing.m_claim_keys.size() > max_waiting_requests) {
+        answer_error(step, token, error_code::claim_refused,
+                     "too many requests wait for their claims");
+        return;
+    }
     request.m_phase = request_phase::claiming;
     ask_claim_owner(step, token);
 }
--- a/libs/core/src/routing_internal.hpp
+++ b/libs/core/src/routing_internal.hpp
@@ -32,7 +32,8 @@
 inline constexpr duration max_owner_wait = milliseconds(1500);
 inline constexpr duration owner_retry_delay = milliseconds(50);
 
-/// Requests that may wait for an owner at once, so that a lost owner cannot exhaust the memory.
+/// Requests that may wait for an owner at once, and requests with claims, so that a lost owner
+/// cannot exhaust the memory.
 inline constexpr std::size_t max_waiting_requests = 1024;
 
 /// Attempts of one request within the retry budget, after the first.
--- a/libs/core/tests/claims_test.cpp
+++ b/libs/core/tests/claims_test.cpp
@@ -282,6 +282,22 @@
     EXPECT_EQ(sent<claim_result>()[0].m_executed, executed::yes);
 }
 
+// Guards against requests that pile up while no node owns their claim slices.
+TEST_F(claims, number_of_requests_that_wait_for_claims_is_bounded)
+{
+    constexpr int bound = 1024;
+    stop_serving(m_state, m_slice);
+    auto info = make_write();
+    for (int count = 0; count < bound; ++count) {
+        info.m_idempotency_key = std::to_string(count);
+        arrive(info);
+        EXPECT_TRUE(all<answer_with_error>().empty());
+    }
+    arrive(make_write());
+    EXPECT_EQ(error().m_code, error_code::claim_refused);
+    EXPECT_EQ(error().m_executed, executed::no);
+}
+
 // Guards against a request that is dispatched after its caller was told "not executed".
 TEST_F(claims, unanswered_claim_ends_with_the_deadline)
 {
