--- a/libs/core/src/routing_internal.hpp
+++ b/libs/core/src/routing_internal.hpp
@@ -32,7 +32,8 @@
 inline constexpr duration max_owner_wait = milliseconds(1500);
 inline constexpr duration owner_retry_delay = milliseconds(50);
 
-/// Requests that may wait for an owner at once, so that a lost owner cannot exhaust the memory.
+/// Requests that may wait for an owner at once, and requests with claims, so that a lost owner
+/// cannot exhaust the memory.
 inline constexpr std::size_t max_waiting_requests = 1024;
 
 /// Attempts of one request within the retry budget, after the first.
@@ -41,8 +42,9 @@
 /// The backend server announces itself each second; after this silence nothing is dispatched.
 inline constexpr duration announcement_timeout = seconds(3);
 
-/// Time that the runtime has to report a cancelled attempt before the request goes on without it.
-inline constexpr duration cancel_grace = milliseconds(200);
+/// Time after its deadline or cancellation in which the runtime reports how an attempt ended, which
+/// may prove that nothing was sent; then the request goes on without the report.
+inline constexpr duration report_delay = milliseconds(100);
 
 /// Time after its deadline at which an attempt that was never reported gives its slot back.
 inline constexpr duration report_grace = seconds(5);
