Backend double: tell key groups apart and accept plain revocations

The double kept grants by service and slice number, so a slice of the key group "overnight" replaced the same number of the service's own space, and it refused a revocation without epoch, which the router repeats before all later grants. The space now comes from the grant and the header Azureladder-Space.

--- a/testbench/backend/include/azureladder/backend_double/fencing_table.hpp
+++ b/testbench/backend/include/azureladder/backend_double/fencing_table.hpp
@@ -27,6 +27,9 @@
     /// message of an earlier owner carries.
     bool set_grant(const slice_name& slice, std::uint64_t epoch, bool revoked);
 
+    /// Revokes a slice at the epoch that was granted last.
+    void revoke(const slice_name& slice);
+
     /// True when `slice` is granted with exactly `epoch`.
     bool is_granted(const slice_name& slice, std::uint64_t epoch) const;
 
--- a/testbench/backend/src/backend_service.cpp
+++ b/testbench/backend/src/backend_service.cpp
@@ -109,10 +109,15 @@
     const auto service = text_field(body, "service");
     const auto slice = text_field(body, "slice");
     const auto epoch = body.find("epoch");
-    if (!service || !slice || epoch == body.end() || !epoch->is_number_unsigned())
-        return error_response(400, "service, slice and epoch are required");
+    const bool has_epoch = epoch != body.end() && epoch->is_number_unsigned();
     const bool revoked = body.value("revoked", json(false)) == json(true);
-    if (!m_fencing.set_grant({*service, *slice}, epoch->get<std::uint64_t>(), revoked))
+    if (!service || !slice || !(has_epoch || revoked))
+        return error_response(400, "service, slice and either epoch or revoked are required");
+    // Key groups of a service are spaces of their own, with their own slice numbers.
+    const slice_name name{text_field(body, "space").value_or(*service), *slice};
+    if (!has_epoch)
+        m_fencing.revoke(name);
+    else if (!m_fencing.set_grant(name, epoch->get<std::uint64_t>(), revoked))
         return error_response(status_precondition_failed, "the epoch is older than a known one");
     return json_response(status_ok, json::object());
 }
@@ -136,9 +141,9 @@
     const auto slice = header_or_empty(message, "Azureladder-Slice");
     if (slice.empty())
         return nullptr;
-    const auto service = header_or_empty(message, "Azureladder-Service");
     const auto epoch = header_number(message, "Azureladder-Epoch");
-    return epoch && m_fencing.is_granted({service, slice}, *epoch) ? nullptr : "epoch_not_granted";
+    return epoch && m_fencing.is_granted({space_of(message), slice}, *epoch) ? nullptr
+                                                                             : "epoch_not_granted";
 }
 
 http::response backend_service::execute(const http::request& message)
--- a/testbench/backend/src/fencing_table.cpp
+++ b/testbench/backend/src/fencing_table.cpp
@@ -25,6 +25,12 @@
     return true;
 }
 
+void fencing_table::revoke(const slice_name& slice)
+{
+    const std::lock_guard lock(m_mutex);
+    m_grants[slice].m_revoked = true;
+}
+
 bool fencing_table::is_granted(const slice_name& slice, std::uint64_t epoch) const
 {
     const std::lock_guard lock(m_mutex);
--- a/testbench/backend/src/request_fields.cpp
+++ b/testbench/backend/src/request_fields.cpp
@@ -37,6 +37,12 @@
     return testbench::parse_number(header_or_empty(message, name));
 }
 
+std::string space_of(const http::request& message)
+{
+    const auto space = header_or_empty(message, "Azureladder-Space");
+    return space.empty() ? header_or_empty(message, "Azureladder-Service") : space;
+}
+
 json identity_of(const http::request& message, const std::string& server,
                  const std::string& service)
 {
@@ -46,7 +52,7 @@
             {"request_id", header_or_empty(message, "Request-Id")},
             {"key", key},
             {"key_hash", hex_hash(key)},
-            {"space", header_or_empty(message, "Azureladder-Service")},
+            {"space", space_of(message)},
             {"slice", number_or_text(header_or_empty(message, "Azureladder-Slice"))},
             {"epoch", number_or_text(header_or_empty(message, "Azureladder-Epoch"))},
             {"method", message.m_method},
--- a/testbench/backend/tests/backend_double_test.cpp
+++ b/testbench/backend/tests/backend_double_test.cpp
@@ -117,6 +117,26 @@
 }
 
 // Guards against more executions than slots, and against cold overload that leaves no trace.
+// Guards against grants of one key group that replace those of another, and against a refused
+// revocation, which the sidecar process would repeat before all later grants.
+TEST_F(backend_double_test, spaces_and_revocations_of_grants)
+{
+    backend_service service(m_clock, quick(true), m_log);
+    control(service, "lease", {{"incarnation", "1"}, {"valid_ms", 600}});
+    const json own = {{"service", "s"}, {"space", "s"}, {"slice", 3}, {"epoch", 7}};
+    const json group = {{"service", "s"}, {"space", "s/night"}, {"slice", 3}, {"epoch", 2}};
+    EXPECT_EQ(control(service, "grant", own).m_status, 200);
+    EXPECT_EQ(control(service, "grant", group).m_status, 200);
+    EXPECT_EQ(service.handle(work("r1")).m_status, 200);
+    auto grouped = work("r2", 2);
+    grouped.m_headers.push_back({"Azureladder-Space", "s/night"});
+    EXPECT_EQ(service.handle(grouped).m_status, 200);
+    const json revoked = {{"service", "s"}, {"space", "s"}, {"slice", 3}, {"revoked", true}};
+    EXPECT_EQ(control(service, "grant", revoked).m_status, 200);
+    expect_not_executed(service.handle(work("r3")), 412);
+    EXPECT_EQ(service.handle(grouped).m_status, 200);
+}
+
 TEST_F(backend_double_test, slots_cold_start_and_cancel)
 {
     auto options = quick();
