Fault proxy: try another port when one is free for TCP only

With 196 links on ports chosen by the kernel the proxy ended with "Address already in use": the port that the kernel gave for TCP was in use for UDP. Such a link now tries up to 20 ports; a stated port still fails at once, because its users expect it. Choosing the ports in the experiment runner was ruled out, as it has the same race.

--- a/testbench/proxy/src/fault_proxy.cpp
+++ b/testbench/proxy/src/fault_proxy.cpp
@@ -2,12 +2,16 @@
 
 #include <azureladder/base/hash.hpp>
 
+#include <boost/system/system_error.hpp>
+
 #include <stdexcept>
 
 namespace azureladder::proxy {
 
 namespace {
 
+constexpr int max_port_attempts = 20;
+
 json error_reply(const std::string& message)
 {
     return {{"ok", false}, {"error", message}};
@@ -22,17 +26,33 @@
           m_forward(own.m_forward, hash64(own.m_name + "/forward", settings.m_seed)),
           m_backward(own.m_backward, hash64(own.m_name + "/backward", settings.m_seed))
     {
-        if (own.m_protocol != link_protocol::udp)
-            m_tcp = std::make_unique<tcp_relay>(context, settings, own, m_forward, m_backward);
-        if (own.m_protocol != link_protocol::tcp)
-            m_udp = std::make_unique<udp_relay>(context, settings, own, m_forward, m_backward);
-        if (m_tcp)
-            m_tcp->open();
-        if (m_udp)
-            m_udp->open(m_tcp ? m_tcp->port() : 0);
+        open_relays(context, settings);
         set_refusing(own.m_refuse);
     }
 
+    /// Opens the relays. When the kernel chooses the port of a link for both protocols, the port
+    /// that is free for TCP may be in use for UDP; then another one is tried.
+    void open_relays(boost::asio::io_context& context, const proxy_settings& settings)
+    {
+        const auto& own = m_settings;
+        for (int attempt = 1;; ++attempt) {
+            if (own.m_protocol != link_protocol::udp) {
+                m_tcp = std::make_unique<tcp_relay>(context, settings, own, m_forward, m_backward);
+                m_tcp->open();
+            }
+            if (own.m_protocol == link_protocol::tcp)
+                return;
+            m_udp = std::make_unique<udp_relay>(context, settings, own, m_forward, m_backward);
+            try {
+                m_udp->open(m_tcp ? m_tcp->port() : 0);
+                return;
+            } catch (const boost::system::system_error&) {
+                if (own.m_listen.m_port != 0 || attempt == max_port_attempts)
+                    throw;
+            }
+        }
+    }
+
     std::uint16_t port() const { return m_tcp ? m_tcp->port() : m_udp->port(); }
 
     void set_refusing(bool is_refusing)
