Experiment runner: take ports below the kernel's own range

A run failed because connections of other processes had taken two ports between their choice and the start of the routers that were to listen on them. The runner now takes ports from 10240 to 32767, from which the kernel chooses none by itself, and reports a fault proxy that does not start.

--- a/testbench/bench/azureladder_bench/deployment.py
+++ b/testbench/bench/azureladder_bench/deployment.py
@@ -132,11 +132,12 @@
         settings = {"seed": self.experiment.seed, "links": list(self.proxy_links())}
         path.write_text(json.dumps(settings, indent=1), encoding="utf-8")
         output = self.directory / "proxy.out"
-        self.group.start("proxy", "proxy",
-                         [self.program("azureladder-fault-proxy"), "--config", path], output)
-        if not network.wait_until(lambda: output.read_text(encoding="utf-8").endswith("\n"),
-                                  START_LIMIT_S):
-            raise RuntimeError("the fault proxy does not listen")
+        proxy = self.group.start(
+            "proxy", "proxy", [self.program("azureladder-fault-proxy"), "--config", path], output)
+        network.wait_until(lambda: not proxy.is_running()
+                           or output.read_text(encoding="utf-8").endswith("\n"), START_LIMIT_S)
+        if not proxy.is_running():
+            raise RuntimeError(f"the fault proxy did not start; see {output}")
         listening = json.loads(output.read_text(encoding="utf-8").splitlines()[0])
         self.control_address = listening["control"]
         for node in self.nodes.values():
--- a/testbench/bench/azureladder_bench/network.py
+++ b/testbench/bench/azureladder_bench/network.py
@@ -2,40 +2,46 @@
 
 import http.client
 import json
+import random
 import socket
 import time
 
 CONTROL_TIMEOUT_S = 2
 POLL_S = 0.05
-
-
-def free_port():
-    """A port that is free for TCP and UDP at the moment."""
-    while True:
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream, \
-                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
-            stream.bind(("127.0.0.1", 0))
-            port = stream.getsockname()[1]
-            try:
-                datagrams.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
+FIRST_PORT = 10240
+LAST_PORT = 32768
+
+
+def is_free(port):
+    """Whether a port can be bound for TCP and UDP at the moment."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream, \
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+        try:
+            stream.bind(("127.0.0.1", port))
+            datagrams.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 class AddressBook:
-    """Hands out free addresses, each only once."""
+    """Hands out free addresses, each only once.
+
+    The ports are below the range from which the kernel takes ports for outgoing connections and
+    for port 0. Otherwise a connection could take a port before its process listens on it.
+    """
 
     def __init__(self):
-        self.used = set()
+        self.next_port = random.randrange(FIRST_PORT, LAST_PORT)
 
     def next(self):
         """A loopback address that was not handed out before."""
-        while True:
-            port = free_port()
-            if port not in self.used:
-                self.used.add(port)
+        for _ in range(LAST_PORT - FIRST_PORT):
+            port = self.next_port
+            self.next_port = FIRST_PORT if port + 1 >= LAST_PORT else port + 1
+            if is_free(port):
                 return f"127.0.0.1:{port}"
+        raise RuntimeError("no free port")
 
 
 def split_address(address):
