Audit: recognise a new run of a server by its execution numbers

The trace shows that the case is allowed: the process was dead. Ending such executions at their start was ruled out, because it would hide overlaps of servers that live.

--- a/libs/audit/include/azureladder/audit/event.hpp
+++ b/libs/audit/include/azureladder/audit/event.hpp
@@ -104,6 +104,9 @@
     std::uint32_t m_attempt = 0;
     std::uint32_t m_in_flight = 0;
 
+    /// Number of the execution in one run of a server, from 1; zero when the line has none.
+    std::uint64_t m_execution = 0;
+
     /// Concurrent requests allowed at the backend server; none when the line does not state it.
     std::optional<std::uint32_t> m_bound;
     int m_status = 0;
--- a/libs/audit/src/event.cpp
+++ b/libs/audit/src/event.cpp
@@ -55,6 +55,7 @@
 {
     into.m_server = text_of(line, line.contains("server") ? "server" : "backend");
     into.m_zone = text_of(line, "zone");
+    into.m_execution = number_of<std::uint64_t>(line, "execution");
     into.m_in_flight = number_of<std::uint32_t>(line, "in_flight");
     if (line.contains("bound"))
         into.m_bound = number_of<std::uint32_t>(line, "bound");
