--- a/libs/node/src/runtime.cpp
+++ b/libs/node/src/runtime.cpp
@@ -157,6 +157,12 @@
 
 void runtime_impl::on_tick()
 {
+    // After a pause, messages that arrived meanwhile come before the clock: a witness must not
+    // declare a lease expired while the renewal waits in its socket.
+    const auto now = m_clock.now();
+    if (now - m_last_tick > m_settings.m_core.m_lease_duration / 2)
+        m_peers.receive_pending();
+    m_last_tick = now;
     handle(core::timer_tick{});
     m_ready = core::takes_new_work(m_state, m_clock.now()) && !m_stop_requested;
     if (m_clock.now() >= m_next_gauges) {
@@ -183,6 +189,12 @@
     m_metrics.set_gauge("configuration_revision",
                         double(m_state.m_configuration.m_document.m_revision));
     m_metrics.set_gauge("known_nodes", double(core::newest_plans(m_state.m_directory).size()));
+    const auto& traffic = m_peers.traffic();
+    m_metrics.set_counter("peer_bytes_sent_total", traffic.m_bytes_sent);
+    m_metrics.set_counter("peer_bytes_received_total", traffic.m_bytes_received);
+    m_metrics.set_counter("peer_datagrams_sent_total", traffic.m_datagrams_sent);
+    m_metrics.set_counter("peer_frames_sent_total", traffic.m_frames_sent);
+    m_metrics.set_counter("peer_links_lost_total", traffic.m_links_lost);
 }
 
 void runtime_impl::begin_stop()
--- a/testbench/bench/azureladder_bench/network.py
+++ b/testbench/bench/azureladder_bench/network.py
@@ -8,40 +8,40 @@
 
 CONTROL_TIMEOUT_S = 2
 POLL_S = 0.05
-FIRST_PORT = 10240
-LAST_PORT = 32768
-
-
-def is_free(port):
-    """Whether a port can be bound for TCP and UDP at the moment."""
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream, \
-            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
-        try:
-            stream.bind(("127.0.0.1", port))
-            datagrams.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
 
 
-class AddressBook:
-    """Hands out free addresses, each only once.
+# Below the range from which the kernel takes the ports of outgoing connections (32768 to 60999):
+# a port of that range can be taken between its choice and the start of the process.
+LISTEN_PORTS = range(10000, 30000)
+
 
-    The ports are below the range from which the kernel takes ports for outgoing connections and
-    for port 0. Otherwise a connection could take a port before its process listens on it.
-    """
+def free_port():
+    """A port that is free for TCP and UDP at the moment."""
+    while True:
+        port = random.choice(LISTEN_PORTS)
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream, \
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams:
+            try:
+                stream.bind(("127.0.0.1", port))
+                datagrams.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+
+
+class AddressBook:
+    """Hands out free addresses, each only once."""
 
     def __init__(self):
-        self.next_port = random.randrange(FIRST_PORT, LAST_PORT)
+        self.used = set()
 
     def next(self):
         """A loopback address that was not handed out before."""
-        for _ in range(LAST_PORT - FIRST_PORT):
-            port = self.next_port
-            self.next_port = FIRST_PORT if port + 1 >= LAST_PORT else port + 1
-            if is_free(port):
+        while True:
+            port = free_port()
+            if port not in self.used:
+                self.used.add(port)
                 return f"127.0.0.1:{port}"
-        raise RuntimeError("no free port")
 
 
 def split_address(address):
