Experiment runner: let callers avoid nodes that will be lost

In the owner loss experiment all calls to the killed and paused entry nodes failed too (57 connection_lost, 70 not_serving in one run), which hid when the keys were served again. The field avoid_nodes leaves nodes out of the callers' targets; a failover inside the load generator was ruled out, because it would resend requests on its own.

--- a/testbench/bench/azureladder_bench/deployment.py
+++ b/testbench/bench/azureladder_bench/deployment.py
@@ -218,7 +218,8 @@
         """Addresses that callers use."""
         zones = self.experiment.target_zones
         return [node.caller_address for node in self.nodes.values()
-                if not zones or node.zone in zones]
+                if (not zones or node.zone in zones)
+                and node.name not in self.experiment.avoid_nodes]
 
     def logs(self):
         """Logs of routers and backend servers for the audit."""
--- a/testbench/bench/azureladder_bench/experiment.py
+++ b/testbench/bench/azureladder_bench/experiment.py
@@ -52,6 +52,7 @@
     caller_delay_ms: float = 0
     links: bool = False
     target_zones: list = dataclasses.field(default_factory=list)
+    avoid_nodes: list = dataclasses.field(default_factory=list)
     warmup_s: float = 1
     settle_s: float = 1
     timeline: list = dataclasses.field(default_factory=list)
--- a/testbench/bench/tests/test_bench.py
+++ b/testbench/bench/tests/test_bench.py
@@ -10,7 +10,7 @@
 import xml.etree.ElementTree
 
 from azureladder_bench import comparison, experiment, measures, plot
-from azureladder_bench.deployment import with_service_fields
+from azureladder_bench.deployment import Deployment, with_service_fields
 from azureladder_bench.processes import ProcessGroup
 from azureladder_bench.timeline import Timeline
 
@@ -65,6 +65,22 @@
         self.assertEqual(changed[1], records[1])
 
 
+class DeploymentTest(unittest.TestCase):
+    """Guards against callers that use other nodes than the experiment states."""
+
+    def test_callers_use_the_stated_nodes(self):
+        """Zones select nodes, and single nodes can be left out."""
+        rows = [{"node": f"n{n}", "zone": zone, "service": "a", "server": f"s{n}", "slots": 1,
+                 "connections": 1, "fencing": "checked"} for n, zone in enumerate("xxy")]
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory)
+            (path / "nodes.json").write_text(json.dumps({"nodes": rows}), encoding="utf-8")
+            built = experiment.build({**DOCUMENT, "deployment": directory, "avoid_nodes": ["n1"],
+                                      "target_zones": ["x"]}, path)
+            deployed = Deployment(built, built.variants[0], "build", path, None)
+        self.assertEqual(deployed.caller_targets(), [deployed.nodes["n0"].caller_address])
+
+
 class MeasuresTest(unittest.TestCase):
     """Guards against measures that hide failures."""
 
