Register an execution of the backend double before recording it

A cancel that arrived between the record execution_started and the registration was answered 404 and the execution went on; a run of the whole suite under load hit this and hung. The execution is now added first. Retrying the cancel in the test was ruled out, since a router would meet the same gap. 3,200 repetitions of the 8 tests in four parallel processes pass.

--- a/testbench/backend/include/azureladder/backend_double/running_requests.hpp
+++ b/testbench/backend/include/azureladder/backend_double/running_requests.hpp
@@ -34,10 +34,23 @@
 class running_requests
 {
 public:
+    /// One execution.
+    struct running
+    {
+        std::string m_request_id;
+        bool m_cancelled = false;
+    };
+
+    using handle = std::list<running>::iterator;
+
     explicit running_requests(const clock& time) : m_clock(time) {}
 
-    /// Blocks until the execution ends. Uses the real time between readings of the clock.
-    execution_end run(const std::string& request_id, const execution_limits& limits);
+    /// Adds an execution, which can be cancelled from now on. `run()` must follow.
+    handle add(const std::string& request_id);
+
+    /// Blocks until the execution ends and removes it. Uses the real time between readings of the
+    /// clock.
+    execution_end run(handle current, const execution_limits& limits);
 
     /// Ends all executions of `request_id`. False when there is none.
     bool cancel(const std::string& request_id);
@@ -46,12 +59,6 @@
     void lease_changed();
 
 private:
-    struct running
-    {
-        std::string m_request_id;
-        bool m_cancelled = false;
-    };
-
     std::optional<execution_end> end_at(time_point now, const running& current,
                                         const execution_limits& limits) const;
 
--- a/testbench/backend/src/backend_service.cpp
+++ b/testbench/backend/src/backend_service.cpp
@@ -156,6 +156,8 @@
     started["in_flight"] = entered.m_in_flight;
     started["bound"] = entered.m_bound;
     started["overload"] = entered.m_overload;
+    // A cancel that follows the record must find the execution.
+    const auto running = m_running.add(identity["request_id"]);
     m_log.append(with_event("execution_started", std::move(started)));
     execution_limits limits;
     limits.m_done_at = start + entered.m_service_time;
@@ -163,7 +165,7 @@
         limits.m_deadline = start + milliseconds(*timeout_ms);
     if (m_options.m_checks_fencing)
         limits.m_fencing = &m_fencing;
-    const auto end = m_running.run(identity["request_id"], limits);
+    const auto end = m_running.run(running, limits);
     return finish(message, identity, end, m_fencing.lease_end());
 }
 
--- a/testbench/backend/src/running_requests.cpp
+++ b/testbench/backend/src/running_requests.cpp
@@ -4,10 +4,15 @@
 
 namespace azureladder::backend_double {
 
-execution_end running_requests::run(const std::string& request_id, const execution_limits& limits)
+running_requests::handle running_requests::add(const std::string& request_id)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_running.insert(m_running.end(), {request_id, false});
+}
+
+execution_end running_requests::run(handle current, const execution_limits& limits)
 {
     std::unique_lock lock(m_mutex);
-    const auto current = m_running.insert(m_running.end(), {request_id, false});
     for (;;) {
         const auto now = m_clock.now();
         if (const auto end = end_at(now, *current, limits)) {
