--- a/libs/core/src/lease_holder.cpp
+++ b/libs/core/src/lease_holder.cpp
@@ -4,7 +4,6 @@
 #include <azureladder/core/ownership.hpp>
 
 #include <algorithm>
-#include <functional>
 #include <set>
 
 namespace azureladder::core {
@@ -18,17 +17,22 @@
 {
     if (set.empty())
         return unlimited;
-    std::vector<time_point> ends;
-    for (const auto& member : set) {
-        if (member == own.m_plan.m_member) {
-            ends.push_back(unlimited);
-            continue;
-        }
+    // Called for each request: the ends are counted instead of sorted.
+    const auto end_of = [&](const member_ref& member) {
+        if (member == own.m_plan.m_member)
+            return unlimited;
         const auto found = own.m_grants.find(member);
-        ends.push_back(found == own.m_grants.end() ? time_point{} : found->second.m_valid_until);
+        return found == own.m_grants.end() ? time_point{} : found->second.m_valid_until;
+    };
+    time_point result{};
+    for (const auto& member : set) {
+        const auto end = end_of(member);
+        const auto as_long = std::count_if(
+            set.begin(), set.end(), [&](const member_ref& other) { return end_of(other) >= end; });
+        if (std::size_t(as_long) > set.size() / 2)
+            result = std::max(result, end);
     }
-    std::sort(ends.begin(), ends.end(), std::greater<>());
-    return ends[set.size() / 2];
+    return result;
 }
 
 time_point plan_end(const ownership_state& own, const plan& value)
--- a/libs/core/src/ownership.cpp
+++ b/libs/core/src/ownership.cpp
@@ -101,20 +101,6 @@
     }
 }
 
-std::optional<epoch_number> serving_epoch(const node_state& state, const slice_id& slice,
-                                          time_point now)
-{
-    const auto found = state.m_ownership.m_slices.find(slice);
-    if (found == state.m_ownership.m_slices.end())
-        return std::nullopt;
-    const auto& held = found->second;
-    const bool ready =
-        held.m_phase == slice_phase::serving && held.m_allowed && now >= held.m_serve_from;
-    if (!ready || !holds_lease(state, now))
-        return std::nullopt;
-    return held.m_epoch;
-}
-
 bool takes_new_work(const node_state& state, time_point now)
 {
     return !state.m_stopping && holds_lease(state, now) && !node_out_of_service(state);
--- a/libs/core/src/plan_json.cpp
+++ b/libs/core/src/plan_json.cpp
@@ -14,12 +14,13 @@
     return list;
 }
 
-// The readers below use at() and get(), which throw on a missing field or another type.
+// The readers below use at(), get() and get_ref(), which throw on a missing field or another type.
 std::vector<member_ref> members_from_json(const json& list)
 {
     std::vector<member_ref> members;
     for (const auto& item : list)
-        members.push_back({item.at(0).get<std::string>(), item.at(1).get<incarnation_id>()});
+        members.push_back(
+            {item.at(0).get<std::string>(), item.at(1).get_ref<const json::number_unsigned_t&>()});
     return members;
 }
 
@@ -33,9 +34,10 @@
 {
     plan result;
     result.m_member.m_node = value.at("node").get<std::string>();
-    result.m_member.m_incarnation = value.at("incarnation").get<incarnation_id>();
-    result.m_generation = value.at("generation").get<std::uint64_t>();
-    result.m_version = value.at("version").get<plan_version>();
+    result.m_member.m_incarnation =
+        value.at("incarnation").get_ref<const json::number_unsigned_t&>();
+    result.m_generation = value.at("generation").get_ref<const json::number_unsigned_t&>();
+    result.m_version = value.at("version").get_ref<const json::number_unsigned_t&>();
     result.m_zone = value.at("zone").get<std::string>();
     result.m_http_address = endpoint_from_json(value.at("http_address"));
     result.m_peer_address = endpoint_from_json(value.at("peer_address"));
@@ -46,16 +48,17 @@
     result.m_standbys = members_from_json(value.at("standbys"));
     result.m_previous_standbys = members_from_json(value.at("previous_standbys"));
     for (const auto& item : value.at("slices")) {
-        const slice_id slice{item.at(0).get<std::string>(), item.at(1).get<std::uint32_t>()};
-        result.m_slices.push_back({slice, item.at(2).get<epoch_number>()});
+        const slice_id slice{item.at(0).get<std::string>(),
+                             std::uint32_t(item.at(1).get_ref<const json::number_unsigned_t&>())};
+        result.m_slices.push_back({slice, item.at(2).get_ref<const json::number_unsigned_t&>()});
     }
     return result;
 }
 
 slice_location read_location(const json& value)
 {
-    return {{value.at(0).get<std::string>(), value.at(1).get<incarnation_id>()},
-            value.at(2).get<epoch_number>()};
+    return {{value.at(0).get<std::string>(), value.at(1).get_ref<const json::number_unsigned_t&>()},
+            value.at(2).get_ref<const json::number_unsigned_t&>()};
 }
 
 std::optional<std::uint32_t> parse_index(const std::string& text)
--- a/libs/core/src/slice_holding.cpp
+++ b/libs/core/src/slice_holding.cpp
@@ -3,6 +3,8 @@
 #include <azureladder/core/ownership.hpp>
 #include <azureladder/records/document.hpp>
 
+#include <map>
+
 namespace azureladder::core {
 
 namespace {
@@ -30,6 +32,11 @@
         output.push_back(set_backend_grant{{slice, held.m_epoch}, true});
 }
 
+bool is_ready(const held_slice& held, time_point now)
+{
+    return held.m_phase == slice_phase::serving && held.m_allowed && now >= held.m_serve_from;
+}
+
 std::string end_reason(const node_state& state, const held_slice& held, time_point now)
 {
     if (!holds_lease(state, now))
@@ -123,9 +130,14 @@
 void update_serving(node_state& state, time_point now, effects& output)
 {
     note_backend_start(state, output);
+    const bool lease = holds_lease(state, now);
+    std::map<std::string, bool> allowed; // by space, to look each one up once
     for (auto& [slice, held] : state.m_ownership.m_slices) {
-        held.m_allowed = allowed_by_records(state, slice);
-        const bool serves = serving_epoch(state, slice, now).has_value();
+        auto known = allowed.find(slice.m_space);
+        if (known == allowed.end())
+            known = allowed.emplace(slice.m_space, allowed_by_records(state, slice)).first;
+        held.m_allowed = known->second;
+        const bool serves = lease && is_ready(held, now);
         if (serves && !held.m_announced)
             announce_start(state, slice, held, output);
         else if (!serves && held.m_announced)
@@ -133,4 +145,14 @@
     }
 }
 
+std::optional<epoch_number> serving_epoch(const node_state& state, const slice_id& slice,
+                                          time_point now)
+{
+    const auto found = state.m_ownership.m_slices.find(slice);
+    if (found == state.m_ownership.m_slices.end() || !is_ready(found->second, now) ||
+        !holds_lease(state, now))
+        return std::nullopt;
+    return found->second.m_epoch;
+}
+
 } // namespace azureladder::core
