Bound the cost of choosing members and assignments

Each tick looked at all known plans to choose witnesses and standbys, and each held slice compared all candidates again.

--- a/libs/core/include/azureladder/core/ownership_state.hpp
+++ b/libs/core/include/azureladder/core/ownership_state.hpp
@@ -153,6 +153,8 @@
 /// Owner for each slice of a space by rendezvous hashing; kept while the candidates are the same.
 struct space_assignment
 {
+    /// Balance round in which the candidates were compared last.
+    std::uint64_t m_round = 0;
     std::uint64_t m_candidates_hash = 0;
     std::vector<node_id> m_owner;
 };
@@ -176,6 +178,7 @@
     /// Newest plan under which a majority of its witnesses granted a lease.
     plan m_active;
     std::optional<plan> m_proposal;
+    time_point m_next_member_check{};
 
     /// Highest version of the own plan seen in the store; above that of `m_plan` when a write that
     /// was given up took effect later.
@@ -231,6 +234,7 @@
     std::map<slice_id, time_point> m_unowned_since;
     std::map<std::string, space_assignment> m_assignments;
     time_point m_next_balance{};
+    std::uint64_t m_balance_round = 0;
 
     // Stop.
     /// Time since which no request is open after a stop was requested.
--- a/libs/core/src/balance.cpp
+++ b/libs/core/src/balance.cpp
@@ -282,12 +282,15 @@
 
 const std::vector<node_id>& desired_owners(node_state& state, const std::string& space)
 {
-    const auto eligible = eligible_nodes(state, space);
+    auto& kept = state.m_ownership.m_assignments[space];
     const auto slices = slices_of_space(state, space);
+    if (kept.m_round == state.m_ownership.m_balance_round && kept.m_owner.size() == slices)
+        return kept.m_owner;
+    kept.m_round = state.m_ownership.m_balance_round;
+    const auto eligible = eligible_nodes(state, space);
     std::uint64_t hash = slices;
     for (const auto& node : eligible)
         hash = hash64(node, hash);
-    auto& kept = state.m_ownership.m_assignments[space];
     if (kept.m_candidates_hash != hash || kept.m_owner.size() != slices) {
         kept.m_candidates_hash = hash;
         kept.m_owner = assign(space, slices, eligible);
@@ -301,6 +304,7 @@
     if (now < own.m_next_balance || !holds_lease(state, now) || !takes_new_work(state, now))
         return;
     own.m_next_balance = now + state.m_options.m_balance_interval;
+    ++own.m_balance_round;
     if (own.m_store_down || backend_leaving(state, now))
         return;
     const auto service = state.m_backend ? state.m_backend->m_service : std::string();
--- a/libs/core/src/handover.cpp
+++ b/libs/core/src/handover.cpp
@@ -63,7 +63,9 @@
     std::sort(order.begin(), order.end(), [&](const node_id& a, const node_id& b) {
         return rendezvous_score(slice, a) > rendezvous_score(slice, b);
     });
-    if (slice.m_index < desired.size())
+    const bool known = slice.m_index < desired.size() &&
+                       std::find(order.begin(), order.end(), desired[slice.m_index]) != order.end();
+    if (known)
         order.insert(order.begin(), desired[slice.m_index]);
     for (const auto& node : order) {
         const auto* newest = find_newest_plan(state.m_directory, node);
--- a/libs/core/src/plan_change.cpp
+++ b/libs/core/src/plan_change.cpp
@@ -122,6 +122,12 @@
     auto& own = state.m_ownership;
     if (!plan_settled(state) || release_pending(own) || !store_ready(state, now))
         return;
+    // Choosing members looks at all plans, so without a cause it is done a few times a second.
+    const bool caused = !own.m_plan.m_previous_witnesses.empty() ||
+                        !same_slices(planned_slices(own), own.m_plan.m_slices);
+    if (!caused && now < own.m_next_member_check)
+        return;
+    own.m_next_member_check = now + state.m_options.m_balance_interval;
     own.m_proposal = next_plan(state, now);
 }
 
