Run the links of a deployment through the fault proxy and test partitions

The integration tests covered killed and frozen processes, but no network fault. cluster_options gains m_fault_links: one proxy link for each ordered pair of nodes and one from each node to the store, with functions to cut, half-open, disturb and heal them. Ports are no longer handed out twice by free_endpoint.

--- a/testbench/deployment/include/azureladder/deployment/cluster.hpp
+++ b/testbench/deployment/include/azureladder/deployment/cluster.hpp
@@ -2,6 +2,7 @@
 
 #include <azureladder/base/json.hpp>
 #include <azureladder/base/time.hpp>
+#include <azureladder/deployment/fault_links.hpp>
 #include <azureladder/deployment/node_spec.hpp>
 #include <azureladder/deployment/process.hpp>
 #include <azureladder/http/client.hpp>
@@ -28,6 +29,9 @@
 
     /// Settings of all nodes in addition to addresses and names, merged into each settings file.
     json m_settings = json::object();
+
+    /// Runs the traffic between nodes and to the platform store through a fault proxy.
+    bool m_fault_links = false;
 };
 
 /// Result of a command of the operators' command line.
@@ -85,6 +89,29 @@
     /// Sends faults to a backend server double, for example {"drain": true}.
     bool control_backend(const std::string& node, const json& faults);
 
+    /// Links that can be cut, delayed and healed; requires `cluster_options::m_fault_links`.
+    fault_links& links();
+
+    /// Cuts a node off from the store, or from all other nodes. No message passes until it is
+    /// healed; data of a TCP connection waits meanwhile.
+    bool cut_from_store(const std::string& node);
+    bool cut_from_peers(const std::string& node);
+
+    /// Cuts all nodes of an availability zone off from the other zones and from the store.
+    bool cut_zone(const std::string& zone);
+
+    /// Discards what `node` sends to the other nodes, which it still hears. With `receives` it is
+    /// the other way round.
+    bool half_open(const std::string& node, bool receives = false);
+
+    /// Delays, drops or reorders the traffic between all nodes; fields as in the proxy's README.
+    bool disturb_peers(const json& faults);
+
+    /// Ends all faults of the links of a node to the other nodes and the store, or of all links.
+    bool heal(const std::string& node);
+    bool heal_zone(const std::string& zone);
+    bool heal_all();
+
     /// Logs of all routers and execution logs of all backend servers, for the audit.
     std::vector<std::string> log_files() const;
 
@@ -95,12 +122,14 @@
 
     member& find(const std::string& node);
     const member& find(const std::string& node) const;
+    bool start_links(milliseconds limit);
     void write_settings(const member& target) const;
     bool post(const endpoint& address, const std::string& target, const json& body);
 
     cluster_options m_options;
     endpoint m_store_address;
     std::unique_ptr<process> m_store;
+    fault_links m_links;
     std::map<std::string, std::unique_ptr<member>> m_members;
     unsigned m_commands = 0;
 };
--- a/testbench/deployment/src/cluster.cpp
+++ b/testbench/deployment/src/cluster.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <random>
+#include <set>
 #include <sstream>
 #include <thread>
 
@@ -46,6 +47,17 @@
     return value;
 }
 
+void route_through(const fault_links& links, const std::string& node,
+                   const std::vector<node_spec>& nodes, json& settings)
+{
+    settings["store"]["address"] = to_string(links.store_address(node));
+    for (const auto& other : nodes) {
+        if (other.m_node != node)
+            settings["peer"]["routes"][other.m_node] =
+                to_string(links.peer_address(node, other.m_node));
+    }
+}
+
 bool accepts_connections(const endpoint& address)
 {
     boost::asio::io_context context;
@@ -105,6 +117,8 @@
                                   m_options.m_directory + "/store.out");
     if (!wait_until([&] { return accepts_connections(m_store_address); }, limit))
         return false;
+    if (m_options.m_fault_links && !start_links(limit))
+        return false;
     for (const auto& entry : m_members) {
         start_router(entry.first);
         start_backend(entry.first);
@@ -120,6 +134,18 @@
         limit);
 }
 
+bool cluster::start_links(milliseconds limit)
+{
+    for (const auto& [node, value] : m_members) {
+        m_links.add_store_link(node, m_store_address);
+        for (const auto& [other, target] : m_members) {
+            if (other != node)
+                m_links.add_peer_link(node, other, target->m_peer);
+        }
+    }
+    return m_links.start(m_options.m_binaries, m_options.m_directory, limit);
+}
+
 void cluster::write_settings(const member& target) const
 {
     json settings = m_options.m_settings;
@@ -128,6 +154,8 @@
     settings["http"]["listen"] = to_string(target.m_http);
     settings["peer"]["listen"] = to_string(target.m_peer);
     settings["store"]["address"] = to_string(m_store_address);
+    if (m_options.m_fault_links)
+        route_through(m_links, target.m_spec.m_node, m_options.m_nodes, settings);
     settings["log"]["file"] = target.m_prefix + ".log";
     write_file(target.m_prefix + ".json", settings.dump(2));
 }
@@ -308,6 +336,8 @@
     using boost::asio::ip::tcp;
     using boost::asio::ip::udp;
     static std::mt19937 random(std::random_device{}());
+    // A port stays free until its process starts, so it must not be handed out twice.
+    static std::set<std::uint16_t> used;
     std::uniform_int_distribution<std::uint16_t> ports(first_listen_port, last_listen_port);
     const auto loopback = boost::asio::ip::address_v4::loopback();
     boost::asio::io_context context;
@@ -319,7 +349,7 @@
         udp::socket datagrams(context, udp::v4());
         if (!error)
             datagrams.bind(udp::endpoint(loopback, port), error);
-        if (!error)
+        if (!error && used.insert(port).second)
             return {"127.0.0.1", port};
     }
 }
--- a/tests/integration/cluster_fixture.cpp
+++ b/tests/integration/cluster_fixture.cpp
@@ -90,12 +90,13 @@
 
 } // namespace
 
-cluster_fixture::cluster_fixture() : m_directory(test_directory())
+cluster_fixture::cluster_fixture(bool fault_links) : m_directory(test_directory())
 {
     deployment::cluster_options options;
     options.m_binaries = AZURELADDER_BINARIES;
     options.m_directory = m_directory;
     options.m_nodes = make_nodes();
+    options.m_fault_links = fault_links;
     options.m_settings = {{"cluster", {{"plan_shards", 2}, {"slice_shards", 2}}}};
     m_site = std::make_unique<deployment::cluster>(std::move(options));
 }
--- a/tests/integration/cluster_fixture.hpp
+++ b/tests/integration/cluster_fixture.hpp
@@ -14,7 +14,8 @@
 class cluster_fixture : public ::testing::Test
 {
 protected:
-    cluster_fixture();
+    /// With `fault_links` the links between nodes and to the store can be cut.
+    explicit cluster_fixture(bool fault_links = false);
     ~cluster_fixture() override;
 
     /// Starts the cluster, applies the records and waits until every slice has an owner.
--- /dev/null
+++ b/tests/integration/partition_test.cpp
@@ -0,0 +1,174 @@
+#include "cluster_fixture.hpp"
+
+#include <chrono>
+#include <thread>
+
+namespace azureladder::integration {
+namespace {
+
+using deployment::wait_until;
+
+constexpr milliseconds recovery_limit{15'000};
+constexpr milliseconds stable_time{1'200};
+constexpr const char* key = "k1";
+constexpr const char* idle_entry = "n-bookings-a";
+constexpr int status_ok = 200;
+constexpr int first_server_error = 500;
+
+class partition_test : public cluster_fixture
+{
+protected:
+    partition_test() : cluster_fixture(true) {}
+
+    /// Starts the cluster, waits for the end of the balancing moves, starts the load and notes the
+    /// owner of `key`.
+    void start_with_load(unsigned duration_s)
+    {
+        ASSERT_NO_FATAL_FAILURE(start());
+        ASSERT_TRUE(wait_until([&] { return owners_are_stable(); }, recovery_limit));
+        start_load(duration_s);
+        m_owner = owner_of(idle_entry, key);
+        ASSERT_FALSE(m_owner.empty());
+    }
+
+    /// Owner and epoch of every slice as `idle_entry` knows them.
+    json slice_table()
+    {
+        const auto status = site().status(idle_entry);
+        return status ? (*status)["slices"] : json();
+    }
+
+    /// Whether no slice moved for longer than a balance interval and a move take together.
+    bool owners_are_stable()
+    {
+        const auto before = slice_table();
+        std::this_thread::sleep_for(stable_time);
+        return before.is_object() && slice_table() == before;
+    }
+
+    /// Waits until another node than the first owner serves `key`.
+    bool taken_over()
+    {
+        return wait_until([&] { return served(idle_entry, key); }, recovery_limit) &&
+               owner_of(idle_entry, key) != m_owner;
+    }
+
+    /// Whether a read at `node` is refused as not executed.
+    bool refuses(const std::string& node)
+    {
+        http::request message;
+        message.m_target = "/reporting/summary";
+        message.m_headers = {{"Azureladder-Key", key}, {"Request-Timeout-Ms", "300"}};
+        const auto reply = site().call(node, message);
+        if (!reply || reply.value().m_status < first_server_error)
+            return false;
+        const auto* state = http::find_header(reply.value().m_headers, "Azureladder-Executed");
+        return state != nullptr && *state == "no";
+    }
+
+    bool joins_again(const std::string& node)
+    {
+        return wait_until([&] { return site().ready(node) && served(node, key); }, recovery_limit);
+    }
+
+    void finish()
+    {
+        finish_load();
+        expect_clean_audit();
+    }
+
+    std::string m_owner;
+};
+
+// Guards against an owner that depends on the platform store while it reaches its witnesses.
+TEST_F(partition_test, owner_cut_off_from_the_store)
+{
+    ASSERT_NO_FATAL_FAILURE(start_with_load(5));
+    ASSERT_TRUE(site().cut_from_store(m_owner));
+    const auto report = finish_load();
+    EXPECT_EQ(failures(report), 0U) << report.dump(2);
+    EXPECT_EQ(owner_of(idle_entry, key), m_owner);
+    ASSERT_TRUE(site().heal_all());
+    EXPECT_TRUE(served(m_owner, key));
+    expect_clean_audit();
+}
+
+// Guards against an owner that serves without its witnesses, and against keys that stay with it.
+TEST_F(partition_test, owner_cut_off_from_its_peers)
+{
+    ASSERT_NO_FATAL_FAILURE(start_with_load(6));
+    ASSERT_TRUE(site().cut_from_peers(m_owner));
+    EXPECT_TRUE(taken_over());
+    EXPECT_TRUE(refuses(m_owner));
+    ASSERT_TRUE(site().heal_all());
+    EXPECT_TRUE(joins_again(m_owner));
+    finish();
+}
+
+// Guards against a takeover or a return that needs the former owner to reach the store.
+TEST_F(partition_test, owner_cut_off_from_peers_and_store)
+{
+    ASSERT_NO_FATAL_FAILURE(start_with_load(6));
+    ASSERT_TRUE(site().cut_from_peers(m_owner) && site().cut_from_store(m_owner));
+    EXPECT_TRUE(taken_over());
+    EXPECT_TRUE(refuses(m_owner));
+    ASSERT_TRUE(site().heal_all());
+    EXPECT_TRUE(joins_again(m_owner));
+    finish();
+}
+
+// Guards against witnesses or standbys in one zone only: the other zones must serve all its keys.
+TEST_F(partition_test, zone_cut_off)
+{
+    ASSERT_NO_FATAL_FAILURE(start_with_load(7));
+    const auto zone = "zone-" + m_owner.substr(m_owner.size() - 1);
+    const std::string outside = zone == "zone-a" ? "n-bookings-b" : idle_entry;
+    ASSERT_TRUE(site().cut_zone(zone));
+    EXPECT_TRUE(wait_until([&] { return served(outside, key); }, recovery_limit));
+    EXPECT_NE(owner_of(outside, key), m_owner);
+    EXPECT_EQ(book(outside, "order-zone-cut"), status_ok);
+    EXPECT_TRUE(refuses(m_owner));
+    ASSERT_TRUE(site().heal_zone(zone));
+    EXPECT_TRUE(joins_again(m_owner));
+    finish();
+}
+
+// Guards against an owner that hears its witnesses but is not heard, and goes on to serve.
+TEST_F(partition_test, owner_is_not_heard)
+{
+    ASSERT_NO_FATAL_FAILURE(start_with_load(6));
+    ASSERT_TRUE(site().half_open(m_owner));
+    EXPECT_TRUE(taken_over());
+    EXPECT_TRUE(refuses(m_owner));
+    ASSERT_TRUE(site().heal_all());
+    EXPECT_TRUE(joins_again(m_owner));
+    finish();
+}
+
+// Guards against witnesses that go on to grant to an owner which does not hear them: it must stop
+// by its own clock, and two nodes must never serve.
+TEST_F(partition_test, owner_does_not_hear)
+{
+    ASSERT_NO_FATAL_FAILURE(start_with_load(6));
+    ASSERT_TRUE(site().half_open(m_owner, true));
+    EXPECT_TRUE(wait_until([&] { return refuses(m_owner); }, recovery_limit));
+    std::this_thread::sleep_for(seconds(2));
+    ASSERT_TRUE(site().heal_all());
+    EXPECT_TRUE(joins_again(m_owner));
+    finish();
+}
+
+// Guards against owners that change because single lease messages are lost or overtaken.
+TEST_F(partition_test, datagram_loss_changes_no_owner)
+{
+    ASSERT_NO_FATAL_FAILURE(start_with_load(5));
+    const auto before = slice_table();
+    ASSERT_TRUE(site().disturb_peers({{"drop", 0.05}, {"reorder", 0.1}}));
+    finish_load();
+    ASSERT_TRUE(site().heal_all());
+    EXPECT_EQ(slice_table(), before);
+    expect_clean_audit();
+}
+
+} // namespace
+} // namespace azureladder::integration
