Send revocations with their epoch and past refused grants

A revocation carried no epoch, which the backend server's interface requires, and was refused with 400 each time. Grants are sent in the order of their slices, so every later grant waited for it: a slice that returned to a node which had given one away was never served again, as partition_test.owner_cut_off_from_its_peers showed (123 of 123 requests of slice 7 lost in 20 s). A refused grant now stays pending alone; only a missing answer ends the round.

--- a/libs/node/src/backend_gateway.cpp
+++ b/libs/node/src/backend_gateway.cpp
@@ -232,10 +232,7 @@
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         const auto& slice = grant.m_slice.m_slice;
-        if (grant.m_revoked)
-            m_grants.erase(slice);
-        else
-            m_grants[slice] = grant.m_slice.m_epoch;
+        m_grants[slice] = {grant.m_slice.m_epoch, grant.m_revoked};
         m_unsent_grants.insert(slice);
     }
     boost::asio::post(m_control_thread, [this] { send_grants(); });
@@ -243,36 +240,46 @@
 
 void backend_gateway::send_grants()
 {
-    while (true) {
-        slice_id slice;
-        json body;
-        {
-            const std::lock_guard<std::mutex> lock(m_mutex);
-            if (m_unsent_grants.empty())
-                return;
-            slice = *m_unsent_grants.begin();
-            const auto found = m_grants.find(slice);
-            body = {
-                {"service", m_info.m_service}, {"space", slice.m_space}, {"slice", slice.m_index}};
-            if (found == m_grants.end())
-                body["revoked"] = true;
-            else
-                body["epoch"] = found->second;
-        }
-        if (!post_control("/control/grant", body.dump()))
-            return; // sent again with the next lease extension
+    std::vector<slice_id> unsent;
+    {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        const auto found = m_grants.find(slice);
-        const bool current = found == m_grants.end()
-                                 ? body.contains("revoked")
-                                 : body.contains("epoch") && body["epoch"] == found->second;
-        if (current)
-            m_unsent_grants.erase(slice);
-        m_grant_sent.notify_all();
+        unsent.assign(m_unsent_grants.begin(), m_unsent_grants.end());
+    }
+    // What fails or is refused is sent again with the next lease extension. A refusal concerns one
+    // slice only, so the grants of the others must not wait for it.
+    for (const auto& slice : unsent) {
+        if (send_grant(slice) == control_result::no_reply)
+            return;
     }
 }
 
-bool backend_gateway::post_control(const std::string& target, const std::string& body)
+backend_gateway::control_result backend_gateway::send_grant(const slice_id& slice)
+{
+    slice_grant sent;
+    json body;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        sent = m_grants.at(slice);
+        body = {{"service", m_info.m_service},
+                {"space", slice.m_space},
+                {"slice", slice.m_index},
+                {"epoch", sent.m_epoch}};
+    }
+    if (sent.m_revoked)
+        body["revoked"] = true;
+    const auto result = post_control("/control/grant", body.dump());
+    if (result != control_result::done)
+        return result;
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto& current = m_grants.at(slice);
+    if (current.m_epoch == sent.m_epoch && current.m_revoked == sent.m_revoked)
+        m_unsent_grants.erase(slice);
+    m_grant_sent.notify_all();
+    return result;
+}
+
+backend_gateway::control_result backend_gateway::post_control(const std::string& target,
+                                                              const std::string& body)
 {
     std::shared_ptr<http::client> client;
     {
@@ -280,7 +287,7 @@
         client = m_control_client;
     }
     if (!client)
-        return false;
+        return control_result::no_reply;
     http::request message;
     message.m_method = "POST";
     message.m_target = target;
@@ -289,8 +296,11 @@
     http::execute_options options;
     options.m_timeout = control_timeout;
     const auto reply = client->execute(message, options);
+    if (!reply)
+        return control_result::no_reply;
     constexpr int first_error_status = 300;
-    return reply && reply.value().m_status < first_error_status;
+    const bool done = reply.value().m_status < first_error_status;
+    return done ? control_result::done : control_result::refused;
 }
 
 void backend_gateway::stop()
--- a/libs/node/src/backend_gateway.hpp
+++ b/libs/node/src/backend_gateway.hpp
@@ -67,12 +67,27 @@
     using attempt_key = std::pair<core::request_token, core::attempt_number>;
 
     std::shared_ptr<http::client> request_client();
+    enum class control_result
+    {
+        done,
+        refused,
+        no_reply
+    };
+
+    /// Latest state of a slice that the backend server has to know.
+    struct slice_grant
+    {
+        epoch_number m_epoch = 0;
+        bool m_revoked = false;
+    };
+
     void run_attempt(const core::dispatch_to_backend& order, bool idempotent,
                      const std::shared_ptr<http::cancel_token>& token,
                      const http::request& message);
     bool wait_for_grant(const slice_id& slice, time_point until);
     void send_grants();
-    bool post_control(const std::string& target, const std::string& body);
+    control_result send_grant(const slice_id& slice);
+    control_result post_control(const std::string& target, const std::string& body);
 
     const clock& m_clock;
     const backend_gateway_options m_options;
@@ -84,7 +99,7 @@
     std::shared_ptr<http::client> m_request_client;
     std::shared_ptr<http::client> m_control_client;
     std::map<attempt_key, std::shared_ptr<http::cancel_token>> m_running;
-    std::map<slice_id, epoch_number> m_grants;
+    std::map<slice_id, slice_grant> m_grants;
     std::set<slice_id> m_unsent_grants;
     incarnation_id m_incarnation = 0;
     time_point m_lease_until{};
