--- a/libs/core/tests/configuration_cluster_test.cpp
+++ b/libs/core/tests/configuration_cluster_test.cpp
@@ -154,6 +154,24 @@
     expect_consistent(m_cluster);
 }
 
+// Guards against a rejection of a change that took effect: its answer was lost, and the store does
+// not answer for longer than a change without effect waits.
+TEST_F(configuration_cluster, lost_answer_before_an_outage_is_not_a_rejection)
+{
+    const auto before = revision_of("a1");
+    m_cluster.m_faults.m_store_lost_answers = 1000;
+    change("a1", "lost", server_out("c2"));
+    ASSERT_TRUE(m_cluster.run_until([&] { return stored().m_revision > before; }, seconds(2)));
+    m_cluster.m_store.m_down = true;
+    m_cluster.m_faults.m_store_lost_answers = 0;
+    m_cluster.run_for(seconds(30));
+    EXPECT_EQ(state_of("a1", "lost"), "unknown");
+    m_cluster.m_store.m_down = false;
+    ASSERT_TRUE(accepted("a1", "lost", acceptance_limit));
+    EXPECT_EQ(stored().m_revision, before + 1);
+    expect_consistent(m_cluster);
+}
+
 // Guards against a change that takes effect after it was reported as rejected.
 TEST_F(configuration_cluster, change_is_rejected_while_the_store_is_down)
 {
--- /dev/null
+++ b/libs/core/tests/ownership_rules_test.cpp
@@ -0,0 +1,237 @@
+#include "cluster_scenarios.hpp"
+#include "ownership_internal.hpp"
+
+#include <azureladder/base/hash.hpp>
+#include <azureladder/core/ownership.hpp>
+#include <azureladder/core/routing.hpp>
+
+namespace azureladder::core::testing {
+
+namespace {
+
+/// One node that is driven by hand, with a fenced owner "m" whose plan names it as the standby.
+class ownership_rules : public ::testing::Test
+{
+protected:
+    ownership_rules() : m_state(make_node_state({"n", "zone-a", {}, {}}, core_options(), 1))
+    {
+        for (const plan_version version : {3, 4}) {
+            plan content;
+            content.m_member = m_owner;
+            content.m_version = version;
+            content.m_witnesses = {{"w1", 1}, {"w2", 2}, {"w3", 3}};
+            content.m_standbys = {self(m_state)};
+            m_state.m_ownership.m_plan_history[m_owner][version] = content;
+        }
+    }
+
+    void promise(const member_ref& witness, plan_version version)
+    {
+        m_state.m_ownership.m_promises[m_owner][witness] = version;
+    }
+
+    plan& content(plan_version version)
+    {
+        return m_state.m_ownership.m_plan_history[m_owner][version];
+    }
+
+    const member_ref m_owner{"m", 9};
+    node_state m_state;
+};
+
+// Guards against two standbys that both take over: one by promises for a version and one by
+// promises for another.
+TEST_F(ownership_rules, promises_count_only_for_their_exact_version)
+{
+    promise({"w1", 1}, 3);
+    promise({"w2", 2}, 4);
+    EXPECT_EQ(fenced_plan(m_state, m_owner), nullptr);
+    promise({"w3", 3}, 4);
+    ASSERT_NE(fenced_plan(m_state, m_owner), nullptr);
+    EXPECT_EQ(fenced_plan(m_state, m_owner)->m_version, 4U);
+}
+
+// Guards against a takeover by a minority or by promises of nodes that are no witnesses.
+TEST_F(ownership_rules, only_a_majority_of_the_witnesses_fences)
+{
+    promise({"w1", 1}, 3);
+    promise({"w2", 7}, 3);
+    promise({"x", 1}, 3);
+    EXPECT_EQ(fenced_plan(m_state, m_owner), nullptr);
+    promise({"w2", 2}, 3);
+    EXPECT_NE(fenced_plan(m_state, m_owner), nullptr);
+}
+
+// Guards against a takeover while the former witnesses still keep the owner alive.
+TEST_F(ownership_rules, joint_version_needs_both_majorities)
+{
+    content(3).m_previous_witnesses = {{"p1", 1}, {"p2", 2}, {"p3", 3}};
+    promise({"w1", 1}, 3);
+    promise({"w2", 2}, 3);
+    promise({"p1", 1}, 3);
+    EXPECT_EQ(fenced_plan(m_state, m_owner), nullptr);
+    promise({"p2", 2}, 3);
+    EXPECT_NE(fenced_plan(m_state, m_owner), nullptr);
+}
+
+/// A balanced cluster in which one node's lease requests are replayed by hand.
+class witness_rules : public ::testing::Test
+{
+protected:
+    witness_rules() : m_cluster(31) {}
+
+    void SetUp() override
+    {
+        start_balanced(m_cluster);
+        m_owner = self(m_cluster.node("a1").m_state);
+        m_witness = m_cluster.node("a1").m_state.m_ownership.m_plan.m_witnesses.at(0);
+    }
+
+    /// Answer of the witness to a lease request of the first incarnation of "a1".
+    std::optional<message> ask(revision_number revision)
+    {
+        auto& owner = m_cluster.node("a1");
+        lease_request request;
+        request.m_witness = m_witness.m_incarnation;
+        request.m_plan_version = owner.m_state.m_ownership.m_plan.m_version;
+        request.m_sequence = 1;
+        request.m_revision = revision;
+        const message_received received{m_owner, owner.m_identity.m_peer_address, request};
+        auto& witness = m_cluster.node(m_witness.m_node);
+        for (const auto& output : step(witness.m_state, m_cluster.local_time(witness), received)) {
+            const auto* sent = std::get_if<send_message>(&output);
+            if (sent != nullptr && (std::holds_alternative<lease_grant>(sent->m_message) ||
+                                    std::holds_alternative<lease_refusal>(sent->m_message)))
+                return sent->m_message;
+        }
+        return std::nullopt;
+    }
+
+    std::optional<lease_refusal_reason> refusal(revision_number revision)
+    {
+        const auto answer = ask(revision);
+        const auto* refused = answer ? std::get_if<lease_refusal>(&*answer) : nullptr;
+        return refused == nullptr ? std::nullopt : std::make_optional(refused->m_reason);
+    }
+
+    revision_number revision()
+    {
+        return m_cluster.node("a1").m_state.m_configuration.m_document.m_revision;
+    }
+
+    cluster_harness m_cluster;
+    member_ref m_owner;
+    member_ref m_witness;
+};
+
+// Guards against a node that keeps its lease although an operator's change has not reached it.
+TEST_F(witness_rules, lease_is_refused_to_an_older_revision)
+{
+    EXPECT_EQ(refusal(revision()), std::nullopt);
+    EXPECT_EQ(refusal(revision() - 1), lease_refusal_reason::stale_revision);
+}
+
+// Guards against a lease that is granted after the promise by which a standby takes over.
+TEST_F(witness_rules, lease_is_refused_after_the_promise)
+{
+    m_cluster.set_isolated("a1", true);
+    m_cluster.run_for(seconds(2));
+    EXPECT_EQ(refusal(revision()), lease_refusal_reason::fenced);
+    m_cluster.run_for(seconds(60));
+    EXPECT_EQ(refusal(revision()), lease_refusal_reason::fenced);
+}
+
+// Guards against a lease that the owner counts longer than its witnesses: it starts when the
+// request is sent, not when the grant arrives.
+TEST_F(witness_rules, lease_is_counted_from_the_send)
+{
+    m_cluster.m_faults.m_min_delay = milliseconds(150);
+    m_cluster.m_faults.m_max_delay = milliseconds(150);
+    m_cluster.run_for(seconds(3));
+    auto& owner = m_cluster.node("a1");
+    ASSERT_TRUE(holds_lease(owner.m_state, m_cluster.local_time(owner)));
+    for (int step = 0; step < 1000; ++step) {
+        m_cluster.run_for(milliseconds(1));
+        // Grants are 300 ms old on arrival; 600 ms less 2 % less that are left.
+        EXPECT_LE(lease_end(owner.m_state) - m_cluster.local_time(owner), milliseconds(288));
+    }
+}
+
+/// A request in flight at the owner of a slice.
+class drain_rules : public ::testing::Test
+{
+protected:
+    drain_rules() : m_cluster(32) {}
+
+    void SetUp() override
+    {
+        start_balanced(m_cluster);
+        m_slice = {"orders", slice_of_key(m_key, 12)};
+        m_owner = m_cluster.server_of(m_slice);
+        ASSERT_FALSE(m_owner.empty());
+        request_info info;
+        info.m_request_id = "r1";
+        info.m_service = "orders";
+        info.m_key = m_key;
+        info.m_timeout = seconds(10);
+        m_cluster.inject(m_owner, request_arrived{1, info});
+        m_cluster.run_for(milliseconds(1));
+        ASSERT_EQ(in_flight(m_cluster.node(m_owner).m_state, m_slice), 1U);
+    }
+
+    void finish()
+    {
+        attempt_finished finished;
+        finished.m_token = 1;
+        finished.m_attempt = 1;
+        finished.m_outcome = attempt_outcome::answered;
+        finished.m_status = 200;
+        finished.m_executed = executed::yes;
+        m_cluster.inject(m_owner, finished);
+    }
+
+    const std::string m_key = "k1";
+    cluster_harness m_cluster;
+    slice_id m_slice;
+    std::string m_owner;
+};
+
+// Guards against a planned stop that interrupts a request, and against a new owner beside it.
+TEST_F(drain_rules, planned_stop_waits_for_the_request)
+{
+    m_cluster.stop(m_owner);
+    m_cluster.run_for(milliseconds(150));
+    EXPECT_EQ(m_cluster.server_of(m_slice), "");
+    EXPECT_FALSE(m_cluster.node(m_owner).m_finished);
+    finish();
+    EXPECT_TRUE(
+        m_cluster.run_until([&] { return m_cluster.node(m_owner).m_finished; }, seconds(5)));
+    EXPECT_TRUE(m_cluster.run_until([&] { return m_cluster.all_served(); }, seconds(5)));
+    EXPECT_EQ(m_cluster.m_events_logged["stop_without_release"], 0U);
+    expect_consistent(m_cluster);
+}
+
+// Guards against a second execution after a takeover by a standby that never had the claims.
+TEST(claim_rules, claims_are_lost_without_their_baseline)
+{
+    for (const bool has_baseline : {true, false}) {
+        cluster_harness cluster(33);
+        start_balanced(cluster);
+        const slice_id slice{claim_space, 5};
+        const auto owner = cluster.server_of(slice);
+        if (!has_baseline) {
+            for (const auto& name : cluster.names())
+                cluster.node(name).m_state.m_claims.m_received_baselines.clear();
+        }
+        cluster.kill(owner);
+        ASSERT_TRUE(cluster.run_until([&] { return cluster.all_served(); }, seconds(5)));
+        auto& taker = cluster.node(cluster.server_of(slice));
+        const auto& table = taker.m_state.m_claims.m_tables[slice];
+        EXPECT_EQ(cluster.local_time(taker) < table.m_lost_until, !has_baseline);
+        expect_consistent(cluster);
+    }
+}
+
+} // namespace
+
+} // namespace azureladder::core::testing
--- a/tests/integration/service_test.cpp
+++ b/tests/integration/service_test.cpp
@@ -93,6 +93,28 @@
     expect_clean_audit();
 }
 
+// Guards against keys that are never served again because their slices return to a node that gave
+// them away earlier: its backend server must accept the new epoch.
+TEST_F(cluster_fixture, keys_are_served_after_their_slices_return)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    const auto all_served = [&] {
+        for (int number = 0; number < 60; ++number) {
+            if (!served(entry, "k" + std::to_string(number)))
+                return false;
+        }
+        return true;
+    };
+    for (const std::string zone : {"zone-a", "zone-b", "zone-c"}) {
+        for (const std::string state : {"out", "in"}) {
+            const auto changed = site().command(entry, {"zone", state, zone});
+            EXPECT_EQ(changed.m_exit_code, 0) << changed.m_output;
+            EXPECT_TRUE(wait_until(all_served, recovery_limit)) << zone << " " << state;
+        }
+    }
+    expect_clean_audit();
+}
+
 // Guards against a change that is reported as accepted although a frozen node, which may resume
 // at any time, still serves by the older revision.
 TEST_F(cluster_fixture, change_is_accepted_while_a_node_is_frozen)
