--- a/libs/node/tests/backend_gateway_test.cpp
+++ b/libs/node/tests/backend_gateway_test.cpp
@@ -19,7 +19,7 @@
 protected:
     backend_gateway_test()
         : m_server({}, [this](const http::request& message) { return answer(message); }),
-          m_gateway(m_clock, {}, [this](core::attempt_finished finished, http::response) {
+          m_gateway(m_clock, {}, [this](core::attempt_finished finished, const http::response&) {
               const std::lock_guard<std::mutex> lock(m_mutex);
               m_finished.push_back(std::move(finished));
               m_changed.notify_all();
--- a/libs/node/tests/peer_gateway_test.cpp
+++ b/libs/node/tests/peer_gateway_test.cpp
@@ -40,7 +40,8 @@
     peer_gateway_callbacks gateway_callbacks()
     {
         peer_gateway_callbacks callbacks;
-        callbacks.m_on_attempt_finished = [this](core::attempt_finished value, http::response) {
+        callbacks.m_on_attempt_finished = [this](core::attempt_finished value,
+                                                 const http::response&) {
             m_finished.push_back(std::move(value));
         };
         callbacks.m_on_late_reply = [this](const member_ref&) { ++m_late; };
