State the execution of a reply as the backend server does

A backend server that aborts work at its deadline answers 504 with Azureladder-Executed: unknown. The runtime stated yes for every whole reply, so such an answer was kept and replayed as the outcome of an order. Reply frames now carry the stated value as well.

--- a/libs/node/src/backend_gateway.cpp
+++ b/libs/node/src/backend_gateway.cpp
@@ -1,5 +1,7 @@
 #include "backend_gateway.hpp"
 
+#include "caller_request.hpp"
+
 #include <azureladder/base/json.hpp>
 #include <azureladder/base/scope_guard.hpp>
 #include <azureladder/http/client.hpp>
@@ -163,7 +165,7 @@
         }
     }
     if (finished.m_outcome == core::attempt_outcome::answered)
-        finished.m_executed = executed::yes;
+        finished.m_executed = stated_execution(reply);
     else if (finished.m_outcome != core::attempt_outcome::lost)
         finished.m_executed = executed::no;
     {
--- a/libs/node/src/caller_request.cpp
+++ b/libs/node/src/caller_request.cpp
@@ -165,8 +165,17 @@
     return answer;
 }
 
+// A backend server that aborts work, for example at its deadline, answers "unknown" itself.
+executed stated_execution(const http::response& reply)
+{
+    const auto* value = http::find_header(reply.m_headers, "Azureladder-Executed");
+    const bool unknown = value != nullptr && *value == to_string(executed::unknown);
+    return unknown ? executed::unknown : executed::yes;
+}
+
 http::response reply_response(http::response reply, const std::string& request_id)
 {
+    const auto state = stated_execution(reply);
     http::response answer;
     answer.m_status = reply.m_status;
     answer.m_body = std::move(reply.m_body);
@@ -177,7 +186,7 @@
         if (!own && !is_hop_by_hop(name))
             answer.m_headers.push_back(std::move(field));
     }
-    append_id_headers(answer, request_id, executed::yes);
+    append_id_headers(answer, request_id, state);
     return answer;
 }
 
--- a/libs/node/src/caller_request.hpp
+++ b/libs/node/src/caller_request.hpp
@@ -36,9 +36,13 @@
 http::response error_response(core::error_code code, const std::string& message,
                               const std::string& request_id, executed state, duration retry_after);
 
-/// Reply of a backend server as the caller gets it.
+/// Reply of a backend server as the caller gets it. A reply states that it was executed unless its
+/// header `Azureladder-Executed` says "unknown".
 http::response reply_response(http::response reply, const std::string& request_id);
 
+/// Execution state that a reply states.
+executed stated_execution(const http::response& reply);
+
 /// Whether a header belongs to one connection only and is not forwarded.
 bool is_hop_by_hop(const std::string& name);
 
--- a/libs/node/src/runtime_effects.cpp
+++ b/libs/node/src/runtime_effects.cpp
@@ -78,14 +78,14 @@
     if (request.m_caller) {
         request.m_caller->set_value(reply_response(std::move(reply), request.m_info.m_request_id));
     } else {
+        wire::reply_frame frame;
+        frame.m_executed = stated_execution(reply);
         wire::reply_content content;
         content.m_status = reply.m_status;
         for (auto& field : reply.m_headers)
             content.m_headers.emplace_back(std::move(field.m_name), std::move(field.m_value));
         content.m_body_length = reply.m_body.size();
         content.m_body = std::move(reply.m_body);
-        wire::reply_frame frame;
-        frame.m_executed = executed::yes;
         frame.m_result = std::move(content);
         if (m_state.m_backend)
             frame.m_reported_load = m_state.m_backend->m_load;
