--- a/testbench/bench/azureladder_bench/cli.py
+++ b/testbench/bench/azureladder_bench/cli.py
@@ -83,6 +83,9 @@
     except (ExperimentError, RuntimeError, OSError) as error:
         print(f"azureladder-bench: {error}", file=sys.stderr)
         return EXIT_FAILED
+    except KeyboardInterrupt:
+        print("azureladder-bench: interrupted; all processes were ended", file=sys.stderr)
+        return EXIT_FAILED
     write_report(experiment, place, runs, options.out)
     print_doubts(runs)
     return EXIT_OK if all(run["audit"]["status"] == 0 for run in runs) else EXIT_VIOLATIONS
