Wait for the former owner's executions and resume moves that cannot be written

An experiment found two servers that executed one key: the router of n10, whose backend server ignores fencing tokens, was killed, and n9 served its keys 0.4 s before the last execution there had ended. Cause: the wait was chosen by the fencing of the new owner's backend server. Plans now state whether the backend server of their node checks fencing tokens.

--- a/libs/core/include/azureladder/core/plan.hpp
+++ b/libs/core/include/azureladder/core/plan.hpp
@@ -36,6 +36,10 @@
     std::string m_service;
     std::string m_server;
 
+    /// Whether the backend server checks fencing tokens. A node that takes over slices of one that
+    /// does not waits until the last execution there has ended.
+    bool m_checks_fencing = false;
+
     std::vector<member_ref> m_witnesses;
 
     /// Witnesses of the version before a change of the witness set. A lease and a takeover then
--- a/libs/core/src/handover.cpp
+++ b/libs/core/src/handover.cpp
@@ -43,6 +43,15 @@
     return slice.m_space == claim_space || !backend_leaving(state, now);
 }
 
+/// A move that cannot be written ends while the store is down. Before the handover is sent, this
+/// node is the owner in the slice table and nobody was offered the slice.
+bool must_resume(const ownership_state& own, const held_slice& held)
+{
+    const bool drains_for_move = held.m_phase == slice_phase::draining && !held.m_by_release;
+    const bool moving = drains_for_move || held.m_phase == slice_phase::leaving_plan;
+    return own.m_store_down && moving;
+}
+
 } // namespace
 
 void start_handover(held_slice& held, time_point now, const member_ref& target,
@@ -91,6 +100,8 @@
 {
     auto& own = state.m_ownership;
     for (auto& [slice, held] : own.m_slices) {
+        if (must_resume(own, held))
+            set_phase(held, slice_phase::serving, now);
         if (held.m_phase == slice_phase::leaving_plan && plan_settled(state) &&
             !active_plan_lists(own, slice))
             set_phase(held, slice_phase::handing_over, now);
--- a/libs/core/src/ownership_internal.hpp
+++ b/libs/core/src/ownership_internal.hpp
@@ -83,7 +83,7 @@
                 effects& output);
 void update_serving(node_state& state, time_point now, effects& output);
 bool allowed_by_records(const node_state& state, const slice_id& slice);
-duration fencing_wait(const node_state& state, const slice_id& slice);
+duration fencing_wait(const node_state& state, const slice_id& slice, const plan* former);
 bool node_out_of_service(const node_state& state);
 bool backend_leaving(const node_state& state, time_point now);
 
--- a/libs/core/src/ownership_join.cpp
+++ b/libs/core/src/ownership_join.cpp
@@ -60,6 +60,7 @@
     if (state.m_backend) {
         value.m_service = state.m_backend->m_service;
         value.m_server = state.m_backend->m_server;
+        value.m_checks_fencing = state.m_backend->m_fencing == fencing::checked;
     }
     value.m_standbys = choose_standbys(state, now, {});
     value.m_witnesses = choose_witnesses(state, now, {}, value.m_standbys);
--- a/libs/core/src/plan_change.cpp
+++ b/libs/core/src/plan_change.cpp
@@ -98,6 +98,7 @@
     if (state.m_backend) {
         next.m_service = state.m_backend->m_service;
         next.m_server = state.m_backend->m_server;
+        next.m_checks_fencing = state.m_backend->m_fencing == fencing::checked;
     }
     next.m_standbys = choose_standbys(state, now, own.m_plan.m_standbys);
     next.m_previous_standbys = own.m_plan.m_standbys;
--- a/libs/core/src/plan_json.cpp
+++ b/libs/core/src/plan_json.cpp
@@ -43,6 +43,7 @@
     result.m_peer_address = endpoint_from_json(value.at("peer_address"));
     result.m_service = value.at("service").get<std::string>();
     result.m_server = value.at("server").get<std::string>();
+    result.m_checks_fencing = value.at("checks_fencing").get<bool>();
     result.m_witnesses = members_from_json(value.at("witnesses"));
     result.m_previous_witnesses = members_from_json(value.at("previous_witnesses"));
     result.m_standbys = members_from_json(value.at("standbys"));
@@ -103,6 +104,7 @@
             {"peer_address", to_string(value.m_peer_address)},
             {"service", value.m_service},
             {"server", value.m_server},
+            {"checks_fencing", value.m_checks_fencing},
             {"witnesses", members_to_json(value.m_witnesses)},
             {"previous_witnesses", members_to_json(value.m_previous_witnesses)},
             {"standbys", members_to_json(value.m_standbys)},
--- a/libs/core/src/slice_holding.cpp
+++ b/libs/core/src/slice_holding.cpp
@@ -93,12 +93,12 @@
                             state.m_identity.m_zone);
 }
 
-duration fencing_wait(const node_state& state, const slice_id& slice)
+duration fencing_wait(const node_state& state, const slice_id& slice, const plan* former)
 {
     // Claims live in the owner's memory: no backend server executes anything for their slices.
     if (slice.m_space == claim_space)
         return duration(0);
-    if (state.m_backend && state.m_backend->m_fencing == fencing::checked)
+    if (former != nullptr && former->m_checks_fencing)
         return duration(0);
     const auto* service =
         records::find_service(state.m_configuration.m_document, service_of_space(slice.m_space));
--- a/libs/core/src/slice_writes.cpp
+++ b/libs/core/src/slice_writes.cpp
@@ -29,8 +29,10 @@
     held_slice held;
     held.m_reason = change.m_reason;
     held.m_recorded = true;
-    if (change.m_claims_lost)
-        held.m_serve_from = now + fencing_wait(state, slice);
+    if (change.m_claims_lost) {
+        const auto* former = find_plan(state.m_directory, change.m_expected.m_owner);
+        held.m_serve_from = now + fencing_wait(state, slice, former);
+    }
     hold_slice(state, now, {slice, change.m_epoch}, held);
 }
 
--- a/libs/core/src/takeover.cpp
+++ b/libs/core/src/takeover.cpp
@@ -48,7 +48,7 @@
             mark_claims_lost(state, owned.m_slice, now);
         held_slice held;
         held.m_reason = "takeover";
-        held.m_serve_from = now + fencing_wait(state, owned.m_slice);
+        held.m_serve_from = now + fencing_wait(state, owned.m_slice, &fenced);
         take_slice(state, now, fenced, owned, held, output);
         taken.push_back({owned.m_slice, owned.m_epoch + 1});
     }
