--- a/libs/core/src/plan_write.cpp
+++ b/libs/core/src/plan_write.cpp
@@ -57,7 +57,9 @@
         own.m_phase = join_phase::joined;
         own.m_join_since = now;
         log_event(output, log_level::info, "node_started",
-                  {{"generation", own.m_plan.m_generation}});
+                  {{"generation", own.m_plan.m_generation},
+                   {"zone", state.m_identity.m_zone},
+                   {"server", own.m_plan.m_server}});
     }
     push_own_plan(state, output);
     // Grants under the new version make it active; asking at once shortens the change.
--- a/libs/node/src/caller_request.cpp
+++ b/libs/node/src/caller_request.cpp
@@ -69,7 +69,9 @@
     if (id.size() > max_id_bytes || !is_visible_ascii(id))
         return bad(info, core::error_code::bad_request,
                    "Request-Id must have at most 128 visible ASCII characters");
-    info.m_request_id = id.empty() ? new_request_id : std::move(id);
+    if (id.empty())
+        id = new_request_id;
+    info.m_request_id = std::move(id);
     return success();
 }
 
--- a/testbench/demo/src/main.cpp
+++ b/testbench/demo/src/main.cpp
@@ -147,7 +147,7 @@
 
 std::string show_lost_owner(cluster& site, const std::string& entry, step_printer& printer)
 {
-    const auto lost = owner_of(site, entry, report_key);
+    auto lost = owner_of(site, entry, report_key);
     site.router(lost).send_signal(SIGKILL);
     site.backend(lost).send_signal(SIGKILL);
     const auto start = std::chrono::steady_clock::now();
