Move slices by a planned release instead of a handover

Cause: a balancing move took the slice out of service first and then needed the store twice, for the plan without the slice and for the receiver's slice table entry. When the store went down in between, the slice stayed without an owner for the whole outage although its node lived and held its lease.

A plan now names the receiver of each slice that is about to move, in place of its standby. The slice is served until that plan is active; then it is drained and released by one message. A receiver that stops or is out of service refuses releases and keeps the refusal for its incarnation, so the sender can serve again; before, it repeated the release without an end.

Ruled out as sufficient: letting only the giver resume (fails once the handover was sent, because the receiver may have written the entry). Found on the way: a node that was asked for liveness as a standby granted a lease, promised a fence when it was not asked any more, and was then never heard again. Nodes that no plan names as a witness now answer not_a_witness.

--- a/libs/core/include/azureladder/core/claims.hpp
+++ b/libs/core/include/azureladder/core/claims.hpp
@@ -17,10 +17,10 @@
 /// Handles claim messages of other nodes and drops claims that are too old.
 void step_claims(node_state& state, time_point now, const event& input, effects& output);
 
-/// Claims of a slice for a release or handover.
+/// Claims of a slice for a release.
 std::vector<claim> export_claims(const node_state& state, const slice_id& slice, time_point now);
 
-/// Adds claims received with a release, a handover or a copy. A claim in progress becomes
+/// Adds claims received with a release or a copy. A claim in progress becomes
 /// `unknown`, because its outcome was known to the former owner only.
 void import_claims(node_state& state, const std::vector<claim>& claims, time_point now);
 
--- a/libs/core/include/azureladder/core/core_options.hpp
+++ b/libs/core/include/azureladder/core/core_options.hpp
@@ -26,6 +26,9 @@
     /// Time between two `timer_tick` events.
     duration m_tick_interval = milliseconds(20);
 
+    /// Time between lease rounds while a new plan version is not active, for one regular interval.
+    duration m_activation_interval = milliseconds(40);
+
     /// Witnesses of each plan.
     std::size_t m_witness_count = 3;
 
@@ -60,8 +63,9 @@
     /// Time without an announcement after which a backend server counts as lost.
     duration m_backend_loss_delay = seconds(3);
 
-    /// Time for which the receiver of a handover may write the slice table entry.
-    duration m_handover_timeout = seconds(2);
+    /// Time for which a move waits for the plan that names its receiver. The slice is served
+    /// meanwhile, so that the time only bounds how long an unsuitable receiver is kept.
+    duration m_move_timeout = seconds(5);
 
     /// Time after which a planned stop ends although slices could not be released.
     duration m_release_timeout = seconds(10);
--- a/libs/core/include/azureladder/core/messages.hpp
+++ b/libs/core/include/azureladder/core/messages.hpp
@@ -44,12 +44,14 @@
     fenced,         // the witness has promised not to grant to this incarnation again
     stale_revision, // the sender must install the witness's configuration first
     unknown_member, // the request names another incarnation of the witness
+    not_a_witness,  // no known plan of the sender names the receiver as a witness
 };
 
 inline constexpr enum_name<lease_refusal_reason> lease_refusal_reason_names[] = {
     {lease_refusal_reason::fenced, "fenced"},
     {lease_refusal_reason::stale_revision, "stale_revision"},
     {lease_refusal_reason::unknown_member, "unknown_member"},
+    {lease_refusal_reason::not_a_witness, "not_a_witness"},
 };
 
 struct lease_refusal
@@ -137,19 +139,10 @@
 struct release_ack
 {
     plan_version m_plan_version = 0;
-};
-
-/// Allows the receiver to write the slice table entry of one slice at the given epoch.
-struct handover
-{
-    owned_slice m_slice;
-    std::vector<claim> m_claims;
-};
 
-struct handover_ack
-{
-    owned_slice m_slice;
-    bool m_accepted = false;
+    /// Slices that the receiver has not taken and, in this incarnation, will never take by a
+    /// release under this version or an earlier one. The sender may serve them again.
+    std::vector<owned_slice> m_refused;
 };
 
 /// Asks the owner of a claim slice whether a non-idempotent request may be dispatched.
@@ -242,10 +235,9 @@
     std::vector<std::pair<owned_slice, member_ref>> m_locations;
 };
 
-using message =
-    std::variant<lease_request, lease_grant, lease_refusal, fence_promise, fence_ack,
-                 revision_probe, revision_ack, owner_notice, release, release_ack, handover,
-                 handover_ack, claim_request, claim_reply, claim_result, claim_copy, claim_copy_ack,
-                 claim_baseline, config_pull, config_push, table_pull, table_push>;
+using message = std::variant<lease_request, lease_grant, lease_refusal, fence_promise, fence_ack,
+                             revision_probe, revision_ack, owner_notice, release, release_ack,
+                             claim_request, claim_reply, claim_result, claim_copy, claim_copy_ack,
+                             claim_baseline, config_pull, config_push, table_pull, table_push>;
 
 } // namespace azureladder::core
--- a/libs/core/include/azureladder/core/ownership_state.hpp
+++ b/libs/core/include/azureladder/core/ownership_state.hpp
@@ -90,17 +90,16 @@
 enum class slice_phase
 {
     serving,
-    draining,     // no new work; waits for requests in flight
-    releasing,    // drained; the release is repeated until the standby owns the slice
-    leaving_plan, // drained; waits until a plan without the slice is active
-    handing_over, // the handover is repeated until the target answers
-    taking_back,  // the target did not answer; this node writes the slice table entry again
+    moving,      // still served; waits until a plan that names the receiver is active
+    draining,    // no new work; waits for requests in flight
+    releasing,   // drained; the release is repeated until the receiver owns the slice
+    taking_back, // the receiver is fenced; this node writes the slice table entry again
 };
 
 inline constexpr enum_name<slice_phase> slice_phase_names[] = {
-    {slice_phase::serving, "serving"},           {slice_phase::draining, "draining"},
-    {slice_phase::releasing, "releasing"},       {slice_phase::leaving_plan, "leaving_plan"},
-    {slice_phase::handing_over, "handing_over"}, {slice_phase::taking_back, "taking_back"},
+    {slice_phase::serving, "serving"},         {slice_phase::moving, "moving"},
+    {slice_phase::draining, "draining"},       {slice_phase::releasing, "releasing"},
+    {slice_phase::taking_back, "taking_back"},
 };
 
 /// A slice that this node owns.
@@ -121,9 +120,14 @@
     /// End of the wait for executions of the former owner.
     time_point m_serve_from{};
 
-    /// Receiver of a release or handover; its node is empty when none was chosen.
+    /// Receiver of the slice in the phases `moving`, `draining` and `releasing`.
     member_ref m_target;
-    bool m_by_release = false;
+
+    /// The plan has to name the receiver, because it is not the standby of the slice.
+    bool m_planned_move = false;
+
+    /// The slice moves for balance; otherwise it leaves because this node may not keep it.
+    bool m_for_balance = false;
     time_point m_phase_since{};
     time_point m_next_send{};
 
@@ -143,11 +147,6 @@
     /// The node owns the slice already (takeover); otherwise it does after the write.
     bool m_held = false;
     bool m_claims_lost = false;
-
-    /// Giver and claims of a handover.
-    member_ref m_giver;
-    endpoint m_giver_address;
-    std::vector<claim> m_claims;
 };
 
 /// Owner for each slice of a space by rendezvous hashing; kept while the candidates are the same.
@@ -174,6 +173,7 @@
 
     /// Newest plan that the store is known to contain; version zero before the join.
     plan m_plan;
+    time_point m_plan_since{};
 
     /// Newest plan under which a majority of its witnesses granted a lease.
     plan m_active;
@@ -232,6 +232,9 @@
     std::map<slice_id, held_slice> m_slices;
     std::map<slice_id, entry_change> m_entry_changes;
     std::map<slice_id, time_point> m_unowned_since;
+
+    /// Highest plan version whose releases were refused, by sender.
+    std::map<member_ref, plan_version> m_refused_releases;
     std::map<std::string, space_assignment> m_assignments;
     time_point m_next_balance{};
     std::uint64_t m_balance_round = 0;
--- a/libs/core/include/azureladder/core/plan.hpp
+++ b/libs/core/include/azureladder/core/plan.hpp
@@ -19,6 +19,13 @@
     epoch_number m_epoch = 0;
 };
 
+/// A slice that is about to move. Until then the receiver takes the place of the standby for it.
+struct planned_move
+{
+    slice_id m_slice;
+    member_ref m_receiver;
+};
+
 /// Versioned record of one incarnation of a node. The node writes it by compare-and-swap; it
 /// names the witnesses that grant the node's lease and the standbys that take over its slices.
 struct plan
@@ -48,13 +55,22 @@
 
     std::vector<member_ref> m_standbys;
 
-    /// Standbys of the version before. While this version is not active they may still take over.
+    /// Standbys and receivers of the version before. While this version is not active they may
+    /// still take over.
     std::vector<member_ref> m_previous_standbys;
     std::vector<owned_slice> m_slices;
+    std::vector<planned_move> m_moves;
 };
 
-/// Index in `m_standbys` of the standby that takes over `slice`. The plan must name a standby.
-std::size_t standby_index(const plan& value, const slice_id& slice);
+/// Member that takes over `slice` when the node of the plan is fenced or releases the slice: the
+/// receiver of a planned move, otherwise one of the standbys. Null when the plan names none.
+const member_ref* standby_of(const plan& value, const slice_id& slice);
+
+/// Whether the plan covers the slice at this epoch.
+bool lists_slice(const plan& value, const slice_id& slice, epoch_number epoch);
+
+/// All standbys and receivers of the plan.
+std::vector<member_ref> all_standbys(const plan& value);
 
 /// Whether `members` contains a majority of `set`. A majority of an empty set always holds.
 bool is_majority(const std::vector<member_ref>& members, const std::vector<member_ref>& set);
--- a/libs/core/src/balance.cpp
+++ b/libs/core/src/balance.cpp
@@ -114,8 +114,9 @@
     const auto* last = find_plan(state.m_directory, owner);
     if (last == nullptr || !is_superseded(state, owner))
         return false;
-    for (const auto* members : {&last->m_witnesses, &last->m_previous_witnesses, &last->m_standbys,
-                                &last->m_previous_standbys}) {
+    const auto standbys = all_standbys(*last);
+    for (const auto* members :
+         {&last->m_witnesses, &last->m_previous_witnesses, &standbys, &last->m_previous_standbys}) {
         for (const auto& member : *members) {
             if (!is_superseded(state, member))
                 return false;
@@ -145,12 +146,12 @@
     const auto* fenced = fenced_plan(state, location.m_owner);
     if (fenced == nullptr)
         return may_adopt_replaced(state, now, slice, location, eligible);
-    if (fenced->m_standbys.empty())
+    const auto* standby = standby_of(*fenced, slice);
+    if (standby == nullptr)
         return is_own_turn(state, now, slice, eligible);
-    const auto& standby = fenced->m_standbys[standby_index(*fenced, slice)];
-    if (standby == self(state))
+    if (*standby == self(state))
         return true;
-    return fenced_plan(state, standby) != nullptr && is_own_turn(state, now, slice, eligible);
+    return fenced_plan(state, *standby) != nullptr && is_own_turn(state, now, slice, eligible);
 }
 
 void acquire_in_space(node_state& state, time_point now, const std::string& space)
@@ -233,7 +234,7 @@
             refused.insert(receiver->m_node);
             continue;
         }
-        start_handover(held, now, *receiver, "balance");
+        start_balance_move(held, now, *receiver);
         ++moves;
     }
 }
--- a/libs/core/src/claims.cpp
+++ b/libs/core/src/claims.cpp
@@ -135,7 +135,7 @@
     if (plan == nullptr || table.m_claims.size() >= step.m_state.m_options.m_claims_per_slice)
         return make_reply(claim_verdict::refused);
     store_claim(step, table, slice, key, holder);
-    if (plan->m_standbys.empty())
+    if (standby_of(*plan, slice) == nullptr)
         return make_reply(claim_verdict::proceed);
     copy_claim(step, slice, key, false);
     auto& copy = claims.m_copies[{slice, key}];
--- a/libs/core/src/claims_copies.cpp
+++ b/libs/core/src/claims_copies.cpp
@@ -114,9 +114,7 @@
 const member_ref* standby_of(const node_state& state, const slice_id& slice)
 {
     const auto* plan = find_plan(state.m_directory, self(state));
-    if (plan == nullptr || plan->m_standbys.empty())
-        return nullptr;
-    return &plan->m_standbys[standby_index(*plan, slice)];
+    return plan == nullptr ? nullptr : standby_of(*plan, slice);
 }
 
 void copy_claim(claims_step& step, const slice_id& slice, const std::string& key, bool withdrawn)
@@ -254,9 +252,9 @@
         const auto& [slice, source] = *found;
         const auto* plan = find_plan(step.m_state.m_directory, source.first);
         // A member that was replaced as standby misses the claims made since.
-        const bool replaced = plan != nullptr &&
-                              (plan->m_standbys.empty() ||
-                               plan->m_standbys[standby_index(*plan, slice)] != self(step.m_state));
+        const auto* standby = plan == nullptr ? nullptr : standby_of(*plan, slice);
+        const bool replaced =
+            plan != nullptr && (standby == nullptr || *standby != self(step.m_state));
         found = replaced ? received.erase(found) : std::next(found);
     }
 }
--- a/libs/core/src/directory_sync.cpp
+++ b/libs/core/src/directory_sync.cpp
@@ -122,8 +122,7 @@
         return;
     if (location.m_epoch <= held->second.m_epoch)
         return;
-    const bool released = held->second.m_phase == slice_phase::releasing ||
-                          held->second.m_phase == slice_phase::handing_over;
+    const bool released = held->second.m_phase == slice_phase::releasing;
     if (released) {
         auto fields = slice_fields(slice, held->second.m_epoch, held->second.m_exit_reason);
         fields["to"] = member_text(location.m_owner);
@@ -248,8 +247,8 @@
         }
     };
     add(own.m_plan.m_previous_witnesses);
-    add(own.m_plan.m_standbys);
-    add(own.m_active.m_standbys);
+    add(all_standbys(own.m_plan));
+    add(all_standbys(own.m_active));
     for (const auto& member : targets) {
         if (member == self(state))
             continue;
--- a/libs/core/src/lease_holder.cpp
+++ b/libs/core/src/lease_holder.cpp
@@ -53,7 +53,7 @@
     for (const auto* value : {&own.m_plan, &own.m_active}) {
         add_targets(targets, value->m_witnesses);
         add_targets(targets, value->m_previous_witnesses);
-        add_targets(targets, value->m_standbys);
+        add_targets(targets, all_standbys(*value));
     }
     targets.erase(own.m_plan.m_member);
     return targets;
@@ -117,6 +117,16 @@
         own.m_lease_held_at = now;
 }
 
+/// Time until the next lease round. A new plan version is asked for more often for a while: the
+/// first requests reach a witness before the content of the version does.
+duration round_interval(const node_state& state, time_point now)
+{
+    const auto& own = state.m_ownership;
+    const bool waiting = own.m_plan.m_version != own.m_active.m_version &&
+                         now < own.m_plan_since + state.m_options.m_lease_interval;
+    return waiting ? state.m_options.m_activation_interval : state.m_options.m_lease_interval;
+}
+
 } // namespace
 
 bool holds_lease(const node_state& state, time_point now)
@@ -145,7 +155,7 @@
         return;
     const auto sequence = ++own.m_sequence;
     own.m_rounds[sequence] = now;
-    own.m_next_round = now + state.m_options.m_lease_interval;
+    own.m_next_round = now + round_interval(state, now);
     own.m_round_revision = state.m_configuration.m_document.m_revision;
     for (const auto& member : lease_targets(own)) {
         const auto* known = find_plan(state.m_directory, member);
@@ -205,9 +215,13 @@
     auto& own = state.m_ownership;
     if (own.m_rounds.find(refusal.m_sequence) == own.m_rounds.end())
         return;
+    // A member that cannot grant can still take slices over.
+    own.m_heard[received.m_from] = now;
     switch (refusal.m_reason) {
+    case lease_refusal_reason::not_a_witness:
+        own.m_avoid_until.erase(received.m_from);
+        return;
     case lease_refusal_reason::stale_revision:
-        own.m_heard[received.m_from] = now;
         note_newer_revision(state, received.m_from, received.m_reply_to, refusal.m_revision,
                             output);
         return;
--- a/libs/core/src/lease_witness.cpp
+++ b/libs/core/src/lease_witness.cpp
@@ -34,6 +34,23 @@
     return found != history.end() && found->second.count(version) != 0;
 }
 
+/// Whether a known plan version names this node as a witness. Standbys and receivers of moves are
+/// asked too, only to see that they live. A grant to them would end, when they are not asked any
+/// more, in a promise that keeps them from being a witness later.
+bool is_witness_of(const node_state& state, const member_ref& member)
+{
+    const auto history = state.m_ownership.m_plan_history.find(member);
+    if (history == state.m_ownership.m_plan_history.end())
+        return false;
+    const auto contains = [&](const std::vector<member_ref>& members) {
+        return std::find(members.begin(), members.end(), self(state)) != members.end();
+    };
+    const auto& versions = history->second;
+    return std::any_of(versions.begin(), versions.end(), [&](const auto& entry) {
+        return contains(entry.second.m_witnesses) || contains(entry.second.m_previous_witnesses);
+    });
+}
+
 /// Version under which the request is granted; zero when it cannot be granted yet. A version whose
 /// content this witness does not know is not granted, because only its content tells later which
 /// standby takes over.
@@ -54,15 +71,17 @@
     std::set<member_ref> targets;
     const auto history = state.m_ownership.m_plan_history.find(member);
     if (history != state.m_ownership.m_plan_history.end()) {
-        for (const auto& [version, content] : history->second)
-            targets.insert(content.m_standbys.begin(), content.m_standbys.end());
+        for (const auto& [version, content] : history->second) {
+            const auto standbys = all_standbys(content);
+            targets.insert(standbys.begin(), standbys.end());
+        }
     }
     if (now >= granted.m_promised_at + promise_spread_delay) {
         const auto pollers = polling_members(state);
         targets.insert(pollers.begin(), pollers.end());
         // A node that gave slices to the fenced member has to know of the promise, too.
         for (const auto* other : newest_plans(state.m_directory)) {
-            const auto& standbys = other->m_standbys;
+            const auto standbys = all_standbys(*other);
             if (std::find(standbys.begin(), standbys.end(), member) != standbys.end())
                 targets.insert(other->m_member);
         }
@@ -129,6 +148,10 @@
         pull_table(state, now, member, received.m_reply_to, output);
     if (version == 0)
         return;
+    if (!is_witness_of(state, member)) {
+        send_refusal(received, lease_refusal_reason::not_a_witness, request, revision, output);
+        return;
+    }
     auto& granted = own.m_granted[member];
     granted.m_version = version;
     granted.m_expires = now + state.m_options.m_lease_duration;
--- a/libs/core/src/ownership.cpp
+++ b/libs/core/src/ownership.cpp
@@ -12,8 +12,9 @@
     step_witness(state, now, output);
     step_lease(state, now, output);
     step_takeover(state, now, output);
+    step_rejoin(state, now, output);
+    step_exit(state, now);
     step_release(state, now, output);
-    step_handover(state, now, output);
     propose_plan_change(state, now);
     step_plan_write(state, now, output);
     step_balance(state, now);
@@ -65,13 +66,9 @@
     {
         handle_release(m_state, m_now, m_received, value, m_output);
     }
-    void operator()(const handover& value)
+    void operator()(const release_ack& value)
     {
-        handle_handover(m_state, m_now, m_received, value, m_output);
-    }
-    void operator()(const handover_ack& value)
-    {
-        handle_handover_ack(m_state, m_now, m_received, value, m_output);
+        handle_release_ack(m_state, m_now, m_received, value);
     }
     void operator()(const table_pull& value)
     {
--- a/libs/core/src/ownership_internal.hpp
+++ b/libs/core/src/ownership_internal.hpp
@@ -95,26 +95,25 @@
 
 // release.cpp
 void step_release(node_state& state, time_point now, effects& output);
-std::vector<claim> claims_to_send(const node_state& state, const slice_id& slice, time_point now);
 void handle_release(node_state& state, time_point now, const message_received& received,
                     const release& offer, effects& output);
+void handle_release_ack(node_state& state, time_point now, const message_received& received,
+                        const release_ack& ack);
 
 // planned_stop.cpp
 void step_stop(node_state& state, time_point now, effects& output);
 
-// handover.cpp
-void start_handover(held_slice& held, time_point now, const member_ref& target,
-                    const std::string& reason);
-std::optional<member_ref> handover_target(node_state& state, time_point now, const slice_id& slice);
-void take_back(node_state& state, time_point now, const slice_id& slice, held_slice& held,
-               const std::string& reason);
-void step_handover(node_state& state, time_point now, effects& output);
-void handle_handover(node_state& state, time_point now, const message_received& received,
-                     const handover& offer, effects& output);
-void handle_handover_ack(node_state& state, time_point now, const message_received& received,
-                         const handover_ack& ack, effects& output);
-void send_handover_ack(const entry_change& change, const slice_id& slice, bool accepted,
-                       effects& output);
+// slice_exit.cpp
+void set_phase(held_slice& held, slice_phase phase, time_point now);
+void resume_serving(held_slice& held, time_point now);
+void start_balance_move(held_slice& held, time_point now, const member_ref& receiver);
+void step_exit(node_state& state, time_point now);
+
+// rejoin.cpp
+/// Whether the lease is lost for so long that it does not come back: two of three witnesses are
+/// lost.
+bool witnesses_lost(const node_state& state, time_point now);
+void step_rejoin(node_state& state, time_point now, effects& output);
 
 // balance.cpp
 void step_balance(node_state& state, time_point now);
--- a/libs/core/src/plan.cpp
+++ b/libs/core/src/plan.cpp
@@ -1,15 +1,36 @@
 #include <azureladder/core/plan.hpp>
 
-#include <azureladder/base/precondition.hpp>
-
 #include <algorithm>
 
 namespace azureladder::core {
 
-std::size_t standby_index(const plan& value, const slice_id& slice)
+const member_ref* standby_of(const plan& value, const slice_id& slice)
+{
+    const auto move =
+        std::find_if(value.m_moves.begin(), value.m_moves.end(),
+                     [&](const planned_move& planned) { return planned.m_slice == slice; });
+    if (move != value.m_moves.end())
+        return &move->m_receiver;
+    if (value.m_standbys.empty())
+        return nullptr;
+    return &value.m_standbys[slice.m_index % value.m_standbys.size()];
+}
+
+bool lists_slice(const plan& value, const slice_id& slice, epoch_number epoch)
+{
+    return std::any_of(value.m_slices.begin(), value.m_slices.end(), [&](const owned_slice& owned) {
+        return owned.m_slice == slice && owned.m_epoch == epoch;
+    });
+}
+
+std::vector<member_ref> all_standbys(const plan& value)
 {
-    AZURELADDER_PRECONDITION(!value.m_standbys.empty(), "the plan must name a standby");
-    return slice.m_index % value.m_standbys.size();
+    auto members = value.m_standbys;
+    for (const auto& move : value.m_moves) {
+        if (std::find(members.begin(), members.end(), move.m_receiver) == members.end())
+            members.push_back(move.m_receiver);
+    }
+    return members;
 }
 
 bool is_majority(const std::vector<member_ref>& members, const std::vector<member_ref>& set)
--- a/libs/core/src/plan_change.cpp
+++ b/libs/core/src/plan_change.cpp
@@ -12,16 +12,32 @@
 {
     std::vector<owned_slice> result;
     for (const auto& [slice, held] : own.m_slices) {
-        const bool leaves = held.m_phase == slice_phase::leaving_plan ||
-                            held.m_phase == slice_phase::handing_over ||
-                            held.m_phase == slice_phase::taking_back;
         // Only slices that the slice table gives to this node may be in its plan.
-        if (held.m_recorded && !leaves)
+        if (held.m_recorded && held.m_phase != slice_phase::taking_back)
             result.push_back({slice, held.m_epoch});
     }
     return result;
 }
 
+std::vector<planned_move> planned_moves(const ownership_state& own)
+{
+    std::vector<planned_move> result;
+    for (const auto& [slice, held] : own.m_slices) {
+        if (held.m_recorded && held.m_planned_move)
+            result.push_back({slice, held.m_target});
+    }
+    return result;
+}
+
+bool same_moves(const std::vector<planned_move>& a, const std::vector<planned_move>& b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](const planned_move& left, const planned_move& right) {
+                          return left.m_slice == right.m_slice &&
+                                 left.m_receiver == right.m_receiver;
+                      });
+}
+
 bool same_slices(const std::vector<owned_slice>& a, const std::vector<owned_slice>& b)
 {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(),
@@ -39,7 +55,7 @@
 {
     return a.m_witnesses == b.m_witnesses && a.m_previous_witnesses == b.m_previous_witnesses &&
            a.m_standbys == b.m_standbys && a.m_service == b.m_service && a.m_server == b.m_server &&
-           same_slices(a.m_slices, b.m_slices);
+           same_slices(a.m_slices, b.m_slices) && same_moves(a.m_moves, b.m_moves);
 }
 
 /// A release under the current version may reach its standby late, so the version has to stay in
@@ -65,17 +81,16 @@
 std::vector<slice_id> slices_with_new_standby(const plan& before, const plan& after)
 {
     std::vector<slice_id> result;
-    if (after.m_standbys.empty())
-        return result;
     for (const auto& owned : after.m_slices) {
-        const auto& standby = after.m_standbys[standby_index(after, owned.m_slice)];
+        const auto* standby = standby_of(after, owned.m_slice);
+        if (standby == nullptr)
+            continue;
         const bool known = std::any_of(
             before.m_slices.begin(), before.m_slices.end(), [&](const owned_slice& former) {
                 return former.m_slice == owned.m_slice && former.m_epoch == owned.m_epoch;
             });
-        const bool same = known && !before.m_standbys.empty() &&
-                          before.m_standbys[standby_index(before, owned.m_slice)] == standby;
-        if (!same)
+        const auto* former = standby_of(before, owned.m_slice);
+        if (!known || former == nullptr || *former != *standby)
             result.push_back(owned.m_slice);
     }
     return result;
@@ -101,8 +116,9 @@
         next.m_checks_fencing = state.m_backend->m_fencing == fencing::checked;
     }
     next.m_standbys = choose_standbys(state, now, own.m_plan.m_standbys);
-    next.m_previous_standbys = own.m_plan.m_standbys;
+    next.m_previous_standbys = all_standbys(own.m_plan);
     next.m_slices = planned_slices(own);
+    next.m_moves = planned_moves(own);
     next.m_previous_witnesses.clear();
     if (own.m_plan.m_previous_witnesses.empty()) {
         auto witnesses = choose_witnesses(state, now, own.m_plan.m_witnesses, next.m_standbys);
@@ -125,7 +141,8 @@
         return;
     // Choosing members looks at all plans, so without a cause it is done a few times a second.
     const bool caused = !own.m_plan.m_previous_witnesses.empty() ||
-                        !same_slices(planned_slices(own), own.m_plan.m_slices);
+                        !same_slices(planned_slices(own), own.m_plan.m_slices) ||
+                        !same_moves(planned_moves(own), own.m_plan.m_moves);
     if (!caused && now < own.m_next_member_check)
         return;
     own.m_next_member_check = now + state.m_options.m_balance_interval;
--- a/libs/core/src/plan_json.cpp
+++ b/libs/core/src/plan_json.cpp
@@ -24,6 +24,22 @@
     return members;
 }
 
+slice_id slice_from_json(const json& item)
+{
+    return {item.at(0).get<std::string>(),
+            std::uint32_t(item.at(1).get_ref<const json::number_unsigned_t&>())};
+}
+
+std::vector<planned_move> moves_from_json(const json& list)
+{
+    std::vector<planned_move> moves;
+    for (const auto& item : list)
+        moves.push_back({slice_from_json(item),
+                         {item.at(2).get<std::string>(),
+                          item.at(3).get_ref<const json::number_unsigned_t&>()}});
+    return moves;
+}
+
 endpoint endpoint_from_json(const json& value)
 {
     const auto address = parse_endpoint(value.get<std::string>());
@@ -49,10 +65,11 @@
     result.m_standbys = members_from_json(value.at("standbys"));
     result.m_previous_standbys = members_from_json(value.at("previous_standbys"));
     for (const auto& item : value.at("slices")) {
-        const slice_id slice{item.at(0).get<std::string>(),
-                             std::uint32_t(item.at(1).get_ref<const json::number_unsigned_t&>())};
-        result.m_slices.push_back({slice, item.at(2).get_ref<const json::number_unsigned_t&>()});
+        result.m_slices.push_back(
+            {slice_from_json(item), item.at(2).get_ref<const json::number_unsigned_t&>()});
     }
+    if (const auto moves = value.find("moves"); moves != value.end())
+        result.m_moves = moves_from_json(*moves);
     return result;
 }
 
@@ -95,6 +112,10 @@
     for (const auto& owned : value.m_slices)
         slices.push_back(
             json::array({owned.m_slice.m_space, owned.m_slice.m_index, owned.m_epoch}));
+    json moves = json::array();
+    for (const auto& move : value.m_moves)
+        moves.push_back(json::array({move.m_slice.m_space, move.m_slice.m_index,
+                                     move.m_receiver.m_node, move.m_receiver.m_incarnation}));
     return {{"node", value.m_member.m_node},
             {"incarnation", value.m_member.m_incarnation},
             {"generation", value.m_generation},
@@ -109,7 +130,8 @@
             {"previous_witnesses", members_to_json(value.m_previous_witnesses)},
             {"standbys", members_to_json(value.m_standbys)},
             {"previous_standbys", members_to_json(value.m_previous_standbys)},
-            {"slices", std::move(slices)}};
+            {"slices", std::move(slices)},
+            {"moves", std::move(moves)}};
 }
 
 std::optional<plan> plan_from_json(const json& value)
--- a/libs/core/src/plan_write.cpp
+++ b/libs/core/src/plan_write.cpp
@@ -51,6 +51,7 @@
     const bool joining = own.m_phase == join_phase::writing_plan;
     own.m_plan = std::move(*own.m_proposal);
     own.m_proposal.reset();
+    own.m_plan_since = now;
     learn_own_plan(state);
     log_event(output, log_level::info, "plan_written", {{"version", own.m_plan.m_version}});
     if (joining) {
--- /dev/null
+++ b/libs/core/src/slice_exit.cpp
@@ -0,0 +1,198 @@
+#include "ownership_internal.hpp"
+
+#include <azureladder/core/ownership.hpp>
+#include <azureladder/core/routing.hpp>
+
+#include <algorithm>
+
+/// A slice leaves this node by a release under a plan version that names the receiver. The slice is
+/// served until that version is active, and neither the release nor its acceptance needs the store.
+namespace azureladder::core {
+
+namespace {
+
+bool leaves_everything(const node_state& state, time_point now)
+{
+    return state.m_stopping || node_out_of_service(state) || witnesses_lost(state, now);
+}
+
+bool must_leave(const node_state& state, time_point now, const slice_id& slice,
+                const held_slice& held)
+{
+    if (leaves_everything(state, now) || !held.m_allowed)
+        return true;
+    return slice.m_space != claim_space && backend_leaving(state, now);
+}
+
+/// Member that the active plan names for the slice. A plan version that is not active yet must name
+/// the same one, because either version can win if this node fails.
+std::optional<member_ref> named_receiver(const ownership_state& own, const slice_id& slice,
+                                         const held_slice& held)
+{
+    const auto* receiver = standby_of(own.m_active, slice);
+    if (receiver == nullptr || !lists_slice(own.m_active, slice, held.m_epoch))
+        return std::nullopt;
+    if (own.m_plan.m_version != own.m_active.m_version) {
+        const auto* next = standby_of(own.m_plan, slice);
+        if (next == nullptr || *next != *receiver || !lists_slice(own.m_plan, slice, held.m_epoch))
+            return std::nullopt;
+    }
+    return *receiver;
+}
+
+/// Receiver that a release of the slice may go to now, if there is one.
+std::optional<member_ref> release_target(const node_state& state, time_point now,
+                                         const slice_id& slice, const held_slice& held)
+{
+    auto receiver = named_receiver(state.m_ownership, slice, held);
+    if (!receiver || !reachable(state, now, *receiver) || !is_usable_member(state, now, *receiver))
+        return std::nullopt;
+    const auto eligible = eligible_nodes(state, slice.m_space);
+    const bool able =
+        std::find(eligible.begin(), eligible.end(), receiver->m_node) != eligible.end();
+    if (!able && !state.m_stopping && !witnesses_lost(state, now))
+        return std::nullopt;
+    return receiver;
+}
+
+/// Node that should own the slice instead of this one: the desired owner, then rendezvous order.
+std::optional<member_ref> choose_receiver(node_state& state, time_point now, const slice_id& slice)
+{
+    if (state.m_ownership.m_store_down || !holds_lease(state, now))
+        return std::nullopt;
+    const auto& desired = desired_owners(state, slice.m_space);
+    auto order = eligible_nodes(state, slice.m_space);
+    std::sort(order.begin(), order.end(), [&](const node_id& a, const node_id& b) {
+        return rendezvous_score(slice, a) > rendezvous_score(slice, b);
+    });
+    const bool known = slice.m_index < desired.size() &&
+                       std::find(order.begin(), order.end(), desired[slice.m_index]) != order.end();
+    if (known)
+        order.insert(order.begin(), desired[slice.m_index]);
+    for (const auto& node : order) {
+        const auto* newest = find_newest_plan(state.m_directory, node);
+        if (newest != nullptr && is_usable_member(state, now, newest->m_member))
+            return newest->m_member;
+    }
+    return std::nullopt;
+}
+
+std::string exit_reason(const node_state& state, time_point now, const held_slice& held)
+{
+    if (state.m_stopping)
+        return "stopping";
+    if (node_out_of_service(state))
+        return "out_of_service";
+    if (witnesses_lost(state, now))
+        return "witnesses_lost";
+    return held.m_allowed ? "backend_lost" : "not_allowed";
+}
+
+void start_exit(node_state& state, time_point now, const slice_id& slice, held_slice& held)
+{
+    held.m_exit_reason = exit_reason(state, now, held);
+    if (const auto standby = release_target(state, now, slice, held)) {
+        held.m_target = *standby;
+        set_phase(held, slice_phase::draining, now);
+    } else if (const auto receiver = choose_receiver(state, now, slice)) {
+        held.m_target = *receiver;
+        held.m_planned_move = true;
+        set_phase(held, slice_phase::moving, now);
+    }
+}
+
+void continue_move(const node_state& state, time_point now, const slice_id& slice, held_slice& held)
+{
+    if (release_target(state, now, slice, held) == held.m_target) {
+        set_phase(held, slice_phase::draining, now);
+        return;
+    }
+    const bool expired = now >= held.m_phase_since + state.m_options.m_move_timeout;
+    if (expired || state.m_ownership.m_store_down || !is_usable_member(state, now, held.m_target))
+        resume_serving(held, now);
+}
+
+/// Whether the reason of the exit stands. A slice is not moved for balance while the store is down,
+/// because its new owner could not list it in a plan and no standby would cover it.
+bool exit_wanted(const node_state& state, time_point now, const slice_id& slice,
+                 const held_slice& held)
+{
+    if (held.m_for_balance)
+        return !state.m_ownership.m_store_down;
+    return must_leave(state, now, slice, held);
+}
+
+void finish_drain(node_state& state, time_point now, const slice_id& slice, held_slice& held)
+{
+    const bool valid = exit_wanted(state, now, slice, held) &&
+                       release_target(state, now, slice, held) == held.m_target;
+    if (!valid) {
+        resume_serving(held, now);
+    } else if (in_flight(state, slice) == 0) {
+        set_phase(held, slice_phase::releasing, now);
+        // A plan change that has not been written must not follow the release.
+        state.m_ownership.m_proposal.reset();
+    }
+}
+
+/// The receiver of a released slice is fenced; it may have used the next epoch.
+void take_back(node_state& state, time_point now, const slice_id& slice, held_slice& held)
+{
+    set_phase(held, slice_phase::taking_back, now);
+    held.m_planned_move = false;
+    held.m_for_balance = false;
+    entry_change change;
+    change.m_expected = {self(state), held.m_epoch};
+    change.m_epoch = held.m_epoch + 2;
+    change.m_reason = "receiver_lost";
+    change.m_held = true;
+    state.m_ownership.m_entry_changes[slice] = change;
+}
+
+void step_slice(node_state& state, time_point now, const slice_id& slice, held_slice& held)
+{
+    if (held.m_phase == slice_phase::serving && must_leave(state, now, slice, held))
+        start_exit(state, now, slice, held);
+    if (held.m_phase == slice_phase::moving)
+        continue_move(state, now, slice, held);
+    if (held.m_phase == slice_phase::draining)
+        finish_drain(state, now, slice, held);
+    const bool receiver_fenced =
+        held.m_phase == slice_phase::releasing && fenced_plan(state, held.m_target) != nullptr;
+    if (receiver_fenced && holds_lease(state, now))
+        take_back(state, now, slice, held);
+}
+
+} // namespace
+
+void set_phase(held_slice& held, slice_phase phase, time_point now)
+{
+    held.m_phase = phase;
+    held.m_phase_since = now;
+    held.m_next_send = now;
+}
+
+void resume_serving(held_slice& held, time_point now)
+{
+    set_phase(held, slice_phase::serving, now);
+    held.m_target = member_ref{};
+    held.m_planned_move = false;
+    held.m_for_balance = false;
+}
+
+void start_balance_move(held_slice& held, time_point now, const member_ref& receiver)
+{
+    held.m_target = receiver;
+    held.m_planned_move = true;
+    held.m_for_balance = true;
+    held.m_exit_reason = "balance";
+    set_phase(held, slice_phase::moving, now);
+}
+
+void step_exit(node_state& state, time_point now)
+{
+    for (auto& [slice, held] : state.m_ownership.m_slices)
+        step_slice(state, now, slice, held);
+}
+
+} // namespace azureladder::core
--- a/libs/core/src/slice_holding.cpp
+++ b/libs/core/src/slice_holding.cpp
@@ -34,7 +34,8 @@
 
 bool is_ready(const held_slice& held, time_point now)
 {
-    return held.m_phase == slice_phase::serving && held.m_allowed && now >= held.m_serve_from;
+    const bool served = held.m_phase == slice_phase::serving || held.m_phase == slice_phase::moving;
+    return served && held.m_allowed && now >= held.m_serve_from;
 }
 
 std::string end_reason(const node_state& state, const held_slice& held, time_point now)
--- a/libs/core/src/slice_writes.cpp
+++ b/libs/core/src/slice_writes.cpp
@@ -25,7 +25,6 @@
 {
     if (change.m_claims_lost)
         mark_claims_lost(state, slice, now);
-    import_claims(state, change.m_claims, now);
     held_slice held;
     held.m_reason = change.m_reason;
     held.m_recorded = true;
@@ -53,15 +52,13 @@
         held->second.m_recorded = true;
         held->second.m_epoch = change.m_epoch;
         if (held->second.m_phase == slice_phase::taking_back) {
-            held->second.m_phase = slice_phase::serving;
+            resume_serving(held->second, now);
             held->second.m_reason = change.m_reason;
         }
     } else {
         return false;
     }
     learn_location(state, slice, {self(state), change.m_epoch}, output);
-    if (!change.m_giver.m_node.empty())
-        send_handover_ack(change, slice, true, output);
     return true;
 }
 
@@ -86,8 +83,6 @@
         return;
     const auto change = std::move(found->second);
     own.m_entry_changes.erase(found);
-    if (!change.m_giver.m_node.empty())
-        send_handover_ack(change, slice, false, output);
     if (entry.m_epoch != 0)
         learn_location(state, slice, entry, output);
     if (change.m_held && own.m_slices.count(slice) != 0) {
--- a/libs/core/src/takeover.cpp
+++ b/libs/core/src/takeover.cpp
@@ -11,8 +11,8 @@
 
 bool is_standby_for(const node_state& state, const plan& value, const slice_id& slice)
 {
-    return !value.m_standbys.empty() &&
-           value.m_standbys[standby_index(value, slice)] == self(state);
+    const auto* standby = standby_of(value, slice);
+    return standby != nullptr && *standby == self(state);
 }
 
 /// Whether this node has to take the slice over from the fenced plan. A known location with a
--- a/libs/core/tests/fake_directory.cpp
+++ b/libs/core/tests/fake_directory.cpp
@@ -32,9 +32,11 @@
     return found->second;
 }
 
-std::size_t standby_index(const plan& value, const slice_id& slice)
+const member_ref* standby_of(const plan& value, const slice_id& slice)
 {
-    return slice.m_index % value.m_standbys.size();
+    if (value.m_standbys.empty())
+        return nullptr;
+    return &value.m_standbys[slice.m_index % value.m_standbys.size()];
 }
 
 } // namespace azureladder::core
--- a/libs/core/tests/ownership_moves_test.cpp
+++ b/libs/core/tests/ownership_moves_test.cpp
@@ -55,8 +55,8 @@
 // outage began while the slice moved. The owner lives and holds its lease.
 TEST(ownership_moves, outage_during_a_move_leaves_the_slice_served)
 {
-    for (const auto phase : {slice_phase::draining, slice_phase::leaving_plan,
-                             slice_phase::handing_over, slice_phase::taking_back}) {
+    for (const auto phase : {slice_phase::moving, slice_phase::draining, slice_phase::releasing,
+                             slice_phase::taking_back}) {
         cluster_harness cluster(11);
         start_balanced(cluster);
         cluster.apply(json::array({zone_state("zone-a", "out")}));
--- a/libs/core/tests/ownership_rules_test.cpp
+++ b/libs/core/tests/ownership_rules_test.cpp
@@ -35,10 +35,71 @@
         return m_state.m_ownership.m_plan_history[m_owner][version];
     }
 
+    /// Lease that cannot end: the node has joined and needs no witness.
+    void hold_lease()
+    {
+        auto& own = m_state.m_ownership;
+        own.m_phase = join_phase::joined;
+        own.m_plan.m_member = self(m_state);
+        own.m_plan.m_version = 7;
+        own.m_active = own.m_plan;
+        m_state.m_configuration.m_read_after_join = true;
+    }
+
+    /// Number of slices that the node refuses when the owner releases one under `version`.
+    std::size_t refused(plan_version version)
+    {
+        effects output;
+        handle_release(m_state, m_now, {m_owner, {}, release{}}, {version, {m_released}, {}},
+                       output);
+        std::size_t count = 0;
+        for (const auto& effect : output) {
+            const auto* sent = std::get_if<send_message>(&effect);
+            const auto* ack = sent ? std::get_if<release_ack>(&sent->m_message) : nullptr;
+            count += ack ? ack->m_refused.size() : 0;
+        }
+        return count;
+    }
+
     const member_ref m_owner{"m", 9};
+    const owned_slice m_released{{claim_space, 1}, 5};
+    const time_point m_now{seconds(10)};
     node_state m_state;
 };
 
+// Guards against two owners: the sender of a refused release serves the slice again, so a repeated
+// release under the same version must not be taken when the receiver is back in service.
+TEST_F(ownership_rules, refused_release_is_never_accepted_later)
+{
+    hold_lease();
+    for (const plan_version version : {3, 4})
+        content(version).m_slices = {m_released};
+    m_state.m_stopping = true;
+    EXPECT_EQ(refused(3), 1U);
+    m_state.m_stopping = false;
+    EXPECT_EQ(refused(3), 1U);
+    EXPECT_EQ(m_state.m_ownership.m_slices.count(m_released.m_slice), 0U);
+    EXPECT_EQ(refused(4), 0U);
+    EXPECT_EQ(m_state.m_ownership.m_slices.count(m_released.m_slice), 1U);
+}
+
+// Guards against two owners: a release under a later version may have been accepted when the
+// refusal of an earlier one arrives.
+TEST_F(ownership_rules, owner_serves_again_only_after_a_refusal_of_its_active_version)
+{
+    hold_lease();
+    auto& held = m_state.m_ownership.m_slices[m_released.m_slice];
+    held.m_epoch = m_released.m_epoch;
+    held.m_phase = slice_phase::releasing;
+    held.m_target = m_owner;
+    const message_received answer{m_owner, {}, release_ack{}};
+    handle_release_ack(m_state, m_now, answer, {6, {m_released}});
+    EXPECT_EQ(held.m_phase, slice_phase::releasing);
+    handle_release_ack(m_state, m_now, answer, {7, {m_released}});
+    EXPECT_EQ(held.m_phase, slice_phase::serving);
+    EXPECT_GT(m_state.m_ownership.m_stored_version, 7U);
+}
+
 // Guards against two standbys that both take over: one by promises for a version and one by
 // promises for another.
 TEST_F(ownership_rules, promises_count_only_for_their_exact_version)
--- a/libs/wire/src/message_table.hpp
+++ b/libs/wire/src/message_table.hpp
@@ -58,6 +58,15 @@
                                                    make_field("e", &core::owned_slice::m_epoch));
 };
 
+template <>
+struct descriptor<core::planned_move>
+{
+    static constexpr bool as_array = true;
+    static constexpr auto fields =
+        std::make_tuple(make_field("s", &core::planned_move::m_slice),
+                        make_field("r", &core::planned_move::m_receiver));
+};
+
 template <>
 struct descriptor<correlation>
 {
@@ -108,8 +117,8 @@
         make_field("w", &core::plan::m_witnesses),
         make_field("pw", &core::plan::m_previous_witnesses),
         make_field("sb", &core::plan::m_standbys),
-        make_field("sp", &core::plan::m_previous_standbys),
-        make_field("sl", &core::plan::m_slices));
+        make_field("sp", &core::plan::m_previous_standbys), make_field("sl", &core::plan::m_slices),
+        make_field("mv", &core::plan::m_moves));
 };
 
 template <>
@@ -210,26 +219,8 @@
     static constexpr std::uint8_t code = 10;
     static constexpr channel via = channel::link;
     static constexpr auto fields =
-        std::make_tuple(make_field("p", &core::release_ack::m_plan_version));
-};
-
-template <>
-struct descriptor<core::handover>
-{
-    static constexpr std::uint8_t code = 11;
-    static constexpr channel via = channel::link;
-    static constexpr auto fields = std::make_tuple(make_field("sl", &core::handover::m_slice),
-                                                   make_field("cl", &core::handover::m_claims));
-};
-
-template <>
-struct descriptor<core::handover_ack>
-{
-    static constexpr std::uint8_t code = 12;
-    static constexpr channel via = channel::link;
-    static constexpr auto fields =
-        std::make_tuple(make_field("sl", &core::handover_ack::m_slice),
-                        make_field("ok", &core::handover_ack::m_accepted));
+        std::make_tuple(make_field("p", &core::release_ack::m_plan_version),
+                        make_field("rf", &core::release_ack::m_refused));
 };
 
 template <>
--- a/libs/wire/tests/envelope_test.cpp
+++ b/libs/wire/tests/envelope_test.cpp
@@ -154,16 +154,17 @@
         map[key] = replacement;
         return refusal(map);
     };
-    const payload ack = core::message(core::handover_ack{{{"orders", 1}, 2}, true});
+    const payload ack = core::message(core::release_ack{1, {{{"orders", 1}, 2}}});
     const payload refused = core::message(core::lease_refusal{});
-    EXPECT_EQ(refusal_with(refused, "q", 3), wire_error_kind::out_of_range);
+    EXPECT_EQ(refusal_with(refused, "q", std::size(core::lease_refusal_reason_names)),
+              wire_error_kind::out_of_range);
     EXPECT_EQ(refusal_with(refused, "s", 1.5), wire_error_kind::wrong_type);
     EXPECT_EQ(refusal_with(refused, "n", std::string(257, 'n')), wire_error_kind::too_large);
     EXPECT_EQ(refusal_with(refused, "n", "\xff"), wire_error_kind::out_of_range);
     EXPECT_EQ(refusal_with(refused, "a", json::binary({1, 2, 3})), wire_error_kind::out_of_range);
-    const json wide_index = {{"orders", 0x1'0000'0000}, 2};
-    EXPECT_EQ(refusal_with(ack, "sl", wide_index), wire_error_kind::out_of_range);
-    EXPECT_EQ(refusal_with(ack, "sl", {1, 2, 3}), wire_error_kind::wrong_type);
+    const json wide_index = json::array({{{"orders", 0x1'0000'0000}, 2}});
+    EXPECT_EQ(refusal_with(ack, "rf", wide_index), wire_error_kind::out_of_range);
+    EXPECT_EQ(refusal_with(ack, "rf", {{1, 2, 3}}), wire_error_kind::wrong_type);
 }
 
 // Guards against a shortened reply that is passed on as a whole one.
