Adopt a slice whose lost owner did not record it

Lost promises, an unknown plan version and a standby that may not own the slice were ruled out: the trace shows all three promises for version 9 and that version at every node.

An adoption now also replaces the entry one epoch below the expected one. This is safe for every schedule: (1) Before the store is written, a location with the epoch after the entry comes only from the node that took the slice by a release or by promises, so the owner in the entry has drained or is fenced. A releasing owner serves again only after its own compare-and-swap of the entry. (2) The lost owner never serves again: a majority of promises for one exact version fences it, or it and all members that could grant to it were replaced, or it is the writer itself, which does not hold the slice. (3) It could not pass the slice on. Its plan lists recorded slices only, and a release as well as a takeover need the slice in the plan; a handover needs its entry. So an unrecorded chain has one link. (4) Each entry epoch is written once, so an entry one epoch lower is the one that the lost owner followed. (5) A late write of the lost owner, a take-back by the giver and a second adopter all compare the same version of the table, so one of them passes. The new epoch is above all that were used. When backend servers ignore fencing tokens, the adopter waits for the executions of both former owners, because the lost owner may itself have waited for the one before it.

--- a/libs/core/include/azureladder/core/ownership_state.hpp
+++ b/libs/core/include/azureladder/core/ownership_state.hpp
@@ -144,6 +144,13 @@
     bool m_held = false;
     bool m_claims_lost = false;
 
+    /// The expected owner never serves again, so that the entry may also be the one that this owner
+    /// took the slice from and did not replace.
+    bool m_owner_lost = false;
+
+    /// Owner of the entry that the change replaces, once the entry was read.
+    member_ref m_replaced;
+
     /// Giver and claims of a handover.
     member_ref m_giver;
     endpoint m_giver_address;
--- a/libs/core/src/balance.cpp
+++ b/libs/core/src/balance.cpp
@@ -96,6 +96,7 @@
     change.m_epoch = former.m_epoch + (orphan ? 2 : 1);
     change.m_reason = orphan ? "orphan" : "acquired";
     change.m_claims_lost = orphan;
+    change.m_owner_lost = orphan;
     own.m_entry_changes[slice] = change;
     own.m_unowned_since.erase(slice);
 }
--- a/libs/core/src/slice_writes.cpp
+++ b/libs/core/src/slice_writes.cpp
@@ -4,6 +4,7 @@
 #include <azureladder/core/ownership.hpp>
 #include <azureladder/core/plan_json.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace azureladder::core {
@@ -20,6 +21,26 @@
     return entry.m_owner == change.m_expected.m_owner && entry.m_epoch == change.m_expected.m_epoch;
 }
 
+/// Whether the entry is the one from which a lost owner took the slice over without recording it.
+/// Such an owner could not pass the slice on: no plan of it lists the slice, which a release and a
+/// takeover need, and a handover needs its entry. So nobody serves the slice, and the comparison of
+/// the store lets one change pass.
+bool is_before_lost_owner(const slice_location& entry, const entry_change& change)
+{
+    return change.m_owner_lost && entry.m_epoch != 0 &&
+           entry.m_epoch + 1 == change.m_expected.m_epoch;
+}
+
+/// Time for which requests of the lost owners may still be executed.
+duration executions_of_former(const node_state& state, const slice_id& slice,
+                              const entry_change& change)
+{
+    // A lost owner that did not record its takeover may have waited for the owner before it.
+    return std::max(
+        fencing_wait(state, slice, find_plan(state.m_directory, change.m_expected.m_owner)),
+        fencing_wait(state, slice, find_plan(state.m_directory, change.m_replaced)));
+}
+
 void start_owning(node_state& state, time_point now, const slice_id& slice,
                   const entry_change& change)
 {
@@ -29,10 +50,8 @@
     held_slice held;
     held.m_reason = change.m_reason;
     held.m_recorded = true;
-    if (change.m_claims_lost) {
-        const auto* former = find_plan(state.m_directory, change.m_expected.m_owner);
-        held.m_serve_from = now + fencing_wait(state, slice, former);
-    }
+    if (change.m_claims_lost)
+        held.m_serve_from = now + executions_of_former(state, slice, change);
     hold_slice(state, now, {slice, change.m_epoch}, held);
 }
 
@@ -111,12 +130,13 @@
     std::vector<owned_slice> written;
     std::vector<owned_slice> present;
     for (const auto& slice : slices) {
-        const auto& change = state.m_ownership.m_entry_changes.at(slice);
+        auto& change = state.m_ownership.m_entry_changes.at(slice);
         const auto stored = table.find(slice.m_index);
         const auto entry = stored == table.end() ? slice_location{} : stored->second;
         if (is_own_entry(state, entry, change)) {
             present.push_back({slice, change.m_epoch});
-        } else if (is_expected(entry, change)) {
+        } else if (is_expected(entry, change) || is_before_lost_owner(entry, change)) {
+            change.m_replaced = entry.m_owner;
             object[std::to_string(slice.m_index)] = location_to_json({self(state), change.m_epoch});
             written.push_back({slice, change.m_epoch});
         } else {
--- a/libs/core/tests/ownership_moves_test.cpp
+++ b/libs/core/tests/ownership_moves_test.cpp
@@ -51,6 +51,55 @@
     expect_consistent(cluster);
 }
 
+// Guards against a slice that nobody adopts because its entry names the owner before the last one:
+// the standby to which it was released during an outage was lost before it wrote the entry.
+TEST(ownership_moves, receiver_of_a_release_lost_during_an_outage)
+{
+    cluster_harness cluster(7);
+    start_balanced(cluster);
+    cluster.m_store.m_down = true;
+    cluster.node("b1").m_backend_up = false;
+    const auto receiver = [&] {
+        for (const auto& name : cluster.names()) {
+            const auto& changes = cluster.node(name).m_state.m_ownership.m_entry_changes;
+            if (!changes.empty() && changes.rbegin()->first.m_space == "orders")
+                return name;
+        }
+        return std::string();
+    };
+    ASSERT_TRUE(cluster.run_until([&] { return !receiver().empty(); }, seconds(20)));
+    cluster.kill(receiver());
+    cluster.run_for(seconds(3));
+    EXPECT_FALSE(cluster.all_served());
+    cluster.m_store.m_down = false;
+    EXPECT_TRUE(served_again(cluster, seconds(30))) << cluster.unserved();
+    expect_consistent(cluster);
+}
+
+// Guards against a second owner: an adoption replaces the entry before the expected one only when
+// the expected owner is lost and the entry is the one that it took the slice from.
+TEST(ownership_moves, adoption_keeps_entries_that_no_lost_owner_followed)
+{
+    cluster_harness cluster(5);
+    start_balanced(cluster);
+    const slice_id slice{"orders", 0};
+    const auto owner = cluster.server_of(slice);
+    const auto epoch =
+        *serving_epoch(cluster.node(owner).m_state, slice, cluster.local_time(cluster.node(owner)));
+    const auto other = owner == "a1" ? "b1" : "a1";
+    for (const bool lost : {false, true}) {
+        entry_change change;
+        change.m_owner_lost = lost;
+        change.m_expected = {{"gone", 1}, epoch + (lost ? 2 : 1)};
+        change.m_epoch = change.m_expected.m_epoch + 2;
+        cluster.node(other).m_state.m_ownership.m_entry_changes[slice] = change;
+        cluster.run_for(seconds(1));
+        EXPECT_EQ(cluster.server_of(slice), owner);
+        EXPECT_EQ(cluster.node(other).m_state.m_ownership.m_entry_changes.count(slice), 0U);
+    }
+    expect_consistent(cluster);
+}
+
 // Guards against a slice that stays without an owner for as long as the store is down, because the
 // outage began while the slice moved. The owner lives and holds its lease.
 TEST(ownership_moves, outage_during_a_move_leaves_the_slice_served)
