--- a/libs/core/include/azureladder/core/ownership_state.hpp
+++ b/libs/core/include/azureladder/core/ownership_state.hpp
@@ -147,6 +147,13 @@
     /// The node owns the slice already (takeover); otherwise it does after the write.
     bool m_held = false;
     bool m_claims_lost = false;
+
+    /// The expected owner never serves again, so that the entry may also be the one that this owner
+    /// took the slice from and did not replace.
+    bool m_owner_lost = false;
+
+    /// Owner of the entry that the change replaces, once the entry was read.
+    member_ref m_replaced;
 };
 
 /// Owner for each slice of a space by rendezvous hashing; kept while the candidates are the same.
