Limit replies of peers by the configured claim body size

The peer gateway kept replies of up to 4,096 bytes for claims in a copy of the function that the backend gateway uses, and ignored the core option m_claim_body_bytes. An entry node with a smaller limit therefore handed larger bodies to the reducer. Both gateways now call keep_small_reply of caller_request, and the peer gateway takes its transport, routes and limit as one options struct. The core's own check at the owner of the claim does not replace this one, because it runs only after the body has been sent there. The default of 4,096 bytes is unchanged. The wire codec still refuses kept bodies above 4,096 bytes, so the option can only be lowered.

--- a/libs/node/src/backend_gateway.cpp
+++ b/libs/node/src/backend_gateway.cpp
@@ -40,17 +40,6 @@
                                                 : core::attempt_outcome::lost;
 }
 
-void keep_small_reply(const http::response& reply, std::size_t limit,
-                      core::attempt_finished& finished)
-{
-    if (reply.m_body.size() > limit)
-        return;
-    const auto* type = http::find_header(reply.m_headers, "Content-Type");
-    finished.m_has_reply = true;
-    finished.m_content_type = type == nullptr ? std::string() : *type;
-    finished.m_body = reply.m_body;
-}
-
 void add_routing_headers(const core::dispatch_to_backend& order, const core::request_info& info,
                          milliseconds timeout, http::request& message)
 {
--- a/libs/node/src/caller_request.cpp
+++ b/libs/node/src/caller_request.cpp
@@ -175,6 +175,17 @@
     return unknown ? executed::unknown : executed::yes;
 }
 
+void keep_small_reply(const http::response& reply, std::size_t limit,
+                      core::attempt_finished& finished)
+{
+    if (reply.m_body.size() > limit)
+        return;
+    const auto* type = http::find_header(reply.m_headers, "Content-Type");
+    finished.m_has_reply = true;
+    finished.m_content_type = type == nullptr ? std::string() : *type;
+    finished.m_body = reply.m_body;
+}
+
 http::response reply_response(http::response reply, const std::string& request_id)
 {
     const auto state = stated_execution(reply);
--- a/libs/node/src/caller_request.hpp
+++ b/libs/node/src/caller_request.hpp
@@ -2,9 +2,11 @@
 
 #include <azureladder/base/result.hpp>
 #include <azureladder/core/error_code.hpp>
+#include <azureladder/core/events.hpp>
 #include <azureladder/core/request_info.hpp>
 #include <azureladder/http/message.hpp>
 
+#include <cstddef>
 #include <string>
 
 /// Translation between callers' HTTP messages and the reducer's requests.
@@ -43,6 +45,10 @@
 /// Execution state that a reply states.
 executed stated_execution(const http::response& reply);
 
+/// Copies a reply whose body has at most `limit` bytes to the end of its attempt, for claims.
+void keep_small_reply(const http::response& reply, std::size_t limit,
+                      core::attempt_finished& finished);
+
 /// Whether a header belongs to one connection only and is not forwarded.
 bool is_hop_by_hop(const std::string& name);
 
--- a/libs/node/src/peer_gateway.cpp
+++ b/libs/node/src/peer_gateway.cpp
@@ -1,5 +1,7 @@
 #include "peer_gateway.hpp"
 
+#include "caller_request.hpp"
+
 #include <algorithm>
 
 namespace azureladder::node {
@@ -25,25 +27,14 @@
                                                           : core::attempt_outcome::lost;
 }
 
-void keep_reply(const http::response& reply, core::attempt_finished& finished)
-{
-    constexpr std::size_t max_kept_bytes = 4096;
-    if (reply.m_body.size() > max_kept_bytes)
-        return;
-    const auto* type = http::find_header(reply.m_headers, "Content-Type");
-    finished.m_has_reply = true;
-    finished.m_content_type = type == nullptr ? std::string() : *type;
-    finished.m_body = reply.m_body;
-}
-
 } // namespace
 
-peer_gateway::peer_gateway(boost::asio::io_context& io, const peer::transport_options& options,
-                           std::map<node_id, endpoint> routes, const clock& time,
-                           incarnation_id process_id, std::function<member_ref()> self,
-                           peer_gateway_callbacks callbacks)
-    : m_routes(std::move(routes)), m_clock(time), m_process_id(process_id), m_self(std::move(self)),
-      m_callbacks(std::move(callbacks)), m_transport(io, time, options, make_transport_callbacks())
+peer_gateway::peer_gateway(boost::asio::io_context& io, peer_gateway_options options,
+                           const clock& time, incarnation_id process_id,
+                           std::function<member_ref()> self, peer_gateway_callbacks callbacks)
+    : m_options(std::move(options)), m_clock(time), m_process_id(process_id),
+      m_self(std::move(self)), m_callbacks(std::move(callbacks)),
+      m_transport(io, time, m_options.m_transport, make_transport_callbacks())
 {
 }
 
@@ -69,8 +60,8 @@
 
 endpoint peer_gateway::route(const node_id& node, const endpoint& advertised) const
 {
-    const auto found = m_routes.find(node);
-    return found == m_routes.end() ? advertised : found->second;
+    const auto found = m_options.m_routes.find(node);
+    return found == m_options.m_routes.end() ? advertised : found->second;
 }
 
 wire::envelope peer_gateway::make_envelope(wire::payload payload) const
@@ -177,7 +168,7 @@
         reply = to_response(*content);
         finished.m_outcome = core::attempt_outcome::answered;
         finished.m_status = content->m_status;
-        keep_reply(reply, finished);
+        keep_small_reply(reply, m_options.m_claim_body_bytes, finished);
     } else {
         apply_error(frame, std::get<wire::reply_error>(frame.m_result), finished);
     }
--- a/libs/node/src/peer_gateway.hpp
+++ b/libs/node/src/peer_gateway.hpp
@@ -10,6 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
@@ -17,6 +18,18 @@
 
 namespace azureladder::node {
 
+/// Options of `peer_gateway`.
+struct peer_gateway_options
+{
+    peer::transport_options m_transport;
+
+    /// Addresses of nodes that are reached elsewhere than they advertise.
+    std::map<node_id, endpoint> m_routes;
+
+    /// Largest reply body handed to the reducer for its claims, in bytes.
+    std::size_t m_claim_body_bytes = 4096;
+};
+
 /// Events of `peer_gateway`, called on the loop thread.
 struct peer_gateway_callbacks
 {
@@ -37,10 +50,9 @@
 class peer_gateway
 {
 public:
-    /// `routes` holds addresses of nodes that are reached elsewhere than they advertise.
-    peer_gateway(boost::asio::io_context& io, const peer::transport_options& options,
-                 std::map<node_id, endpoint> routes, const clock& time, incarnation_id process_id,
-                 std::function<member_ref()> self, peer_gateway_callbacks callbacks);
+    peer_gateway(boost::asio::io_context& io, peer_gateway_options options, const clock& time,
+                 incarnation_id process_id, std::function<member_ref()> self,
+                 peer_gateway_callbacks callbacks);
 
     /// Opens the listeners.
     result<void, peer::transport_error> start();
@@ -75,7 +87,7 @@
     endpoint route(const node_id& node, const endpoint& advertised) const;
     wire::envelope make_envelope(wire::payload payload) const;
 
-    const std::map<node_id, endpoint> m_routes;
+    const peer_gateway_options m_options;
     const clock& m_clock;
     const incarnation_id m_process_id;
     const std::function<member_ref()> m_self;
--- a/libs/node/src/runtime.cpp
+++ b/libs/node/src/runtime.cpp
@@ -34,11 +34,13 @@
     return options;
 }
 
-peer::transport_options transport_options_of(const settings::node_settings& settings)
+peer_gateway_options peer_options_of(const settings::node_settings& settings)
 {
-    peer::transport_options options;
-    options.m_listen = settings.m_peer.m_listen;
-    options.m_advertised = settings.m_peer.m_advertise.value_or(endpoint());
+    peer_gateway_options options;
+    options.m_transport.m_listen = settings.m_peer.m_listen;
+    options.m_transport.m_advertised = settings.m_peer.m_advertise.value_or(endpoint());
+    options.m_routes = settings.m_peer.m_routes;
+    options.m_claim_body_bytes = settings.m_core.m_claim_body_bytes;
     return options;
 }
 
@@ -93,7 +95,7 @@
                     });
                 }),
       m_peers(
-          m_io, transport_options_of(settings), settings.m_peer.m_routes, time, random_id(),
+          m_io, peer_options_of(settings), time, random_id(),
           [this] { return core::self(m_state); }, make_peer_callbacks()),
       m_server(server_options_of(settings),
                [this](const http::request& input) { return handle_http(input); })
--- a/libs/node/tests/peer_gateway_test.cpp
+++ b/libs/node/tests/peer_gateway_test.cpp
@@ -20,12 +20,19 @@
     peer_gateway_test()
         : m_peer(m_io, m_clock, {}, peer_callbacks()),
           m_gateway(
-              m_io, {}, {}, m_clock, process, [] { return entry; }, gateway_callbacks())
+              m_io, gateway_options(), m_clock, process, [] { return entry; }, gateway_callbacks())
     {
         EXPECT_TRUE(m_peer.start());
         EXPECT_TRUE(m_gateway.start());
     }
 
+    static peer_gateway_options gateway_options()
+    {
+        peer_gateway_options options;
+        options.m_claim_body_bytes = body_limit;
+        return options;
+    }
+
     peer::transport_callbacks peer_callbacks()
     {
         peer::transport_callbacks callbacks;
@@ -75,18 +82,19 @@
     }
 
     void answer(const member_ref& from, const wire::correlation& correlation,
-                core::attempt_number attempt)
+                core::attempt_number attempt, const std::string& body = "done")
     {
         wire::reply_frame frame;
         frame.m_correlation = correlation;
         frame.m_attempt = attempt;
         frame.m_executed = executed::yes;
-        frame.m_result = wire::reply_content{200, {}, 4, "done"};
+        frame.m_result = wire::reply_content{200, {}, body.size(), body};
         m_peer.send_frame(m_gateway.advertised(), wire::encode({from, m_peer.advertised(), frame}),
                           false);
     }
 
     static constexpr incarnation_id process = 77;
+    static constexpr std::size_t body_limit = 16;
     steady_clock m_clock;
     boost::asio::io_context m_io;
     std::optional<wire::request_frame> m_request;
@@ -117,5 +125,20 @@
     EXPECT_EQ(m_finished[0].m_outcome, core::attempt_outcome::answered);
 }
 
+// Guards against a reply body above the configured limit of claims being handed to the reducer.
+TEST_F(peer_gateway_test, only_small_replies_are_kept_for_claims)
+{
+    for (const auto size : {body_limit, body_limit + 1}) {
+        m_request.reset();
+        ASSERT_NO_FATAL_FAILURE(forward());
+        answer(owner, m_request->m_correlation, m_request->m_attempt, std::string(size, 'x'));
+        const auto expected = m_finished.size() + 1;
+        ASSERT_TRUE(run_until([&] { return m_finished.size() == expected; }));
+    }
+    EXPECT_TRUE(m_finished[0].m_has_reply);
+    EXPECT_EQ(m_finished[0].m_body.size(), body_limit);
+    EXPECT_FALSE(m_finished[1].m_has_reply);
+}
+
 } // namespace
 } // namespace azureladder::node
