End peer requests in one place

The answers with a reply and with an error both sent the reply frame to the entry node and removed the peer request from the table in lines of their own. Both now call end_peer_request, so an entry can no longer be left behind by a change to one of the two. Merging the two answers completely was ruled out, because callers get different responses from them.

--- a/libs/node/src/runtime_effects.cpp
+++ b/libs/node/src/runtime_effects.cpp
@@ -89,13 +89,17 @@
         frame.m_result = std::move(content);
         if (m_state.m_backend)
             frame.m_reported_load = m_state.m_backend->m_load;
-        m_peers.reply(*request.m_origin, std::move(frame));
-        const auto& correlation = request.m_origin->m_correlation;
-        m_peer_requests.erase({correlation.m_incarnation, correlation.m_counter});
+        end_peer_request(*request.m_origin, std::move(frame));
     }
     m_requests.erase(found);
 }
 
+void runtime_impl::end_peer_request(const peer_origin& origin, wire::reply_frame frame)
+{
+    m_peers.reply(origin, std::move(frame));
+    m_peer_requests.erase({origin.m_correlation.m_incarnation, origin.m_correlation.m_counter});
+}
+
 void runtime_impl::apply(const core::answer_with_error& order)
 {
     const auto found = m_requests.find(order.m_token);
@@ -110,9 +114,7 @@
         wire::reply_frame frame;
         frame.m_executed = order.m_executed;
         frame.m_result = wire::reply_error{order.m_code, order.m_message};
-        m_peers.reply(*request.m_origin, std::move(frame));
-        const auto& correlation = request.m_origin->m_correlation;
-        m_peer_requests.erase({correlation.m_incarnation, correlation.m_counter});
+        end_peer_request(*request.m_origin, std::move(frame));
     }
     m_requests.erase(found);
 }
--- a/libs/node/src/runtime_impl.hpp
+++ b/libs/node/src/runtime_impl.hpp
@@ -69,6 +69,7 @@
     void apply(const core::record_request& order);
     void apply(const core::finish_stop& order);
     void answer_reply(core::request_token token, http::response reply);
+    void end_peer_request(const peer_origin& origin, wire::reply_frame frame);
 
     // HTTP: runtime_http.cpp. Called on server threads.
     http::response handle_http(const http::request& input);
