Decide once which nodes of a zone read the store

The configuration module counted the readers of a zone by itself and included nodes that had been fenced, while polling_members of the directory leaves them out. After the loss of the two nodes of lowest rank no other node of their zone read the configuration again. step_poll now keeps its decision in m_polls_store, and the configuration uses it. Calling polling_members from the configuration was ruled out, because that question is asked at each tick of 20 ms and polling_members sorts all known nodes; the decision is now made once per poll interval, so a node that becomes a reader starts up to 1 s later.

--- a/libs/core/include/azureladder/core/ownership_state.hpp
+++ b/libs/core/include/azureladder/core/ownership_state.hpp
@@ -194,6 +194,9 @@
     time_point m_next_poll{};
     std::size_t m_poll_position = 0;
 
+    /// This node reads plans, slice tables and configuration periodically for its zone.
+    bool m_polls_store = false;
+
     // Own lease.
     std::uint64_t m_sequence = 0;
     std::map<std::uint64_t, time_point> m_rounds;
--- a/libs/core/src/configuration.cpp
+++ b/libs/core/src/configuration.cpp
@@ -2,33 +2,13 @@
 
 #include "change.hpp"
 
-#include <azureladder/base/hash.hpp>
-#include <azureladder/core/directory.hpp>
 #include <azureladder/core/node_state.hpp>
 #include <azureladder/core/ownership.hpp>
 
-#include <algorithm>
-
 namespace azureladder::core {
 
 namespace {
 
-/// Nodes of each zone that read the configuration from the store periodically. Two, so that the
-/// loss of one delays nothing, while the calls do not grow with the fleet.
-constexpr std::size_t store_readers_per_zone = 2;
-
-bool reads_store(const node_state& state)
-{
-    const auto own_rank = hash64(state.m_identity.m_node);
-    std::size_t ahead = 0;
-    for (const auto* member : newest_plans(state.m_directory)) {
-        const bool same_zone = member->m_zone == state.m_identity.m_zone;
-        if (same_zone && hash64(member->m_member.m_node) < own_rank)
-            ++ahead;
-    }
-    return ahead < store_readers_per_zone;
-}
-
 void start_read(node_state& state, time_point now, effects& output)
 {
     auto& configuration = state.m_configuration;
@@ -43,7 +23,7 @@
     configuration.m_pull_sent = false;
     if (configuration.m_read != 0 || now < configuration.m_next_poll || !plan_written(state))
         return;
-    if (!configuration.m_read_after_join || reads_store(state))
+    if (!configuration.m_read_after_join || state.m_ownership.m_polls_store)
         start_read(state, now, output);
 }
 
--- a/libs/core/src/directory_sync.cpp
+++ b/libs/core/src/directory_sync.cpp
@@ -263,6 +263,7 @@
 
 std::vector<member_ref> polling_members(const node_state& state)
 {
+    // Two, so that the loss of one delays nothing, while the calls do not grow with the fleet.
     constexpr std::size_t pollers_per_zone = 2;
     std::map<std::string, std::vector<std::pair<std::uint64_t, member_ref>>> zones;
     for (const auto* known : newest_plans(state.m_directory)) {
--- a/libs/core/tests/configuration_cluster_test.cpp
+++ b/libs/core/tests/configuration_cluster_test.cpp
@@ -1,8 +1,11 @@
 #include "cluster_scenarios.hpp"
 
+#include <azureladder/base/hash.hpp>
 #include <azureladder/core/configuration.hpp>
 #include <azureladder/core/ownership.hpp>
 
+#include <algorithm>
+
 namespace azureladder::core::testing {
 
 namespace {
@@ -285,6 +288,29 @@
     expect_consistent(m_cluster);
 }
 
+// Guards against fenced nodes that still count as the readers of their zone, so that no node reads
+// the configuration any more.
+TEST(configuration_readers, lost_readers_are_replaced)
+{
+    cluster_harness cluster(5);
+    cluster.apply(json::array({divided_service("orders", 4)}));
+    std::vector<std::string> ranked{"a1", "a2", "a3", "a4", "a5", "a6"};
+    for (const auto& name : ranked)
+        cluster.add_node(name, "zone-a", "orders");
+    std::sort(ranked.begin(), ranked.end(),
+              [](const auto& a, const auto& b) { return hash64(a) < hash64(b); });
+    cluster.start_all();
+    ASSERT_TRUE(served_again(cluster, seconds(20)));
+    for (std::size_t i = 0; i < 2; ++i) {
+        cluster.kill(ranked[i]);
+        cluster.run_for(seconds(10));
+    }
+    cluster.apply(json::array({zone_state("zone-b", "out")}));
+    const auto& known = cluster.node(ranked.back()).m_state.m_configuration.m_document;
+    const auto before = known.m_revision;
+    EXPECT_TRUE(cluster.run_until([&] { return known.m_revision > before; }, acceptance_limit));
+}
+
 } // namespace
 
 } // namespace azureladder::core::testing
