Define log levels once

Core, settings and telemetry each had an enum log_level with the same four values and the same name table, and the runtime cast between them by value, so a level added to one would have been translated wrongly without a message. The enum and its table are now in libs/base and the casts are gone. Keeping one enum for each layer with an explicit translation was ruled out, because the levels have no meaning of their own in any of the layers. Behaviour is unchanged; settings_test (5), telemetry_test (10), node_test (5) and core_routing_test (49) pass in one run.

--- a/libs/telemetry/include/azureladder/telemetry/log_level.hpp
+++ b/libs/base/include/azureladder/base/log_level.hpp
@@ -2,9 +2,9 @@
 
 #include <azureladder/base/enum_names.hpp>
 
-namespace azureladder::telemetry {
+namespace azureladder {
 
-/// Importance of a log line. The order matches `core::log_level`.
+/// Importance of a log line, in ascending order.
 enum class log_level
 {
     debug,
@@ -25,4 +25,4 @@
     return name_in(log_level_names, level);
 }
 
-} // namespace azureladder::telemetry
+} // namespace azureladder
--- a/libs/core/include/azureladder/core/effects.hpp
+++ b/libs/core/include/azureladder/core/effects.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <azureladder/base/enum_names.hpp>
 #include <azureladder/base/json.hpp>
+#include <azureladder/base/log_level.hpp>
 #include <azureladder/core/events.hpp>
 
 #include <string>
@@ -113,21 +113,6 @@
     bool m_revoked = false;
 };
 
-enum class log_level
-{
-    debug,
-    info,
-    warning,
-    error
-};
-
-inline constexpr enum_name<log_level> log_level_names[] = {
-    {log_level::debug, "debug"},
-    {log_level::info, "info"},
-    {log_level::warning, "warning"},
-    {log_level::error, "error"},
-};
-
 /// Writes one log line. docs/operators.md lists the events.
 struct write_log
 {
--- a/libs/node/src/runtime.cpp
+++ b/libs/node/src/runtime.cpp
@@ -48,7 +48,7 @@
 {
     telemetry::logger_options options;
     options.m_path = settings.m_log.m_file.value_or(std::string());
-    options.m_minimum_level = telemetry::log_level(settings.m_log.m_level);
+    options.m_minimum_level = settings.m_log.m_level;
     options.m_node = settings.m_node;
     return options;
 }
@@ -118,7 +118,7 @@
     if (!m_server.start())
         return node_error{node_error_kind::http_listen_failed,
                           "cannot listen for callers on " + to_string(m_settings.m_http.m_listen)};
-    m_logger.write(telemetry::log_level::info, "listening",
+    m_logger.write(log_level::info, "listening",
                    {{"http", to_string(http_address())}, {"peer", to_string(peer_address())}});
     return success();
 }
@@ -205,7 +205,7 @@
         return;
     m_ready = false;
     m_stop_started = m_clock.now();
-    m_logger.write(telemetry::log_level::info, "stop_requested", json::object());
+    m_logger.write(log_level::info, "stop_requested", json::object());
     handle(core::stop_requested{});
 }
 
@@ -217,8 +217,7 @@
     if (m_server_stop.joinable() || elapsed < m_settings.m_stop_grace || !(finished || timed_out))
         return;
     m_exit_code = finished ? 0 : 1;
-    m_logger.write(finished ? telemetry::log_level::info : telemetry::log_level::error,
-                   "node_stopped",
+    m_logger.write(finished ? log_level::info : log_level::error, "node_stopped",
                    {{"open_requests", m_requests.size()},
                     {"slices_released", m_slices_released},
                     {"revision", m_state.m_configuration.m_document.m_revision}});
@@ -249,11 +248,11 @@
     };
     callbacks.m_on_late_reply = [this](const member_ref& from) {
         m_metrics.add_counter("late_replies_total", 1);
-        m_logger.write(telemetry::log_level::debug, "late_reply_dropped", {{"from", from.m_node}});
+        m_logger.write(log_level::debug, "late_reply_dropped", {{"from", from.m_node}});
     };
     callbacks.m_on_invalid_input = [this](const std::string& reason) {
         m_metrics.add_counter("invalid_peer_messages_total", 1);
-        m_logger.write(telemetry::log_level::warning, "invalid_peer_message", {{"reason", reason}});
+        m_logger.write(log_level::warning, "invalid_peer_message", {{"reason", reason}});
     };
     return callbacks;
 }
--- a/libs/node/src/runtime_effects.cpp
+++ b/libs/node/src/runtime_effects.cpp
@@ -131,7 +131,7 @@
 
 void runtime_impl::apply(const core::write_log& order)
 {
-    m_logger.write(telemetry::log_level(order.m_level), order.m_event, order.m_fields);
+    m_logger.write(order.m_level, order.m_event, order.m_fields);
 }
 
 void runtime_impl::apply(const core::record_request& order)
--- a/libs/node/src/runtime_http.cpp
+++ b/libs/node/src/runtime_http.cpp
@@ -128,7 +128,7 @@
     auto parsed = parse_caller_request(input, new_request_id());
     if (!parsed) {
         const auto& error = parsed.error();
-        m_logger.write(telemetry::log_level::info, "request_rejected",
+        m_logger.write(log_level::info, "request_rejected",
                        {{"request_id", error.m_request_id},
                         {"reason", to_string(error.m_code)},
                         {"message", error.m_message}});
@@ -139,7 +139,7 @@
     const auto service = request.m_info.m_service;
     const auto request_id = request.m_info.m_request_id;
     if (!m_gate.try_enter(service)) {
-        m_logger.write(telemetry::log_level::info, "request_rejected",
+        m_logger.write(log_level::info, "request_rejected",
                        {{"request_id", request_id},
                         {"reason", "overloaded"},
                         {"message", "too many requests of this service wait at this node"}});
@@ -204,8 +204,7 @@
     auto info = parse_announcement(input.m_body);
     if (!info) {
         const auto reason = info.error().m_path + ": " + info.error().m_message;
-        m_logger.write(telemetry::log_level::warning, "announcement_rejected",
-                       {{"reason", reason}});
+        m_logger.write(log_level::warning, "announcement_rejected", {{"reason", reason}});
         return problem(status_bad_request, "bad_announcement", reason);
     }
     return on_loop([this, info = std::move(info.value())] {
--- a/libs/settings/include/azureladder/settings/node_settings.hpp
+++ b/libs/settings/include/azureladder/settings/node_settings.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <azureladder/base/endpoint.hpp>
-#include <azureladder/base/enum_names.hpp>
 #include <azureladder/base/ids.hpp>
+#include <azureladder/base/log_level.hpp>
 #include <azureladder/base/time.hpp>
 #include <azureladder/core/core_options.hpp>
 
@@ -15,22 +15,6 @@
 /// Settings of a router process: one JSON file with comments, checked as a whole.
 namespace azureladder::settings {
 
-/// Lowest severity that is logged.
-enum class log_level
-{
-    debug,
-    info,
-    warning,
-    error
-};
-
-inline constexpr enum_name<log_level> log_level_names[] = {
-    {log_level::debug, "debug"},
-    {log_level::info, "info"},
-    {log_level::warning, "warning"},
-    {log_level::error, "error"},
-};
-
 /// Interface for callers, operators and the backend server beside the node.
 struct http_settings
 {
--- a/libs/telemetry/include/azureladder/telemetry/logger.hpp
+++ b/libs/telemetry/include/azureladder/telemetry/logger.hpp
@@ -3,7 +3,7 @@
 #include <azureladder/base/clock.hpp>
 #include <azureladder/base/ids.hpp>
 #include <azureladder/base/json.hpp>
-#include <azureladder/telemetry/log_level.hpp>
+#include <azureladder/base/log_level.hpp>
 
 #include <atomic>
 #include <memory>
