Share options and start-up of the test doubles

The doubles of the store and of a backend server had the same code for the termination signals, the parsing of options, the help text, the errors and the line that announces the address. It is now run_program and print_listening in testbench/support. The fault proxy stays as it is, because it announces a JSON line and waits for signals in its event loop.

--- a/testbench/backend/app/main.cpp
+++ b/testbench/backend/app/main.cpp
@@ -2,6 +2,7 @@
 #include <azureladder/backend_double/backend_service.hpp>
 #include <azureladder/base/steady_clock.hpp>
 #include <azureladder/http/server.hpp>
+#include <azureladder/testbench/program.hpp>
 #include <azureladder/testbench/termination.hpp>
 
 #include <boost/program_options.hpp>
@@ -13,14 +14,13 @@
 namespace options = boost::program_options;
 using azureladder::milliseconds;
 
-constexpr int exit_usage = 2;
+constexpr const char* program_name = "azureladder-backend-double";
 
 // Control calls must get through while all slots are taken and further requests are shed.
 constexpr unsigned spare_threads = 64;
 
-options::options_description describe()
+void describe(options::options_description& description)
 {
-    options::options_description description("azureladder-backend-double");
     const auto text = [](const char* value) {
         return options::value<std::string>()->default_value(value);
     };
@@ -28,7 +28,6 @@
         return options::value<std::uint64_t>()->default_value(value);
     };
     auto add = description.add_options();
-    add("help", "print this text");
     add("listen", text("127.0.0.1:0"), "IP:PORT; port 0 selects a free one");
     add("server", text("backend-1"), "name of this backend server");
     add("service", text("catalogue"), "service that it offers");
@@ -46,7 +45,6 @@
     add("report-lag-ms", number(0), "delay of reported load and cold start");
     add("report-load", options::value<double>(), "false load to report");
     add("seed", number(1), "seed of random service times");
-    return description;
 }
 
 azureladder::backend_double::backend_options read_options(const options::variables_map& values)
@@ -103,7 +101,7 @@
     http::server server(server_options,
                         [&service](const auto& message) { return service.handle(message); });
     if (!server.start()) {
-        std::cerr << "azureladder-backend-double: cannot listen\n";
+        std::cerr << program_name << ": cannot listen\n";
         return EXIT_FAILURE;
     }
     std::unique_ptr<backend_double::announcer> announcer;
@@ -112,7 +110,7 @@
             clock, double_options, service.capacity(), *sidecar, server.bound_address());
         announcer->start();
     }
-    std::cout << "listening on " << to_string(server.bound_address()) << std::endl;
+    testbench::print_listening(server.bound_address());
     testbench::wait_for_termination();
     service.capacity().drain();
     if (announcer)
@@ -127,18 +125,6 @@
 
 int main(int argument_count, char** arguments)
 {
-    azureladder::testbench::block_termination_signals();
-    try {
-        const auto description = describe();
-        options::variables_map values;
-        options::store(options::parse_command_line(argument_count, arguments, description), values);
-        options::notify(values);
-        if (values.count("help") == 0)
-            return run(values);
-        std::cout << description;
-        return EXIT_SUCCESS;
-    } catch (const std::exception& error) {
-        std::cerr << "azureladder-backend-double: " << error.what() << "\n";
-        return exit_usage;
-    }
+    return azureladder::testbench::run_program({program_name, describe, run}, argument_count,
+                                               arguments);
 }
