--- a/libs/node/src/backend_gateway.hpp
+++ b/libs/node/src/backend_gateway.hpp
@@ -85,6 +85,7 @@
                      const std::shared_ptr<http::cancel_token>& token,
                      const http::request& message);
     bool wait_for_grant(const slice_id& slice, time_point until);
+    // Control calls: backend_control.cpp.
     void send_grants();
     control_result send_grant(const slice_id& slice);
     control_result post_control(const std::string& target, const std::string& body);
--- a/libs/node/src/runtime.cpp
+++ b/libs/node/src/runtime.cpp
@@ -1,9 +1,7 @@
 #include "runtime_impl.hpp"
 
-#include <azureladder/core/directory.hpp>
 #include <azureladder/core/ownership.hpp>
 
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 
 #include <random>
@@ -15,9 +13,6 @@
 /// Server threads kept free for the node's own endpoints, announcements and operators.
 constexpr std::size_t reserved_threads = 16;
 
-/// Time between two updates of the gauges.
-constexpr duration gauge_interval = seconds(1);
-
 std::uint64_t random_id()
 {
     std::random_device device;
@@ -123,19 +118,6 @@
     return success();
 }
 
-int runtime_impl::run()
-{
-    const auto work = boost::asio::make_work_guard(m_io);
-    schedule_tick();
-    m_io.run();
-    return m_exit_code;
-}
-
-void runtime_impl::request_stop()
-{
-    boost::asio::post(m_io, [this] { begin_stop(); });
-}
-
 endpoint runtime_impl::http_address() const
 {
     return m_server.bound_address();
@@ -146,163 +128,6 @@
     return m_peers.advertised();
 }
 
-void runtime_impl::schedule_tick()
-{
-    m_timer.expires_after(m_settings.m_core.m_tick_interval);
-    m_timer.async_wait([this](const boost::system::error_code& error) {
-        if (error)
-            return;
-        on_tick();
-        schedule_tick();
-    });
-}
-
-void runtime_impl::on_tick()
-{
-    // After a pause, messages that arrived meanwhile come before the clock: a witness must not
-    // declare a lease expired while the renewal waits in its socket.
-    const auto now = m_clock.now();
-    if (now - m_last_tick > m_settings.m_core.m_lease_duration / 2)
-        m_peers.receive_pending();
-    m_last_tick = now;
-    handle(core::timer_tick{});
-    m_ready = core::takes_new_work(m_state, m_clock.now()) && !m_stop_requested;
-    if (m_clock.now() >= m_next_gauges) {
-        m_next_gauges = m_clock.now() + gauge_interval;
-        update_gauges();
-    }
-    if (m_stop_requested)
-        advance_stop();
-}
-
-void runtime_impl::handle(const core::event& input)
-{
-    const auto output = core::step(m_state, m_clock.now(), input);
-    m_logger.set_incarnation(m_state.m_incarnation);
-    for (const auto& order : output)
-        execute(order);
-}
-
-void runtime_impl::update_gauges()
-{
-    const auto now = m_clock.now();
-    m_metrics.set_gauge("open_requests", double(m_requests.size()));
-    m_metrics.set_gauge("holds_lease", core::holds_lease(m_state, now) ? 1 : 0);
-    m_metrics.set_gauge("configuration_revision",
-                        double(m_state.m_configuration.m_document.m_revision));
-    m_metrics.set_gauge("known_nodes", double(core::newest_plans(m_state.m_directory).size()));
-    const auto& traffic = m_peers.traffic();
-    m_metrics.set_counter("peer_bytes_sent_total", traffic.m_bytes_sent);
-    m_metrics.set_counter("peer_bytes_received_total", traffic.m_bytes_received);
-    m_metrics.set_counter("peer_datagrams_sent_total", traffic.m_datagrams_sent);
-    m_metrics.set_counter("peer_frames_sent_total", traffic.m_frames_sent);
-    m_metrics.set_counter("peer_links_lost_total", traffic.m_links_lost);
-}
-
-void runtime_impl::begin_stop()
-{
-    if (m_stop_requested.exchange(true))
-        return;
-    m_ready = false;
-    m_stop_started = m_clock.now();
-    m_logger.write(log_level::info, "stop_requested", json::object());
-    handle(core::stop_requested{});
-}
-
-void runtime_impl::advance_stop()
-{
-    const auto elapsed = m_clock.now() - m_stop_started;
-    const bool timed_out = elapsed >= m_settings.m_stop_timeout;
-    const bool finished = m_slices_released && m_requests.empty();
-    if (m_server_stop.joinable() || elapsed < m_settings.m_stop_grace || !(finished || timed_out))
-        return;
-    m_exit_code = finished ? 0 : 1;
-    m_logger.write(finished ? log_level::info : log_level::error, "node_stopped",
-                   {{"open_requests", m_requests.size()},
-                    {"slices_released", m_slices_released},
-                    {"revision", m_state.m_configuration.m_document.m_revision}});
-    m_server.stop_accepting();
-    // Handlers that still wait need the loop, so the server is stopped on another thread.
-    m_server_stop = std::thread([this] {
-        m_server.stop();
-        boost::asio::post(m_io, [this] {
-            m_peers.stop();
-            m_io.stop();
-        });
-    });
-}
-
-peer_gateway_callbacks runtime_impl::make_peer_callbacks()
-{
-    peer_gateway_callbacks callbacks;
-    callbacks.m_on_message = [this](core::message_received input) { handle(input); };
-    callbacks.m_on_request = [this](const peer_origin& origin, wire::request_frame frame) {
-        start_peer_request(origin, std::move(frame));
-    };
-    callbacks.m_on_cancel = [this](const wire::correlation& correlation) {
-        cancel_peer_request(correlation);
-    };
-    callbacks.m_on_attempt_finished = [this](core::attempt_finished finished,
-                                             http::response reply) {
-        finish_attempt(std::move(finished), std::move(reply));
-    };
-    callbacks.m_on_late_reply = [this](const member_ref& from) {
-        m_metrics.add_counter("late_replies_total", 1);
-        m_logger.write(log_level::debug, "late_reply_dropped", {{"from", from.m_node}});
-    };
-    callbacks.m_on_invalid_input = [this](const std::string& reason) {
-        m_metrics.add_counter("invalid_peer_messages_total", 1);
-        m_logger.write(log_level::warning, "invalid_peer_message", {{"reason", reason}});
-    };
-    return callbacks;
-}
-
-void runtime_impl::start_peer_request(const peer_origin& origin, wire::request_frame frame)
-{
-    const auto& correlation = origin.m_correlation;
-    const auto key = std::make_pair(correlation.m_incarnation, correlation.m_counter);
-    if (m_peer_requests.count(key) != 0)
-        return; // a repeated frame
-    const auto token = ++m_last_token;
-    m_peer_requests[key] = token;
-    open_request request;
-    auto& info = request.m_info;
-    info.m_request_id = std::move(frame.m_request_id);
-    info.m_service = std::move(frame.m_service);
-    info.m_customer = std::move(frame.m_customer);
-    info.m_class = frame.m_class;
-    info.m_key = std::move(frame.m_key);
-    info.m_idempotency_key = std::move(frame.m_idempotency_key);
-    info.m_idempotent = frame.m_idempotent;
-    info.m_timeout = milliseconds(frame.m_remaining_ms);
-    info.m_forwarded_by = origin.m_entry.m_node;
-    info.m_claimed = frame.m_claimed;
-    request.m_message.m_method = std::move(frame.m_method);
-    request.m_message.m_target = std::move(frame.m_target);
-    for (auto& field : frame.m_headers)
-        request.m_message.m_headers.push_back({std::move(field.first), std::move(field.second)});
-    request.m_message.m_body = std::move(frame.m_body);
-    request.m_origin = origin;
-    const core::request_arrived arrived{token, info};
-    m_requests.emplace(token, std::move(request));
-    handle(arrived);
-}
-
-void runtime_impl::cancel_peer_request(const wire::correlation& correlation)
-{
-    const auto found = m_peer_requests.find({correlation.m_incarnation, correlation.m_counter});
-    if (found != m_peer_requests.end())
-        handle(core::request_abandoned{found->second});
-}
-
-void runtime_impl::finish_attempt(core::attempt_finished finished, http::response reply)
-{
-    const auto found = m_requests.find(finished.m_token);
-    if (found != m_requests.end() && finished.m_outcome == core::attempt_outcome::answered)
-        found->second.m_replies[finished.m_attempt] = std::move(reply);
-    handle(finished);
-}
-
 runtime::runtime(const settings::node_settings& settings, const clock& time, platform::store& store)
     : m_impl(std::make_unique<runtime_impl>(settings, time, store))
 {
--- a/libs/node/src/runtime_impl.hpp
+++ b/libs/node/src/runtime_impl.hpp
@@ -40,13 +40,15 @@
     endpoint peer_address() const;
 
 private:
-    // Event loop: runtime.cpp.
+    // Event loop: runtime_loop.cpp.
     void schedule_tick();
     void on_tick();
     void handle(const core::event& input);
     void begin_stop();
     void advance_stop();
     void update_gauges();
+
+    // Requests of peers and replies to forwarded ones: runtime_peers.cpp.
     peer_gateway_callbacks make_peer_callbacks();
     void start_peer_request(const peer_origin& origin, wire::request_frame frame);
     void cancel_peer_request(const wire::correlation& correlation);
--- /dev/null
+++ b/libs/node/src/runtime_loop.cpp
@@ -0,0 +1,117 @@
+#include "runtime_impl.hpp"
+
+#include <azureladder/core/directory.hpp>
+#include <azureladder/core/ownership.hpp>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+
+namespace azureladder::node {
+
+namespace {
+
+/// Time between two updates of the gauges.
+constexpr duration gauge_interval = seconds(1);
+
+} // namespace
+
+int runtime_impl::run()
+{
+    const auto work = boost::asio::make_work_guard(m_io);
+    schedule_tick();
+    m_io.run();
+    return m_exit_code;
+}
+
+void runtime_impl::request_stop()
+{
+    boost::asio::post(m_io, [this] { begin_stop(); });
+}
+
+void runtime_impl::schedule_tick()
+{
+    m_timer.expires_after(m_settings.m_core.m_tick_interval);
+    m_timer.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        on_tick();
+        schedule_tick();
+    });
+}
+
+void runtime_impl::on_tick()
+{
+    // After a pause, messages that arrived meanwhile come before the clock: a witness must not
+    // declare a lease expired while the renewal waits in its socket.
+    const auto now = m_clock.now();
+    if (now - m_last_tick > m_settings.m_core.m_lease_duration / 2)
+        m_peers.receive_pending();
+    m_last_tick = now;
+    handle(core::timer_tick{});
+    m_ready = core::takes_new_work(m_state, m_clock.now()) && !m_stop_requested;
+    if (m_clock.now() >= m_next_gauges) {
+        m_next_gauges = m_clock.now() + gauge_interval;
+        update_gauges();
+    }
+    if (m_stop_requested)
+        advance_stop();
+}
+
+void runtime_impl::handle(const core::event& input)
+{
+    const auto output = core::step(m_state, m_clock.now(), input);
+    m_logger.set_incarnation(m_state.m_incarnation);
+    for (const auto& order : output)
+        execute(order);
+}
+
+void runtime_impl::update_gauges()
+{
+    const auto now = m_clock.now();
+    m_metrics.set_gauge("open_requests", double(m_requests.size()));
+    m_metrics.set_gauge("holds_lease", core::holds_lease(m_state, now) ? 1 : 0);
+    m_metrics.set_gauge("configuration_revision",
+                        double(m_state.m_configuration.m_document.m_revision));
+    m_metrics.set_gauge("known_nodes", double(core::newest_plans(m_state.m_directory).size()));
+    const auto& traffic = m_peers.traffic();
+    m_metrics.set_counter("peer_bytes_sent_total", traffic.m_bytes_sent);
+    m_metrics.set_counter("peer_bytes_received_total", traffic.m_bytes_received);
+    m_metrics.set_counter("peer_datagrams_sent_total", traffic.m_datagrams_sent);
+    m_metrics.set_counter("peer_frames_sent_total", traffic.m_frames_sent);
+    m_metrics.set_counter("peer_links_lost_total", traffic.m_links_lost);
+}
+
+void runtime_impl::begin_stop()
+{
+    if (m_stop_requested.exchange(true))
+        return;
+    m_ready = false;
+    m_stop_started = m_clock.now();
+    m_logger.write(log_level::info, "stop_requested", json::object());
+    handle(core::stop_requested{});
+}
+
+void runtime_impl::advance_stop()
+{
+    const auto elapsed = m_clock.now() - m_stop_started;
+    const bool timed_out = elapsed >= m_settings.m_stop_timeout;
+    const bool finished = m_slices_released && m_requests.empty();
+    if (m_server_stop.joinable() || elapsed < m_settings.m_stop_grace || !(finished || timed_out))
+        return;
+    m_exit_code = finished ? 0 : 1;
+    m_logger.write(finished ? log_level::info : log_level::error, "node_stopped",
+                   {{"open_requests", m_requests.size()},
+                    {"slices_released", m_slices_released},
+                    {"revision", m_state.m_configuration.m_document.m_revision}});
+    m_server.stop_accepting();
+    // Handlers that still wait need the loop, so the server is stopped on another thread.
+    m_server_stop = std::thread([this] {
+        m_server.stop();
+        boost::asio::post(m_io, [this] {
+            m_peers.stop();
+            m_io.stop();
+        });
+    });
+}
+
+} // namespace azureladder::node
