Split the changes of the configuration by job

change.cpp (376 lines) held the list of changes, the writing of the document and the spreading of a revision. The writing is now in change_write.cpp and the spreading in change_spread.cpp; change_internal.hpp declares what they share, and the largest of the three has 151 lines. The function finish was called only for rejections and is now reject_change without a phase; names that were local to the file name the change now.

--- /dev/null
+++ b/libs/core/src/change_internal.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "change.hpp"
+
+#include <azureladder/core/configuration_state.hpp>
+
+#include <string>
+
+/// Functions that the sources of configuration changes share; docs/design.md, section 5.
+namespace azureladder::core {
+
+/// Time after which an undecided write is shown as unknown. The node goes on to settle it.
+inline constexpr duration unknown_after = seconds(10);
+
+// change_write.cpp
+void reject_change(pending_change& change, std::string reason, effects& output);
+void read_for_change(node_state& state, pending_change& change, effects& output);
+void handle_change_write(node_state& state, time_point now, pending_change& change,
+                         const store_finished& input, effects& output);
+void handle_change_read(node_state& state, time_point now, pending_change& change,
+                        const store_finished& input, effects& output);
+
+// change_spread.cpp
+void advance_spreading(node_state& state, time_point now, pending_change& change, effects& output);
+void handle_change_verification(node_state& state, time_point now, pending_change& change,
+                                const store_finished& input, effects& output);
+
+} // namespace azureladder::core
--- /dev/null
+++ b/libs/core/src/change_write.cpp
@@ -0,0 +1,151 @@
+#include "change_internal.hpp"
+
+#include <azureladder/core/node_state.hpp>
+#include <azureladder/records/document.hpp>
+
+namespace azureladder::core {
+
+namespace {
+
+/// Lost races after which a change without a base revision is rejected.
+constexpr std::uint32_t max_conflicts = 8;
+
+void start_spreading(node_state& state, time_point now, pending_change& change,
+                     revision_number revision, effects& output)
+{
+    change.m_phase = change_phase::spreading;
+    change.m_operation = 0;
+    change.m_revision = revision;
+    change.m_next_probe = now;
+    change.m_acknowledged[self(state)] = now;
+    json fields = {{"apply_id", change.m_apply_id}, {"revision", revision}};
+    output.emplace_back(write_log{log_level::info, "change_written", std::move(fields)});
+}
+
+/// Names of zones or backend servers whose state differs between two documents.
+json changed_names(const std::map<std::string, records::service_state>& before,
+                   const std::map<std::string, records::service_state>& after,
+                   records::service_state wanted)
+{
+    json names = json::array();
+    for (const auto& [name, value] : after) {
+        const auto old = before.find(name);
+        const auto previous = old == before.end() ? records::service_state::in : old->second;
+        if (value == wanted && previous != wanted)
+            names.push_back(name);
+    }
+    return names;
+}
+
+json effect_on_placement(const records::document& before, const records::document& after)
+{
+    using records::service_state;
+    return {
+        {"removed_zones", changed_names(before.m_zones, after.m_zones, service_state::out)},
+        {"returned_zones", changed_names(before.m_zones, after.m_zones, service_state::in)},
+        {"removed_servers", changed_names(before.m_servers, after.m_servers, service_state::out)},
+        {"returned_servers", changed_names(before.m_servers, after.m_servers, service_state::in)}};
+}
+
+void write_document(node_state& state, time_point now, pending_change& change,
+                    const store_finished& read, effects& output)
+{
+    records::document base;
+    if (read.m_status == store_status::ok) {
+        auto parsed = records::parse_document(read.m_value);
+        if (!parsed) {
+            reject_change(change, "the stored document is not readable", output);
+            return;
+        }
+        base = std::move(parsed.value());
+    }
+    if (records::has_apply_id(base, change.m_apply_id)) {
+        // An earlier write of this change took effect although its answer was lost.
+        install_text(state, now, read.m_value, output);
+        start_spreading(state, now, change, base.m_revision, output);
+        return;
+    }
+    if (change.m_base_revision != 0 && change.m_base_revision != base.m_revision) {
+        reject_change(
+            change, "conflict: the current revision is " + std::to_string(base.m_revision), output);
+        return;
+    }
+    auto applied = records::apply_records(base, change.m_records, change.m_apply_id);
+    if (!applied) {
+        reject_change(change, applied.error().m_path + ": " + applied.error().m_message, output);
+        return;
+    }
+    change.m_placement = effect_on_placement(base, applied.value());
+    change.m_text = records::to_text(applied.value());
+    change.m_revision = applied.value().m_revision;
+    change.m_write_outstanding = true;
+    change.m_operation = next_operation(state);
+    output.emplace_back(
+        store_write{change.m_operation, configuration_key, change.m_text, read.m_version});
+}
+
+} // namespace
+
+void reject_change(pending_change& change, std::string reason, effects& output)
+{
+    change.m_phase = change_phase::rejected;
+    change.m_message = std::move(reason);
+    json fields = {{"apply_id", change.m_apply_id},
+                   {"revision", change.m_revision},
+                   {"reason", change.m_message}};
+    output.emplace_back(write_log{log_level::info, "change_rejected", std::move(fields)});
+}
+
+void read_for_change(node_state& state, pending_change& change, effects& output)
+{
+    change.m_operation = next_operation(state);
+    output.emplace_back(store_read{change.m_operation, configuration_key});
+}
+
+void handle_change_write(node_state& state, time_point now, pending_change& change,
+                         const store_finished& input, effects& output)
+{
+    change.m_write_outstanding = false;
+    switch (input.m_status) {
+    case store_status::ok:
+        install_text(state, now, change.m_text, output);
+        start_spreading(state, now, change, change.m_revision, output);
+        break;
+    case store_status::conflict:
+        // Either another operator was first, or an earlier write of this change was applied late.
+        if (++change.m_conflicts > max_conflicts)
+            reject_change(change, "conflict with other changes", output);
+        else
+            read_for_change(state, change, output);
+        break;
+    default:
+        // The write may still take effect. Writing the same change again under compare-and-swap
+        // settles it: either that write succeeds or the document shows the apply id.
+        if (input.m_status == store_status::unknown)
+            change.m_may_be_written = true;
+        change.m_phase = change_phase::reading_back;
+        change.m_operation = 0;
+        change.m_next_probe = now + state.m_options.m_resend_interval;
+        break;
+    }
+}
+
+void handle_change_read(node_state& state, time_point now, pending_change& change,
+                        const store_finished& input, effects& output)
+{
+    const bool answered =
+        input.m_status == store_status::ok || input.m_status == store_status::not_found;
+    if (answered) {
+        write_document(state, now, change, input, output);
+        return;
+    }
+    if (!change.m_may_be_written && now - change.m_started > unknown_after) {
+        reject_change(change, "the platform store is not available; nothing was changed", output);
+        return;
+    }
+    change.m_phase = change_phase::reading_back;
+    change.m_operation = 0;
+    change.m_next_probe = now + state.m_options.m_resend_interval;
+}
+
+} // namespace azureladder::core
