State when the lease of an ended ownership ended

Cause: a process that was paused beyond its lease logs ownership_ended only when it runs again. The audit already reads effective_mono_us from that line, but no line had it. For the reason lease_expired the audit then took the last dispatch as the end, which is too early and hides an overlap with the next owner. For any other reason it took the time of the line, which is too late and reports an overlap that did not exist: after a pause below the limit of 4 s, a message that names the new owner drops the slice with the reason superseded.

The line now carries the end of the lease, or the last time at which the lease was seen when the active plan version counts it shorter. After a pause of more than half a lease the expired ownerships end first, whatever the event is. Only lines with the reason lease_expired have the field, because every other end takes effect when it is logged. The audit is unchanged; its test of the field was there.

After a pause above 4 s the runtime logs these lines under the new incarnation, so the audit still ends that ownership with the last line of the former one.

--- a/libs/core/include/azureladder/core/ownership_state.hpp
+++ b/libs/core/include/azureladder/core/ownership_state.hpp
@@ -214,6 +214,9 @@
     time_point m_lease_held_at{};
     time_point m_backend_lease_until{};
 
+    /// Latest time at which slices were found to be under the lease; zero while there is none.
+    time_point m_lease_seen{};
+
     /// Start id of the backend server that has the lease and the grants.
     std::string m_backend_start;
 
--- a/libs/core/src/ownership.cpp
+++ b/libs/core/src/ownership.cpp
@@ -29,6 +29,9 @@
 {
     auto& own = state.m_ownership;
     const auto gap = now - own.m_last_tick;
+    // Before the event drops slices for another reason than the lease that ended during the pause.
+    if (gap > state.m_options.m_lease_duration / 2)
+        end_after_lease(state, now, output);
     if (!own.m_ticked || !plan_written(state) || gap <= state.m_options.m_pause_limit)
         return;
     log_event(output, log_level::warning, "paused", {{"pause_ms", to_ms(gap)}});
--- a/libs/core/src/ownership_internal.hpp
+++ b/libs/core/src/ownership_internal.hpp
@@ -82,6 +82,7 @@
 void drop_slice(node_state& state, const slice_id& slice, const std::string& reason,
                 effects& output);
 void update_serving(node_state& state, time_point now, effects& output);
+void end_after_lease(node_state& state, time_point now, effects& output);
 bool allowed_by_records(const node_state& state, const slice_id& slice);
 duration fencing_wait(const node_state& state, const slice_id& slice, const plan* former);
 bool node_out_of_service(const node_state& state);
--- a/libs/core/src/slice_holding.cpp
+++ b/libs/core/src/slice_holding.cpp
@@ -3,6 +3,7 @@
 #include <azureladder/core/ownership.hpp>
 #include <azureladder/records/document.hpp>
 
+#include <algorithm>
 #include <map>
 
 namespace azureladder::core {
@@ -19,14 +20,13 @@
         output.push_back(set_backend_grant{{slice, held.m_epoch}, false});
 }
 
-void announce_end(node_state& state, const slice_id& slice, held_slice& held,
-                  const std::string& reason, effects& output)
+void announce_end(node_state& state, const slice_id& slice, held_slice& held, json fields,
+                  effects& output)
 {
     if (!held.m_announced)
         return;
     held.m_announced = false;
-    log_event(output, log_level::info, "ownership_ended",
-              slice_fields(slice, held.m_epoch, reason));
+    log_event(output, log_level::info, "ownership_ended", std::move(fields));
     if (state.m_backend && state.m_backend->m_fencing == fencing::checked &&
         slice.m_space != claim_space)
         output.push_back(set_backend_grant{{slice, held.m_epoch}, true});
@@ -37,13 +37,19 @@
     return held.m_phase == slice_phase::serving && held.m_allowed && now >= held.m_serve_from;
 }
 
-std::string end_reason(const node_state& state, const held_slice& held, time_point now)
+/// Fields of the line for an ownership that ends. A paused process writes the line long after its
+/// lease ended, so the line states that time.
+json end_fields(const node_state& state, const slice_id& slice, const held_slice& held, bool lease)
 {
-    if (!holds_lease(state, now))
-        return "lease_expired";
-    if (!held.m_allowed)
-        return "not_allowed";
-    return held.m_exit_reason;
+    if (lease) {
+        const auto& reason = held.m_allowed ? held.m_exit_reason : "not_allowed";
+        return slice_fields(slice, held.m_epoch, reason);
+    }
+    auto fields = slice_fields(slice, held.m_epoch, "lease_expired");
+    // Another plan version can count the lease shorter than it was in force.
+    const auto end = std::max(lease_end(state), state.m_ownership.m_lease_seen);
+    fields["effective_mono_us"] = to_us(end);
+    return fields;
 }
 
 /// A backend server that restarted has forgotten its lease and grants.
@@ -122,7 +128,8 @@
     const auto found = own.m_slices.find(slice);
     if (found == own.m_slices.end())
         return;
-    announce_end(state, slice, found->second, reason, output);
+    announce_end(state, slice, found->second, slice_fields(slice, found->second.m_epoch, reason),
+                 output);
     own.m_slices.erase(found);
     own.m_entry_changes.erase(slice);
 }
@@ -141,8 +148,15 @@
         if (serves && !held.m_announced)
             announce_start(state, slice, held, output);
         else if (!serves && held.m_announced)
-            announce_end(state, slice, held, end_reason(state, held, now), output);
+            announce_end(state, slice, held, end_fields(state, slice, held, lease), output);
     }
+    state.m_ownership.m_lease_seen = lease ? now : time_point{};
+}
+
+void end_after_lease(node_state& state, time_point now, effects& output)
+{
+    if (state.m_ownership.m_lease_seen != time_point{} && !holds_lease(state, now))
+        update_serving(state, now, output);
 }
 
 std::optional<epoch_number> serving_epoch(const node_state& state, const slice_id& slice,
--- a/libs/core/tests/ownership_cluster_test.cpp
+++ b/libs/core/tests/ownership_cluster_test.cpp
@@ -113,6 +113,32 @@
     expect_consistent(cluster);
 }
 
+// Guards against an audit that takes the line of a paused owner for the end of its ownership: the
+// lease ended long before the process ran again and wrote the line.
+TEST(ownership_cluster, end_of_ownership_states_when_the_lease_ended)
+{
+    cluster_harness cluster(7);
+    start_balanced(cluster);
+    const auto& node = cluster.node("a1");
+    for (const auto pause : {seconds(2), seconds(10)}) {
+        ASSERT_TRUE(cluster.run_until([&] { return cluster.served("a1") > 0; }, seconds(60)));
+        const auto end = lease_end(node.m_state);
+        cluster.m_log.clear();
+        cluster.m_keep_log = true;
+        cluster.pause("a1", pause);
+        cluster.run_for(pause + seconds(1));
+        const auto stated = "\"effective_mono_us\":" + std::to_string(to_us(end)) + ",";
+        std::size_t ended = 0;
+        for (const auto& line : cluster.m_log) {
+            if (line.find(" a1 ownership_ended ") == std::string::npos)
+                continue;
+            ++ended;
+            EXPECT_NE(line.find(stated), std::string::npos) << line;
+        }
+        EXPECT_GT(ended, 0U);
+    }
+}
+
 // Guards against a zone that keeps slices after operators took it out of service, and against one
 // that gets none back.
 TEST(ownership_cluster, zone_out_moves_everything)
