Wait for executions of a lost standby before an adoption

Cause: when an owner and its standby are lost, any eligible node adopts the slice. It waited for executions of the owner only. The standby may have taken the slice over and served it before it was lost, and nobody need have heard of that. When the owner's backend server checks fencing tokens and the standby's one ignores them, the adopter served at once while the standby's backend server could still execute a request of the same key.

The adopter now also waits for the standby that the promised plan version gives for the slice; it is the only member that could take over unrecorded. Nothing changes when both backend servers check fencing tokens. The new test failed with no wait at all and now sees the 300 ms that the records ask for.

--- a/libs/core/src/slice_writes.cpp
+++ b/libs/core/src/slice_writes.cpp
@@ -35,10 +35,17 @@
 duration executions_of_former(const node_state& state, const slice_id& slice,
                               const entry_change& change)
 {
+    const auto wait_for = [&](const member_ref& member) {
+        return fencing_wait(state, slice, find_plan(state.m_directory, member));
+    };
     // A lost owner that did not record its takeover may have waited for the owner before it.
-    return std::max(
-        fencing_wait(state, slice, find_plan(state.m_directory, change.m_expected.m_owner)),
-        fencing_wait(state, slice, find_plan(state.m_directory, change.m_replaced)));
+    const auto longest = std::max(wait_for(change.m_expected.m_owner), wait_for(change.m_replaced));
+    // The standby may have taken the slice over and been lost before anybody heard of it.
+    const auto* fenced = fenced_plan(state, change.m_expected.m_owner);
+    if (fenced == nullptr || fenced->m_standbys.empty())
+        return longest;
+    const auto& standby = fenced->m_standbys[standby_index(*fenced, slice)];
+    return standby == self(state) ? longest : std::max(longest, wait_for(standby));
 }
 
 void start_owning(node_state& state, time_point now, const slice_id& slice,
--- a/libs/core/tests/ownership_moves_test.cpp
+++ b/libs/core/tests/ownership_moves_test.cpp
@@ -100,6 +100,38 @@
     expect_consistent(cluster);
 }
 
+// Guards against two executions at a time: a standby whose backend server ignores fencing tokens
+// may have taken the slice over before it was lost, which the adopter cannot know.
+TEST(ownership_moves, adoption_waits_for_executions_of_the_lost_standby)
+{
+    cluster_harness cluster(9);
+    cluster.apply(json::array({divided_service("orders", 12)}));
+    for (const std::string zone : {"a", "b", "c"}) {
+        for (const std::string node : {"1", "2", "3"})
+            cluster.add_node(zone + node, "zone-" + zone, "orders",
+                             zone == "a" ? fencing::checked : fencing::ignored);
+    }
+    cluster.start_all();
+    ASSERT_TRUE(served_again(cluster, seconds(20)));
+    cluster.run_for(seconds(60));
+    const auto& plan = cluster.node("a1").m_state.m_ownership.m_plan;
+    const auto owned =
+        std::find_if(plan.m_slices.begin(), plan.m_slices.end(),
+                     [](const auto& one) { return one.m_slice.m_space == "orders"; });
+    ASSERT_NE(owned, plan.m_slices.end());
+    const auto slice = owned->m_slice;
+    cluster.kill("a1");
+    cluster.kill(plan.m_standbys[standby_index(plan, slice)].m_node);
+    const auto is_served = [&] { return !cluster.server_of(slice).empty(); };
+    ASSERT_TRUE(cluster.run_until(is_served, seconds(30)));
+    const auto& taker = cluster.node(cluster.server_of(slice)).m_state.m_ownership;
+    const auto& held = taker.m_slices.at(slice);
+    EXPECT_EQ(held.m_reason, "orphan");
+    // Longest execution of 200 ms and send delay of 100 ms.
+    EXPECT_GE(held.m_serve_from, held.m_phase_since + milliseconds(300));
+    expect_consistent(cluster);
+}
+
 // Guards against a slice that stays without an owner for as long as the store is down, because the
 // outage began while the slice moved. The owner lives and holds its lease.
 TEST(ownership_moves, outage_during_a_move_leaves_the_slice_served)
