Use standby_of in the wait of an adoption

The merge of the adoption wait and of planned releases left one use of standby_index, which the planned moves have replaced. The receiver of a planned move counts as the standby here as well.

--- a/libs/core/src/slice_writes.cpp
+++ b/libs/core/src/slice_writes.cpp
@@ -41,10 +41,10 @@
     const auto longest = std::max(wait_for(change.m_expected.m_owner), wait_for(change.m_replaced));
     // The standby may have taken the slice over and been lost before anybody heard of it.
     const auto* fenced = fenced_plan(state, change.m_expected.m_owner);
-    if (fenced == nullptr || fenced->m_standbys.empty())
+    const auto* standby = fenced == nullptr ? nullptr : standby_of(*fenced, slice);
+    if (standby == nullptr || *standby == self(state))
         return longest;
-    const auto& standby = fenced->m_standbys[standby_index(*fenced, slice)];
-    return standby == self(state) ? longest : std::max(longest, wait_for(standby));
+    return std::max(longest, wait_for(*standby));
 }
 
 void start_owning(node_state& state, time_point now, const slice_id& slice,
