--- a/libs/core/tests/ownership_moves_test.cpp
+++ b/libs/core/tests/ownership_moves_test.cpp
@@ -121,7 +121,7 @@
     ASSERT_NE(owned, plan.m_slices.end());
     const auto slice = owned->m_slice;
     cluster.kill("a1");
-    cluster.kill(plan.m_standbys[standby_index(plan, slice)].m_node);
+    cluster.kill(standby_of(plan, slice)->m_node);
     const auto is_served = [&] { return !cluster.server_of(slice).empty(); };
     ASSERT_TRUE(cluster.run_until(is_served, seconds(30)));
     const auto& taker = cluster.node(cluster.server_of(slice)).m_state.m_ownership;
