Catch the mutations that no test caught

server_out_of_service: the test had a second upstream in service, which the selection chose anyway. The test now leaves only the upstream whose server is out, so that no upstream may be found.

stop_waits_for_requests: the drain of slices kept the node alive. The new test stops a node that has an open request of a spread service, which holds no slice back.

join_reads_configuration: a node with witnesses asks for its lease only after it has read the configuration, so the mutated line has no effect there. It is the only guard of a node without witnesses, which counts its empty majority at once; the new test starts such a node.

--- a/libs/core/tests/configuration_cluster_test.cpp
+++ b/libs/core/tests/configuration_cluster_test.cpp
@@ -285,6 +285,23 @@
     expect_consistent(m_cluster);
 }
 
+// Guards against a node that serves before it has read the configuration. Without witnesses nobody
+// refuses it a lease.
+TEST(configuration_join, node_without_witnesses_reads_the_configuration_first)
+{
+    cluster_harness cluster(22);
+    cluster.apply(json::array({divided_service("orders", 12)}));
+    cluster.add_node("a1", "zone-a", "orders");
+    cluster.start("a1");
+    const auto& node = cluster.node("a1");
+    const auto& revision = node.m_state.m_configuration.m_document.m_revision;
+    const auto has_lease = [&] { return holds_lease(node.m_state, cluster.local_time(node)); };
+    for (int step = 0; step < 1000 && !has_lease(); ++step)
+        cluster.run_for(milliseconds(1));
+    EXPECT_TRUE(has_lease());
+    EXPECT_EQ(revision, 1U);
+}
+
 } // namespace
 
 } // namespace azureladder::core::testing
--- a/libs/core/tests/ownership_rules_test.cpp
+++ b/libs/core/tests/ownership_rules_test.cpp
@@ -157,6 +157,28 @@
     }
 }
 
+request_info open_request_info(const std::string& service, const std::string& key)
+{
+    request_info info;
+    info.m_request_id = "r1";
+    info.m_service = service;
+    info.m_key = key;
+    info.m_timeout = seconds(10);
+    return info;
+}
+
+/// Success of the only attempt of the request with token 1.
+attempt_finished finished_attempt()
+{
+    attempt_finished finished;
+    finished.m_token = 1;
+    finished.m_attempt = 1;
+    finished.m_outcome = attempt_outcome::answered;
+    finished.m_status = 200;
+    finished.m_executed = executed::yes;
+    return finished;
+}
+
 /// A request in flight at the owner of a slice.
 class drain_rules : public ::testing::Test
 {
@@ -169,27 +191,11 @@
         m_slice = {"orders", slice_of_key(m_key, 12)};
         m_owner = m_cluster.server_of(m_slice);
         ASSERT_FALSE(m_owner.empty());
-        request_info info;
-        info.m_request_id = "r1";
-        info.m_service = "orders";
-        info.m_key = m_key;
-        info.m_timeout = seconds(10);
-        m_cluster.inject(m_owner, request_arrived{1, info});
+        m_cluster.inject(m_owner, request_arrived{1, open_request_info("orders", m_key)});
         m_cluster.run_for(milliseconds(1));
         ASSERT_EQ(in_flight(m_cluster.node(m_owner).m_state, m_slice), 1U);
     }
 
-    void finish()
-    {
-        attempt_finished finished;
-        finished.m_token = 1;
-        finished.m_attempt = 1;
-        finished.m_outcome = attempt_outcome::answered;
-        finished.m_status = 200;
-        finished.m_executed = executed::yes;
-        m_cluster.inject(m_owner, finished);
-    }
-
     const std::string m_key = "k1";
     cluster_harness m_cluster;
     slice_id m_slice;
@@ -203,7 +209,7 @@
     m_cluster.run_for(milliseconds(150));
     EXPECT_EQ(m_cluster.server_of(m_slice), "");
     EXPECT_FALSE(m_cluster.node(m_owner).m_finished);
-    finish();
+    m_cluster.inject(m_owner, finished_attempt());
     EXPECT_TRUE(
         m_cluster.run_until([&] { return m_cluster.node(m_owner).m_finished; }, seconds(5)));
     EXPECT_TRUE(m_cluster.run_until([&] { return m_cluster.all_served(); }, seconds(5)));
@@ -211,6 +217,32 @@
     expect_consistent(m_cluster);
 }
 
+// Guards against a planned stop that interrupts a request of a spread service. The request holds no
+// slice back, so the slices are released before it ends.
+TEST(stop_rules, planned_stop_waits_for_a_request_of_a_spread_service)
+{
+    cluster_harness cluster(34);
+    const json shop = {{"kind", "service"}, {"schema_version", 2}, {"name", "shop"}};
+    cluster.apply(json::array({shop}));
+    for (const std::string zone : {"a", "b", "c"})
+        cluster.add_node(zone + "1", "zone-" + zone, "shop");
+    cluster.start_all();
+    ASSERT_TRUE(cluster.run_until([&] { return cluster.all_served(); }, seconds(20)));
+    cluster.run_for(seconds(10));
+    auto& node = cluster.node("a1");
+    cluster.inject("a1", request_arrived{1, open_request_info("shop", "")});
+    cluster.run_for(milliseconds(1));
+    ASSERT_EQ(open_requests(node.m_state), 1U);
+    cluster.stop("a1");
+    cluster.run_for(seconds(5));
+    EXPECT_EQ(cluster.served("a1"), 0U);
+    EXPECT_FALSE(node.m_finished);
+    cluster.inject("a1", finished_attempt());
+    EXPECT_TRUE(cluster.run_until([&] { return node.m_finished; }, seconds(2)));
+    EXPECT_EQ(cluster.m_events_logged["stop_without_release"], 0U);
+    expect_consistent(cluster);
+}
+
 // Guards against a second execution after a takeover by a standby that never had the claims.
 TEST(claim_rules, claims_are_lost_without_their_baseline)
 {
--- a/libs/core/tests/routing_spread_test.cpp
+++ b/libs/core/tests/routing_spread_test.cpp
@@ -55,6 +55,13 @@
     document.m_servers["server-c"] = records::service_state::out;
     arrive(make_info("shop"));
     EXPECT_EQ(target(), "d");
+    // Only "c" runs in a zone that is in service now.
+    document.m_zones["z3"] = records::service_state::out;
+    advance(milliseconds(20));
+    arrive(make_info("shop"));
+    EXPECT_EQ(error().m_code, error_code::no_upstream);
+    document.m_zones.clear();
+    document.m_servers.clear();
     document.m_services["shop"].m_zones = {"z9"};
     advance(milliseconds(20));
     arrive(make_info("shop"));
