--- a/libs/core/include/azureladder/core/ownership_state.hpp
+++ b/libs/core/include/azureladder/core/ownership_state.hpp
@@ -136,6 +136,13 @@
     std::string m_exit_reason;
 };
 
+/// A slice that this node released and whose receiver has not been seen to record it.
+struct released_slice
+{
+    epoch_number m_epoch = 0;
+    member_ref m_receiver;
+};
+
 /// A change of a slice table entry that this node wants to write.
 struct entry_change
 {
@@ -244,6 +251,10 @@
     // Slices.
     std::map<slice_id, held_slice> m_slices;
     std::map<slice_id, entry_change> m_entry_changes;
+
+    /// They stay in the plan: while the slice table names this node, a plan without them would let
+    /// another node adopt them.
+    std::map<slice_id, released_slice> m_released;
     std::map<slice_id, time_point> m_unowned_since;
 
     /// Highest plan version whose releases were refused, by sender.
--- a/libs/core/src/balance.cpp
+++ b/libs/core/src/balance.cpp
@@ -147,7 +147,10 @@
     const auto* fenced = fenced_plan(state, location.m_owner);
     if (fenced == nullptr)
         return may_adopt_replaced(state, now, slice, location, eligible);
-    const auto* standby = standby_of(*fenced, slice);
+    // A lost owner has passed on only what the promised version lists. Nobody can have taken
+    // another slice from it, and its standby may serve another service.
+    const bool listed = lists_slice(*fenced, slice, location.m_epoch);
+    const auto* standby = listed ? standby_of(*fenced, slice) : nullptr;
     if (standby == nullptr)
         return is_own_turn(state, now, slice, eligible);
     if (*standby == self(state))
--- a/libs/core/src/directory_sync.cpp
+++ b/libs/core/src/directory_sync.cpp
@@ -127,6 +127,9 @@
         auto fields = slice_fields(slice, held->second.m_epoch, held->second.m_exit_reason);
         fields["to"] = member_text(location.m_owner);
         log_event(output, log_level::info, "released", std::move(fields));
+        // A higher epoch shows that the receiver has recorded the slice and passed it on.
+        if (location.m_epoch == held->second.m_epoch + 1)
+            state.m_ownership.m_released[slice] = {held->second.m_epoch, location.m_owner};
     }
     drop_slice(state, slice, released ? "released" : "superseded", output);
 }
--- a/libs/core/src/ownership_join.cpp
+++ b/libs/core/src/ownership_join.cpp
@@ -85,6 +85,7 @@
     own.m_entry_changes.clear();
     own.m_unowned_since.clear();
     own.m_refused_releases.clear();
+    own.m_released.clear();
     own.m_shards_to_read.clear();
     own.m_join_since = now;
     own.m_phase = join_phase::reading_cluster;
--- a/libs/core/src/plan_change.cpp
+++ b/libs/core/src/plan_change.cpp
@@ -16,6 +16,10 @@
         if (held.m_recorded && held.m_phase != slice_phase::taking_back)
             result.push_back({slice, held.m_epoch});
     }
+    for (const auto& [slice, released] : own.m_released) {
+        if (own.m_slices.count(slice) == 0)
+            result.push_back({slice, released.m_epoch});
+    }
     return result;
 }
 
@@ -26,6 +30,10 @@
         if (held.m_recorded && held.m_planned_move)
             result.push_back({slice, held.m_target});
     }
+    for (const auto& [slice, released] : own.m_released) {
+        if (own.m_slices.count(slice) == 0)
+            result.push_back({slice, released.m_receiver});
+    }
     return result;
 }
 
--- a/libs/core/src/slice_exit.cpp
+++ b/libs/core/src/slice_exit.cpp
@@ -163,6 +163,26 @@
         take_back(state, now, slice, held);
 }
 
+/// Whether the receiver has written the slice table entry: its plan lists only recorded slices, and
+/// it passes on only what its plan lists.
+bool is_recorded(const node_state& state, const slice_id& slice, const released_slice& released)
+{
+    const auto location = locate(state.m_directory, slice);
+    if (location && location->m_epoch > released.m_epoch + 1)
+        return true;
+    const auto* plan = find_plan(state.m_directory, released.m_receiver);
+    return plan != nullptr && lists_slice(*plan, slice, released.m_epoch + 1);
+}
+
+void forget_recorded(node_state& state)
+{
+    auto& released = state.m_ownership.m_released;
+    for (auto entry = released.begin(); entry != released.end();) {
+        const bool recorded = is_recorded(state, entry->first, entry->second);
+        entry = recorded ? released.erase(entry) : std::next(entry);
+    }
+}
+
 } // namespace
 
 void set_phase(held_slice& held, slice_phase phase, time_point now)
@@ -193,6 +213,7 @@
 {
     for (auto& [slice, held] : state.m_ownership.m_slices)
         step_slice(state, now, slice, held);
+    forget_recorded(state);
 }
 
 } // namespace azureladder::core
