Look for slices without an owner only when inputs changed

Cause: an idle node went through all slices of its spaces twice a second, although almost always each had a live owner, and it computed the assignment by sorting all nodes for each slice with two hashes in each comparison. The choice of standbys sorted all plans with two hashes or a check of all records in each comparison.

Ruled out: a pass only on a timer, because a new orphan would wait for it.

--- a/libs/core/include/azureladder/core/ownership_state.hpp
+++ b/libs/core/include/azureladder/core/ownership_state.hpp
@@ -236,6 +236,12 @@
     time_point m_next_balance{};
     std::uint64_t m_balance_round = 0;
 
+    /// Inputs of the last pass over all slices, and whether it found a slice that may be acquired
+    /// later although they stay the same.
+    std::uint64_t m_acquire_inputs = 0;
+    bool m_acquire_waits = true;
+    time_point m_next_full_pass{};
+
     // Stop.
     /// Time since which no request is open after a stop was requested.
     time_point m_stop_idle_since{};
--- a/libs/core/src/balance.cpp
+++ b/libs/core/src/balance.cpp
@@ -20,6 +20,15 @@
 /// adopted. The polling nodes read all plans meanwhile, so that the newest version is known.
 constexpr duration replaced_wait = seconds(5);
 
+/// Time after which slices without an owner are looked for although nothing has changed. A pass
+/// over 16,384 slices takes about 10 ms, so that it costs little at this interval.
+constexpr duration full_pass_interval = seconds(10);
+
+std::uint64_t slice_seed(const slice_id& slice)
+{
+    return hash64(slice.m_space, slice.m_index);
+}
+
 bool is_eligible(const node_state& state, const plan& candidate, const std::string& space)
 {
     const auto& document = state.m_configuration.m_document;
@@ -49,22 +58,31 @@
     return nodes;
 }
 
+/// Node with the highest score among those below the load limit, for each slice. Each score is
+/// computed once: sorting the nodes for each slice took seconds with thousands of slices.
 std::vector<node_id> assign(const std::string& space, std::uint32_t slices,
                             const std::vector<node_id>& nodes)
 {
     std::vector<node_id> owners(slices);
-    if (nodes.empty())
-        return owners;
-    std::map<node_id, std::size_t> load;
-    const auto limit = load_limit(slices, nodes.size());
+    std::vector<std::size_t> load(nodes.size());
+    const auto limit = nodes.empty() ? 0 : load_limit(slices, nodes.size());
     for (std::uint32_t index = 0; index < slices; ++index) {
-        for (const auto& node : ranked({space, index}, nodes)) {
-            if (load[node] >= limit)
+        const auto seed = slice_seed({space, index});
+        std::optional<std::size_t> best;
+        std::uint64_t best_score = 0;
+        for (std::size_t i = 0; i < nodes.size(); ++i) {
+            if (load[i] >= limit)
                 continue;
-            ++load[node];
-            owners[index] = node;
-            break;
+            const auto score = hash64(nodes[i], seed);
+            if (!best || score > best_score) {
+                best = i;
+                best_score = score;
+            }
         }
+        if (!best)
+            continue;
+        ++load[*best];
+        owners[index] = nodes[*best];
     }
     return owners;
 }
@@ -74,6 +92,7 @@
 bool is_own_turn(node_state& state, time_point now, const slice_id& slice,
                  const std::vector<node_id>& eligible)
 {
+    state.m_ownership.m_acquire_waits = true;
     const auto since = state.m_ownership.m_unowned_since.emplace(slice, now).first->second;
     const auto& desired = desired_owners(state, slice.m_space);
     const auto& node = state.m_identity.m_node;
@@ -98,6 +117,8 @@
     change.m_claims_lost = orphan;
     own.m_entry_changes[slice] = change;
     own.m_unowned_since.erase(slice);
+    // The write may fail without a change of what this node knows.
+    own.m_acquire_waits = true;
 }
 
 bool is_superseded(const node_state& state, const member_ref& member)
@@ -132,6 +153,7 @@
         unowned.erase(slice);
         return false;
     }
+    state.m_ownership.m_acquire_waits = true;
     const auto since = unowned.emplace(slice, now).first->second;
     return now >= since + replaced_wait && is_own_turn(state, now, slice, eligible);
 }
@@ -174,6 +196,50 @@
     }
 }
 
+void add_to_hash(std::uint64_t& hash, std::uint64_t value)
+{
+    hash = hash64({reinterpret_cast<const char*>(&value), sizeof(value)}, hash);
+}
+
+/// Hash of all that decides, apart from the time, whether this node may acquire a slice: owners and
+/// plans, records, own slices, and the promises with the plan versions that they refer to.
+std::uint64_t acquire_inputs(const node_state& state, const std::string& service)
+{
+    const auto& own = state.m_ownership;
+    auto hash = hash64(service, digest(state.m_directory));
+    add_to_hash(hash, state.m_configuration.m_document.m_revision);
+    add_to_hash(hash, state.m_incarnation);
+    add_to_hash(hash, own.m_slices.size());
+    for (const auto& [member, promises] : own.m_promises) {
+        add_to_hash(hash, member.m_incarnation);
+        for (const auto& [witness, version] : promises) {
+            add_to_hash(hash, witness.m_incarnation);
+            add_to_hash(hash, version);
+        }
+        const auto history = own.m_plan_history.find(member);
+        if (history == own.m_plan_history.end())
+            continue;
+        for (const auto& known : history->second)
+            add_to_hash(hash, known.first);
+    }
+    return hash;
+}
+
+/// Whether a pass over all slices can find one to acquire. After a pass that found none and that
+/// waits for none, only a change of its inputs can bring one.
+bool acquire_due(node_state& state, time_point now, const std::string& service)
+{
+    auto& own = state.m_ownership;
+    const auto inputs = acquire_inputs(state, service);
+    if (inputs == own.m_acquire_inputs && !own.m_acquire_waits && own.m_entry_changes.empty() &&
+        now < own.m_next_full_pass)
+        return false;
+    own.m_acquire_inputs = inputs;
+    own.m_acquire_waits = false;
+    own.m_next_full_pass = now + full_pass_interval;
+    return true;
+}
+
 bool move_pending(const ownership_state& own)
 {
     return std::any_of(own.m_slices.begin(), own.m_slices.end(), [](const auto& entry) {
@@ -247,7 +313,7 @@
 
 std::uint64_t rendezvous_score(const slice_id& slice, const node_id& node)
 {
-    return hash64(node, hash64(slice.m_space, slice.m_index));
+    return hash64(node, slice_seed(slice));
 }
 
 std::vector<std::string> spaces_of_node(const node_state& state, const std::string& service)
@@ -308,8 +374,10 @@
         return;
     const auto service = state.m_backend ? state.m_backend->m_service : std::string();
     const auto spaces = spaces_of_node(state, service);
-    for (const auto& space : spaces)
-        acquire_in_space(state, now, space);
+    if (acquire_due(state, now, service)) {
+        for (const auto& space : spaces)
+            acquire_in_space(state, now, space);
+    }
     move_slices(state, now, spaces);
 }
 
--- a/libs/core/src/plan_members.cpp
+++ b/libs/core/src/plan_members.cpp
@@ -31,14 +31,18 @@
 /// Plans of the other nodes that may become witnesses or standbys, in rank order.
 std::vector<const plan*> usable_plans(const node_state& state, time_point now)
 {
-    std::vector<const plan*> result;
+    // Ranks are computed once for each plan, not for each comparison.
+    std::vector<std::pair<std::uint64_t, const plan*>> ranked;
     for (const auto* candidate : newest_plans(state.m_directory)) {
         if (is_usable_member(state, now, candidate->m_member))
-            result.push_back(candidate);
+            ranked.emplace_back(rank_for(state, candidate->m_member.m_node), candidate);
     }
-    std::sort(result.begin(), result.end(), [&](const plan* a, const plan* b) {
-        return rank_for(state, a->m_member.m_node) < rank_for(state, b->m_member.m_node);
-    });
+    std::sort(ranked.begin(), ranked.end(),
+              [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::vector<const plan*> result;
+    result.reserve(ranked.size());
+    for (const auto& entry : ranked)
+        result.push_back(entry.second);
     return result;
 }
 
@@ -119,25 +123,35 @@
 std::vector<member_ref> choose_standbys(const node_state& state, time_point now,
                                         const std::vector<member_ref>& current)
 {
-    const auto candidates = usable_plans(state, now);
+    struct ranked_plan
+    {
+        const plan* m_plan;
+        bool m_able;
+        std::tuple<bool, bool, bool> m_key;
+    };
     const auto& own_zone = state.m_identity.m_zone;
     // Order: able to serve, other zone, already chosen, rank. Stable sort keeps the rank order.
-    std::vector<const plan*> order = candidates;
-    const auto key = [&](const plan* value) {
-        return std::make_tuple(!can_stand_by(state, *value), value->m_zone == own_zone,
-                               !contains(current, value->m_member));
-    };
+    std::vector<ranked_plan> order;
+    for (const auto* value : usable_plans(state, now)) {
+        const bool able = can_stand_by(state, *value);
+        order.push_back({value, able,
+                         std::make_tuple(!able, value->m_zone == own_zone,
+                                         !contains(current, value->m_member))});
+    }
     std::stable_sort(order.begin(), order.end(),
-                     [&](const plan* a, const plan* b) { return key(a) < key(b); });
+                     [](const ranked_plan& a, const ranked_plan& b) { return a.m_key < b.m_key; });
     std::vector<member_ref> result;
     const auto count = state.m_options.m_standby_count;
-    const bool any_able = !order.empty() && can_stand_by(state, *order.front());
+    const bool any_able = !order.empty() && order.front().m_able;
     for (const bool new_zone_only : {true, false}) {
-        for (const auto* value : order) {
-            const bool able = !any_able || can_stand_by(state, *value);
-            const bool fits = !new_zone_only || zones_of(state, result).count(value->m_zone) == 0;
-            if (result.size() < count && able && fits && !contains(result, value->m_member))
-                result.push_back(value->m_member);
+        for (const auto& entry : order) {
+            if (result.size() >= count)
+                break;
+            const auto& value = *entry.m_plan;
+            const bool able = !any_able || entry.m_able;
+            const bool fits = !new_zone_only || zones_of(state, result).count(value.m_zone) == 0;
+            if (able && fits && !contains(result, value.m_member))
+                result.push_back(value.m_member);
         }
     }
     // The order decides which standby takes over a slice, so an unchanged set keeps its order.
