Prefer witnesses when a standby is chosen

Cause: lease requests go to standbys too, so that their answers show that they live. A standby that is chosen after the witnesses was often none of them; a node of 16 sent 20 requests a second on average instead of 15.

Among standbys of equal rank by service, zone and previous choice, a witness now comes first, as the first witnesses are already chosen among the standbys. A takeover needs the promises of a majority of the witnesses in any case, and the loss of the node with one standby has the same effect as before. Replacing present standbys was ruled out, because each change of the set moves claims.

--- a/libs/core/src/plan_members.cpp
+++ b/libs/core/src/plan_members.cpp
@@ -127,16 +127,19 @@
     {
         const plan* m_plan;
         bool m_able;
-        std::tuple<bool, bool, bool> m_key;
+        std::tuple<bool, bool, bool, bool> m_key;
     };
     const auto& own_zone = state.m_identity.m_zone;
-    // Order: able to serve, other zone, already chosen, rank. Stable sort keeps the rank order.
+    const auto& witnesses = state.m_ownership.m_plan.m_witnesses;
+    // Order: able to serve, other zone, already chosen, witness, rank. A standby that is a witness
+    // needs no lease messages of its own. Stable sort keeps the rank order.
     std::vector<ranked_plan> order;
     for (const auto* value : usable_plans(state, now)) {
         const bool able = can_stand_by(state, *value);
-        order.push_back({value, able,
-                         std::make_tuple(!able, value->m_zone == own_zone,
-                                         !contains(current, value->m_member))});
+        order.push_back(
+            {value, able,
+             std::make_tuple(!able, value->m_zone == own_zone, !contains(current, value->m_member),
+                             !contains(witnesses, value->m_member))});
     }
     std::stable_sort(order.begin(), order.end(),
                      [](const ranked_plan& a, const ranked_plan& b) { return a.m_key < b.m_key; });
