Measure zones, classes, extra attempts and direct calls in experiments

The runner could not state the imbalance by zone, the share of forwards to other zones, the load that hedges and retries add, latency against direct calls, or outcomes by class, and it had no run without faults beside runs with faults. Variants may now replace the timeline.

--- a/testbench/bench/azureladder_bench/experiment.py
+++ b/testbench/bench/azureladder_bench/experiment.py
@@ -33,6 +33,8 @@
     settings: dict = dataclasses.field(default_factory=dict)
     service_fields: dict = dataclasses.field(default_factory=dict)
     load: dict = dataclasses.field(default_factory=dict)
+    # Replaces the timeline of the experiment; [] is a run without faults.
+    timeline: list | None = None
 
 
 @dataclasses.dataclass
@@ -44,6 +46,7 @@
     load: dict
     repetitions: int = 1
     seed: int = 1
+    direct: dict = dataclasses.field(default_factory=dict)
     settings: dict = dataclasses.field(default_factory=dict)
     backend: dict = dataclasses.field(default_factory=dict)
     zone_delay_ms: float = 0
@@ -105,8 +108,10 @@
         raise ExperimentError(f"repetitions: expected 1 to {MAX_REPETITIONS}")
     if not 0 < experiment.load.get("duration_s", 0) <= MAX_DURATION_S:
         raise ExperimentError(f"load.duration_s: expected a number up to {MAX_DURATION_S}")
-    for index, action in enumerate(experiment.timeline):
-        check_action(index, action)
+    timelines = [one.timeline for one in experiment.variants if one.timeline is not None]
+    for timeline in (experiment.timeline, *timelines):
+        for index, action in enumerate(timeline):
+            check_action(index, action)
     names = [variant.name for variant in experiment.variants]
     if len(set(names)) != len(names):
         raise ExperimentError("variants: expected different names")
@@ -129,8 +134,10 @@
         raise ExperimentError(f"variants: {error}") from error
     experiment = Experiment(**fields)
     experiment.variants = experiment.variants or [Variant("only")]
-    experiment.timeline = sorted(experiment.timeline, key=lambda one: one.get("at_s", 0))
     check(experiment)
+    for owner in (experiment, *experiment.variants):
+        if owner.timeline is not None:
+            owner.timeline = sorted(owner.timeline, key=lambda one: one["at_s"])
     return experiment
 
 
--- a/testbench/bench/azureladder_bench/measures.py
+++ b/testbench/bench/azureladder_bench/measures.py
@@ -21,6 +21,8 @@
     outcome: str
     executed: str
     server: str
+    request_class: str = ""
+    request_id: str = ""
 
     def latency_us(self):
         """Time from the scheduled arrival to the end of the call."""
@@ -52,7 +54,7 @@
             start = started.pop(line["request_id"])
             calls.append(Call(start["service"], start["key"], start["scheduled_mono_us"],
                               line["mono_us"], line["outcome"], line["executed"],
-                              line["server"]))
+                              line["server"], start.get("class", ""), line["request_id"]))
     calls.sort(key=lambda call: call.scheduled_us)
     return calls
 
@@ -107,11 +109,43 @@
     return max(counts.values()) * len(servers) / total if total and servers else 0
 
 
+def zone_imbalance(calls, servers):
+    """As `imbalance`, with the requests for each server of a zone; `servers` gives the zones."""
+    sizes = collections.Counter(servers.values())
+    counts = collections.Counter(servers[call.server] for call in calls if call.server in servers)
+    total = sum(counts.values())
+    busiest = max((count / sizes[zone] for zone, count in counts.items()), default=0)
+    return busiest * len(servers) / total if total else 0
+
+
+def by_class(calls):
+    """Calls, successes and latency of each class."""
+    groups = collections.defaultdict(list)
+    for call in calls:
+        groups[call.request_class].append(call)
+    return {name: {"calls": len(group), "ok": sum(call.is_ok() for call in group),
+                   "latency": latencies(group)} for name, group in sorted(groups.items())}
+
+
+def goodput(calls):
+    """Successes for each second in which calls were scheduled to arrive."""
+    span_us = max(calls[-1].scheduled_us - calls[0].scheduled_us, 1) if calls else 1
+    return sum(call.is_ok() for call in calls) * US_PER_S / span_us
+
+
+def last_failure_s(calls):
+    """Time from the first call to the arrival of the last failed one; 0 without failures."""
+    failed = [call.scheduled_us for call in calls if not call.is_ok()]
+    return (max(failed) - calls[0].scheduled_us) / US_PER_S if failed else 0
+
+
 def service_measures(calls, is_divided, servers):
     """All measures of one service in a period."""
     ok_count = sum(call.is_ok() for call in calls)
     return {"calls": len(calls), "ok": ok_count,
-            "ok_share": ok_count / len(calls) if calls else 0,
+            "ok_share": ok_count / len(calls) if calls else 0, "goodput": goodput(calls),
+            "last_failure_s": last_failure_s(calls), "classes": by_class(calls),
+            "zone_imbalance": zone_imbalance(calls, servers),
             "latency": latencies(calls), "unavailable": unavailable(calls, is_divided),
             "imbalance": imbalance(calls, servers), **outcomes(calls)}
 
@@ -130,7 +164,7 @@
         own = [call for call in calls if call.service == service]
         if own:
             result[service] = service_measures(own, service in divided, servers[service])
-    result["all"] = service_measures(calls, False, [])
+    result["all"] = service_measures(calls, False, {})
     return result
 
 
@@ -150,6 +184,48 @@
     return dict(reasons)
 
 
+def log_events(logs, names):
+    """Lines of the logs whose event is one of `names`."""
+    marks = [f'"event":"{name}"' for name in names]
+    for path in logs:
+        with open(path, encoding="utf-8", errors="replace") as file:
+            relevant = [line for line in file if any(mark in line for mark in marks)]
+        for text in relevant:
+            try:
+                yield json.loads(text)
+            except json.JSONDecodeError:
+                continue
+
+
+def routing_measures(logs, calls, zones):
+    """What the routers did for the calls; `zones` gives the zone of each node."""
+    own = {call.request_id for call in calls}
+    forwards = cross_zone = 0
+    forwarded = set()
+    dispatches = collections.Counter()
+    for line in log_events(logs, ("request_forwarded", "request_dispatched")):
+        if line["request_id"] not in own:
+            continue
+        if line["event"] == "request_dispatched":
+            dispatches[line["request_id"]] += 1
+            continue
+        forwards += 1
+        cross_zone += zones[line["node"]] != zones[line["to"]]
+        forwarded.add(line["request_id"])
+    hops = {True: [], False: []}
+    for call in calls:
+        hops[call.request_id in forwarded].append(call)
+    return {"forwards": forwards, "cross_zone_share": cross_zone / forwards if forwards else 0,
+            "extra_dispatch_share":
+                sum(dispatches.values()) / len(dispatches) - 1 if dispatches else 0,
+            "one_hop": latencies(hops[False]), "two_hops": latencies(hops[True])}
+
+
+def overloaded_executions(logs):
+    """Executions that a cold backend server started above its bound."""
+    return sum(bool(line.get("overload")) for line in log_events(logs, ("execution_started",)))
+
+
 def difference(after, before):
     """Difference of the numbers of two flat objects."""
     return {name: value - before.get(name, 0) for name, value in after.items()
@@ -179,14 +255,32 @@
         metrics[f"{service}.unavailable_longest_ms"] = values["unavailable"]["longest_ms"]
         if service != "all":
             metrics[f"{service}.imbalance"] = values["imbalance"]
+            metrics[f"{service}.zone_imbalance"] = values["zone_imbalance"]
     router = run["usage"].get("router", {})
     calls = run["services"]["all"]["calls"]
     metrics["router.cpu_s"] = router.get("cpu_s", 0)
     metrics["router.cpu_us_per_call"] = router.get("cpu_s", 0) * US_PER_S / max(calls, 1)
     metrics["router.max_resident_kb"] = router.get("max_resident_kb", 0)
+    routing = run["routing"]
+    metrics["router.max_cpu_us_per_call"] = \
+        router.get("max_cpu_s", 0) * US_PER_S / max(calls, 1)
+    metrics["routing.cross_zone_share"] = routing["cross_zone_share"]
+    metrics["routing.extra_dispatch_share"] = routing["extra_dispatch_share"]
+    metrics["backend.overloaded_executions"] = run["overloaded_executions"]
+    for hops in ("one_hop", "two_hops"):
+        metrics[f"routing.{hops}_p50_us"] = routing[hops]["p50_us"]
+        if run["direct"]:
+            metrics[f"routing.{hops}_added_p50_us"] = \
+                routing[hops]["p50_us"] - run["direct"]["p50_us"]
     metrics["ownership_changes"] = sum(run["ownership_changes"].values())
     metrics["violations"] = run["audit"]["violations"]
     for window, services in run["windows"].items():
         metrics[f"{window}.ok_share"] = services["all"]["ok_share"]
-        metrics[f"{window}.p99_us"] = services["all"]["latency"]["p99_us"]
+        for service, values in services.items():
+            for share in ("p99_us", "p99.9_us"):
+                metrics[f"{window}.{service}.{share}"] = values["latency"][share]
+            metrics[f"{window}.{service}.goodput"] = values["goodput"]
+            metrics[f"{window}.{service}.last_failure_s"] = values["last_failure_s"]
+            for name, one in values["classes"].items():
+                metrics[f"{window}.{service}.{name}.ok_share"] = one["ok"] / one["calls"]
     return metrics
--- a/testbench/bench/azureladder_bench/run.py
+++ b/testbench/bench/azureladder_bench/run.py
@@ -61,15 +61,36 @@
     def start_load(self):
         """Starts the load generator."""
         settings = merged(self.experiment.load, self.variant.load)
-        settings = merged(settings, {"seed": self.seed, "id_prefix": f"load-{self.seed}",
-                                     "targets": self.deployment.caller_targets()})
-        path = self.directory / "load.json"
+        return self.start_generator("load", settings, self.deployment.caller_targets(),
+                                    "callers.jsonl")
+
+    def start_direct_load(self):
+        """Starts a second load generator that calls backend servers without a router."""
+        if not self.experiment.direct:
+            return None
+        settings = merged({"duration_s": self.experiment.load["duration_s"]},
+                          self.experiment.direct)
+        services = {one["name"] for one in settings["services"]}
+        targets = [node.backend for node in self.deployment.nodes.values()
+                   if node.service in services]
+        return self.start_generator("direct", settings, targets, "direct.jsonl")
+
+    def start_generator(self, name, settings, targets, history):
+        """Starts a load generator with the given targets."""
+        settings = merged(settings, {"seed": self.seed, "id_prefix": f"{name}-{self.seed}",
+                                     "targets": targets})
+        path = self.directory / f"{name}.json"
         path.write_text(json.dumps(settings, indent=1), encoding="utf-8")
         return self.group.start(
-            "load", "load",
+            "load", name,
             [self.deployment.program("azureladder-load"), "--config", path, "--history",
-             self.directory / "callers.jsonl", "--report", self.directory / "load-report.json"],
-            self.directory / "load.out")
+             self.directory / history, "--report", self.directory / f"{name}-report.json"],
+            self.directory / f"{name}.out")
+
+    def direct_latencies(self):
+        """Latencies of the calls without a router; none when the experiment has no such load."""
+        path = self.directory / "direct.jsonl"
+        return measures.latencies(measures.read_calls(path)) if path.exists() else None
 
     def run_load(self):
         """Runs the load with the timeline and collects the measures."""
@@ -78,8 +99,13 @@
         calls_before = self.deployment.store_calls()
         start_us = boot_time_us()
         load = self.start_load()
-        timeline = Timeline(self.deployment, self.experiment.timeline)
+        direct = self.start_direct_load()
+        actions = self.experiment.timeline if self.variant.timeline is None \
+            else self.variant.timeline
+        timeline = Timeline(self.deployment, actions)
         self.follow(load, timeline, start_us)
+        if direct is not None and direct.wait(LOAD_LIMIT_S) != 0:
+            raise RuntimeError(f"the direct load failed; see {self.directory}/direct.out")
         if load.popen.returncode != 0:
             raise RuntimeError(f"the load generator ended with status {load.popen.returncode}; "
                                f"see {self.directory}/load.out")
@@ -106,11 +132,14 @@
         divided = divided_services(self.experiment)
         servers = {}
         for node in self.deployment.nodes.values():
-            servers.setdefault(node.service, []).append(node.server)
+            servers.setdefault(node.service, {})[node.server] = node.zone
         usage = self.group.usage()
         for role, values in usage.items():
             # CPU time of the start-up is not part of the measurement.
             values["cpu_s"] -= usage_before.get(role, {}).get("cpu_s", 0)
+        router_logs = [path for path in self.deployment.logs() if path.suffix == ".log"]
+        execution_logs = [path for path in self.deployment.logs() if path.suffix != ".log"]
+        zones = {node.name: node.zone for node in self.deployment.nodes.values()}
         report = json.loads((self.directory / "load-report.json").read_text(encoding="utf-8"))
         return {
             "variant": self.variant.name, "seed": self.seed, "directory": str(self.directory),
@@ -123,7 +152,10 @@
             "store_calls": measures.difference(self.deployment.store_calls(), calls_before),
             "traffic": measures.proxy_traffic(self.deployment.proxy_status()),
             "ownership_changes": measures.ownership_changes(
-                [path for path in self.deployment.logs() if path.suffix == ".log"], start_us),
+                router_logs, start_us),
+            "routing": measures.routing_measures(router_logs, calls, zones),
+            "overloaded_executions": measures.overloaded_executions(execution_logs),
+            "direct": self.direct_latencies(),
             "load": report}
 
     def stop_deployment(self):
--- a/testbench/bench/tests/test_bench.py
+++ b/testbench/bench/tests/test_bench.py
@@ -101,6 +101,28 @@
         calls = [call(0), call(1, server="s2")]
         self.assertEqual(measures.imbalance(calls, ["s1", "s2", "s3"]), 1.5)
 
+    def test_zone_imbalance_counts_servers(self):
+        """A zone with two servers may take twice the requests of a zone with one."""
+        zones = {"s1": "a", "s2": "a", "s3": "b"}
+        balanced = [call(0), call(1, server="s2"), call(2, server="s3")]
+        self.assertEqual(measures.zone_imbalance(balanced, zones), 1)
+        self.assertEqual(measures.zone_imbalance([call(0, server="s3")], zones), 3)
+
+    def test_routing_counts_hedges_and_zones(self):
+        """Requests of others and lines that are cut do not count; a second dispatch does."""
+        lines = [{"event": "request_forwarded", "request_id": "r", "node": "n1", "to": "n2"},
+                 {"event": "request_dispatched", "request_id": "r", "node": "n2"},
+                 {"event": "request_dispatched", "request_id": "r", "node": "n1"},
+                 {"event": "request_dispatched", "request_id": "other", "node": "n1"}]
+        calls = [measures.Call("a", "", 0, 7, "ok", "yes", "s1", request_id="r")]
+        with tempfile.NamedTemporaryFile("w") as file:
+            file.write("\n".join(json.dumps(line, separators=(",", ":")) for line in lines))
+            file.flush()
+            found = measures.routing_measures([file.name], calls, {"n1": "a", "n2": "b"})
+        self.assertEqual((found["forwards"], found["cross_zone_share"]), (1, 1))
+        self.assertEqual(found["extra_dispatch_share"], 1)
+        self.assertEqual((found["two_hops"]["p50_us"], found["one_hop"]["p50_us"]), (7, 0))
+
     def test_percentile(self):
         """The 99th percentile of 100 values is the second largest."""
         self.assertEqual(measures.percentile(list(range(1, 101)), 0.99), 99)
