Hedge early at nodes with little traffic and despite a straggler

An entry node knew its hedge delay only after 128 replies; at 12 requests/s that is 10 s, in which nothing was hedged. Later the delay was the plain 95th percentile, which is the latency of the straggler itself as soon as it gives more than 5 % of the replies. The delay is now known after 32 replies and is at most three times the median; the budget of 5 % still bounds the hedges. The new test failed before (delay zero) and passes now.

--- a/libs/core/include/azureladder/core/upstream_measure.hpp
+++ b/libs/core/include/azureladder/core/upstream_measure.hpp
@@ -68,7 +68,7 @@
     std::array<std::uint32_t, latency_count> m_latencies{};
     std::uint64_t m_latency_samples = 0;
 
-    /// 95th percentile of the latest latencies; zero until known.
+    /// 95th percentile of the latest latencies, at most 3 times their median; zero until known.
     duration m_hedge_delay{0};
 
     /// Retries and hedges that are allowed whatever the traffic in the budget period.
--- a/libs/core/src/upstream_measure.cpp
+++ b/libs/core/src/upstream_measure.cpp
@@ -34,6 +34,14 @@
 constexpr std::size_t percentile = 95;
 constexpr std::size_t percent_base = 100;
 
+/// Replies before the percentile is trusted. A larger number would leave entry nodes with little
+/// traffic without hedges for many seconds.
+constexpr std::uint64_t min_percentile_samples = 32;
+
+/// Longest hedge delay as a multiple of the median latency. The percentile alone becomes the
+/// latency of a straggler as soon as it has more than 5 % of the replies.
+constexpr std::uint32_t hedge_median_factor = 3;
+
 void update_window(upstream_measure& upstream, double latency_us)
 {
     auto& base = upstream.m_base_latency_us;
@@ -50,12 +58,18 @@
     service.m_latencies[service.m_latency_samples % count] =
         static_cast<std::uint32_t>(std::min<std::int64_t>(latency.count(), UINT32_MAX));
     ++service.m_latency_samples;
-    if (service.m_latency_samples < count || service.m_latency_samples % percentile_period != 0)
+    if (service.m_latency_samples < min_percentile_samples ||
+        service.m_latency_samples % percentile_period != 0)
         return;
     auto sorted = service.m_latencies;
-    auto* rank = sorted.begin() + count * percentile / percent_base;
-    std::nth_element(sorted.begin(), rank, sorted.end());
-    service.m_hedge_delay = std::max<duration>(duration(*rank), milliseconds(1));
+    const auto known = std::min<std::size_t>(count, service.m_latency_samples);
+    auto* const end = sorted.begin() + known;
+    auto* const rank = sorted.begin() + known * percentile / percent_base;
+    std::nth_element(sorted.begin(), rank, end);
+    auto* const middle = sorted.begin() + known / 2;
+    std::nth_element(sorted.begin(), middle, rank);
+    const auto delay = std::min(*rank, hedge_median_factor * *middle);
+    service.m_hedge_delay = std::max<duration>(duration(delay), milliseconds(1));
 }
 
 void smooth_latency(upstream_measure& upstream, double latency_us)
--- a/libs/core/tests/routing_spread_test.cpp
+++ b/libs/core/tests/routing_spread_test.cpp
@@ -135,6 +135,20 @@
     EXPECT_TRUE(all<answer_with_reply>().empty());
 }
 
+// Guards against entry nodes with little traffic that never hedge, and against a straggler whose
+// own latency delays the hedges that should hide it.
+TEST_F(routing_spread, hedge_delay_is_known_early_and_not_raised_by_a_straggler)
+{
+    service_measure service;
+    for (int count = 0; count < 32; ++count) {
+        const bool slow = count % 4 == 0;
+        note_reply(service, service.m_upstreams[{slow ? "b" : "c", 1}],
+                   milliseconds(slow ? 100 : 10));
+    }
+    EXPECT_GE(service.m_hedge_delay, milliseconds(10));
+    EXPECT_LE(service.m_hedge_delay, milliseconds(30));
+}
+
 // Guards against more hedges than 5 % of the requests.
 TEST_F(routing_spread, hedges_stay_within_the_budget)
 {
