Test a returned straggler with one request

After an ejection an entry node took the upstream as an average one and needed five samples, of which the smoothed latency hid the first, so each node sent it four to five more slow requests after each return. A returned upstream now gets one request at a time, and the latency of the first replaces the smoothed one. The new test fails without the change and passes with it.

--- a/libs/core/include/azureladder/core/upstream_measure.hpp
+++ b/libs/core/include/azureladder/core/upstream_measure.hpp
@@ -41,6 +41,10 @@
     duration m_ejection_time{0};
     bool m_ejected = false;
 
+    /// Returned from an ejection: gets one request at a time until its first latency is known,
+    /// which replaces the smoothed one.
+    bool m_on_probation = false;
+
     /// Unreachable or leaving: other upstreams are preferred until then.
     time_point m_avoid_until{};
     double m_reported_load = -1.0;
--- a/libs/core/src/routing_candidates.cpp
+++ b/libs/core/src/routing_candidates.cpp
@@ -62,7 +62,8 @@
     choice.m_limit = known.m_window;
     choice.m_latency_us = effective_latency_us(known);
     choice.m_reported_load = known.m_reported_load;
-    choice.m_avoided = known.m_ejected || step.m_now < known.m_avoid_until;
+    choice.m_avoided = known.m_ejected || step.m_now < known.m_avoid_until ||
+                       (known.m_on_probation && known.m_in_flight > 0);
     if (candidate.m_member == self(state)) {
         // The own queue and limit are known exactly and include the requests of other nodes.
         const auto& routing = state.m_routing;
--- a/libs/core/src/upstream_measure.cpp
+++ b/libs/core/src/upstream_measure.cpp
@@ -74,9 +74,10 @@
 
 void smooth_latency(upstream_measure& upstream, double latency_us)
 {
-    upstream.m_latency_us = upstream.m_samples == 0 ? latency_us
-                                                    : upstream.m_latency_us * (1.0 - smoothing) +
-                                                          latency_us * smoothing;
+    const bool replaces = upstream.m_samples == 0 || upstream.m_on_probation;
+    upstream.m_on_probation = false;
+    upstream.m_latency_us =
+        replaces ? latency_us : upstream.m_latency_us * (1.0 - smoothing) + latency_us * smoothing;
     ++upstream.m_samples;
 }
 
@@ -162,10 +163,12 @@
     const double median = median_latency_us(service);
     for (auto& [member, upstream] : service.m_upstreams) {
         if (upstream.m_ejected && now >= upstream.m_ejected_until) {
-            // Old measurements would keep it from being selected, so it starts as an average one.
+            // Old measurements would keep it from being selected, so it starts as an average one,
+            // and a single request decides whether it still is a straggler.
             upstream.m_ejected = false;
             upstream.m_latency_us = median;
-            upstream.m_samples = 1;
+            upstream.m_samples = min_samples;
+            upstream.m_on_probation = true;
             changed.push_back(member);
         }
         ejected += upstream.m_ejected ? 1 : 0;
--- a/libs/core/tests/routing_spread_test.cpp
+++ b/libs/core/tests/routing_spread_test.cpp
@@ -188,6 +188,31 @@
     EXPECT_EQ(ejected, 2);
 }
 
+// Guards against a straggler that is sent several requests after each of its ejections.
+TEST_F(routing_spread, returned_upstream_is_tested_by_one_request)
+{
+    for (const auto* node : {"b", "c", "d"}) {
+        for (int count = 0; count < 40; ++count)
+            note_reply(measure(), measure().m_upstreams[{node, 1}],
+                       milliseconds(node == std::string("b") ? 50 : 2));
+    }
+    // The first request makes the candidates known.
+    finish(arrive(make_write()), 1, attempt_outcome::answered);
+    advance(milliseconds(200));
+    ASSERT_TRUE(logged("upstream_ejected"));
+    advance(milliseconds(1200));
+    ASSERT_TRUE(logged("upstream_returned"));
+    const auto token = arrive(make_write());
+    EXPECT_EQ(target(), "b");
+    const auto other = arrive(make_write());
+    EXPECT_NE(target(), "b");
+    finish(other, 1, attempt_outcome::answered);
+    m_now += milliseconds(50);
+    finish(token, 1, attempt_outcome::answered);
+    advance(milliseconds(200));
+    EXPECT_TRUE(logged("upstream_ejected"));
+}
+
 // Guards against requests that follow each other into a frozen upstream.
 TEST_F(routing_spread, upstream_that_stopped_answering_is_ejected)
 {
