Eject an upstream whose requests hedges have overtaken twice in succession

A hedge ends the slow attempt as soon as another upstream answers, so the straggler's measured latency stayed near the hedge delay, below three times the median, and it kept using up the hedge budget. Two requests in succession that another upstream answered after a hedge now eject it; after its return, one is enough. A reply of its own resets the count. The new test failed before and passes now.

--- a/libs/core/include/azureladder/core/upstream_measure.hpp
+++ b/libs/core/include/azureladder/core/upstream_measure.hpp
@@ -36,6 +36,9 @@
     /// Age of the oldest request in flight, so that a frozen upstream is noticed before it answers.
     duration m_oldest_open{0};
 
+    /// Requests in succession that another upstream answered after a hedge.
+    std::uint32_t m_outpaced = 0;
+
     /// Straggler: not selected until then, unless too many would be ejected.
     time_point m_ejected_until{};
     duration m_ejection_time{0};
--- a/libs/core/src/routing_answers.cpp
+++ b/libs/core/src/routing_answers.cpp
@@ -10,6 +10,18 @@
 
 namespace {
 
+/// Counts first attempts that a hedge has overtaken.
+void note_outpaced(routing_step& step, request_token token)
+{
+    const auto& attempts = step.m_state.m_routing.m_attempts;
+    for (auto found = attempts.lower_bound({token, 0});
+         found != attempts.end() && found->first.first == token; ++found) {
+        const auto& attempt = found->second;
+        if (!attempt.m_hedge && !attempt.m_settled)
+            ++measure_of(step.m_state, attempt.m_service).m_upstreams[attempt.m_to].m_outpaced;
+    }
+}
+
 /// Cancels attempts whose outcome is no longer needed. Their slots stay in use until the report.
 /// Must come before the answer, because the runtime forgets the request with its answer.
 void cancel_open_attempts(routing_step& step, request_token token)
@@ -75,6 +87,7 @@
 {
     const auto token = input.m_token;
     const auto& request = *find_request(step.m_state, token);
+    note_outpaced(step, token);
     cancel_open_attempts(step, token);
     step.m_output.emplace_back(answer_with_reply{token, input.m_attempt});
     // A backend server that ran out of time may reply without knowing whether it executed; such a
--- a/libs/core/src/upstream_measure.cpp
+++ b/libs/core/src/upstream_measure.cpp
@@ -20,6 +20,11 @@
 constexpr double straggler_factor = 3.0;
 constexpr std::uint32_t min_samples = 5;
 
+/// An upstream is also a straggler when this many requests in succession were answered by another
+/// upstream after a hedge. Hedges end its slow attempts early, so that its measured latency need
+/// not reach the factor above.
+constexpr std::uint32_t straggler_outpaced = 2;
+
 /// Latency that the way to another availability zone may add: zones are up to 5 ms apart.
 constexpr double other_zone_margin_us = 12000.0;
 constexpr duration first_ejection = seconds(1);
@@ -89,6 +94,8 @@
         repeated ? std::min(upstream.m_ejection_time * 2, longest_ejection) : first_ejection;
     upstream.m_ejected_until = now + upstream.m_ejection_time;
     upstream.m_ejected = true;
+    // After its return, one more request that is answered elsewhere ejects it again.
+    upstream.m_outpaced = straggler_outpaced - 1;
 }
 
 double margin_us(const service_measure& service, const member_ref& member)
@@ -102,6 +109,8 @@
 
 bool is_straggler(const upstream_measure& upstream, double median, double margin)
 {
+    if (upstream.m_outpaced >= straggler_outpaced)
+        return true;
     if (upstream.m_samples < min_samples)
         return false;
     const double latency = effective_latency_us(upstream);
@@ -113,6 +122,7 @@
 void note_reply(service_measure& service, upstream_measure& upstream, duration latency)
 {
     const auto latency_us = static_cast<double>(latency.count());
+    upstream.m_outpaced = 0;
     smooth_latency(upstream, latency_us);
     update_window(upstream, latency_us);
     update_percentile(service, latency);
--- a/libs/core/tests/routing_spread_test.cpp
+++ b/libs/core/tests/routing_spread_test.cpp
@@ -213,6 +213,27 @@
     EXPECT_TRUE(logged("upstream_ejected"));
 }
 
+// Guards against hedges that hide a straggler from the measurement that would eject it.
+TEST_F(routing_spread, upstream_that_lost_to_hedges_is_ejected)
+{
+    for (const auto* node : {"b", "c", "d"}) {
+        for (int count = 0; count < 10; ++count)
+            note_reply(measure(), measure().m_upstreams[{node, 1}], milliseconds(10));
+    }
+    measure().m_hedge_delay = milliseconds(15);
+    measure().m_hedges.m_floor = 10;
+    for (int count = 0; count < 2; ++count) {
+        const auto token = arrive(make_info("shop"));
+        EXPECT_EQ(target(), "b");
+        advance(milliseconds(20));
+        ASSERT_EQ(all<forward_request>().size(), 1U);
+        finish(token, 2, attempt_outcome::answered);
+        finish(token, 1, attempt_outcome::lost);
+    }
+    advance(milliseconds(200));
+    EXPECT_TRUE(logged("upstream_ejected"));
+}
+
 // Guards against requests that follow each other into a frozen upstream.
 TEST_F(routing_spread, upstream_that_stopped_answering_is_ejected)
 {
