Keep the limit at one while the backend server announces that it is cold

Replies doubled the limit although the backend server still said that it was cold, so a server that bears two requests soon got nine and answered ten times slower. The new test failed before (limit 4) and passes now. Ruled out: growth bounded by latency, which overloads the server at each probe, and detection by latency alone, which takes an overloaded or straggling server for a cold one.

--- a/libs/core/src/routing_backend.cpp
+++ b/libs/core/src/routing_backend.cpp
@@ -237,6 +237,10 @@
     --limit.m_in_flight;
     switch (input.m_outcome) {
     case attempt_outcome::answered:
+        // How much a cold backend server bears is not announced; one request is safe. Replies that
+        // doubled the limit would overload it long before it is warm.
+        if (step.m_state.m_backend && step.m_state.m_backend->m_cold)
+            break;
         log_limit_change(step, note_success(limit, step.m_now - attempt.m_started, step.m_now),
                          "replies");
         break;
--- a/libs/core/tests/routing_backend_test.cpp
+++ b/libs/core/tests/routing_backend_test.cpp
@@ -50,6 +50,22 @@
     }
 }
 
+// Guards against a limit that grows while the backend server still says that it is cold.
+TEST_F(routing_backend, limit_stays_at_one_while_cold_is_announced)
+{
+    warm_up();
+    announce(true, "s1");
+    for (int count = 0; count < 8; ++count) {
+        arrive_class(request_class::standard);
+        EXPECT_EQ(answer_all(), 1U);
+    }
+    EXPECT_EQ(limit(), 1U);
+    announce(false, "s1");
+    arrive_class(request_class::standard);
+    answer_all();
+    EXPECT_EQ(limit(), 2U);
+}
+
 // Guards against a restart, a cold announcement or a silence that goes unnoticed.
 TEST_F(routing_backend, new_start_cold_announcement_and_silence_start_cold)
 {
