Wake for hedges and deadlines between ticks

Hedges and deadlines waited for the next tick of 20 ms, which is twice the median latency of the requests that hedges should speed up. The runtime now wakes for the earliest of them; a wake runs the same code as a tick, including the check for a pause of the process.

--- a/libs/node/src/runtime.cpp
+++ b/libs/node/src/runtime.cpp
@@ -18,6 +18,9 @@
 /// Time between two updates of the gauges.
 constexpr duration gauge_interval = seconds(1);
 
+/// Shortest time to a wake between ticks, which bounds their number.
+constexpr duration min_wake_delay = milliseconds(1);
+
 std::uint64_t random_id()
 {
     std::random_device device;
@@ -75,7 +78,7 @@
 
 runtime_impl::runtime_impl(const settings::node_settings& settings, const clock& time,
                            platform::store& store)
-    : m_settings(settings), m_clock(time), m_timer(m_io),
+    : m_settings(settings), m_clock(time), m_timer(m_io), m_wake_timer(m_io),
       m_logger(time, logger_options_of(settings)),
       m_state(core::make_node_state(identity_of(settings), settings.m_core,
                                     settings.m_seed ? *settings.m_seed : random_id())),
@@ -155,6 +158,28 @@
     });
 }
 
+void runtime_impl::schedule_wake()
+{
+    const auto& timers = m_state.m_routing.m_timers;
+    const auto next = timers.empty() ? time_point::max() : timers.begin()->first;
+    const auto now = m_clock.now();
+    // The tick is soon enough for anything later, and an earlier wake looks at the timers again.
+    if (next >= now + m_settings.m_core.m_tick_interval || m_wake_at <= next)
+        return;
+    m_wake_at = next;
+    m_wake_timer.expires_after(std::max(next - now, min_wake_delay));
+    m_wake_timer.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        m_wake_at = time_point::max();
+        const auto& pending = m_state.m_routing.m_timers;
+        if (!pending.empty() && pending.begin()->first <= m_clock.now())
+            on_tick();
+        else
+            schedule_wake();
+    });
+}
+
 void runtime_impl::on_tick()
 {
     // After a pause, messages that arrived meanwhile come before the clock: a witness must not
@@ -179,6 +204,7 @@
     m_logger.set_incarnation(m_state.m_incarnation);
     for (const auto& order : output)
         execute(order);
+    schedule_wake();
 }
 
 void runtime_impl::update_gauges()
--- a/libs/node/src/runtime_impl.hpp
+++ b/libs/node/src/runtime_impl.hpp
@@ -43,6 +43,7 @@
     // Event loop: runtime.cpp.
     void schedule_tick();
     void on_tick();
+    void schedule_wake();
     void handle(const core::event& input);
     void begin_stop();
     void advance_stop();
@@ -84,6 +85,10 @@
     const clock& m_clock;
     boost::asio::io_context m_io;
     boost::asio::steady_timer m_timer;
+
+    /// Fires at the next deadline or hedge of a request, which a tick would delay.
+    boost::asio::steady_timer m_wake_timer;
+    time_point m_wake_at = time_point::max();
     telemetry::logger m_logger;
     telemetry::metrics m_metrics;
     core::node_state m_state;
