Leave the hedge budget for stragglers

The ordinary 5 % above the 95th percentile used up the whole budget before any server was slow. The hedge delay is now at least twice the median latency. The new test fails without the lower bound and passes with it.

--- a/libs/core/src/upstream_measure.cpp
+++ b/libs/core/src/upstream_measure.cpp
@@ -43,9 +43,11 @@
 /// traffic without hedges for many seconds.
 constexpr std::uint64_t min_percentile_samples = 32;
 
-/// Longest hedge delay as a multiple of the median latency. The percentile alone becomes the
-/// latency of a straggler as soon as it has more than 5 % of the replies.
-constexpr std::uint32_t hedge_median_factor = 3;
+/// Bounds of the hedge delay as multiples of the median latency. Below the lower one, the ordinary
+/// 5 % above the percentile would use up the budget that stragglers need. The percentile alone
+/// becomes the latency of a straggler as soon as it has more than 5 % of the replies.
+constexpr std::uint32_t min_hedge_factor = 2;
+constexpr std::uint32_t max_hedge_factor = 3;
 
 void update_window(upstream_measure& upstream, double latency_us)
 {
@@ -73,7 +75,7 @@
     std::nth_element(sorted.begin(), rank, end);
     auto* const middle = sorted.begin() + known / 2;
     std::nth_element(sorted.begin(), middle, rank);
-    const auto delay = std::min(*rank, hedge_median_factor * *middle);
+    const auto delay = std::clamp(*rank, min_hedge_factor * *middle, max_hedge_factor * *middle);
     service.m_hedge_delay = std::max<duration>(duration(delay), milliseconds(1));
 }
 
--- a/libs/core/tests/routing_spread_test.cpp
+++ b/libs/core/tests/routing_spread_test.cpp
@@ -149,6 +149,15 @@
     EXPECT_LE(service.m_hedge_delay, milliseconds(30));
 }
 
+// Guards against ordinary variation that uses up the budget before a straggler appears.
+TEST_F(routing_spread, hedge_delay_is_above_ordinary_latencies)
+{
+    service_measure service;
+    for (int count = 0; count < 32; ++count)
+        note_reply(service, service.m_upstreams[{"b", 1}], milliseconds(8 + count % 4));
+    EXPECT_GE(service.m_hedge_delay, milliseconds(18));
+}
+
 // Guards against more hedges than 5 % of the requests.
 TEST_F(routing_spread, hedges_stay_within_the_budget)
 {
