--- a/testbench/bench/azureladder_bench/measures.py
+++ b/testbench/bench/azureladder_bench/measures.py
@@ -197,8 +197,11 @@
                 continue
 
 
-def routing_measures(logs, calls, zones):
-    """What the routers did for the calls; `zones` gives the zone of each node."""
+def routing_measures(logs, calls, zones, compared=()):
+    """What the routers did for the calls; `zones` gives the zone of each node.
+
+    Latencies by hops are those of the services `compared` with direct calls, or of all.
+    """
     own = {call.request_id for call in calls}
     forwards = cross_zone = 0
     forwarded = set()
@@ -214,6 +217,8 @@
         forwarded.add(line["request_id"])
     hops = {True: [], False: []}
     for call in calls:
+        if compared and call.service not in compared:
+            continue
         hops[call.request_id in forwarded].append(call)
     return {"forwards": forwards, "cross_zone_share": cross_zone / forwards if forwards else 0,
             "extra_dispatch_share":
@@ -279,6 +284,9 @@
         for service, values in services.items():
             for share in ("p99_us", "p99.9_us"):
                 metrics[f"{window}.{service}.{share}"] = values["latency"][share]
+            metrics[f"{window}.{service}.unavailable_longest_ms"] = \
+                values["unavailable"]["longest_ms"]
+            metrics[f"{window}.{service}.imbalance"] = values["imbalance"]
             metrics[f"{window}.{service}.goodput"] = values["goodput"]
             metrics[f"{window}.{service}.last_failure_s"] = values["last_failure_s"]
             for name, one in values["classes"].items():
--- a/testbench/bench/azureladder_bench/run.py
+++ b/testbench/bench/azureladder_bench/run.py
@@ -153,7 +153,9 @@
             "traffic": measures.proxy_traffic(self.deployment.proxy_status()),
             "ownership_changes": measures.ownership_changes(
                 router_logs, start_us),
-            "routing": measures.routing_measures(router_logs, calls, zones),
+            "routing": measures.routing_measures(
+                router_logs, calls, zones,
+                {one["name"] for one in self.experiment.direct.get("services", [])}),
             "overloaded_executions": measures.overloaded_executions(execution_logs),
             "direct": self.direct_latencies(),
             "load": report}
