Look for stragglers at once after a hedge has overtaken a request

Ejections were decided every 100 ms, and until then a node in the zone of the straggler sent it further requests. A request that a hedge has overtaken now makes the next tick decide. The existing tests of ejection cover the rule; this changes only its time.

--- a/libs/core/src/routing_answers.cpp
+++ b/libs/core/src/routing_answers.cpp
@@ -17,8 +17,11 @@
     for (auto found = attempts.lower_bound({token, 0});
          found != attempts.end() && found->first.first == token; ++found) {
         const auto& attempt = found->second;
-        if (!attempt.m_hedge && !attempt.m_settled)
-            ++measure_of(step.m_state, attempt.m_service).m_upstreams[attempt.m_to].m_outpaced;
+        if (attempt.m_hedge || attempt.m_settled)
+            continue;
+        ++measure_of(step.m_state, attempt.m_service).m_upstreams[attempt.m_to].m_outpaced;
+        // The straggler must not get further requests until the next regular measurement.
+        step.m_state.m_routing.m_next_measurement = step.m_now;
     }
 }
 
