--- a/libs/core/include/azureladder/core/upstream_measure.hpp
+++ b/libs/core/include/azureladder/core/upstream_measure.hpp
@@ -36,11 +36,18 @@
     /// Age of the oldest request in flight, so that a frozen upstream is noticed before it answers.
     duration m_oldest_open{0};
 
+    /// Requests in succession that another upstream answered after a hedge.
+    std::uint32_t m_outpaced = 0;
+
     /// Straggler: not selected until then, unless too many would be ejected.
     time_point m_ejected_until{};
     duration m_ejection_time{0};
     bool m_ejected = false;
 
+    /// Returned from an ejection: gets one request at a time until its first latency is known,
+    /// which replaces the smoothed one.
+    bool m_on_probation = false;
+
     /// Unreachable or leaving: other upstreams are preferred until then.
     time_point m_avoid_until{};
     double m_reported_load = -1.0;
@@ -68,7 +75,7 @@
     std::array<std::uint32_t, latency_count> m_latencies{};
     std::uint64_t m_latency_samples = 0;
 
-    /// 95th percentile of the latest latencies; zero until known.
+    /// 95th percentile of the latest latencies, at most 3 times their median; zero until known.
     duration m_hedge_delay{0};
 
     /// Retries and hedges that are allowed whatever the traffic in the budget period.
--- a/libs/core/src/lease_witness.cpp
+++ b/libs/core/src/lease_witness.cpp
@@ -66,6 +66,20 @@
     return former;
 }
 
+/// Nodes of the member's service may adopt slices that its plan did not list yet. They are told at
+/// once, because a key has to be served again within a second.
+void add_service_nodes(const node_state& state, const member_ref& member,
+                       std::set<member_ref>& targets)
+{
+    const auto* lost = find_plan(state.m_directory, member);
+    if (lost == nullptr || lost->m_service.empty())
+        return;
+    for (const auto* other : newest_plans(state.m_directory)) {
+        if (other->m_service == lost->m_service && other->m_member.m_node != member.m_node)
+            targets.insert(other->m_member);
+    }
+}
+
 std::set<member_ref> promise_targets(const node_state& state, time_point now,
                                      const member_ref& member, const granted_lease& granted)
 {
@@ -77,6 +91,7 @@
             targets.insert(standbys.begin(), standbys.end());
         }
     }
+    add_service_nodes(state, member, targets);
     if (now >= granted.m_promised_at + promise_spread_delay) {
         const auto pollers = polling_members(state);
         targets.insert(pollers.begin(), pollers.end());
--- a/libs/core/src/takeover.cpp
+++ b/libs/core/src/takeover.cpp
@@ -112,6 +112,9 @@
         output.push_back(
             send_message{received.m_from, received.m_reply_to, fence_ack{promise.m_member}});
     }
+    // Slices that the fenced plan does not list are adopted by the next balance step.
+    if (fenced_plan(state, promise.m_member) != nullptr)
+        own.m_next_balance = std::min(own.m_next_balance, now);
     step_takeover(state, now, output);
 }
 
--- a/libs/core/src/upstream_measure.cpp
+++ b/libs/core/src/upstream_measure.cpp
@@ -20,6 +20,11 @@
 constexpr double straggler_factor = 3.0;
 constexpr std::uint32_t min_samples = 5;
 
+/// An upstream is also a straggler when this many requests in succession were answered by another
+/// upstream after a hedge. Hedges end its slow attempts early, so that its measured latency need
+/// not reach the factor above.
+constexpr std::uint32_t straggler_outpaced = 2;
+
 /// Latency that the way to another availability zone may add: zones are up to 5 ms apart.
 constexpr double other_zone_margin_us = 12000.0;
 constexpr duration first_ejection = seconds(1);
@@ -34,6 +39,16 @@
 constexpr std::size_t percentile = 95;
 constexpr std::size_t percent_base = 100;
 
+/// Replies before the percentile is trusted. A larger number would leave entry nodes with little
+/// traffic without hedges for many seconds.
+constexpr std::uint64_t min_percentile_samples = 32;
+
+/// Bounds of the hedge delay as multiples of the median latency. Below the lower one, the ordinary
+/// 5 % above the percentile would use up the budget that stragglers need. The percentile alone
+/// becomes the latency of a straggler as soon as it has more than 5 % of the replies.
+constexpr std::uint32_t min_hedge_factor = 2;
+constexpr std::uint32_t max_hedge_factor = 3;
+
 void update_window(upstream_measure& upstream, double latency_us)
 {
     auto& base = upstream.m_base_latency_us;
@@ -50,19 +65,26 @@
     service.m_latencies[service.m_latency_samples % count] =
         static_cast<std::uint32_t>(std::min<std::int64_t>(latency.count(), UINT32_MAX));
     ++service.m_latency_samples;
-    if (service.m_latency_samples < count || service.m_latency_samples % percentile_period != 0)
+    if (service.m_latency_samples < min_percentile_samples ||
+        service.m_latency_samples % percentile_period != 0)
         return;
     auto sorted = service.m_latencies;
-    auto* rank = sorted.begin() + count * percentile / percent_base;
-    std::nth_element(sorted.begin(), rank, sorted.end());
-    service.m_hedge_delay = std::max<duration>(duration(*rank), milliseconds(1));
+    const auto known = std::min<std::size_t>(count, service.m_latency_samples);
+    auto* const end = sorted.begin() + known;
+    auto* const rank = sorted.begin() + known * percentile / percent_base;
+    std::nth_element(sorted.begin(), rank, end);
+    auto* const middle = sorted.begin() + known / 2;
+    std::nth_element(sorted.begin(), middle, rank);
+    const auto delay = std::clamp(*rank, min_hedge_factor * *middle, max_hedge_factor * *middle);
+    service.m_hedge_delay = std::max<duration>(duration(delay), milliseconds(1));
 }
 
 void smooth_latency(upstream_measure& upstream, double latency_us)
 {
-    upstream.m_latency_us = upstream.m_samples == 0 ? latency_us
-                                                    : upstream.m_latency_us * (1.0 - smoothing) +
-                                                          latency_us * smoothing;
+    const bool replaces = upstream.m_samples == 0 || upstream.m_on_probation;
+    upstream.m_on_probation = false;
+    upstream.m_latency_us =
+        replaces ? latency_us : upstream.m_latency_us * (1.0 - smoothing) + latency_us * smoothing;
     ++upstream.m_samples;
 }
 
@@ -74,6 +96,8 @@
         repeated ? std::min(upstream.m_ejection_time * 2, longest_ejection) : first_ejection;
     upstream.m_ejected_until = now + upstream.m_ejection_time;
     upstream.m_ejected = true;
+    // After its return, one more request that is answered elsewhere ejects it again.
+    upstream.m_outpaced = straggler_outpaced - 1;
 }
 
 double margin_us(const service_measure& service, const member_ref& member)
@@ -87,6 +111,8 @@
 
 bool is_straggler(const upstream_measure& upstream, double median, double margin)
 {
+    if (upstream.m_outpaced >= straggler_outpaced)
+        return true;
     if (upstream.m_samples < min_samples)
         return false;
     const double latency = effective_latency_us(upstream);
@@ -98,6 +124,7 @@
 void note_reply(service_measure& service, upstream_measure& upstream, duration latency)
 {
     const auto latency_us = static_cast<double>(latency.count());
+    upstream.m_outpaced = 0;
     smooth_latency(upstream, latency_us);
     update_window(upstream, latency_us);
     update_percentile(service, latency);
@@ -148,10 +175,12 @@
     const double median = median_latency_us(service);
     for (auto& [member, upstream] : service.m_upstreams) {
         if (upstream.m_ejected && now >= upstream.m_ejected_until) {
-            // Old measurements would keep it from being selected, so it starts as an average one.
+            // Old measurements would keep it from being selected, so it starts as an average one,
+            // and a single request decides whether it still is a straggler.
             upstream.m_ejected = false;
             upstream.m_latency_us = median;
-            upstream.m_samples = 1;
+            upstream.m_samples = min_samples;
+            upstream.m_on_probation = true;
             changed.push_back(member);
         }
         ejected += upstream.m_ejected ? 1 : 0;
--- a/libs/core/tests/routing_spread_test.cpp
+++ b/libs/core/tests/routing_spread_test.cpp
@@ -142,6 +142,29 @@
     EXPECT_TRUE(all<answer_with_reply>().empty());
 }
 
+// Guards against entry nodes with little traffic that never hedge, and against a straggler whose
+// own latency delays the hedges that should hide it.
+TEST_F(routing_spread, hedge_delay_is_known_early_and_not_raised_by_a_straggler)
+{
+    service_measure service;
+    for (int count = 0; count < 32; ++count) {
+        const bool slow = count % 4 == 0;
+        note_reply(service, service.m_upstreams[{slow ? "b" : "c", 1}],
+                   milliseconds(slow ? 100 : 10));
+    }
+    EXPECT_GE(service.m_hedge_delay, milliseconds(10));
+    EXPECT_LE(service.m_hedge_delay, milliseconds(30));
+}
+
+// Guards against ordinary variation that uses up the budget before a straggler appears.
+TEST_F(routing_spread, hedge_delay_is_above_ordinary_latencies)
+{
+    service_measure service;
+    for (int count = 0; count < 32; ++count)
+        note_reply(service, service.m_upstreams[{"b", 1}], milliseconds(8 + count % 4));
+    EXPECT_GE(service.m_hedge_delay, milliseconds(18));
+}
+
 // Guards against more hedges than 5 % of the requests.
 TEST_F(routing_spread, hedges_stay_within_the_budget)
 {
@@ -181,6 +204,52 @@
     EXPECT_EQ(ejected, 2);
 }
 
+// Guards against a straggler that is sent several requests after each of its ejections.
+TEST_F(routing_spread, returned_upstream_is_tested_by_one_request)
+{
+    for (const auto* node : {"b", "c", "d"}) {
+        for (int count = 0; count < 40; ++count)
+            note_reply(measure(), measure().m_upstreams[{node, 1}],
+                       milliseconds(node == std::string("b") ? 50 : 2));
+    }
+    // The first request makes the candidates known.
+    finish(arrive(make_write()), 1, attempt_outcome::answered);
+    advance(milliseconds(200));
+    ASSERT_TRUE(logged("upstream_ejected"));
+    advance(milliseconds(1200));
+    ASSERT_TRUE(logged("upstream_returned"));
+    const auto token = arrive(make_write());
+    EXPECT_EQ(target(), "b");
+    const auto other = arrive(make_write());
+    EXPECT_NE(target(), "b");
+    finish(other, 1, attempt_outcome::answered);
+    m_now += milliseconds(50);
+    finish(token, 1, attempt_outcome::answered);
+    advance(milliseconds(200));
+    EXPECT_TRUE(logged("upstream_ejected"));
+}
+
+// Guards against hedges that hide a straggler from the measurement that would eject it.
+TEST_F(routing_spread, upstream_that_lost_to_hedges_is_ejected)
+{
+    for (const auto* node : {"b", "c", "d"}) {
+        for (int count = 0; count < 10; ++count)
+            note_reply(measure(), measure().m_upstreams[{node, 1}], milliseconds(10));
+    }
+    measure().m_hedge_delay = milliseconds(15);
+    measure().m_hedges.m_floor = 10;
+    for (int count = 0; count < 2; ++count) {
+        const auto token = arrive(make_info("shop"));
+        EXPECT_EQ(target(), "b");
+        advance(milliseconds(20));
+        ASSERT_EQ(all<forward_request>().size(), 1U);
+        finish(token, 2, attempt_outcome::answered);
+        finish(token, 1, attempt_outcome::lost);
+    }
+    advance(milliseconds(200));
+    EXPECT_TRUE(logged("upstream_ejected"));
+}
+
 // Guards against requests that follow each other into a frozen upstream.
 TEST_F(routing_spread, upstream_that_stopped_answering_is_ejected)
 {
--- a/libs/node/src/runtime.cpp
+++ b/libs/node/src/runtime.cpp
@@ -72,7 +72,7 @@
 
 runtime_impl::runtime_impl(const settings::node_settings& settings, const clock& time,
                            platform::store& store)
-    : m_settings(settings), m_clock(time), m_timer(m_io),
+    : m_settings(settings), m_clock(time), m_timer(m_io), m_wake_timer(m_io),
       m_logger(time, logger_options_of(settings)),
       m_state(core::make_node_state(identity_of(settings), settings.m_core,
                                     settings.m_seed ? *settings.m_seed : random_id())),
--- a/libs/node/src/runtime_loop.cpp
+++ b/libs/node/src/runtime_loop.cpp
@@ -15,6 +15,9 @@
 /// Time between two updates of the gauges.
 constexpr duration gauge_interval = seconds(1);
 
+/// Shortest time to a wake between ticks, which bounds their number.
+constexpr duration min_wake_delay = milliseconds(1);
+
 } // namespace
 
 int runtime_impl::run()
@@ -55,6 +58,28 @@
         schedule_tick(due);
 }
 
+void runtime_impl::schedule_wake()
+{
+    const auto& timers = m_state.m_routing.m_timers;
+    const auto next = timers.empty() ? time_point::max() : timers.begin()->first;
+    const auto now = m_clock.now();
+    // The tick is soon enough for anything later, and an earlier wake looks at the timers again.
+    if (next >= now + m_settings.m_core.m_tick_interval || m_wake_at <= next)
+        return;
+    m_wake_at = next;
+    m_wake_timer.expires_after(std::max(next - now, min_wake_delay));
+    m_wake_timer.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        m_wake_at = time_point::max();
+        const auto& pending = m_state.m_routing.m_timers;
+        if (!pending.empty() && pending.begin()->first <= m_clock.now())
+            on_tick();
+        else
+            schedule_wake();
+    });
+}
+
 void runtime_impl::on_tick()
 {
     // After a pause, messages that arrived meanwhile come before the clock: a witness must not
@@ -81,6 +106,7 @@
         execute(order);
     if (!std::holds_alternative<core::timer_tick>(input))
         hasten_tick();
+    schedule_wake();
 }
 
 void runtime_impl::update_gauges()
--- a/testbench/demo/src/main.cpp
+++ b/testbench/demo/src/main.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/program_options.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <cstdio>
@@ -84,6 +85,17 @@
     return known ? value["owner"].get<std::string>() : std::string();
 }
 
+/// Whether the entry node knows all nodes with the backend servers that announced themselves.
+bool all_announced(cluster& site, const std::string& entry)
+{
+    const auto status = site.status(entry);
+    if (!status || !status->contains("plans") || status->at("plans").size() != site.nodes().size())
+        return false;
+    const auto& plans = status->at("plans");
+    return std::none_of(plans.begin(), plans.end(),
+                        [](const json& plan) { return plan.at("server") == ""; });
+}
+
 void show_requests(cluster& site, const std::string& entry, step_printer& printer)
 {
     for (const auto* service : {"catalogue", "pricing", "bookings"}) {
@@ -215,7 +227,10 @@
                   applied.m_exit_code == 0);
     const bool owned = azureladder::deployment::wait_until(
         [&] { return answered(site.call(entry, make_report_request(report_key))); }, seconds(20));
-    printer.print("all slices of reporting have owners", owned);
+    printer.print("the slice of key " + std::string(report_key) + " has an owner", owned);
+    const bool announced = azureladder::deployment::wait_until(
+        [&] { return all_announced(site, entry); }, seconds(20));
+    printer.print("all backend servers have announced themselves", announced);
 
     show_requests(site, entry, printer);
     show_repeated_order(site, entry, options.m_nodes.back().m_node, printer);
