Move up to eight claim slices of a node in each balance interval

Ruled out: lost leases or failed moves; two leases were lost in the first 1.3 s only.

A plan can name the receivers of several moves, and claim slices bring no work to a backend server, so eight of them may move at a time now. Slices of services still move one at a time, which keeps the load of a returning server low.

--- a/libs/core/src/balance.cpp
+++ b/libs/core/src/balance.cpp
@@ -16,6 +16,10 @@
 /// Time after which the next node in rendezvous order takes a slice that nobody acquired.
 constexpr duration acquire_step = seconds(2);
 
+/// Claim slices that a node may move in each balance interval. They bring no work to the backend
+/// server of their receiver, so more of them move at a time than slices of a service.
+constexpr std::size_t claim_moves_per_interval = 8;
+
 /// Time for which an owner and its witnesses must be known as replaced before its slices are
 /// adopted. The polling nodes read all plans meanwhile, so that the newest version is known.
 constexpr duration replaced_wait = seconds(5);
@@ -293,10 +297,13 @@
     if (!plan_settled(state) || move_pending(own))
         return;
     std::size_t moves = 0;
+    std::size_t claim_moves = 0;
     std::set<node_id> refused;
     for (auto& [slice, held] : own.m_slices) {
-        if (moves >= state.m_options.m_moves_per_interval)
-            return;
+        const bool of_claims = slice.m_space == claim_space;
+        auto& used = of_claims ? claim_moves : moves;
+        if (used >= (of_claims ? claim_moves_per_interval : state.m_options.m_moves_per_interval))
+            continue;
         const auto receiver = receiver_of(state, now, slice, held);
         if (!receiver || refused.count(receiver->m_node) != 0)
             continue;
@@ -305,7 +312,7 @@
             continue;
         }
         start_balance_move(held, now, *receiver);
-        ++moves;
+        ++used;
     }
 }
 
