--- a/libs/core/src/balance.cpp
+++ b/libs/core/src/balance.cpp
@@ -1,254 +1,19 @@
 #include "ownership_internal.hpp"
 
-#include <azureladder/base/hash.hpp>
 #include <azureladder/core/claims.hpp>
 #include <azureladder/core/ownership.hpp>
-#include <azureladder/records/document.hpp>
 
 #include <algorithm>
-#include <map>
 #include <set>
 
 namespace azureladder::core {
 
 namespace {
 
-/// Time after which the next node in rendezvous order takes a slice that nobody acquired.
-constexpr duration acquire_step = seconds(2);
-
 /// Claim slices that a node may move in each balance interval. They bring no work to the backend
 /// server of their receiver, so more of them move at a time than slices of a service.
 constexpr std::size_t claim_moves_per_interval = 8;
 
-/// Time for which an owner and its witnesses must be known as replaced before its slices are
-/// adopted. The polling nodes read all plans meanwhile, so that the newest version is known.
-constexpr duration replaced_wait = seconds(5);
-
-/// Time after which slices without an owner are looked for although nothing has changed. A pass
-/// over 16,384 slices takes about 10 ms, so that it costs little at this interval.
-constexpr duration full_pass_interval = seconds(10);
-
-std::uint64_t slice_seed(const slice_id& slice)
-{
-    return hash64(slice.m_space, slice.m_index);
-}
-
-bool is_eligible(const node_state& state, const plan& candidate, const std::string& space)
-{
-    const auto& document = state.m_configuration.m_document;
-    if (fenced_plan(state, candidate.m_member) != nullptr)
-        return false;
-    if (!records::zone_in_service(document, candidate.m_zone) ||
-        !records::server_in_service(document, candidate.m_server))
-        return false;
-    if (space == claim_space)
-        return true;
-    return candidate.m_service == service_of_space(space) &&
-           records::may_own(document, space, candidate.m_service, candidate.m_server,
-                            candidate.m_zone);
-}
-
-/// Bounded load: no node gets more than 1.25 times the mean number of slices.
-std::size_t load_limit(std::size_t slices, std::size_t nodes)
-{
-    return (slices * 5 + nodes * 4 - 1) / (nodes * 4);
-}
-
-std::vector<node_id> ranked(const slice_id& slice, std::vector<node_id> nodes)
-{
-    std::sort(nodes.begin(), nodes.end(), [&](const node_id& a, const node_id& b) {
-        return rendezvous_score(slice, a) > rendezvous_score(slice, b);
-    });
-    return nodes;
-}
-
-/// Node with the highest score among those below the load limit, for each slice. Each score is
-/// computed once: sorting the nodes for each slice took seconds with thousands of slices.
-std::vector<node_id> assign(const std::string& space, std::uint32_t slices,
-                            const std::vector<node_id>& nodes)
-{
-    std::vector<node_id> owners(slices);
-    std::vector<std::size_t> load(nodes.size());
-    const auto limit = nodes.empty() ? 0 : load_limit(slices, nodes.size());
-    for (std::uint32_t index = 0; index < slices; ++index) {
-        const auto seed = slice_seed({space, index});
-        std::optional<std::size_t> best;
-        std::uint64_t best_score = 0;
-        for (std::size_t i = 0; i < nodes.size(); ++i) {
-            if (load[i] >= limit)
-                continue;
-            const auto score = hash64(nodes[i], seed);
-            if (!best || score > best_score) {
-                best = i;
-                best_score = score;
-            }
-        }
-        if (!best)
-            continue;
-        ++load[*best];
-        owners[index] = nodes[*best];
-    }
-    return owners;
-}
-
-/// Whether it is this node's turn to write an entry that lacks an owner. The desired owner is
-/// first; the others follow in rendezvous order, so that a lost node does not hold the slice back.
-bool is_own_turn(node_state& state, time_point now, const slice_id& slice,
-                 const std::vector<node_id>& eligible)
-{
-    state.m_ownership.m_acquire_waits = true;
-    const auto since = state.m_ownership.m_unowned_since.emplace(slice, now).first->second;
-    const auto& desired = desired_owners(state, slice.m_space);
-    const auto& node = state.m_identity.m_node;
-    if (slice.m_index < desired.size() && desired[slice.m_index] == node)
-        return true;
-    const auto order = ranked(slice, eligible);
-    const auto position = std::find(order.begin(), order.end(), node);
-    if (position == order.end())
-        return false;
-    return now >= since + acquire_step * (position - order.begin() + 1);
-}
-
-void acquire(node_state& state, const slice_id& slice, const slice_location& former)
-{
-    auto& own = state.m_ownership;
-    entry_change change;
-    change.m_expected = former;
-    const bool orphan = former.m_epoch != 0;
-    // An unrecorded takeover may have used the next epoch, so an orphan skips it.
-    change.m_epoch = former.m_epoch + (orphan ? 2 : 1);
-    change.m_reason = orphan ? "orphan" : "acquired";
-    change.m_claims_lost = orphan;
-    change.m_owner_lost = orphan;
-    own.m_entry_changes[slice] = change;
-    own.m_unowned_since.erase(slice);
-    // The write may fail without a change of what this node knows.
-    own.m_acquire_waits = true;
-}
-
-bool is_superseded(const node_state& state, const member_ref& member)
-{
-    const auto* newest = find_newest_plan(state.m_directory, member.m_node);
-    return newest != nullptr && newest->m_member != member;
-}
-
-/// Whether the processes of the owner and of all members that could grant it a lease or take over
-/// from it have been replaced, as after a restart of all nodes. Nobody is left who could promise,
-/// and no takeover can have happened that is not in the slice table.
-bool all_replaced(const node_state& state, const member_ref& owner)
-{
-    const auto* last = find_plan(state.m_directory, owner);
-    if (last == nullptr || !is_superseded(state, owner))
-        return false;
-    const auto standbys = all_standbys(*last);
-    for (const auto* members :
-         {&last->m_witnesses, &last->m_previous_witnesses, &standbys, &last->m_previous_standbys}) {
-        for (const auto& member : *members) {
-            if (!is_superseded(state, member))
-                return false;
-        }
-    }
-    return true;
-}
-
-bool may_adopt_replaced(node_state& state, time_point now, const slice_id& slice,
-                        const slice_location& location, const std::vector<node_id>& eligible)
-{
-    auto& unowned = state.m_ownership.m_unowned_since;
-    if (!all_replaced(state, location.m_owner)) {
-        unowned.erase(slice);
-        return false;
-    }
-    state.m_ownership.m_acquire_waits = true;
-    const auto since = unowned.emplace(slice, now).first->second;
-    return now >= since + replaced_wait && is_own_turn(state, now, slice, eligible);
-}
-
-bool may_adopt(node_state& state, time_point now, const slice_id& slice,
-               const slice_location& location, const std::vector<node_id>& eligible)
-{
-    // An own entry of a slice that is not held stems from a write whose result came too late.
-    if (location.m_owner == self(state))
-        return true;
-    const auto* fenced = fenced_plan(state, location.m_owner);
-    if (fenced == nullptr)
-        return may_adopt_replaced(state, now, slice, location, eligible);
-    // A lost owner has passed on only what the promised version lists. Nobody can have taken
-    // another slice from it, and its standby may serve another service.
-    const bool listed = lists_slice(*fenced, slice, location.m_epoch);
-    const auto* standby = listed ? standby_of(*fenced, slice) : nullptr;
-    if (standby == nullptr)
-        return is_own_turn(state, now, slice, eligible);
-    if (*standby == self(state))
-        return true;
-    return fenced_plan(state, *standby) != nullptr && is_own_turn(state, now, slice, eligible);
-}
-
-void acquire_in_space(node_state& state, time_point now, const std::string& space)
-{
-    auto& own = state.m_ownership;
-    // A node that may not own slices of the space still adopts those for which it is the standby:
-    // nobody else may, and it hands them over.
-    const auto eligible = eligible_nodes(state, space);
-    const auto count = slices_of_space(state, space);
-    for (std::uint32_t index = 0; index < count; ++index) {
-        const slice_id slice{space, index};
-        if (own.m_slices.count(slice) != 0 || own.m_entry_changes.count(slice) != 0)
-            continue;
-        const auto location = locate(state.m_directory, slice);
-        if (!location) {
-            if (is_own_turn(state, now, slice, eligible))
-                acquire(state, slice, slice_location{});
-        } else if (may_adopt(state, now, slice, *location, eligible)) {
-            acquire(state, slice, *location);
-        }
-    }
-}
-
-void add_to_hash(std::uint64_t& hash, std::uint64_t value)
-{
-    hash = hash64({reinterpret_cast<const char*>(&value), sizeof(value)}, hash);
-}
-
-/// Hash of all that decides, apart from the time, whether this node may acquire a slice: owners and
-/// plans, records, own slices, and the promises with the plan versions that they refer to.
-std::uint64_t acquire_inputs(const node_state& state, const std::string& service)
-{
-    const auto& own = state.m_ownership;
-    auto hash = hash64(service, digest(state.m_directory));
-    add_to_hash(hash, state.m_configuration.m_document.m_revision);
-    add_to_hash(hash, state.m_incarnation);
-    add_to_hash(hash, own.m_slices.size());
-    for (const auto& [member, promises] : own.m_promises) {
-        add_to_hash(hash, member.m_incarnation);
-        for (const auto& [witness, version] : promises) {
-            add_to_hash(hash, witness.m_incarnation);
-            add_to_hash(hash, version);
-        }
-        const auto history = own.m_plan_history.find(member);
-        if (history == own.m_plan_history.end())
-            continue;
-        for (const auto& known : history->second)
-            add_to_hash(hash, known.first);
-    }
-    return hash;
-}
-
-/// Whether a pass over all slices can find one to acquire. After a pass that found none and that
-/// waits for none, only a change of its inputs can bring one.
-bool acquire_due(node_state& state, time_point now, const std::string& service)
-{
-    auto& own = state.m_ownership;
-    const auto inputs = acquire_inputs(state, service);
-    if (inputs == own.m_acquire_inputs && !own.m_acquire_waits && own.m_entry_changes.empty() &&
-        now < own.m_next_full_pass)
-        return false;
-    own.m_acquire_inputs = inputs;
-    own.m_acquire_waits = false;
-    own.m_next_full_pass = now + full_pass_interval;
-    return true;
-}
-
 bool move_pending(const ownership_state& own)
 {
     return std::any_of(own.m_slices.begin(), own.m_slices.end(), [](const auto& entry) {
@@ -318,63 +83,6 @@
 
 } // namespace
 
-std::string service_of_space(const std::string& space)
-{
-    return space.substr(0, space.find('/'));
-}
-
-std::uint64_t rendezvous_score(const slice_id& slice, const node_id& node)
-{
-    return hash64(node, slice_seed(slice));
-}
-
-std::vector<std::string> spaces_of_node(const node_state& state, const std::string& service)
-{
-    std::vector<std::string> spaces{claim_space};
-    if (const auto* record = records::find_service(state.m_configuration.m_document, service)) {
-        for (auto& space : records::spaces_of_service(*record))
-            spaces.push_back(std::move(space));
-    }
-    return spaces;
-}
-
-std::uint32_t slices_of_space(const node_state& state, const std::string& space)
-{
-    if (space == claim_space)
-        return claim_slice_count;
-    const auto* record =
-        records::find_service(state.m_configuration.m_document, service_of_space(space));
-    return record == nullptr ? 0 : record->m_slices;
-}
-
-std::vector<node_id> eligible_nodes(const node_state& state, const std::string& space)
-{
-    std::vector<node_id> nodes;
-    for (const auto* candidate : newest_plans(state.m_directory)) {
-        if (is_eligible(state, *candidate, space))
-            nodes.push_back(candidate->m_member.m_node);
-    }
-    return nodes;
-}
-
-const std::vector<node_id>& desired_owners(node_state& state, const std::string& space)
-{
-    auto& kept = state.m_ownership.m_assignments[space];
-    const auto slices = slices_of_space(state, space);
-    if (kept.m_round == state.m_ownership.m_balance_round && kept.m_owner.size() == slices)
-        return kept.m_owner;
-    kept.m_round = state.m_ownership.m_balance_round;
-    const auto eligible = eligible_nodes(state, space);
-    std::uint64_t hash = slices;
-    for (const auto& node : eligible)
-        hash = hash64(node, hash);
-    if (kept.m_candidates_hash != hash || kept.m_owner.size() != slices) {
-        kept.m_candidates_hash = hash;
-        kept.m_owner = assign(space, slices, eligible);
-    }
-    return kept.m_owner;
-}
-
 void step_balance(node_state& state, time_point now)
 {
     auto& own = state.m_ownership;
@@ -385,12 +93,8 @@
     if (own.m_store_down || backend_leaving(state, now))
         return;
     const auto service = state.m_backend ? state.m_backend->m_service : std::string();
-    const auto spaces = spaces_of_node(state, service);
-    if (acquire_due(state, now, service)) {
-        for (const auto& space : spaces)
-            acquire_in_space(state, now, space);
-    }
-    move_slices(state, now, spaces);
+    acquire_slices(state, now, service);
+    move_slices(state, now, spaces_of_node(state, service));
 }
 
 } // namespace azureladder::core
--- a/libs/core/src/ownership_internal.hpp
+++ b/libs/core/src/ownership_internal.hpp
@@ -123,6 +123,11 @@
 
 // balance.cpp
 void step_balance(node_state& state, time_point now);
+
+// acquire.cpp
+void acquire_slices(node_state& state, time_point now, const std::string& service);
+
+// assignment.cpp
 std::vector<std::string> spaces_of_node(const node_state& state, const std::string& service);
 std::uint32_t slices_of_space(const node_state& state, const std::string& space);
 std::string service_of_space(const std::string& space);
