Share rendezvous order, member lookup and eligibility between acquisition and exit

The exit of a slice sorted nodes by rendezvous score and looked up the usable member of a node in its own copies of what acquisition and balancing have; both now call ranked() and usable_member_of(). Membership in a list of members was written six times and is contains() beside is_majority() now. A release in progress built the list of all eligible nodes for each slice at each tick to look for one of them; it asks is_eligible() for that one, which is the same condition, because the receiver was checked before to be its node's newest incarnation. step_release was a call of one function and is that function now.

--- a/libs/core/include/azureladder/core/plan.hpp
+++ b/libs/core/include/azureladder/core/plan.hpp
@@ -72,6 +72,8 @@
 /// All standbys and receivers of the plan.
 std::vector<member_ref> all_standbys(const plan& value);
 
+bool contains(const std::vector<member_ref>& members, const member_ref& member);
+
 /// Whether `members` contains a majority of `set`. A majority of an empty set always holds.
 bool is_majority(const std::vector<member_ref>& members, const std::vector<member_ref>& set);
 
--- a/libs/core/src/acquire.cpp
+++ b/libs/core/src/acquire.cpp
@@ -19,14 +19,6 @@
 /// over 16,384 slices takes about 10 ms, so that it costs little at this interval.
 constexpr duration full_pass_interval = seconds(10);
 
-std::vector<node_id> ranked(const slice_id& slice, std::vector<node_id> nodes)
-{
-    std::sort(nodes.begin(), nodes.end(), [&](const node_id& a, const node_id& b) {
-        return rendezvous_score(slice, a) > rendezvous_score(slice, b);
-    });
-    return nodes;
-}
-
 /// Whether it is this node's turn to write an entry that lacks an owner. The desired owner is
 /// first; the others follow in rendezvous order, so that a lost node does not hold the slice back.
 bool is_own_turn(node_state& state, time_point now, const slice_id& slice,
--- a/libs/core/src/assignment.cpp
+++ b/libs/core/src/assignment.cpp
@@ -15,21 +15,6 @@
     return hash64(slice.m_space, slice.m_index);
 }
 
-bool is_eligible(const node_state& state, const plan& candidate, const std::string& space)
-{
-    const auto& document = state.m_configuration.m_document;
-    if (fenced_plan(state, candidate.m_member) != nullptr)
-        return false;
-    if (!records::zone_in_service(document, candidate.m_zone) ||
-        !records::server_in_service(document, candidate.m_server))
-        return false;
-    if (space == claim_space)
-        return true;
-    return candidate.m_service == service_of_space(space) &&
-           records::may_own(document, space, candidate.m_service, candidate.m_server,
-                            candidate.m_zone);
-}
-
 /// Bounded load: no node gets more than 1.25 times the mean number of slices.
 std::size_t load_limit(std::size_t slices, std::size_t nodes)
 {
@@ -77,6 +62,14 @@
     return hash64(node, slice_seed(slice));
 }
 
+std::vector<node_id> ranked(const slice_id& slice, std::vector<node_id> nodes)
+{
+    std::sort(nodes.begin(), nodes.end(), [&](const node_id& a, const node_id& b) {
+        return rendezvous_score(slice, a) > rendezvous_score(slice, b);
+    });
+    return nodes;
+}
+
 std::vector<std::string> spaces_of_node(const node_state& state, const std::string& service)
 {
     std::vector<std::string> spaces{claim_space};
@@ -96,6 +89,21 @@
     return record == nullptr ? 0 : record->m_slices;
 }
 
+bool is_eligible(const node_state& state, const plan& candidate, const std::string& space)
+{
+    const auto& document = state.m_configuration.m_document;
+    if (fenced_plan(state, candidate.m_member) != nullptr)
+        return false;
+    if (!records::zone_in_service(document, candidate.m_zone) ||
+        !records::server_in_service(document, candidate.m_server))
+        return false;
+    if (space == claim_space)
+        return true;
+    return candidate.m_service == service_of_space(space) &&
+           records::may_own(document, space, candidate.m_service, candidate.m_server,
+                            candidate.m_zone);
+}
+
 std::vector<node_id> eligible_nodes(const node_state& state, const std::string& space)
 {
     std::vector<node_id> nodes;
--- a/libs/core/src/balance.cpp
+++ b/libs/core/src/balance.cpp
@@ -50,10 +50,7 @@
     const auto& node = desired[slice.m_index];
     if (node.empty() || node == state.m_identity.m_node)
         return std::nullopt;
-    const auto* newest = find_newest_plan(state.m_directory, node);
-    if (newest == nullptr || !is_usable_member(state, now, newest->m_member))
-        return std::nullopt;
-    return newest->m_member;
+    return usable_member_of(state, now, node);
 }
 
 void move_slices(node_state& state, time_point now, const std::vector<std::string>& spaces)
--- a/libs/core/src/directory_poll.cpp
+++ b/libs/core/src/directory_poll.cpp
@@ -56,7 +56,7 @@
     own.m_next_poll = now + state.m_options.m_store_poll_interval;
     forget_former_plans(state);
     const auto pollers = polling_members(state);
-    own.m_polls_store = std::find(pollers.begin(), pollers.end(), self(state)) != pollers.end();
+    own.m_polls_store = contains(pollers, self(state));
     if (!own.m_polls_store)
         return;
     const auto key = poll_key(state, own.m_poll_position++);
--- a/libs/core/src/directory_sync.cpp
+++ b/libs/core/src/directory_sync.cpp
@@ -255,7 +255,7 @@
     std::vector<member_ref> targets = own.m_plan.m_witnesses;
     const auto add = [&](const std::vector<member_ref>& members) {
         for (const auto& member : members) {
-            if (std::find(targets.begin(), targets.end(), member) == targets.end())
+            if (!contains(targets, member))
                 targets.push_back(member);
         }
     };
--- a/libs/core/src/lease_witness.cpp
+++ b/libs/core/src/lease_witness.cpp
@@ -43,12 +43,11 @@
     const auto history = state.m_ownership.m_plan_history.find(member);
     if (history == state.m_ownership.m_plan_history.end())
         return false;
-    const auto contains = [&](const std::vector<member_ref>& members) {
-        return std::find(members.begin(), members.end(), self(state)) != members.end();
-    };
+    const auto witness = self(state);
     const auto& versions = history->second;
     return std::any_of(versions.begin(), versions.end(), [&](const auto& entry) {
-        return contains(entry.second.m_witnesses) || contains(entry.second.m_previous_witnesses);
+        return contains(entry.second.m_witnesses, witness) ||
+               contains(entry.second.m_previous_witnesses, witness);
     });
 }
 
@@ -97,8 +96,7 @@
         targets.insert(pollers.begin(), pollers.end());
         // A node that gave slices to the fenced member has to know of the promise, too.
         for (const auto* other : newest_plans(state.m_directory)) {
-            const auto standbys = all_standbys(*other);
-            if (std::find(standbys.begin(), standbys.end(), member) != standbys.end())
+            if (contains(all_standbys(*other), member))
                 targets.insert(other->m_member);
         }
     }
--- a/libs/core/src/ownership_internal.hpp
+++ b/libs/core/src/ownership_internal.hpp
@@ -57,6 +57,8 @@
                                          const std::vector<member_ref>& current,
                                          const std::vector<member_ref>& standbys);
 bool is_usable_member(const node_state& state, time_point now, const member_ref& member);
+std::optional<member_ref> usable_member_of(const node_state& state, time_point now,
+                                           const node_id& node);
 void note_silent_members(node_state& state, time_point now);
 
 // lease_holder.cpp
@@ -110,7 +112,6 @@
 void step_stop(node_state& state, time_point now, effects& output);
 
 // slice_exit.cpp
-void set_phase(held_slice& held, slice_phase phase, time_point now);
 void resume_serving(held_slice& held, time_point now);
 void start_balance_move(held_slice& held, time_point now, const member_ref& receiver);
 void step_exit(node_state& state, time_point now);
@@ -131,7 +132,10 @@
 std::vector<std::string> spaces_of_node(const node_state& state, const std::string& service);
 std::uint32_t slices_of_space(const node_state& state, const std::string& space);
 std::string service_of_space(const std::string& space);
+bool is_eligible(const node_state& state, const plan& candidate, const std::string& space);
 std::vector<node_id> eligible_nodes(const node_state& state, const std::string& space);
+/// Nodes in rendezvous order for the slice.
+std::vector<node_id> ranked(const slice_id& slice, std::vector<node_id> nodes);
 const std::vector<node_id>& desired_owners(node_state& state, const std::string& space);
 std::uint64_t rendezvous_score(const slice_id& slice, const node_id& node);
 
--- a/libs/core/src/plan.cpp
+++ b/libs/core/src/plan.cpp
@@ -27,16 +27,21 @@
 {
     auto members = value.m_standbys;
     for (const auto& move : value.m_moves) {
-        if (std::find(members.begin(), members.end(), move.m_receiver) == members.end())
+        if (!contains(members, move.m_receiver))
             members.push_back(move.m_receiver);
     }
     return members;
 }
 
+bool contains(const std::vector<member_ref>& members, const member_ref& member)
+{
+    return std::find(members.begin(), members.end(), member) != members.end();
+}
+
 bool is_majority(const std::vector<member_ref>& members, const std::vector<member_ref>& set)
 {
     const auto contained = std::count_if(set.begin(), set.end(), [&](const member_ref& member) {
-        return std::find(members.begin(), members.end(), member) != members.end();
+        return contains(members, member);
     });
     return set.empty() || std::size_t(contained) > set.size() / 2;
 }
--- a/libs/core/src/plan_members.cpp
+++ b/libs/core/src/plan_members.cpp
@@ -11,11 +11,6 @@
 
 namespace {
 
-bool contains(const std::vector<member_ref>& members, const member_ref& member)
-{
-    return std::find(members.begin(), members.end(), member) != members.end();
-}
-
 std::uint64_t rank_for(const node_state& state, const node_id& candidate)
 {
     return hash64(candidate, hash64(state.m_identity.m_node));
@@ -120,6 +115,15 @@
            records::server_in_service(document, newest->m_server);
 }
 
+std::optional<member_ref> usable_member_of(const node_state& state, time_point now,
+                                           const node_id& node)
+{
+    const auto* newest = find_newest_plan(state.m_directory, node);
+    if (newest == nullptr || !is_usable_member(state, now, newest->m_member))
+        return std::nullopt;
+    return newest->m_member;
+}
+
 std::vector<member_ref> choose_standbys(const node_state& state, time_point now,
                                         const std::vector<member_ref>& current)
 {
--- a/libs/core/src/release.cpp
+++ b/libs/core/src/release.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// Bytes of claims in one release. A peer frame holds 2 MiB; the rest is left for
-/// slices and field names.
+/// Bytes of claims in one release. A peer frame holds 2 MiB; the rest is left for slices and field
+/// names.
 constexpr std::size_t max_claim_bytes = 1024 * 1024;
 
 /// Encoded size of a claim besides its texts.
@@ -49,31 +49,6 @@
     return claims;
 }
 
-void send_releases(node_state& state, time_point now, effects& output)
-{
-    std::map<member_ref, std::pair<release, std::size_t>> batches;
-    for (auto& [slice, held] : state.m_ownership.m_slices) {
-        if (held.m_phase != slice_phase::releasing || now < held.m_next_send)
-            continue;
-        held.m_next_send = now + state.m_options.m_resend_interval;
-        auto claims = claims_to_send(state, slice, now);
-        std::size_t bytes = 0;
-        for (const auto& value : claims)
-            bytes += claim_bytes(value);
-        auto& [message, used] = batches[held.m_target];
-        if (used + bytes > max_claim_bytes) {
-            send_release(state, held.m_target, std::move(message), output);
-            message = release{};
-            used = 0;
-        }
-        used += bytes;
-        message.m_slices.push_back({slice, held.m_epoch});
-        message.m_claims.insert(message.m_claims.end(), claims.begin(), claims.end());
-    }
-    for (auto& [target, batch] : batches)
-        send_release(state, target, std::move(batch.first), output);
-}
-
 /// Whether this incarnation will never accept a release of the sender's version. A refusal stands
 /// for later ones of the same version, because the sender serves the slices again.
 bool refuses(node_state& state, const member_ref& from, plan_version version)
@@ -122,7 +97,27 @@
 
 void step_release(node_state& state, time_point now, effects& output)
 {
-    send_releases(state, now, output);
+    std::map<member_ref, std::pair<release, std::size_t>> batches;
+    for (auto& [slice, held] : state.m_ownership.m_slices) {
+        if (held.m_phase != slice_phase::releasing || now < held.m_next_send)
+            continue;
+        held.m_next_send = now + state.m_options.m_resend_interval;
+        auto claims = claims_to_send(state, slice, now);
+        std::size_t bytes = 0;
+        for (const auto& value : claims)
+            bytes += claim_bytes(value);
+        auto& [message, used] = batches[held.m_target];
+        if (used + bytes > max_claim_bytes) {
+            send_release(state, held.m_target, std::move(message), output);
+            message = release{};
+            used = 0;
+        }
+        used += bytes;
+        message.m_slices.push_back({slice, held.m_epoch});
+        message.m_claims.insert(message.m_claims.end(), claims.begin(), claims.end());
+    }
+    for (auto& [target, batch] : batches)
+        send_release(state, target, std::move(batch.first), output);
 }
 
 void handle_release(node_state& state, time_point now, const message_received& received,
--- a/libs/core/src/slice_exit.cpp
+++ b/libs/core/src/slice_exit.cpp
@@ -11,6 +11,13 @@
 
 namespace {
 
+void set_phase(held_slice& held, slice_phase phase, time_point now)
+{
+    held.m_phase = phase;
+    held.m_phase_since = now;
+    held.m_next_send = now;
+}
+
 bool leaves_everything(const node_state& state, time_point now)
 {
     return state.m_stopping || node_out_of_service(state) || witnesses_lost(state, now);
@@ -47,9 +54,8 @@
     auto receiver = named_receiver(state.m_ownership, slice, held);
     if (!receiver || !reachable(state, now, *receiver) || !is_usable_member(state, now, *receiver))
         return std::nullopt;
-    const auto eligible = eligible_nodes(state, slice.m_space);
-    const bool able =
-        std::find(eligible.begin(), eligible.end(), receiver->m_node) != eligible.end();
+    const auto* newest = find_newest_plan(state.m_directory, receiver->m_node);
+    const bool able = is_eligible(state, *newest, slice.m_space);
     if (!able && !state.m_stopping && !witnesses_lost(state, now))
         return std::nullopt;
     return receiver;
@@ -61,18 +67,14 @@
     if (state.m_ownership.m_store_down || !holds_lease(state, now))
         return std::nullopt;
     const auto& desired = desired_owners(state, slice.m_space);
-    auto order = eligible_nodes(state, slice.m_space);
-    std::sort(order.begin(), order.end(), [&](const node_id& a, const node_id& b) {
-        return rendezvous_score(slice, a) > rendezvous_score(slice, b);
-    });
+    auto order = ranked(slice, eligible_nodes(state, slice.m_space));
     const bool known = slice.m_index < desired.size() &&
                        std::find(order.begin(), order.end(), desired[slice.m_index]) != order.end();
     if (known)
         order.insert(order.begin(), desired[slice.m_index]);
     for (const auto& node : order) {
-        const auto* newest = find_newest_plan(state.m_directory, node);
-        if (newest != nullptr && is_usable_member(state, now, newest->m_member))
-            return newest->m_member;
+        if (auto member = usable_member_of(state, now, node))
+            return member;
     }
     return std::nullopt;
 }
@@ -185,13 +187,6 @@
 
 } // namespace
 
-void set_phase(held_slice& held, slice_phase phase, time_point now)
-{
-    held.m_phase = phase;
-    held.m_phase_since = now;
-    held.m_next_send = now;
-}
-
 void resume_serving(held_slice& held, time_point now)
 {
     set_phase(held, slice_phase::serving, now);
