Wait for the outcome of an earlier request and acknowledge outcomes

Cause: the integration test repeated_order_is_executed_once got 409 for a repeat right after the reply of the first order. The entry node answers the caller and reports the outcome to the owner of the claim slice at the same time, so the repeat at another node may reach the owner first and finds the claim in progress. The outcome was also sent only once: after a move of the slice or a lost link the claim stayed in progress and became unknown after 60 s. A claim whose slice left during the copy to the standby was refused with 503.

Ruled out: a second execution (the execution records show one) and a lost claim after a move of the slice (the logs of the failed runs show no change of owner of that slice at the time).

An entry node now asks again for up to 1 s when the earlier request is in progress or the slice is leaving, and repeats the outcome to the present owner until claim_result_ack. A withdrawal names the token of its request, so a late repeat cannot free the claim of the next request.

--- a/libs/core/include/azureladder/core/claims_state.hpp
+++ b/libs/core/include/azureladder/core/claims_state.hpp
@@ -63,6 +63,15 @@
     duration m_interval{0};
 };
 
+/// Outcome of a request of this node that the owner of its claim has not acknowledged.
+struct pending_result
+{
+    claim_result m_result;
+    time_point m_started{};
+    time_point m_next_send{};
+    duration m_interval{0};
+};
+
 /// Verdict for a request of this node.
 struct local_verdict
 {
@@ -77,6 +86,9 @@
     std::map<slice_id, pending_baseline> m_baselines;
     std::uint64_t m_last_sequence = 0;
 
+    /// By token of the request.
+    std::map<std::uint64_t, pending_result> m_results;
+
     /// As standby: member and epoch whose claims this node has completely.
     std::map<slice_id, std::pair<member_ref, epoch_number>> m_received_baselines;
 
--- a/libs/core/include/azureladder/core/messages.hpp
+++ b/libs/core/include/azureladder/core/messages.hpp
@@ -162,13 +162,14 @@
     replay,
     in_progress,
     unknown,
-    refused
+    refused,
+    not_serving // the slice leaves this node; another one answers soon
 };
 
 inline constexpr enum_name<claim_verdict> claim_verdict_names[] = {
     {claim_verdict::proceed, "proceed"},         {claim_verdict::replay, "replay"},
     {claim_verdict::in_progress, "in_progress"}, {claim_verdict::unknown, "unknown"},
-    {claim_verdict::refused, "refused"},
+    {claim_verdict::refused, "refused"},         {claim_verdict::not_serving, "not_serving"},
 };
 
 struct claim_reply
@@ -182,13 +183,21 @@
     std::string m_body;
 };
 
-/// Reports the outcome of a claimed request to the owner of the claim slice.
+/// Reports the outcome of a claimed request to the owner of the claim slice, until that owner
+/// acknowledges it.
 struct claim_result
 {
+    /// Token of the request in its entry node.
+    std::uint64_t m_token = 0;
     claim m_claim;
     executed m_executed = executed::unknown;
 };
 
+struct claim_result_ack
+{
+    std::uint64_t m_token = 0;
+};
+
 /// Copies a claim to the standby of its slice.
 struct claim_copy
 {
@@ -238,9 +247,10 @@
     std::vector<std::pair<owned_slice, member_ref>> m_locations;
 };
 
-using message = std::variant<lease_request, lease_grant, lease_refusal, fence_promise, fence_ack,
-                             revision_probe, revision_ack, owner_notice, release, release_ack,
-                             claim_request, claim_reply, claim_result, claim_copy, claim_copy_ack,
-                             claim_baseline, config_pull, config_push, table_pull, table_push>;
+using message =
+    std::variant<lease_request, lease_grant, lease_refusal, fence_promise, fence_ack,
+                 revision_probe, revision_ack, owner_notice, release, release_ack, claim_request,
+                 claim_reply, claim_result, claim_result_ack, claim_copy, claim_copy_ack,
+                 claim_baseline, config_pull, config_push, table_pull, table_push>;
 
 } // namespace azureladder::core
--- a/libs/core/include/azureladder/core/open_request.hpp
+++ b/libs/core/include/azureladder/core/open_request.hpp
@@ -37,7 +37,13 @@
 
     /// Whether the owner allowed the request to proceed.
     bool m_held = false;
+
+    /// Whether an earlier request with the same idempotency key was in progress at the last answer.
+    bool m_in_progress = false;
     time_point m_resend_at{};
+
+    /// End of the wait for that request or for the next owner of the slice; set when it begins.
+    time_point m_wait_until{};
 };
 
 /// A request that this node still has to answer.
--- a/libs/core/src/claims.cpp
+++ b/libs/core/src/claims.cpp
@@ -79,6 +79,7 @@
     void operator()(const timer_tick&)
     {
         resend_copies(m_step);
+        resend_results(m_step);
         send_baselines(m_step);
         if (m_step.m_now < m_step.m_state.m_claims.m_next_cleanup)
             return;
@@ -93,7 +94,9 @@
         if (const auto* request = std::get_if<claim_request>(&message))
             handle_request(m_step, input, *request);
         else if (const auto* result = std::get_if<claim_result>(&message))
-            finish_claim(m_step, input.m_from, *result);
+            handle_result(m_step, input, *result);
+        else if (const auto* result_ack = std::get_if<claim_result_ack>(&message))
+            m_step.m_state.m_claims.m_results.erase(result_ack->m_token);
         else if (const auto* copy = std::get_if<claim_copy>(&message))
             handle_copy(m_step, input, *copy);
         else if (const auto* ack = std::get_if<claim_copy_ack>(&message))
@@ -155,8 +158,10 @@
     auto& kept = found->second;
     const bool is_holder = kept.m_holder == member;
     if (result.m_executed == executed::no) {
-        // Another member's claim, or one from a former owner, must not be withdrawn by mistake.
-        if (!is_holder || kept.m_claim.m_state == claim_state::executed)
+        // The claim of another request, or one from a former owner, must not be withdrawn by
+        // mistake: a repeated outcome may arrive after the next request has claimed the key.
+        if (!is_holder || kept.m_token != result.m_token ||
+            kept.m_claim.m_state == claim_state::executed)
             return;
         table.m_claims.erase(found);
         copy_claim(step, slice, key, true);
--- a/libs/core/src/claims_copies.cpp
+++ b/libs/core/src/claims_copies.cpp
@@ -63,17 +63,21 @@
 /// Refuses a claim whose copy was not acknowledged, and withdraws it.
 void refuse_gated(claims_step& step, const copy_id& id)
 {
+    const bool serving = serving_epoch(step.m_state, id.first, step.m_now).has_value();
     auto& claims = step.m_state.m_claims;
     const auto pending = claims.m_copies.at(id);
     auto& table = claims.m_tables[id.first].m_claims;
     const auto kept = table.find(id.second);
     if (kept != table.end()) {
-        deliver_verdict(step, kept->second, pending.m_reply_to, claim_verdict::refused);
+        deliver_verdict(step, kept->second, pending.m_reply_to,
+                        serving ? claim_verdict::refused : claim_verdict::not_serving);
         table.erase(kept);
     }
-    step.m_output.emplace_back(write_log{log_level::info,
-                                         "claim_refused",
-                                         {{"reason", "the standby did not acknowledge the copy"}}});
+    step.m_output.emplace_back(
+        write_log{log_level::info,
+                  "claim_refused",
+                  {{"reason", serving ? "the standby did not acknowledge the copy"
+                                      : "the slice is no longer served"}}});
     claims.m_copies.erase(id);
     copy_claim(step, id.first, id.second, true);
 }
--- a/libs/core/src/claims_internal.hpp
+++ b/libs/core/src/claims_internal.hpp
@@ -57,6 +57,14 @@
 /// Stores the outcome that `member` reports.
 void finish_claim(claims_step& step, const member_ref& member, const claim_result& result);
 
+// claims_results.cpp
+
+/// Stores the outcome of a request of this node, or sends it to the owner of the claim slice until
+/// that owner acknowledges it.
+void report_outcome(claims_step& step, const claim_result& result);
+void resend_results(claims_step& step);
+void handle_result(claims_step& step, const message_received& input, const claim_result& result);
+
 // claims_copies.cpp
 
 /// Standby of a slice by this node's plan; null when the plan has none.
--- /dev/null
+++ b/libs/core/src/claims_results.cpp
@@ -0,0 +1,76 @@
+#include "claims_internal.hpp"
+
+#include <azureladder/core/ownership.hpp>
+
+#include <algorithm>
+
+/// Outcomes of claimed requests on their way to the owner of the claim slice. A lost outcome would
+/// leave the claim in progress, and a repeat by the caller would not be answered.
+namespace azureladder::core {
+
+namespace {
+
+/// Outcomes that wait for their acknowledgement. With kept replies of 4 KiB they take up to 4 MiB
+/// of the 32 MB of a node; more outcomes are sent only once.
+constexpr std::size_t max_pending_results = 1024;
+
+/// Longest time between two sends of an unacknowledged outcome.
+constexpr duration longest_result_interval = seconds(2);
+
+/// Sends to the present owner, which may be another one than at the last send.
+void send_result(claims_step& step, const claim_result& result)
+{
+    const auto& state = step.m_state;
+    const auto location = locate(state.m_directory, result.m_claim.m_slice);
+    if (!location || location->m_owner == self(state))
+        return;
+    if (const auto* owner = find_plan(state.m_directory, location->m_owner))
+        step.m_output.emplace_back(send_message{owner->m_member, owner->m_peer_address, result});
+}
+
+} // namespace
+
+void report_outcome(claims_step& step, const claim_result& result)
+{
+    if (serving_epoch(step.m_state, result.m_claim.m_slice, step.m_now)) {
+        finish_claim(step, self(step.m_state), result);
+        return;
+    }
+    auto& results = step.m_state.m_claims.m_results;
+    const auto interval = step.m_state.m_options.m_resend_interval;
+    if (results.size() < max_pending_results)
+        results[result.m_token] = {result, step.m_now, step.m_now + interval, interval};
+    send_result(step, result);
+}
+
+void resend_results(claims_step& step)
+{
+    auto& results = step.m_state.m_claims.m_results;
+    for (auto found = results.begin(); found != results.end();) {
+        auto& pending = found->second;
+        // The owner has given the claim up by then.
+        bool done = step.m_now - pending.m_started >= claim_progress_time;
+        if (!done && step.m_now >= pending.m_next_send) {
+            pending.m_interval = std::min(2 * pending.m_interval, longest_result_interval);
+            pending.m_next_send = step.m_now + pending.m_interval;
+            done = serving_epoch(step.m_state, pending.m_result.m_claim.m_slice, step.m_now)
+                       .has_value();
+            if (done)
+                finish_claim(step, self(step.m_state), pending.m_result);
+            else
+                send_result(step, pending.m_result);
+        }
+        found = done ? results.erase(found) : std::next(found);
+    }
+}
+
+void handle_result(claims_step& step, const message_received& input, const claim_result& result)
+{
+    finish_claim(step, input.m_from, result);
+    // An owner that is leaving may have passed the claim on already; the next one acknowledges.
+    if (serving_epoch(step.m_state, result.m_claim.m_slice, step.m_now))
+        step.m_output.emplace_back(
+            send_message{input.m_from, input.m_reply_to, claim_result_ack{result.m_token}});
+}
+
+} // namespace azureladder::core
--- a/libs/core/src/next_tick.cpp
+++ b/libs/core/src/next_tick.cpp
@@ -39,7 +39,7 @@
 bool request_in_progress(const node_state& state)
 {
     return !state.m_routing.m_requests.empty() || !state.m_routing.m_attempts.empty() ||
-           !state.m_claims.m_copies.empty();
+           !state.m_claims.m_copies.empty() || !state.m_claims.m_results.empty();
 }
 
 } // namespace
--- a/libs/core/src/routing_answers.cpp
+++ b/libs/core/src/routing_answers.cpp
@@ -117,8 +117,8 @@
     const auto& request = *find_request(step.m_state, token);
     const bool of_claim =
         code == error_code::claim_in_progress || code == error_code::claim_unknown;
-    const bool maybe =
-        of_claim || request.m_maybe_executed || open_attempt_count(step.m_state, token) > 0;
+    const bool maybe = of_claim || request.m_claim.m_in_progress || request.m_maybe_executed ||
+                       open_attempt_count(step.m_state, token) > 0;
     const auto state = maybe ? executed::unknown : executed::no;
     const auto agreed = agreeing_code(request, code, state);
     cancel_open_attempts(step, token);
--- a/libs/core/src/routing_claims.cpp
+++ b/libs/core/src/routing_claims.cpp
@@ -8,10 +8,11 @@
 
 namespace {
 
-claim_result make_result(const open_request& request, executed outcome,
+claim_result make_result(request_token token, const open_request& request, executed outcome,
                          const attempt_finished* reply)
 {
     claim_result result;
+    result.m_token = token;
     result.m_executed = outcome;
     result.m_claim.m_slice = request.m_claim.m_slice;
     result.m_claim.m_key = request.m_claim.m_key;
@@ -48,12 +49,26 @@
         arm(step, token);
 }
 
-void handle_claim_refusal(routing_step& step, request_token token)
+/// Asks for the claim again later; returns false when the request has waited long enough.
+bool ask_again(routing_step& step, request_token token)
+{
+    auto& request = *find_request(step.m_state, token);
+    auto& claim = request.m_claim;
+    if (claim.m_wait_until == time_point{})
+        claim.m_wait_until = step.m_now + max_claim_wait;
+    if (request.m_abandoned || step.m_now + claim_retry_delay > claim.m_wait_until)
+        return false;
+    claim.m_resend_at = step.m_now + claim_retry_delay;
+    arm(step, token);
+    return true;
+}
+
+void handle_claim_refusal(routing_step& step, request_token token, claim_verdict verdict)
 {
     auto& request = *find_request(step.m_state, token);
     if (is_divided(request) && !serving_epoch(step.m_state, request.m_slice, step.m_now))
         handle_attempt_failure(step, token, error_code::no_owner, true);
-    else
+    else if (verdict != claim_verdict::not_serving || !ask_again(step, token))
         answer_error(step, token, error_code::claim_refused,
                      "the idempotency key could not be stored");
 }
@@ -115,6 +130,7 @@
                 {{"request_id", request->m_info.m_request_id},
                  {"reason", std::string(name_in(claim_verdict_names, reply.m_verdict))}});
     request->m_claim.m_asked = false;
+    request->m_claim.m_in_progress = reply.m_verdict == claim_verdict::in_progress;
     switch (reply.m_verdict) {
     case claim_verdict::proceed:
         request->m_claim.m_held = true;
@@ -127,6 +143,9 @@
         answer_replay(step, token, reply);
         return;
     case claim_verdict::in_progress:
+        // Its outcome may be on its way to the owner although the caller has the reply already.
+        if (ask_again(step, token))
+            return;
         answer_error(step, token, error_code::claim_in_progress,
                      "a request with this idempotency key is in progress");
         return;
@@ -135,7 +154,8 @@
                      "the outcome of an earlier request with this idempotency key is not known");
         return;
     case claim_verdict::refused:
-        handle_claim_refusal(step, token);
+    case claim_verdict::not_serving:
+        handle_claim_refusal(step, token, reply.m_verdict);
         return;
     }
 }
@@ -148,20 +168,17 @@
         handle_claim_reply(step, verdict.m_token, verdict.m_reply);
 }
 
-void settle_claim(routing_step& step, request_token, const open_request& request, executed outcome,
-                  const attempt_finished* reply)
+void settle_claim(routing_step& step, request_token token, const open_request& request,
+                  executed outcome, const attempt_finished* reply)
 {
     if (!request.m_claim.m_held && !request.m_claim.m_asked)
         return;
-    const auto result = make_result(request, outcome, reply);
-    if (is_divided(request) || serving_epoch(step.m_state, request.m_claim.m_slice, step.m_now)) {
-        claims_step claims{step.m_state, step.m_now, step.m_output};
+    const auto result = make_result(token, request, outcome, reply);
+    claims_step claims{step.m_state, step.m_now, step.m_output};
+    if (is_divided(request))
         finish_claim(claims, self(step.m_state), result);
-        return;
-    }
-    const auto* owner = remote_owner(step.m_state, request.m_claim.m_slice);
-    if (owner != nullptr)
-        step.m_output.emplace_back(send_message{owner->m_member, owner->m_peer_address, result});
+    else
+        report_outcome(claims, result);
 }
 
 } // namespace azureladder::core
--- a/libs/core/src/routing_internal.hpp
+++ b/libs/core/src/routing_internal.hpp
@@ -32,6 +32,12 @@
 inline constexpr duration max_owner_wait = milliseconds(1500);
 inline constexpr duration owner_retry_delay = milliseconds(50);
 
+/// Wait for the outcome of an earlier request with the same idempotency key, or for the next owner
+/// of its claim slice. Without it a repeat right after the reply was rejected, because the outcome
+/// had not reached the owner.
+inline constexpr duration max_claim_wait = seconds(1);
+inline constexpr duration claim_retry_delay = milliseconds(50);
+
 /// Requests that may wait for an owner at once, and requests with claims, so that a lost owner
 /// cannot exhaust the memory.
 inline constexpr std::size_t max_waiting_requests = 1024;
--- a/libs/core/tests/claims_test.cpp
+++ b/libs/core/tests/claims_test.cpp
@@ -4,6 +4,8 @@
 
 namespace {
 
+constexpr int status_ok = 200;
+
 /// The node serves claim slices; its standbys are "b" and "c".
 class claims : public routing_fixture
 {
@@ -36,9 +38,10 @@
         receive("b", claim_copy_ack{copies[0].m_sequence});
     }
 
-    void report(executed outcome, const node_id& from = "c")
+    void report(executed outcome, const node_id& from = "c", std::uint64_t token = 1)
     {
         claim_result result;
+        result.m_token = token;
         result.m_claim.m_slice = m_slice;
         result.m_claim.m_key = m_key;
         result.m_claim.m_has_reply = true;
@@ -314,6 +317,99 @@
     EXPECT_TRUE(all<dispatch_to_backend>().empty());
 }
 
+// Guards against a repeat that is rejected right after the caller received the reply, because the
+// outcome is still on its way to the owner of the claim slice.
+TEST_F(claims, entry_node_waits_for_the_outcome_of_an_earlier_request)
+{
+    stop_serving(m_state, m_slice);
+    set_owner(m_slice, "c", 2);
+    auto token = arrive(make_write());
+    receive("c", claim_reply{token, claim_verdict::in_progress});
+    EXPECT_TRUE(all<answer_with_error>().empty());
+    advance(milliseconds(60));
+    EXPECT_EQ(sent<claim_request>().size(), 1U);
+    receive("c", claim_reply{token, claim_verdict::replay, status_ok, "", "done"});
+    ASSERT_EQ(all<answer_with_replay>().size(), 1U);
+    token = arrive(make_write());
+    receive("c", claim_reply{token, claim_verdict::in_progress});
+    advance(milliseconds(1020));
+    receive("c", claim_reply{token, claim_verdict::in_progress});
+    EXPECT_EQ(error().m_code, error_code::claim_in_progress);
+}
+
+// Guards against "not executed" for a request whose earlier twin is being executed.
+TEST_F(claims, deadline_while_an_earlier_request_is_in_progress_is_unknown)
+{
+    stop_serving(m_state, m_slice);
+    set_owner(m_slice, "c", 2);
+    auto info = make_write();
+    info.m_timeout = milliseconds(300);
+    receive("c", claim_reply{arrive(info), claim_verdict::in_progress});
+    advance(milliseconds(320));
+    EXPECT_EQ(error().m_executed, executed::unknown);
+}
+
+// Guards against a lost outcome, which leaves the claim in progress until it becomes unknown.
+TEST_F(claims, outcome_is_repeated_to_the_present_owner_until_acknowledged)
+{
+    stop_serving(m_state, m_slice);
+    set_owner(m_slice, "c", 2);
+    const auto token = arrive(make_write());
+    receive("c", claim_reply{token, claim_verdict::proceed});
+    finish(token, 1, attempt_outcome::answered);
+    EXPECT_EQ(sent<claim_result>().size(), 1U);
+    set_owner(m_slice, "b", 3);
+    advance(milliseconds(220));
+    ASSERT_EQ(sent<claim_result>().size(), 1U);
+    EXPECT_EQ(all<send_message>().back().m_to.m_node, "b");
+    receive("b", claim_result_ack{token});
+    advance(seconds(5));
+    EXPECT_TRUE(sent<claim_result>().empty());
+}
+
+// Guards against an outcome that is acknowledged by a node that cannot keep it for the next owner.
+TEST_F(claims, only_the_serving_owner_acknowledges_an_outcome)
+{
+    ask(1);
+    acknowledge();
+    report(executed::yes);
+    EXPECT_EQ(sent<claim_result_ack>().at(0).m_token, 1U);
+    stop_serving(m_state, m_slice);
+    report(executed::yes);
+    EXPECT_TRUE(sent<claim_result_ack>().empty());
+}
+
+// Guards against a second execution: the repeated withdrawal of a request that was not executed
+// must not free the claim of the next request of the same node.
+TEST_F(claims, late_withdrawal_does_not_free_a_later_claim)
+{
+    ask(1);
+    acknowledge();
+    report(executed::no);
+    ask(2);
+    acknowledge();
+    report(executed::no);
+    ask(3);
+    EXPECT_EQ(verdict(), claim_verdict::in_progress);
+}
+
+// Guards against callers that are refused because a claim slice moves.
+TEST_F(claims, claim_of_a_leaving_slice_is_asked_again)
+{
+    ask(1);
+    stop_serving(m_state, m_slice);
+    advance(milliseconds(20));
+    EXPECT_EQ(verdict(), claim_verdict::not_serving);
+    set_owner(m_slice, "c", 2);
+    const auto token = arrive(make_write());
+    receive("c", claim_reply{token, claim_verdict::not_serving});
+    EXPECT_TRUE(all<answer_with_error>().empty());
+    set_owner(m_slice, "b", 3);
+    advance(milliseconds(60));
+    ASSERT_EQ(sent<claim_request>().size(), 1U);
+    EXPECT_EQ(all<send_message>().back().m_to.m_node, "b");
+}
+
 } // namespace
 
 } // namespace azureladder::core::testing
--- a/libs/wire/src/message_table.hpp
+++ b/libs/wire/src/message_table.hpp
@@ -255,10 +255,20 @@
     static constexpr std::uint8_t code = 15;
     static constexpr channel via = channel::link;
     static constexpr auto fields =
-        std::make_tuple(make_field("cl", &core::claim_result::m_claim),
+        std::make_tuple(make_field("o", &core::claim_result::m_token),
+                        make_field("cl", &core::claim_result::m_claim),
                         make_field("x", &core::claim_result::m_executed));
 };
 
+template <>
+struct descriptor<core::claim_result_ack>
+{
+    static constexpr std::uint8_t code = 23;
+    static constexpr channel via = channel::link;
+    static constexpr auto fields =
+        std::make_tuple(make_field("o", &core::claim_result_ack::m_token));
+};
+
 template <>
 struct descriptor<core::claim_copy>
 {
