Hold requests of a spread service until an upstream is known

Cause: repeated_order_is_executed_once got 503 no_upstream from a node that had joined 190 ms before. Its own plan did not name its backend server yet, and it knew no plan of another node that runs the service. A node without candidates answered at once, while it held requests of a service divided by key.

Ruled out: stale candidates (the plan that names the service was written 30 ms after the request).

The request now waits as for an owner, up to 1.5 s within its deadline, but only while no known node runs the service: when the operator has taken all of them out it is still answered at once. Before: the new test of the reducer fails.

--- a/libs/core/src/routing_choice.cpp
+++ b/libs/core/src/routing_choice.cpp
@@ -36,6 +36,14 @@
         {owner->m_member, owner->m_peer_address, owner->m_zone == state.m_identity.m_zone}, false);
 }
 
+/// Whether any known node runs the service, also one that is out of service now.
+bool has_known_upstream(const node_state& state, const std::string& service)
+{
+    const auto plans = newest_plans(state.m_directory);
+    return std::any_of(plans.begin(), plans.end(),
+                       [&](const plan* value) { return value->m_service == service; });
+}
+
 void route_spread(routing_step& step, request_token token)
 {
     auto& state = step.m_state;
@@ -48,6 +56,10 @@
     const auto* target = choose_upstream(step, request, false);
     if (target == nullptr)
         target = choose_upstream(step, request, true);
+    if (target == nullptr && !has_known_upstream(state, request.m_info.m_service)) {
+        wait_for_owner(step, token, error_code::no_upstream);
+        return;
+    }
     if (target == nullptr) {
         answer_error(step, token, error_code::no_upstream, "no upstream of the service is known");
         return;
@@ -95,8 +107,9 @@
         request.m_wait_until = step.m_now + max_owner_wait;
     const bool full = routing.m_waiting.size() >= max_waiting_requests;
     if (full || request.m_abandoned || step.m_now + owner_retry_delay > request.m_wait_until) {
-        answer_error(step, token, code,
-                     full ? "too many requests wait for an owner" : "no owner serves the key");
+        const char* cause =
+            is_divided(request) ? "no owner serves the key" : "no upstream of the service is known";
+        answer_error(step, token, code, full ? "too many requests wait for an owner" : cause);
         return;
     }
     request.m_phase = request_phase::waiting_owner;
--- a/libs/core/tests/routing_spread_test.cpp
+++ b/libs/core/tests/routing_spread_test.cpp
@@ -68,6 +68,22 @@
     EXPECT_EQ(error().m_code, error_code::no_upstream);
 }
 
+// Guards against failed calls in the first moments of a node, before it knows any upstream.
+TEST_F(routing_spread, request_waits_until_an_upstream_is_known)
+{
+    m_state.m_configuration.m_document.m_services["new"].m_name = "new";
+    const auto token = arrive(make_info("new"));
+    EXPECT_TRUE(all<answer_with_error>().empty());
+    add_node("d", "z1", "new");
+    advance(milliseconds(60));
+    EXPECT_EQ(target(), "d");
+    finish(token, 1, attempt_outcome::answered);
+    m_state.m_configuration.m_document.m_services["none"].m_name = "none";
+    arrive(make_info("none"));
+    advance(seconds(2));
+    EXPECT_EQ(error().m_code, error_code::no_upstream);
+}
+
 // Guards against a stopping entry node that fails callers instead of forwarding.
 TEST_F(routing_spread, stopping_entry_node_forwards_elsewhere)
 {
