Start integration tests only when plans list all slices

Cause: in one of two whole runs on a busy machine owner_killed_while_store_is_down found key k1 unserved for 15 s. The logs show that the owner acquired 7 slices 19 ms before the store was taken down, so the plan write that lists them failed; its standby took over the 14 listed slices and needs the store for the others.

Ruled out: a lost promise or a refused takeover (the takeover of the listed slices took the usual time). docs/design.md names this window among the failures that are not tolerated.

The check of the test is unchanged; its precondition is stricter: each owner's plan must list as many slices as it owns.

--- a/tests/integration/cluster_fixture.cpp
+++ b/tests/integration/cluster_fixture.cpp
@@ -2,6 +2,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <sstream>
 #include <unistd.h>
 
@@ -80,6 +81,22 @@
     return true;
 }
 
+/// Whether each owner's plan lists all its slices. The standby of a slice that no plan lists yet
+/// needs the platform store to take it over.
+bool listed(const json& status)
+{
+    std::map<std::string, std::size_t> owned;
+    for (const auto& slices : status.at("slices")) {
+        for (const auto& location : slices)
+            ++owned[location.at("owner").get<std::string>()];
+    }
+    for (const auto& plan : status.at("plans")) {
+        if (plan.at("slices").get<std::size_t>() != owned[plan.at("node").get<std::string>()])
+            return false;
+    }
+    return true;
+}
+
 std::string test_directory()
 {
     const auto* info = ::testing::UnitTest::GetInstance()->current_test_info();
@@ -120,7 +137,8 @@
         const auto status = m_site->status("n-bookings-c");
         return status && (*status)["slices"].contains("reporting") &&
                (*status)["slices"]["reporting"].size() == 12 && covered(*status) &&
-               served("n-bookings-c", "k1") && book("n-bookings-c", "warm-up") == status_ok;
+               listed(*status) && served("n-bookings-c", "k1") &&
+               book("n-bookings-c", "warm-up") == status_ok;
     };
     ASSERT_TRUE(deployment::wait_until(all_owned, settle_limit));
 }
