Let replies of a backend server state a cold start

The first reply of a cold server can tell the router 20 ms after the cold start.

Ruled out: a limit on requests that last much longer than usual, because one long report would block a server whose other requests are short.

Azureladder-Backend-Cold in a reply lowers the limit to one; an announcement ends the cold start. The header does not reach the caller.

--- a/libs/core/include/azureladder/core/events.hpp
+++ b/libs/core/include/azureladder/core/events.hpp
@@ -103,6 +103,9 @@
 
     /// Self-reported fill of the answering backend server; negative when unknown.
     double m_reported_load = -1.0;
+
+    /// Whether the reply of the backend server beside the node states that the server is cold.
+    bool m_backend_cold = false;
 };
 
 /// An operator asks to add or replace records.
--- a/libs/core/src/routing_backend.cpp
+++ b/libs/core/src/routing_backend.cpp
@@ -235,6 +235,12 @@
 {
     auto& limit = step.m_state.m_routing.m_limit;
     --limit.m_in_flight;
+    // A server that turns cold between two announcements would get full load for up to 1 s. Only an
+    // announcement ends the cold start, because replies arrive in any order.
+    if (input.m_backend_cold && step.m_state.m_backend && !step.m_state.m_backend->m_cold) {
+        step.m_state.m_backend->m_cold = true;
+        begin_cold_start(step, "stated in a reply");
+    }
     switch (input.m_outcome) {
     case attempt_outcome::answered:
         // How much a cold backend server bears is not announced; one request is safe. Replies that
--- a/libs/core/tests/routing_backend_test.cpp
+++ b/libs/core/tests/routing_backend_test.cpp
@@ -66,6 +66,24 @@
     EXPECT_EQ(limit(), 2U);
 }
 
+// Guards against full load on a server that turned cold after its last announcement.
+TEST_F(routing_backend, reply_that_states_a_cold_start_lowers_the_limit)
+{
+    warm_up();
+    const auto token = arrive_class(request_class::standard);
+    auto finished = make_finished(token, 1, attempt_outcome::answered);
+    finished.m_backend_cold = true;
+    run(finished);
+    EXPECT_EQ(limit(), 1U);
+    arrive_class(request_class::standard);
+    answer_all();
+    EXPECT_EQ(limit(), 1U);
+    announce(false, "s1");
+    arrive_class(request_class::standard);
+    answer_all();
+    EXPECT_EQ(limit(), 2U);
+}
+
 // Guards against a restart, a cold announcement or a silence that goes unnoticed.
 TEST_F(routing_backend, new_start_cold_announcement_and_silence_start_cold)
 {
--- a/libs/node/src/backend_gateway.cpp
+++ b/libs/node/src/backend_gateway.cpp
@@ -16,6 +16,7 @@
 /// Longest time for which a request waits for the grant of its slice to be sent.
 constexpr milliseconds grant_wait{500};
 
+constexpr const char* cold_header = "Azureladder-Backend-Cold";
 constexpr int status_precondition_failed = 412;
 constexpr int status_service_unavailable = 503;
 
@@ -27,6 +28,19 @@
     return refusal && value != nullptr && *value == to_string(executed::no);
 }
 
+/// Takes the statement of the backend server out of the reply; it is not meant for the caller.
+bool take_cold_statement(http::response& reply)
+{
+    const auto* value = http::find_header(reply.m_headers, cold_header);
+    const bool cold = value != nullptr && *value == "true";
+    auto& headers = reply.m_headers;
+    const auto is_statement = [](const http::header_field& field) {
+        return http::equal_ignoring_case(field.m_name, cold_header);
+    };
+    headers.erase(std::remove_if(headers.begin(), headers.end(), is_statement), headers.end());
+    return cold;
+}
+
 core::attempt_outcome outcome_of(const http::client_error& error, bool lease_ended)
 {
     if (lease_ended)
@@ -142,6 +156,7 @@
             finished.m_outcome = states_not_executed(reply) ? core::attempt_outcome::refused
                                                             : core::attempt_outcome::answered;
             finished.m_status = reply.m_status;
+            finished.m_backend_cold = take_cold_statement(reply);
             if (!idempotent)
                 keep_small_reply(reply, m_options.m_claim_body_bytes, finished);
         } else {
--- a/testbench/backend/src/backend_service.cpp
+++ b/testbench/backend/src/backend_service.cpp
@@ -201,6 +201,9 @@
     auto answer = json_response(status, body);
     answer.m_headers.push_back(
         {"Azureladder-Executed", end == execution_end::done ? "yes" : "unknown"});
+    // A server whose reports lag does not know its present state any better in its replies.
+    if (m_options.m_report_lag.count() == 0 && m_capacity.report().m_cold)
+        answer.m_headers.push_back({"Azureladder-Backend-Cold", "true"});
     return answer;
 }
 
--- a/testbench/backend/tests/backend_double_test.cpp
+++ b/testbench/backend/tests/backend_double_test.cpp
@@ -222,7 +222,9 @@
     control(target, "double", {{"shed", false}, {"drain", true}});
     expect_not_executed(target.handle(work("r2")), 503);
     control(target, "double", {{"drain", false}, {"cold_ms", 50}});
-    EXPECT_EQ(target.handle(work("r3")).m_status, 200);
+    const auto cold_reply = target.handle(work("r3"));
+    EXPECT_EQ(cold_reply.m_status, 200);
+    EXPECT_NE(http::find_header(cold_reply.m_headers, "Azureladder-Backend-Cold"), nullptr);
     EXPECT_TRUE(target.capacity().report().m_cold);
     m_clock.advance(milliseconds(50));
     EXPECT_FALSE(target.capacity().report().m_cold);
