Determine candidates again only after a change of records or plans

Each message of a peer, each end of a store call and each tick marked the candidates of all services as stale, so that under load almost each request walked all plans and records again. Ruled out: in_flight() and the attempt maps, which no step of a request walks.

The new test fails when the digest and the revision are not compared.

--- a/libs/core/include/azureladder/core/upstream_measure.hpp
+++ b/libs/core/include/azureladder/core/upstream_measure.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -61,14 +62,34 @@
     bool m_local_zone = true;
 };
 
+/// What the candidates of a service follow from.
+struct candidate_basis
+{
+    std::uint64_t m_directory_digest = 0;
+    revision_number m_revision = 0;
+    incarnation_id m_incarnation = 0;
+
+    friend bool operator==(const candidate_basis& left, const candidate_basis& right)
+    {
+        return left.m_directory_digest == right.m_directory_digest &&
+               left.m_revision == right.m_revision && left.m_incarnation == right.m_incarnation;
+    }
+
+    friend bool operator!=(const candidate_basis& left, const candidate_basis& right)
+    {
+        return !(left == right);
+    }
+};
+
 /// Measurements of one service at this entry node.
 struct service_measure
 {
     std::map<member_ref, upstream_measure> m_upstreams;
 
-    /// Upstreams by the directory and the records, and whether both may have changed since.
+    /// Upstreams by the directory and the records, and the state of both that they follow from;
+    /// unset when they have to be determined again.
     std::vector<upstream_address> m_candidates;
-    bool m_candidates_stale = true;
+    std::optional<candidate_basis> m_candidates_from;
 
     /// Latest latencies of answered attempts in microseconds.
     static constexpr std::size_t latency_count = 128;
--- a/libs/core/src/routing.cpp
+++ b/libs/core/src/routing.cpp
@@ -18,7 +18,6 @@
 
     void operator()(const timer_tick&)
     {
-        mark_candidates_stale(m_step.m_state);
         detect_return_to_service(m_step);
         cancel_without_lease(m_step);
         flush_unservable(m_step);
@@ -33,15 +32,10 @@
             handle_claim_reply(m_step, reply->m_token, *reply);
             return;
         }
-        mark_candidates_stale(m_step.m_state);
         retry_waiting(m_step);
     }
 
-    void operator()(const store_finished&)
-    {
-        mark_candidates_stale(m_step.m_state);
-        retry_waiting(m_step);
-    }
+    void operator()(const store_finished&) { retry_waiting(m_step); }
 
     void operator()(const backend_announced& input) { handle_announcement(m_step, input); }
     void operator()(const request_arrived& input) { handle_arrival(m_step, input); }
--- a/libs/core/src/routing_candidates.cpp
+++ b/libs/core/src/routing_candidates.cpp
@@ -33,6 +33,12 @@
     }
 }
 
+candidate_basis basis_of(const node_state& state)
+{
+    return {state.m_directory.m_digest, state.m_configuration.m_document.m_revision,
+            state.m_incarnation};
+}
+
 void rebuild_candidates(const node_state& state, service_measure& measure,
                         const records::service_record& service)
 {
@@ -45,7 +51,7 @@
         measure.m_candidates.push_back(
             {value->m_member, value->m_peer_address, value->m_zone == state.m_identity.m_zone});
     }
-    measure.m_candidates_stale = false;
+    measure.m_candidates_from = basis_of(state);
     drop_old_measures(measure);
 }
 
@@ -87,19 +93,13 @@
 
 } // namespace
 
-void mark_candidates_stale(node_state& state)
-{
-    for (auto& [name, measure] : state.m_routing.m_services)
-        measure.m_candidates_stale = true;
-}
-
 const std::vector<upstream_address>& candidates_for(routing_step& step, const std::string& service)
 {
     auto& measure = measure_of(step.m_state, service);
     const auto* record = records::find_service(step.m_state.m_configuration.m_document, service);
     if (record == nullptr)
         measure.m_candidates.clear();
-    else if (measure.m_candidates_stale)
+    else if (measure.m_candidates_from != basis_of(step.m_state))
         rebuild_candidates(step.m_state, measure, *record);
     return measure.m_candidates;
 }
--- a/libs/core/src/routing_internal.hpp
+++ b/libs/core/src/routing_internal.hpp
@@ -80,7 +80,6 @@
 /// Chooses an upstream that was not tried; null when there is none.
 const upstream_address* choose_upstream(routing_step& step, const open_request& request,
                                         bool allow_tried);
-void mark_candidates_stale(node_state& state);
 
 // routing_claims.cpp
 
--- a/libs/core/src/routing_timers.cpp
+++ b/libs/core/src/routing_timers.cpp
@@ -128,6 +128,8 @@
         return;
     routing.m_next_measurement = step.m_now + measurement_interval;
     for (auto& [name, service] : routing.m_services) {
+        // The next choice drops measurements of members that are no longer upstreams.
+        service.m_candidates_from.reset();
         for (auto& [member, upstream] : service.m_upstreams)
             upstream.m_oldest_open = duration(0);
     }
--- a/libs/core/tests/routing_spread_test.cpp
+++ b/libs/core/tests/routing_spread_test.cpp
@@ -68,6 +68,22 @@
     EXPECT_EQ(error().m_code, error_code::no_upstream);
 }
 
+// Guards against candidates that are kept although the records or the plans have changed.
+TEST_F(routing_spread, candidates_follow_records_and_plans_without_a_tick)
+{
+    auto& document = m_state.m_configuration.m_document;
+    arrive(make_info("shop"));
+    EXPECT_EQ(all<forward_request>().size(), 1U);
+    document.m_services["shop"].m_zones = {"z9"};
+    ++document.m_revision;
+    arrive(make_info("shop"));
+    EXPECT_EQ(error().m_code, error_code::no_upstream);
+    add_node("d", "z9", "shop");
+    ++m_state.m_directory.m_digest;
+    arrive(make_info("shop"));
+    EXPECT_EQ(target(), "d");
+}
+
 // Guards against a stopping entry node that fails callers instead of forwarding.
 TEST_F(routing_spread, stopping_entry_node_forwards_elsewhere)
 {
