Parse request headers without copies of the stream buffer and of all fields

The strict header check copied the consumed part of the stream buffer and all fields that cxxtools had parsed for each request, although the fields serve only requests whose header arrived in several reads. Name characters were searched in a text; they are looked up in a table now.

The http tests pass unchanged.

--- a/libs/http/src/head_syntax.cpp
+++ b/libs/http/src/head_syntax.cpp
@@ -1,17 +1,27 @@
 #include "head_syntax.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace azureladder::http {
 
 namespace {
 
+constexpr std::size_t byte_values = 256;
+
+constexpr std::array<bool, byte_values> make_token_table()
+{
+    std::array<bool, byte_values> table{};
+    for (const char c : std::string_view("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"
+                                         "ABCDEFGHIJKLMNOPQRSTUVWXYZ"))
+        table[static_cast<unsigned char>(c)] = true;
+    return table;
+}
+
 bool is_token_char(char c)
 {
-    constexpr std::string_view others = "!#$%&'*+-.^_`|~";
-    const bool alphanumeric =
-        (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
-    return alphanumeric || others.find(c) != std::string_view::npos;
+    static constexpr auto table = make_token_table();
+    return table[static_cast<unsigned char>(c)];
 }
 
 } // namespace
--- a/libs/http/src/raw_head.cpp
+++ b/libs/http/src/raw_head.cpp
@@ -5,6 +5,7 @@
 #include <cxxtools/http/request.h>
 
 #include <algorithm>
+#include <iterator>
 #include <streambuf>
 
 namespace azureladder::http {
@@ -18,11 +19,11 @@
 class buffer_access : public std::streambuf
 {
 public:
-    static std::string consumed(const std::streambuf& buffer)
+    static std::string_view consumed(const std::streambuf& buffer)
     {
         char* (std::streambuf::*begin)() const = &buffer_access::eback;
         char* (std::streambuf::*end)() const = &buffer_access::gptr;
-        return {(buffer.*begin)(), (buffer.*end)()};
+        return {(buffer.*begin)(), std::size_t((buffer.*end)() - (buffer.*begin)())};
     }
 };
 
@@ -47,13 +48,13 @@
 }
 
 /// The raw head, or an empty text when `consumed` holds only its last part.
-std::string_view find_raw_head(const std::string& consumed, const std::string& method,
+std::string_view find_raw_head(std::string_view consumed, const std::string& method,
                                std::size_t header_count)
 {
     const auto start = consumed.rfind(method + " ", putback_bytes);
     if (start == std::string::npos)
         return {};
-    const auto raw = std::string_view(consumed).substr(start);
+    const auto raw = consumed.substr(start);
     const auto first_line = raw.substr(0, raw.find('\n'));
     const bool is_request_line = first_line.find(" HTTP/") != std::string_view::npos;
     return is_request_line && count_header_lines(raw) == header_count ? raw : std::string_view();
@@ -96,18 +97,19 @@
 
 } // namespace
 
-std::string consumed_bytes(const std::streambuf& buffer)
+std::string_view consumed_bytes(const std::streambuf& buffer)
 {
     return buffer_access::consumed(buffer);
 }
 
 result<request, refusal> strict_head(const cxxtools::http::Request& parsed,
-                                     const std::string& consumed)
+                                     std::string_view consumed)
 {
-    auto headers = parsed_headers(parsed);
-    const auto raw = find_raw_head(consumed, parsed.method(), headers.size());
+    const auto& parsed_header = parsed.header();
+    const auto count = std::distance(parsed_header.begin(), parsed_header.end());
+    const auto raw = find_raw_head(consumed, parsed.method(), std::size_t(count));
     if (raw.empty())
-        return head_from_parsed(parsed, std::move(headers));
+        return head_from_parsed(parsed, parsed_headers(parsed));
     return parse_request_head(raw);
 }
 
--- a/libs/http/src/raw_head.hpp
+++ b/libs/http/src/raw_head.hpp
@@ -3,7 +3,7 @@
 #include "request_head.hpp"
 
 #include <iosfwd>
-#include <string>
+#include <string_view>
 
 namespace cxxtools::http {
 class Request;
@@ -11,13 +11,13 @@
 
 namespace azureladder::http {
 
-/// Bytes that the stream buffer still holds in front of its read position.
-std::string consumed_bytes(const std::streambuf& buffer);
+/// Bytes that the stream buffer still holds in front of its read position; valid until it is read.
+std::string_view consumed_bytes(const std::streambuf& buffer);
 
 /// Request line and headers of a request that cxxtools has parsed. `consumed` are the bytes in
 /// front of the read position. When they contain the whole header, it is parsed strictly from
 /// them. Otherwise the header arrived in several reads and only what cxxtools parsed is left.
 result<request, refusal> strict_head(const cxxtools::http::Request& parsed,
-                                     const std::string& consumed);
+                                     std::string_view consumed);
 
 } // namespace azureladder::http
--- a/libs/http/src/request_text.cpp
+++ b/libs/http/src/request_text.cpp
@@ -14,6 +14,8 @@
     "TE",         "Trailer",        "Upgrade", "Transfer-Encoding",
 };
 
+constexpr std::size_t usual_head_bytes = 512;
+
 bool is_replaced(std::string_view name)
 {
     return std::any_of(
@@ -35,6 +37,7 @@
     if (!is_token(message.m_method) || !is_target(message.m_target))
         return std::nullopt;
     std::string text = message.m_method + " " + message.m_target + " HTTP/1.1\r\n";
+    text.reserve(usual_head_bytes + message.m_body.size());
     if (find_header(message.m_headers, "Host") == nullptr)
         text += "Host: " + host + "\r\n";
     for (const auto& field : message.m_headers) {
@@ -42,7 +45,7 @@
             continue;
         if (!is_token(field.m_name) || !is_field_value(field.m_value))
             return std::nullopt;
-        text += field.m_name + ": " + field.m_value + "\r\n";
+        text.append(field.m_name).append(": ").append(field.m_value).append("\r\n");
     }
     if (!keep_connection)
         text += "Connection: close\r\n";
