--- a/libs/core/tests/routing_spread_test.cpp
+++ b/libs/core/tests/routing_spread_test.cpp
@@ -75,6 +75,7 @@
     const auto token = arrive(make_info("new"));
     EXPECT_TRUE(all<answer_with_error>().empty());
     add_node("d", "z1", "new");
+    ++m_state.m_directory.m_digest;
     advance(milliseconds(60));
     EXPECT_EQ(target(), "d");
     finish(token, 1, attempt_outcome::answered);
@@ -84,6 +85,22 @@
     EXPECT_EQ(error().m_code, error_code::no_upstream);
 }
 
+// Guards against candidates that are kept although the records or the plans have changed.
+TEST_F(routing_spread, candidates_follow_records_and_plans_without_a_tick)
+{
+    auto& document = m_state.m_configuration.m_document;
+    arrive(make_info("shop"));
+    EXPECT_EQ(all<forward_request>().size(), 1U);
+    document.m_services["shop"].m_zones = {"z9"};
+    ++document.m_revision;
+    arrive(make_info("shop"));
+    EXPECT_EQ(error().m_code, error_code::no_upstream);
+    add_node("d", "z9", "shop");
+    ++m_state.m_directory.m_digest;
+    arrive(make_info("shop"));
+    EXPECT_EQ(target(), "d");
+}
+
 // Guards against a stopping entry node that fails callers instead of forwarding.
 TEST_F(routing_spread, stopping_entry_node_forwards_elsewhere)
 {
