Read polled store values only when their version changed

Cause: a node that polls read one whole plan or slice shard and the whole configuration each second, although nothing changed. The store interface gets read_if_changed; the HTTP adapter sends the known version as If-None-Match, and the store double answers 304 with an ETag. A store that ignores the header answers as before. The waiting read with `after` was ruled out: it hides a version that went back. The reducer keeps the versions by incarnation and forgets that of a plan shard when a location names an owner without a known plan, because such a plan may have been passed over as not needed.

The test of older documents now also raises the version of the entry, as a store does; otherwise no node would read the old text.

--- a/libs/core/include/azureladder/core/configuration_state.hpp
+++ b/libs/core/include/azureladder/core/configuration_state.hpp
@@ -71,6 +71,9 @@
     /// Read of `config` by the join procedure or the periodic poll; zero when none is open.
     operation_id m_read = 0;
 
+    /// Version of `config` in the store whose text was read last; later reads name it.
+    std::uint64_t m_known_version = 0;
+
     /// Whether `config` was read from the store since this incarnation's plan was written.
     bool m_read_after_join = false;
     time_point m_next_poll{};
--- a/libs/core/include/azureladder/core/effects.hpp
+++ b/libs/core/include/azureladder/core/effects.hpp
@@ -24,6 +24,9 @@
 {
     operation_id m_operation = 0;
     std::string m_key;
+
+    /// Version that the reducer has seen (0: none); the answer is `unchanged` when it is current.
+    std::uint64_t m_known_version = 0;
 };
 
 /// Writes a key when its version is still `m_expected_version` (0: the key does not exist).
--- a/libs/core/include/azureladder/core/events.hpp
+++ b/libs/core/include/azureladder/core/events.hpp
@@ -35,6 +35,7 @@
 enum class store_status
 {
     ok,
+    unchanged,   // read: the key still has the known version
     not_found,   // read: the key does not exist
     conflict,    // write: the version differs; m_version holds the current one
     unavailable, // the call had no effect
--- a/libs/core/include/azureladder/core/ownership_state.hpp
+++ b/libs/core/include/azureladder/core/ownership_state.hpp
@@ -65,6 +65,13 @@
     std::vector<owned_slice> m_slices;
 };
 
+/// Version of a polled key and the incarnation that learnt its value.
+struct polled_version
+{
+    std::uint64_t m_version = 0;
+    incarnation_id m_incarnation = 0;
+};
+
 /// Grant of one witness as the node sees it.
 struct held_grant
 {
@@ -211,6 +218,9 @@
     time_point m_next_poll{};
     std::size_t m_poll_position = 0;
 
+    /// Versions of the polled keys whose values this incarnation has learnt.
+    std::map<std::string, polled_version> m_polled_versions;
+
     /// This node reads plans, slice tables and configuration periodically for its zone.
     bool m_polls_store = false;
 
--- a/libs/core/src/configuration.cpp
+++ b/libs/core/src/configuration.cpp
@@ -14,7 +14,8 @@
     auto& configuration = state.m_configuration;
     configuration.m_read = next_operation(state);
     configuration.m_next_poll = now + state.m_options.m_store_poll_interval;
-    output.emplace_back(store_read{configuration.m_read, configuration_key});
+    output.emplace_back(
+        store_read{configuration.m_read, configuration_key, configuration.m_known_version});
 }
 
 void handle_tick(node_state& state, time_point now, effects& output)
@@ -34,7 +35,9 @@
     if (input.m_status == store_status::ok) {
         if (!install_text(state, now, input.m_value, output))
             return;
-    } else if (input.m_status != store_status::not_found) {
+        configuration.m_known_version = input.m_version;
+    } else if (input.m_status != store_status::not_found &&
+               input.m_status != store_status::unchanged) {
         return;
     }
     // A read that began before this incarnation's plan was written may miss an accepted change.
--- a/libs/core/src/directory_poll.cpp
+++ b/libs/core/src/directory_poll.cpp
@@ -1,3 +1,4 @@
+#include "directory_poll.hpp"
 #include "ownership_internal.hpp"
 
 #include <azureladder/core/ownership.hpp>
@@ -34,6 +35,16 @@
            std::to_string(position % own.m_slice_shards);
 }
 
+/// Version of which this incarnation knows the content; zero when it has to read the value.
+std::uint64_t known_version(const node_state& state, const std::string& key)
+{
+    const auto& versions = state.m_ownership.m_polled_versions;
+    const auto found = versions.find(key);
+    if (found == versions.end() || found->second.m_incarnation != state.m_incarnation)
+        return 0;
+    return found->second.m_version;
+}
+
 void log_malformed(effects& output, const std::string& key, std::size_t entries)
 {
     log_event(output, log_level::error, "store_value_malformed",
@@ -62,8 +73,21 @@
     const auto key = poll_key(state, own.m_poll_position++);
     const bool plans = key.compare(0, 6, "plans/") == 0;
     const auto task = plans ? store_task::poll_plans : store_task::poll_slices;
-    if (!has_operation(state, task, key))
-        start_read(state, now, task, key, output);
+    if (has_operation(state, task, key))
+        return;
+    start_read(state, now, task, key, output);
+    std::get<store_read>(output.back()).m_known_version = known_version(state, key);
+}
+
+void note_polled_version(node_state& state, const store_finished& answer)
+{
+    auto& own = state.m_ownership;
+    const auto found = own.m_operations.find(answer.m_operation);
+    if (found == own.m_operations.end() || answer.m_status != store_status::ok)
+        return;
+    const auto& operation = found->second;
+    if (operation.m_task == store_task::poll_plans || operation.m_task == store_task::poll_slices)
+        own.m_polled_versions[operation.m_key] = {answer.m_version, operation.m_incarnation};
 }
 
 void learn_plan_shard(node_state& state, const std::string& key, const std::string& text,
--- a/libs/core/src/directory_sync.cpp
+++ b/libs/core/src/directory_sync.cpp
@@ -118,6 +118,10 @@
 {
     if (!install_location(state.m_directory, slice, location))
         return;
+    // The owner's plan may have been passed over as one of a former incarnation that is not needed.
+    const bool planned = find_plan(state.m_directory, location.m_owner) != nullptr;
+    if (!planned && state.m_ownership.m_plan_shards != 0)
+        state.m_ownership.m_polled_versions.erase(plan_key(state, location.m_owner.m_node));
     const auto held = state.m_ownership.m_slices.find(slice);
     if (held == state.m_ownership.m_slices.end() || location.m_owner == self(state))
         return;
--- a/libs/core/src/step.cpp
+++ b/libs/core/src/step.cpp
@@ -1,5 +1,7 @@
 #include <azureladder/core/step.hpp>
 
+#include "directory_poll.hpp"
+
 #include <azureladder/base/precondition.hpp>
 #include <azureladder/core/claims.hpp>
 #include <azureladder/core/configuration.hpp>
@@ -26,6 +28,8 @@
     effects output;
     // Configuration first: ownership and routing decide by the revision in effect.
     step_configuration(state, now, input, output);
+    if (const auto* answer = std::get_if<store_finished>(&input))
+        note_polled_version(state, *answer);
     step_ownership(state, now, input, output);
     step_claims(state, now, input, output);
     step_routing(state, now, input, output);
--- a/libs/core/tests/cluster_harness.cpp
+++ b/libs/core/tests/cluster_harness.cpp
@@ -323,7 +323,10 @@
         result.m_status = store_status::unavailable;
     } else if (found == m_store.m_entries.end()) {
         result.m_status = store_status::not_found;
+    } else if (found->second.m_version == output.m_known_version) {
+        result.m_status = store_status::unchanged;
     } else {
+        m_store.m_bytes_read += found->second.m_value.size();
         result.m_status = store_status::ok;
         result.m_value = found->second.m_value;
         result.m_version = found->second.m_version;
--- a/libs/core/tests/cluster_harness.hpp
+++ b/libs/core/tests/cluster_harness.hpp
@@ -36,6 +36,9 @@
     std::map<std::string, entry> m_entries;
     bool m_down = false;
     std::uint64_t m_calls = 0;
+
+    /// Bytes of the values in the answers to reads.
+    std::uint64_t m_bytes_read = 0;
 };
 
 struct simulated_node
--- a/libs/core/tests/configuration_cluster_test.cpp
+++ b/libs/core/tests/configuration_cluster_test.cpp
@@ -252,6 +252,7 @@
                                           config_push{revision, old_text}});
     }
     m_cluster.m_store.m_entries.at("config").m_value = old_text;
+    ++m_cluster.m_store.m_entries.at("config").m_version; // otherwise no node reads the text
     m_cluster.run_for(seconds(10));
     for (const auto& name : m_cluster.names())
         EXPECT_EQ(revision_of(name), before + 1) << name;
--- /dev/null
+++ b/libs/core/tests/directory_poll_test.cpp
@@ -0,0 +1,43 @@
+#include "cluster_scenarios.hpp"
+#include "directory_poll.hpp"
+#include "ownership_internal.hpp"
+
+namespace azureladder::core::testing {
+namespace {
+
+// Guards against polls that read whole values although nothing changed. Each change is still seen.
+TEST(directory_poll, settled_cluster_reads_no_values)
+{
+    cluster_harness cluster(3);
+    start_balanced(cluster);
+    const auto bytes = cluster.m_store.m_bytes_read;
+    const auto calls = cluster.m_store.m_calls;
+    cluster.run_for(seconds(30));
+    EXPECT_EQ(cluster.m_store.m_bytes_read - bytes, 0U);
+    EXPECT_GT(cluster.m_store.m_calls - calls, 300U);
+    cluster.apply(json::array({zone_state("zone-a", "out")}));
+    cluster.run_for(seconds(30));
+    EXPECT_GT(cluster.m_store.m_bytes_read - bytes, 0U);
+    EXPECT_EQ(cluster.served("a1") + cluster.served("a2"), 0U);
+    expect_consistent(cluster);
+}
+
+// Guards against an owner whose plan is never read: it was passed over as one of a former
+// incarnation, and its shard has not changed since.
+TEST(directory_poll, location_of_unknown_owner_causes_a_whole_read)
+{
+    auto state = make_node_state({"n", "zone-a", {}, {}}, core_options(), 1);
+    auto& own = state.m_ownership;
+    own.m_plan_shards = 4;
+    const auto key = plan_key(state, "m");
+    own.m_operations[1].m_task = store_task::poll_plans;
+    own.m_operations[1].m_key = key;
+    note_polled_version(state, {1, store_status::ok, "{}", 7});
+    ASSERT_EQ(own.m_polled_versions[key].m_version, 7U);
+    effects output;
+    learn_location(state, {claim_space, 1}, {{"m", 9}, 3}, output);
+    EXPECT_EQ(own.m_polled_versions.count(key), 0U);
+}
+
+} // namespace
+} // namespace azureladder::core::testing
--- a/libs/node/src/store_gateway.cpp
+++ b/libs/node/src/store_gateway.cpp
@@ -41,15 +41,17 @@
     boost::asio::post(m_threads, [this, order] {
         core::store_finished finished;
         finished.m_operation = order.m_operation;
-        auto outcome = m_store.read(order.m_key);
+        auto outcome = m_store.read_if_changed(order.m_key, order.m_known_version);
         if (!outcome) {
             finished.m_status = core::store_status::unavailable;
-        } else if (!outcome.value()) {
+        } else if (outcome.value().m_unchanged) {
+            finished.m_status = core::store_status::unchanged;
+        } else if (!outcome.value().m_value) {
             finished.m_status = core::store_status::not_found;
         } else {
             finished.m_status = core::store_status::ok;
-            finished.m_value = std::move(outcome.value()->m_value);
-            finished.m_version = outcome.value()->m_version;
+            finished.m_value = std::move(outcome.value().m_value->m_value);
+            finished.m_version = outcome.value().m_value->m_version;
         }
         m_on_finished(std::move(finished));
     });
--- a/libs/platform/include/azureladder/platform/http_store.hpp
+++ b/libs/platform/include/azureladder/platform/http_store.hpp
@@ -22,13 +22,18 @@
 
     result<std::optional<stored_value>, store_error> read(const std::string& key) override;
 
+    /// Sends the known version as `If-None-Match`. A store that does not know this header answers
+    /// with the value, which costs bytes but changes nothing else.
+    result<conditional_value, store_error> read_if_changed(const std::string& key,
+                                                           version known_version) override;
+
     /// Uses a new connection for each write, so that a write is never lost on a connection that
     /// the store closes at the same time.
     result<version, store_error> write(const std::string& key, const std::string& value,
                                        version expected_version) override;
 
 private:
-    result<http::response, http::client_error> get(const std::string& key);
+    result<http::response, http::client_error> get(const std::string& key, version known_version);
 
     const http_store_options m_options;
     http::client m_client;
--- a/libs/platform/include/azureladder/platform/memory_store.hpp
+++ b/libs/platform/include/azureladder/platform/memory_store.hpp
@@ -19,6 +19,8 @@
 {
 public:
     result<std::optional<stored_value>, store_error> read(const std::string& key) override;
+    result<conditional_value, store_error> read_if_changed(const std::string& key,
+                                                           version known_version) override;
     result<version, store_error> write(const std::string& key, const std::string& value,
                                        version expected_version) override;
 
--- a/libs/platform/include/azureladder/platform/store.hpp
+++ b/libs/platform/include/azureladder/platform/store.hpp
@@ -24,6 +24,14 @@
     version m_version = 0;
 };
 
+/// Outcome of a read that names a known version.
+struct conditional_value
+{
+    /// The key still has the known version; there is no value then.
+    bool m_unchanged = false;
+    std::optional<stored_value> m_value;
+};
+
 /// Key-value store with compare-and-swap. Calls block; all methods are thread safe.
 class store
 {
@@ -33,6 +41,10 @@
     /// Value of `key`, or nothing when the key does not exist. Fails only with `unavailable`.
     virtual result<std::optional<stored_value>, store_error> read(const std::string& key) = 0;
 
+    /// As `read`, but without the value when the version is still `known_version` (0: none known).
+    virtual result<conditional_value, store_error> read_if_changed(const std::string& key,
+                                                                   version known_version) = 0;
+
     /// Writes `value` when `key` still has `expected_version` (0: does not exist). Returns the new
     /// version.
     virtual result<version, store_error> write(const std::string& key, const std::string& value,
--- a/libs/platform/src/http_store.cpp
+++ b/libs/platform/src/http_store.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr int status_ok = 200;
+constexpr int status_not_modified = 304;
 constexpr int status_not_found = 404;
 constexpr int status_conflict = 409;
 constexpr int status_too_large = 413;
@@ -111,11 +112,14 @@
 {
 }
 
-result<http::response, http::client_error> http_store::get(const std::string& key)
+result<http::response, http::client_error> http_store::get(const std::string& key,
+                                                           version known_version)
 {
     http::execute_options execute;
     execute.m_timeout = m_options.m_read_timeout;
-    const http::request message{"GET", target_of(key), {}, {}, {}};
+    http::request message{"GET", target_of(key), {}, {}, {}};
+    if (known_version != 0)
+        message.m_headers = {{"If-None-Match", '"' + std::to_string(known_version) + '"'}};
     auto reply = m_client.execute(message, execute);
     if (reply || reply.error().m_kind != http::client_error_kind::lost)
         return reply;
@@ -126,12 +130,26 @@
 
 result<std::optional<stored_value>, store_error> http_store::read(const std::string& key)
 {
-    const auto reply = get(key);
+    const auto reply = get(key, 0);
     if (!reply)
         return unavailable(reply.error().m_message);
     return read_result(reply.value());
 }
 
+result<conditional_value, store_error> http_store::read_if_changed(const std::string& key,
+                                                                   version known_version)
+{
+    const auto reply = get(key, known_version);
+    if (!reply)
+        return unavailable(reply.error().m_message);
+    if (reply.value().m_status == status_not_modified && known_version != 0)
+        return conditional_value{true, std::nullopt};
+    auto outcome = read_result(reply.value());
+    if (!outcome)
+        return outcome.error();
+    return conditional_value{false, std::move(outcome.value())};
+}
+
 result<version, store_error> http_store::write(const std::string& key, const std::string& value,
                                                version expected_version)
 {
--- a/libs/platform/src/memory_store.cpp
+++ b/libs/platform/src/memory_store.cpp
@@ -23,6 +23,18 @@
     return std::optional<stored_value>(found->second);
 }
 
+result<conditional_value, store_error> memory_store::read_if_changed(const std::string& key,
+                                                                     version known_version)
+{
+    auto outcome = read(key);
+    if (!outcome)
+        return outcome.error();
+    auto& value = outcome.value();
+    if (value && value->m_version == known_version)
+        return conditional_value{true, std::nullopt};
+    return conditional_value{false, std::move(value)};
+}
+
 result<version, store_error> memory_store::write(const std::string& key, const std::string& value,
                                                  version expected_version)
 {
--- a/libs/platform/tests/http_store_test.cpp
+++ b/libs/platform/tests/http_store_test.cpp
@@ -68,6 +68,21 @@
     EXPECT_FALSE(m_store.read("config").value());
 }
 
+// Guards against a poll that transfers a value again, and against a value that is lost because a
+// store ignores the condition.
+TEST_F(http_store_test, conditional_read_names_the_known_version)
+{
+    answer(304, "");
+    EXPECT_TRUE(m_store.read_if_changed("k", 4).value().m_unchanged);
+    EXPECT_EQ(*http::find_header(seen().m_headers, "If-None-Match"), "\"4\"");
+    EXPECT_FALSE(m_store.read("k"));
+    EXPECT_EQ(http::find_header(seen().m_headers, "If-None-Match"), nullptr);
+    answer(200, R"({"value":"v","version":4})");
+    EXPECT_EQ(m_store.read_if_changed("k", 4).value().m_value->m_value, "v");
+    answer(404, "{}");
+    EXPECT_FALSE(m_store.read_if_changed("k", 4).value().m_value);
+}
+
 // Guards against an error that claims to have had no effect, or the reverse.
 TEST_F(http_store_test, write_errors)
 {
--- a/libs/platform/tests/memory_store_test.cpp
+++ b/libs/platform/tests/memory_store_test.cpp
@@ -19,6 +19,17 @@
     EXPECT_EQ(values.read("k").value()->m_value, "b");
 }
 
+// Guards against a conditional read that hides a change or repeats a known value.
+TEST(memory_store, conditional_read_returns_only_changes)
+{
+    memory_store values;
+    EXPECT_FALSE(values.read_if_changed("k", 0).value().m_unchanged);
+    EXPECT_TRUE(values.write("k", "a", 0));
+    EXPECT_EQ(values.read_if_changed("k", 0).value().m_value->m_value, "a");
+    EXPECT_TRUE(values.read_if_changed("k", 1).value().m_unchanged);
+    EXPECT_EQ(values.read_if_changed("k", 2).value().m_value->m_version, 1U);
+}
+
 // Guards against a fake whose lost answer also loses the write: callers must read the value back.
 TEST(memory_store, lost_answer_keeps_the_write)
 {
--- a/testbench/store/src/store_service.cpp
+++ b/testbench/store/src/store_service.cpp
@@ -55,6 +55,18 @@
     return call == "write" ? call_kind::write : call_kind::other;
 }
 
+std::string entity_tag(std::uint64_t version)
+{
+    return '"' + std::to_string(version) + '"';
+}
+
+http::response value_response(const kv_entry& entry)
+{
+    auto answer = json_response(200, {{"value", entry.m_value}, {"version", entry.m_version}});
+    http::set_header(answer.m_headers, "ETag", entity_tag(entry.m_version));
+    return answer;
+}
+
 } // namespace
 
 store_service::store_service(const clock& time, std::uint64_t seed, testbench::json_lines& log)
@@ -72,8 +84,10 @@
     m_counts.count(call);
     auto answer = handle_call(message, call);
     m_counts.count(call + "_" + std::to_string(answer.m_status));
-    m_log.write(testbench::with_times(
-        {{"call", call}, {"target", message.m_target}, {"status", answer.m_status}}));
+    m_log.write(testbench::with_times({{"call", call},
+                                       {"target", message.m_target},
+                                       {"status", answer.m_status},
+                                       {"bytes", answer.m_body.size()}}));
     return answer;
 }
 
@@ -125,7 +139,11 @@
         const auto entry = m_keys.get(key);
         if (!entry)
             return error_response(404, "no such key");
-        return json_response(200, {{"value", entry->m_value}, {"version", entry->m_version}});
+        const auto tag = entity_tag(entry->m_version);
+        const auto* known = http::find_header(message.m_headers, "If-None-Match");
+        if (known != nullptr && *known == tag)
+            return {304, {{"ETag", tag}}, {}};
+        return value_response(*entry);
     }
     const auto version = testbench::parse_number(*after);
     const auto wait_ms =
@@ -136,7 +154,7 @@
     const auto entry = m_keys.wait_newer(key, *version, limit);
     if (!entry)
         return {204, {}, {}};
-    return json_response(200, {{"value", entry->m_value}, {"version", entry->m_version}});
+    return value_response(*entry);
 }
 
 http::response store_service::write_key(const http::request& message, const std::string& key)
--- a/testbench/store/tests/store_double_test.cpp
+++ b/testbench/store/tests/store_double_test.cpp
@@ -39,6 +39,20 @@
     EXPECT_EQ(call("PUT", "/v1/kv/a/b", "three").m_status, 400);
 }
 
+// Guards against a conditional read that transfers a known value, or hides a changed one.
+TEST_F(store_double_test, conditional_read)
+{
+    call("PUT", "/v1/kv/k?version=0", "one");
+    const auto read = [&](const std::string& tag) {
+        return m_service.handle({"GET", "/v1/kv/k", {{"If-None-Match", tag}}, {}, {}});
+    };
+    EXPECT_EQ(*http::find_header(call("GET", "/v1/kv/k").m_headers, "ETag"), "\"1\"");
+    EXPECT_EQ(read("\"1\"").m_status, 304);
+    EXPECT_TRUE(read("\"1\"").m_body.empty());
+    EXPECT_EQ(read("\"2\"").m_body, R"({"value":"one","version":1})");
+    EXPECT_EQ(counts()["read_304"], 2);
+}
+
 // Guards against a value limit that differs from the platform's 1 MB.
 TEST_F(store_double_test, value_limit)
 {
