--- a/libs/core/tests/configuration_cluster_test.cpp
+++ b/libs/core/tests/configuration_cluster_test.cpp
@@ -255,6 +255,7 @@
         EXPECT_EQ(revision_of("b1"), before + 1);
     }
     m_cluster.m_store.m_entries.at("config").m_value = old_text;
+    ++m_cluster.m_store.m_entries.at("config").m_version; // otherwise no node reads the text
     const auto any_older = [&] {
         const auto names = m_cluster.names();
         return std::any_of(names.begin(), names.end(), [&](const std::string& name) {
