Serve slices again after two witnesses of a node are lost together

A node that lost two of its three witnesses wrote a joint plan version that could not become active and named other standbys, so no receiver was named by both versions and nothing was released. After 10 s it joined again; its former incarnation could not be fenced, because one witness cannot promise alone, and its slices stayed with it for good. Nodes that joined again together also took the witnesses of others.

Plan versions are now proposed only while the lease lasts for another half of its duration. A process takes back slices of its own former incarnation at the epoch plus 2 by compare-and-swap when each member that its plans name for the slice is fenced or has been replaced for 5 s. Releases to a former incarnation are refused by its process, and a release to a replaced receiver is taken back after 5 s. A node without its witnesses refuses releases, tells its lease holders to choose another witness, and waits up to 3 s for them before it joins again.

--- a/libs/core/include/azureladder/core/ownership_state.hpp
+++ b/libs/core/include/azureladder/core/ownership_state.hpp
@@ -134,6 +134,9 @@
     time_point m_phase_since{};
     time_point m_next_send{};
 
+    /// Time at which the receiver of a release was first seen to be replaced.
+    time_point m_target_replaced{};
+
     /// Why the node became the owner, and why it gives the slice up.
     std::string m_reason;
     std::string m_exit_reason;
@@ -146,6 +149,14 @@
     member_ref m_receiver;
 };
 
+/// Plans under which a former incarnation of this process could still be promised when it gave up
+/// its slices.
+struct abandoned_incarnation
+{
+    plan m_active;
+    plan m_newest;
+};
+
 /// A change of a slice table entry that this node wants to write.
 struct entry_change
 {
@@ -263,6 +274,9 @@
     std::map<slice_id, released_slice> m_released;
     std::map<slice_id, time_point> m_unowned_since;
 
+    /// Former incarnations of this process that the slice table may still name.
+    std::map<member_ref, abandoned_incarnation> m_abandoned;
+
     /// Highest plan version whose releases were refused, by sender.
     std::map<member_ref, plan_version> m_refused_releases;
     std::map<std::string, space_assignment> m_assignments;
--- a/libs/core/src/acquire.cpp
+++ b/libs/core/src/acquire.cpp
@@ -11,10 +11,6 @@
 /// Time after which the next node in rendezvous order takes a slice that nobody acquired.
 constexpr duration acquire_step = seconds(2);
 
-/// Time for which an owner and its witnesses must be known as replaced before its slices are
-/// adopted. The polling nodes read all plans meanwhile, so that the newest version is known.
-constexpr duration replaced_wait = seconds(5);
-
 /// Time after which slices without an owner are looked for although nothing has changed. A pass
 /// over 16,384 slices takes about 10 ms, so that it costs little at this interval.
 constexpr duration full_pass_interval = seconds(10);
@@ -54,12 +50,6 @@
     own.m_acquire_waits = true;
 }
 
-bool is_superseded(const node_state& state, const member_ref& member)
-{
-    const auto* newest = find_newest_plan(state.m_directory, member.m_node);
-    return newest != nullptr && newest->m_member != member;
-}
-
 /// Whether the processes of the owner and of all members that could grant it a lease or take over
 /// from it have been replaced, as after a restart of all nodes. Nobody is left who could promise,
 /// and no takeover can have happened that is not in the slice table.
@@ -92,6 +82,46 @@
     return now >= since + replaced_wait && is_own_turn(state, now, slice, eligible);
 }
 
+/// Whether the member that would have taken the slice over from a fenced owner never will.
+bool standby_gone(node_state& state, time_point now, const slice_id& slice,
+                  const member_ref& standby)
+{
+    auto& own = state.m_ownership;
+    if (fenced_plan(state, standby) != nullptr)
+        return true;
+    if (!is_superseded(state, standby))
+        return false;
+    // A replaced standby can have lost its witnesses, which then cannot promise.
+    own.m_acquire_waits = true;
+    const auto since = own.m_unowned_since.emplace(slice, now).first->second;
+    return now >= since + replaced_wait;
+}
+
+/// Whether this node may take back a slice of a former incarnation of its own process. That
+/// incarnation does not serve any more although its witnesses are lost and cannot promise, but a
+/// member that its plans name for the slice may have taken the slice over.
+bool may_adopt_abandoned(node_state& state, time_point now, const slice_id& slice,
+                         const slice_location& location, const abandoned_incarnation& former)
+{
+    auto& own = state.m_ownership;
+    duration wait(0);
+    for (const auto& member : possible_receivers(former, slice, location.m_epoch)) {
+        if (member == self(state))
+            continue;
+        if (!is_superseded(state, member) && fenced_plan(state, member) == nullptr) {
+            own.m_unowned_since.erase(slice);
+            return false;
+        }
+        // The process of a replaced incarnation may have been suspended.
+        const auto gone = fenced_plan(state, member) == nullptr ? replaced_wait : duration(0);
+        const auto executions = fencing_wait(state, slice, find_plan(state.m_directory, member));
+        wait = std::max({wait, gone, executions});
+    }
+    own.m_acquire_waits = true;
+    const auto since = own.m_unowned_since.emplace(slice, now).first->second;
+    return now >= since + wait;
+}
+
 bool may_adopt(node_state& state, time_point now, const slice_id& slice,
                const slice_location& location, const std::vector<node_id>& eligible)
 {
@@ -99,6 +129,10 @@
     if (location.m_owner == self(state))
         return true;
     const auto* fenced = fenced_plan(state, location.m_owner);
+    const auto& abandoned = state.m_ownership.m_abandoned;
+    const auto former = abandoned.find(location.m_owner);
+    if (fenced == nullptr && former != abandoned.end())
+        return may_adopt_abandoned(state, now, slice, location, former->second);
     if (fenced == nullptr)
         return may_adopt_replaced(state, now, slice, location, eligible);
     // A lost owner has passed on only what the promised version lists. Nobody can have taken
@@ -107,9 +141,10 @@
     const auto* standby = listed ? standby_of(*fenced, slice) : nullptr;
     if (standby == nullptr)
         return is_own_turn(state, now, slice, eligible);
-    if (*standby == self(state))
+    // A former incarnation of this process would have left a location with the next epoch.
+    if (*standby == self(state) || abandoned.count(*standby) != 0)
         return true;
-    return fenced_plan(state, *standby) != nullptr && is_own_turn(state, now, slice, eligible);
+    return standby_gone(state, now, slice, *standby) && is_own_turn(state, now, slice, eligible);
 }
 
 void acquire_in_space(node_state& state, time_point now, const std::string& space)
--- a/libs/core/src/lease_witness.cpp
+++ b/libs/core/src/lease_witness.cpp
@@ -164,6 +164,13 @@
                      output);
         return;
     }
+    const bool leaving = witnesses_lost(state, now);
+    if (leaving && found == own.m_granted.end()) {
+        // The holder must not choose a witness or standby whose incarnation ends soon.
+        send_refusal(received, reply_to, lease_refusal_reason::unknown_member, request, revision,
+                     output);
+        return;
+    }
     const auto version = version_to_grant(state, member, request.m_plan_version);
     if (version < request.m_plan_version)
         pull_table(state, now, member, reply_to, output);
@@ -185,6 +192,10 @@
     if (stated_digest != digest(state.m_directory))
         grant.m_directory_digest = digest(state.m_directory);
     output.push_back(send_message{member, reply_to, grant});
+    // The holder chooses another witness while this one still grants.
+    if (leaving)
+        send_refusal(received, reply_to, lease_refusal_reason::unknown_member, request, revision,
+                     output);
 }
 
 void handle_fence_ack(node_state& state, const message_received& received, const fence_ack& ack)
--- a/libs/core/src/ownership.cpp
+++ b/libs/core/src/ownership.cpp
@@ -15,7 +15,8 @@
     step_rejoin(state, now, output);
     step_exit(state, now);
     step_release(state, now, output);
-    propose_plan_change(state, now);
+    if (may_propose(state, now))
+        propose_plan_change(state, now);
     step_plan_write(state, now, output);
     step_balance(state, now);
     step_entry_changes(state, now, output);
--- a/libs/core/src/ownership_internal.hpp
+++ b/libs/core/src/ownership_internal.hpp
@@ -12,6 +12,11 @@
 /// Functions that the sources of the ownership module share; docs/design.md, section 3.
 namespace azureladder::core {
 
+/// Time for which an incarnation must be known as replaced before its slices are adopted without
+/// promises. Longer than the pause after which a process takes a new incarnation. The polling nodes
+/// read all plans meanwhile, so that the newest version is known.
+inline constexpr duration replaced_wait = seconds(5);
+
 // ownership_log.cpp
 void log_event(effects& output, log_level level, const char* name, json fields);
 json slice_fields(const slice_id& slice, epoch_number epoch, const std::string& reason);
@@ -122,6 +127,18 @@
 bool witnesses_lost(const node_state& state, time_point now);
 void step_rejoin(node_state& state, time_point now, effects& output);
 
+/// Members that can become the owner of the slice, listed at this epoch, after the incarnation.
+std::vector<member_ref> possible_receivers(const abandoned_incarnation& former,
+                                           const slice_id& slice, epoch_number epoch);
+
+/// Whether a newer incarnation of the member's node is known.
+bool is_superseded(const node_state& state, const member_ref& member);
+
+/// Whether a new plan version may be proposed. While the witnesses do not answer, it could not
+/// become active, but it would name other receivers than the active version, and slices are
+/// released only to a member that both name.
+bool may_propose(const node_state& state, time_point now);
+
 // balance.cpp
 void step_balance(node_state& state, time_point now);
 
--- a/libs/core/src/ownership_join.cpp
+++ b/libs/core/src/ownership_join.cpp
@@ -3,7 +3,9 @@
 #include <azureladder/core/ownership.hpp>
 #include <azureladder/core/plan_json.hpp>
 
+#include <iterator>
 #include <limits>
+#include <set>
 
 namespace azureladder::core {
 
@@ -84,6 +86,20 @@
         avoided.clear();
 }
 
+void remember_abandoned(node_state& state, const member_ref& former)
+{
+    auto& own = state.m_ownership;
+    std::set<member_ref> located;
+    for (const auto& [slice, location] : state.m_directory.m_locations)
+        located.insert(location.m_owner);
+    for (auto entry = own.m_abandoned.begin(); entry != own.m_abandoned.end();) {
+        const bool needed = located.count(entry->first) != 0;
+        entry = needed ? std::next(entry) : own.m_abandoned.erase(entry);
+    }
+    if (own.m_plan.m_version != 0)
+        own.m_abandoned[former] = {own.m_active, own.m_plan};
+}
+
 void reset_for_join(node_state& state, time_point now)
 {
     auto& own = state.m_ownership;
@@ -122,8 +138,10 @@
     auto& own = state.m_ownership;
     while (!own.m_slices.empty())
         drop_slice(state, own.m_slices.begin()->first, "rejoin", output);
-    if (new_incarnation)
+    if (new_incarnation) {
+        remember_abandoned(state, self(state));
         state.m_incarnation = next_random(state.m_random);
+    }
     // A random start keeps a grant for a former process of this node from matching a request.
     if (own.m_sequence == 0)
         own.m_sequence = next_below(state.m_random, std::numeric_limits<std::uint32_t>::max());
--- a/libs/core/src/rejoin.cpp
+++ b/libs/core/src/rejoin.cpp
@@ -1,11 +1,19 @@
 #include "ownership_internal.hpp"
 
 #include <azureladder/core/ownership.hpp>
+#include <azureladder/core/routing.hpp>
+
+#include <algorithm>
+#include <iterator>
 
 namespace azureladder::core {
 
 namespace {
 
+/// Time for which nodes that rely on this witness are given to replace it. It takes them two plan
+/// versions, which they begin within half a second.
+constexpr duration replace_wait = seconds(3);
+
 bool majority_unusable(const node_state& state, time_point now, const std::vector<member_ref>& set)
 {
     std::vector<member_ref> usable;
@@ -40,8 +48,106 @@
     own.m_lease_held_at = now;
 }
 
+/// Whether the incarnation is known to have ended.
+bool is_gone(const node_state& state, const member_ref& member)
+{
+    return is_superseded(state, member) || fenced_plan(state, member) != nullptr;
+}
+
+template <class Predicate>
+bool majority_without(const std::vector<member_ref>& set, Predicate excluded)
+{
+    std::vector<member_ref> remaining;
+    std::remove_copy_if(set.begin(), set.end(), std::back_inserter(remaining), excluded);
+    return is_majority(remaining, set);
+}
+
+/// Whether so many witnesses of the plan are gone that its node joins again itself.
+bool joins_again(const node_state& state, const plan& value)
+{
+    const auto gone = [&](const member_ref& witness) { return is_gone(state, witness); };
+    return !majority_without(value.m_witnesses, gone) ||
+           !majority_without(value.m_previous_witnesses, gone);
+}
+
+/// Whether the node of the plan keeps its lease when this witness and all others that have ended or
+/// are about to end grant no more.
+bool keeps_lease_without(const node_state& state, const plan& value)
+{
+    const auto ends = [&](const member_ref& witness) {
+        const auto* known = find_plan(state.m_directory, witness);
+        return witness == self(state) || is_gone(state, witness) ||
+               (known != nullptr && joins_again(state, *known));
+    };
+    return majority_without(value.m_witnesses, ends) &&
+           majority_without(value.m_previous_witnesses, ends);
+}
+
+/// Whether a node that holds its lease would lose it if this witness ended now. Nodes that lose
+/// their witnesses together would otherwise take the witnesses of more and more other nodes.
+bool needed_as_witness(const node_state& state, time_point now)
+{
+    for (const auto& [member, granted] : state.m_ownership.m_granted) {
+        const auto* holder = find_plan(state.m_directory, member);
+        const bool asks = !granted.m_promised && now < granted.m_expires;
+        if (!asks || holder == nullptr || is_gone(state, member) || joins_again(state, *holder))
+            continue;
+        const bool named = contains(holder->m_witnesses, self(state)) ||
+                           contains(holder->m_previous_witnesses, self(state));
+        if (named && !keeps_lease_without(state, *holder))
+            return true;
+    }
+    return false;
+}
+
+/// Whether neither a release nor a takeover can give the slice to another node any more.
+bool lacks_receiver(const node_state& state, const slice_id& slice, const held_slice& held)
+{
+    const auto& own = state.m_ownership;
+    const auto members = possible_receivers({own.m_active, own.m_plan}, slice, held.m_epoch);
+    return in_flight(state, slice) == 0 &&
+           std::all_of(members.begin(), members.end(),
+                       [&](const member_ref& member) { return is_gone(state, member); });
+}
+
+bool all_lack_receiver(const node_state& state)
+{
+    const auto& slices = state.m_ownership.m_slices;
+    return std::all_of(slices.begin(), slices.end(), [&](const auto& entry) {
+        return lacks_receiver(state, entry.first, entry.second);
+    });
+}
+
 } // namespace
 
+std::vector<member_ref> possible_receivers(const abandoned_incarnation& former,
+                                           const slice_id& slice, epoch_number epoch)
+{
+    std::vector<member_ref> result;
+    for (const auto* value : {&former.m_active, &former.m_newest}) {
+        const auto* member =
+            lists_slice(*value, slice, epoch) ? standby_of(*value, slice) : nullptr;
+        if (member != nullptr && !contains(result, *member))
+            result.push_back(*member);
+    }
+    return result;
+}
+
+bool is_superseded(const node_state& state, const member_ref& member)
+{
+    const auto* newest = find_newest_plan(state.m_directory, member.m_node);
+    return newest != nullptr && newest->m_member != member;
+}
+
+bool may_propose(const node_state& state, time_point now)
+{
+    const auto& own = state.m_ownership;
+    // The promises for a lost witness arrive no earlier than a lease duration less one interval
+    // after its last grant, so they cannot cause a version that it has to make active.
+    return own.m_active.m_version == 0 ||
+           lease_end(state) >= now + state.m_options.m_lease_duration / 2;
+}
+
 bool witnesses_lost(const node_state& state, time_point now)
 {
     const auto& own = state.m_ownership;
@@ -73,7 +179,9 @@
     if (!witnesses_lost(state, now))
         return;
     const bool expired = now >= own.m_lease_held_at + options.m_release_timeout;
-    if (own.m_slices.empty() || expired)
+    const bool replaced = !needed_as_witness(state, now) ||
+                          now >= own.m_lease_held_at + options.m_member_loss_delay + replace_wait;
+    if ((all_lack_receiver(state) && replaced) || expired)
         begin_join(state, now, true, output);
 }
 
--- a/libs/core/src/release.cpp
+++ b/libs/core/src/release.cpp
@@ -29,7 +29,11 @@
     if (message.m_slices.empty())
         return;
     message.m_plan_version = state.m_ownership.m_active.m_version;
-    if (const auto* known = find_plan(state.m_directory, target))
+    // The plan of a former incarnation may be forgotten; its process answers at the same address.
+    const auto* known = find_plan(state.m_directory, target);
+    if (known == nullptr)
+        known = find_newest_plan(state.m_directory, target.m_node);
+    if (known != nullptr)
         output.push_back(send_message{target, known->m_peer_address, std::move(message)});
 }
 
@@ -51,10 +55,11 @@
 
 /// Whether this incarnation will never accept a release of the sender's version. A refusal stands
 /// for later ones of the same version, because the sender serves the slices again.
-bool refuses(node_state& state, const member_ref& from, plan_version version)
+bool refuses(node_state& state, time_point now, const member_ref& from, plan_version version)
 {
     auto& refused = state.m_ownership.m_refused_releases[from];
-    if (state.m_stopping || node_out_of_service(state))
+    // Without its witnesses this incarnation serves nothing more, and the sender may still serve.
+    if (state.m_stopping || node_out_of_service(state) || witnesses_lost(state, now))
         refused = std::max(refused, version);
     return version <= refused;
 }
@@ -72,6 +77,22 @@
     return result;
 }
 
+/// Slices that this process has not taken and will not take, because it refuses the release or the
+/// plan names a former incarnation of it. Another process of this node may have taken the others.
+std::vector<owned_slice> refused_slices(const node_state& state, const plan& content,
+                                        const release& offer, bool refuses_release)
+{
+    const auto& abandoned = state.m_ownership.m_abandoned;
+    std::vector<owned_slice> result;
+    for (const auto& owned : not_taken(state, offer)) {
+        const auto* receiver = standby_of(content, owned.m_slice);
+        if (receiver != nullptr &&
+            ((refuses_release && *receiver == self(state)) || abandoned.count(*receiver) != 0))
+            result.push_back(owned);
+    }
+    return result;
+}
+
 void accept_release(node_state& state, time_point now, const plan& content, const release& offer,
                     effects& output)
 {
@@ -131,16 +152,15 @@
         pull_table(state, now, received.m_from, received.m_reply_to, output);
         return;
     }
-    release_ack ack;
-    ack.m_plan_version = offer.m_plan_version;
-    if (refuses(state, received.m_from, offer.m_plan_version)) {
-        ack.m_refused = not_taken(state, offer);
-    } else if (!holds_lease(state, now)) {
+    const plan content = versions->second.at(offer.m_plan_version);
+    const bool refused = refuses(state, now, received.m_from, offer.m_plan_version);
+    if (!refused && !holds_lease(state, now))
         return; // the sender repeats the release
-    } else {
-        const plan content = versions->second.at(offer.m_plan_version);
+    if (!refused)
         accept_release(state, now, content, offer, output);
-    }
+    release_ack ack;
+    ack.m_plan_version = offer.m_plan_version;
+    ack.m_refused = refused_slices(state, content, offer, refused);
     output.push_back(send_message{received.m_from, received.m_reply_to, std::move(ack)});
     confirm_slices(state, received, offer.m_slices, output);
 }
@@ -158,8 +178,9 @@
         if (found == own.m_slices.end())
             continue;
         auto& held = found->second;
-        if (held.m_phase == slice_phase::releasing && held.m_target == received.m_from &&
-            held.m_epoch == owned.m_epoch)
+        // A newer incarnation answers for a former one of its process.
+        if (held.m_phase == slice_phase::releasing &&
+            held.m_target.m_node == received.m_from.m_node && held.m_epoch == owned.m_epoch)
             resume_serving(held, now);
     }
     own.m_avoid_until[received.m_from] = now + state.m_options.m_avoid_time;
--- a/libs/core/src/slice_exit.cpp
+++ b/libs/core/src/slice_exit.cpp
@@ -14,6 +14,7 @@
 void set_phase(held_slice& held, slice_phase phase, time_point now)
 {
     held.m_phase = phase;
+    held.m_target_replaced = time_point{};
     held.m_phase_since = now;
     held.m_next_send = now;
 }
@@ -137,7 +138,21 @@
     }
 }
 
-/// The receiver of a released slice is fenced; it may have used the next epoch.
+/// Whether the receiver of a released slice has ended. Nobody can promise that a receiver which
+/// lost its witnesses is fenced; when its node joined again as another process, it does not answer
+/// either.
+bool receiver_ended(const node_state& state, time_point now, held_slice& held)
+{
+    if (fenced_plan(state, held.m_target) != nullptr)
+        return true;
+    if (!is_superseded(state, held.m_target))
+        return false;
+    if (held.m_target_replaced == time_point{})
+        held.m_target_replaced = now;
+    return now >= held.m_target_replaced + replaced_wait;
+}
+
+/// The receiver of a released slice has ended; it may have used the next epoch.
 void take_back(node_state& state, time_point now, const slice_id& slice, held_slice& held)
 {
     set_phase(held, slice_phase::taking_back, now);
@@ -159,9 +174,8 @@
         continue_move(state, now, slice, held);
     if (held.m_phase == slice_phase::draining)
         finish_drain(state, now, slice, held);
-    const bool receiver_fenced =
-        held.m_phase == slice_phase::releasing && fenced_plan(state, held.m_target) != nullptr;
-    if (receiver_fenced && holds_lease(state, now))
+    const bool ended = held.m_phase == slice_phase::releasing && receiver_ended(state, now, held);
+    if (ended && holds_lease(state, now))
         take_back(state, now, slice, held);
 }
 
