End the stop of a node that knows no receiver after 1 s

Cause: the planned stop waited 10 s for the release of its slices, also in a cluster whose only node it was. No wait can release a slice where no usable node is known. Ruled out: an exception for one-node clusters by count of plans, because plans of lost nodes stay in the store for a while.

Without a usable node the limit is now the 1 s that a stop gives its last plan; with one it stays 10 s. Before: the new test does not see the end within 2 s of simulated time.

--- a/libs/core/src/planned_stop.cpp
+++ b/libs/core/src/planned_stop.cpp
@@ -3,6 +3,8 @@
 #include <azureladder/core/ownership.hpp>
 #include <azureladder/core/routing.hpp>
 
+#include <algorithm>
+
 namespace azureladder::core {
 
 namespace {
@@ -21,6 +23,14 @@
     return own.m_plan.m_slices.empty() || now >= own.m_stop_idle_since + final_plan_wait;
 }
 
+bool knows_receiver(const node_state& state, time_point now)
+{
+    const auto plans = newest_plans(state.m_directory);
+    return std::any_of(plans.begin(), plans.end(), [&](const plan* value) {
+        return is_usable_member(state, now, value->m_member);
+    });
+}
+
 } // namespace
 
 void step_stop(node_state& state, time_point now, effects& output)
@@ -35,7 +45,10 @@
     if (own.m_stop_idle_since == time_point{})
         own.m_stop_idle_since = now;
     const bool released = has_released(state, now);
-    const bool expired = now >= own.m_stop_idle_since + state.m_options.m_release_timeout;
+    // Where no other node could take the slices, a longer wait releases none.
+    const auto limit =
+        knows_receiver(state, now) ? state.m_options.m_release_timeout : final_plan_wait;
+    const bool expired = now >= own.m_stop_idle_since + limit;
     if (!released && !expired)
         return;
     if (!released)
--- a/libs/core/tests/ownership_cluster_test.cpp
+++ b/libs/core/tests/ownership_cluster_test.cpp
@@ -200,6 +200,18 @@
     expect_consistent(cluster);
 }
 
+// Guards against a stop that waits for a receiver of its slices where no other node is known.
+TEST(ownership_cluster, node_without_others_stops_at_once)
+{
+    cluster_harness cluster(12);
+    cluster.apply(json::array({divided_service("orders", 12)}));
+    cluster.add_node("a1", "zone-a", "orders");
+    cluster.start_all();
+    ASSERT_TRUE(served_again(cluster, seconds(20)));
+    cluster.stop("a1");
+    EXPECT_TRUE(cluster.run_until([&] { return cluster.node("a1").m_finished; }, seconds(2)));
+}
+
 // Guards against a cluster of three nodes in which the loss of one takes the lease of the others.
 TEST(ownership_cluster, three_nodes_survive_the_loss_of_one)
 {
