Name the former incarnation in the lines that end its slices

Cause: the runtime set the incarnation of the log before it wrote the effects of a step. After a pause of more than 4 s one step ends all slices and begins the next incarnation, so the ownership_ended lines named an incarnation that never owned the slices. Ruled out: a wrong order in the reducer, which ends the slices first.

The runtime now writes the lines of a step before it changes the incarnation. Before: the new test finds each ownership_ended line without its start.

--- a/libs/node/src/runtime_loop.cpp
+++ b/libs/node/src/runtime_loop.cpp
@@ -101,9 +101,11 @@
 void runtime_impl::handle(const core::event& input)
 {
     const auto output = core::step(m_state, m_clock.now(), input);
-    m_logger.set_incarnation(m_state.m_incarnation);
+    // A step that begins the next incarnation first ends the slices of the former one; its lines
+    // name that one.
     for (const auto& order : output)
         execute(order);
+    m_logger.set_incarnation(m_state.m_incarnation);
     if (!std::holds_alternative<core::timer_tick>(input))
         hasten_tick();
     schedule_wake();
--- a/tests/integration/cluster_fixture.cpp
+++ b/tests/integration/cluster_fixture.cpp
@@ -194,6 +194,19 @@
     EXPECT_EQ(verdict.m_exit_code, 0) << verdict.m_output;
 }
 
+std::vector<json> cluster_fixture::log_of(const std::string& node, const std::string& event) const
+{
+    std::vector<json> lines;
+    std::ifstream file(m_directory + "/" + node + ".log");
+    for (std::string line; std::getline(file, line);) {
+        // The last line may not be written completely yet.
+        auto value = json::parse(line, nullptr, false);
+        if (value.is_object() && value.value("event", "") == event)
+            lines.push_back(std::move(value));
+    }
+    return lines;
+}
+
 std::string cluster_fixture::owner_of(const std::string& entry, const std::string& key)
 {
     const auto shown = m_site->command(entry, {"--json", "where", "reporting", key});
--- a/tests/integration/cluster_fixture.hpp
+++ b/tests/integration/cluster_fixture.hpp
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace azureladder::integration {
 
@@ -37,6 +38,9 @@
     /// Expects that the audit of all logs finds no violation.
     void expect_clean_audit();
 
+    /// Lines of the router of `node` with this event.
+    std::vector<json> log_of(const std::string& node, const std::string& event) const;
+
     /// Node that owns the slice of a `reporting` key as `entry` sees it; empty when unknown.
     std::string owner_of(const std::string& entry, const std::string& key);
 
--- a/tests/integration/ownership_failure_test.cpp
+++ b/tests/integration/ownership_failure_test.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <set>
 #include <thread>
 
 namespace azureladder::integration {
@@ -18,6 +19,12 @@
     std::this_thread::sleep_for(time);
 }
 
+/// Incarnation, slice and epoch that a line on the start or end of ownership names.
+json owned_slice_of(const json& line)
+{
+    return {line.at("incarnation"), line.at("space"), line.at("slice"), line.at("epoch")};
+}
+
 // Guards against slices that stay without an owner, or get two, when their owner is killed.
 TEST_F(cluster_fixture, owner_killed)
 {
@@ -50,6 +57,27 @@
     expect_clean_audit();
 }
 
+// Guards against log lines that end slices of an incarnation that never owned them: after a pause
+// of more than 4 s the process takes a new incarnation and ends the slices of the former one.
+TEST_F(cluster_fixture, owner_frozen_until_it_takes_a_new_incarnation)
+{
+    ASSERT_NO_FATAL_FAILURE(start());
+    const auto owner = owner_of(entry, key);
+    site().router(owner).send_signal(SIGSTOP);
+    pause(seconds(5));
+    site().router(owner).send_signal(SIGCONT);
+    EXPECT_TRUE(
+        wait_until([&] { return log_of(owner, "node_started").size() == 2; }, recovery_limit));
+    std::set<json> started;
+    for (const auto& line : log_of(owner, "ownership_started"))
+        started.insert(owned_slice_of(line));
+    const auto ended = log_of(owner, "ownership_ended");
+    EXPECT_FALSE(ended.empty());
+    for (const auto& line : ended)
+        EXPECT_EQ(started.count(owned_slice_of(line)), 1U) << line.dump();
+    expect_clean_audit();
+}
+
 // Guards against a service that depends on the platform store while nothing else fails.
 TEST_F(cluster_fixture, store_down_for_longer_than_every_lease)
 {
