Separate the even shares of holders from the choice of members

plan_members.cpp had grown to 422 lines with two jobs: which nodes may be witnesses and standbys, and how a node leaves members that have too many holders. The second job is now member_balance.cpp, with a private header for what both share; the functions are as before. Ruled out: a public header, because only the core uses these functions. Before and after: the 10 tests of plan_members pass.

--- /dev/null
+++ b/libs/core/src/member_balance.cpp
@@ -0,0 +1,156 @@
+#include "plan_members.hpp"
+
+#include "ownership_internal.hpp"
+
+#include <azureladder/base/hash.hpp>
+
+#include <algorithm>
+
+/// Even shares of holders: a node leaves members that witness or stand by for many more than most.
+namespace azureladder::core {
+
+namespace {
+
+/// Calls `use` with each member to which the plan's node sends lease requests.
+template <class Use>
+void for_each_receiver(const plan& value, Use use)
+{
+    for (const auto& member : value.m_witnesses) {
+        if (member != value.m_member)
+            use(member);
+    }
+    for (const auto& member : value.m_standbys) {
+        if (!contains(value.m_witnesses, member))
+            use(member);
+    }
+}
+
+bool is_receiver(const plan& value, const member_ref& member)
+{
+    return contains(value.m_witnesses, member) || contains(value.m_standbys, member);
+}
+
+std::uint64_t member_hash(const member_ref& member)
+{
+    return hash64(member.m_node, member.m_incarnation);
+}
+
+/// Holders of `member` that come before this node in the member's own order.
+std::size_t holders_before(const node_state& state, const member_ref& member)
+{
+    const auto seed = hash64(member.m_node);
+    const auto own_rank = hash64(state.m_identity.m_node, seed);
+    std::size_t result = 0;
+    for (const auto* other : newest_plans(state.m_directory)) {
+        const auto& node = other->m_member.m_node;
+        if (node != state.m_identity.m_node && is_receiver(*other, member) &&
+            hash64(node, seed) < own_rank)
+            ++result;
+    }
+    return result;
+}
+
+/// Whether `candidate` may take the place of `former` without a loss of zones or abilities.
+bool can_replace(const node_state& state, const plan& candidate, const plan& former,
+                 const std::vector<member_ref>& receivers)
+{
+    const bool same_zone = candidate.m_zone == former.m_zone;
+    const bool new_zone = candidate.m_zone != state.m_identity.m_zone &&
+                          zones_of(state, receivers).count(candidate.m_zone) == 0;
+    return (same_zone || new_zone) && !contains(receivers, candidate.m_member) &&
+           (can_stand_by(state, candidate) || !can_stand_by(state, former));
+}
+
+/// A member for `former`, which has `count` holders of which `after` come after this node.
+std::optional<member_ref> less_busy_member(const node_state& state, time_point now,
+                                           const holder_counts& counts, const plan& former,
+                                           std::size_t after,
+                                           const std::vector<member_ref>& receivers)
+{
+    const auto count = count_of(counts, former.m_member);
+    const auto candidates = usable_plans(state, now);
+    for (const bool below_limit : {true, false}) {
+        for (const auto* candidate : candidates) {
+            const auto& member = candidate->m_member;
+            const auto other = count_of(counts, member);
+            // Holds for the last of the holders first: the others wait until these have moved,
+            // because all might choose the same member.
+            const bool helps = other + after + 1 <= count - after - 1;
+            if (helps && (!below_limit || other < counts.m_limit) &&
+                can_witness(state, now, member) &&
+                can_replace(state, *candidate, former, receivers))
+                return member;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::size_t count_of(const holder_counts& counts, const member_ref& member)
+{
+    const auto found = counts.m_by_member.find(member_hash(member));
+    return found == counts.m_by_member.end() ? 0 : found->second;
+}
+
+holder_counts count_holders(const node_state& state)
+{
+    holder_counts counts;
+    std::size_t sum = 0;
+    std::size_t nodes = 1;
+    const auto add = [&](const plan& value) {
+        for_each_receiver(value, [&](const member_ref& member) {
+            ++counts.m_by_member[member_hash(member)];
+            ++sum;
+        });
+    };
+    add(state.m_ownership.m_plan);
+    for (const auto* other : newest_plans(state.m_directory)) {
+        if (other->m_member.m_node == state.m_identity.m_node)
+            continue;
+        add(*other);
+        ++nodes;
+    }
+    // One and a half times the mean keeps the busiest below twice the mean, also when several nodes
+    // choose the same member at once. While nodes join, the mean is below that of full plans.
+    const auto mean = std::max((sum + nodes - 1) / nodes, state.m_options.m_witness_count);
+    counts.m_limit = (3 * mean + 1) / 2;
+    return counts;
+}
+
+std::optional<member_exchange> find_exchange(const node_state& state, time_point now,
+                                             const holder_counts& counts)
+{
+    const auto& own = state.m_ownership;
+    std::vector<member_ref> receivers;
+    for_each_receiver(own.m_plan, [&](const auto& member) { receivers.push_back(member); });
+    const bool complete =
+        own.m_active.m_version != 0 && own.m_plan.m_previous_witnesses.empty() &&
+        std::all_of(receivers.begin(), receivers.end(),
+                    [&](const member_ref& member) { return can_witness(state, now, member); });
+    if (!complete)
+        return std::nullopt;
+    for (const auto& member : receivers) {
+        const auto count = count_of(counts, member);
+        if (count <= counts.m_limit)
+            continue;
+        const auto before = holders_before(state, member);
+        const auto after = count - 1 - before;
+        if (before < counts.m_limit || 2 * (after + 1) > count)
+            continue;
+        const auto& former = *find_plan(state.m_directory, member);
+        if (const auto other = less_busy_member(state, now, counts, former, after, receivers))
+            return member_exchange{member, *other};
+    }
+    return std::nullopt;
+}
+
+std::vector<member_ref> exchanged(std::vector<member_ref> members,
+                                  const std::optional<member_exchange>& exchange)
+{
+    if (exchange)
+        std::replace(members.begin(), members.end(), exchange->m_from, exchange->m_to);
+    return members;
+}
+
+} // namespace azureladder::core
