--- a/libs/core/tests/ownership_moves_test.cpp
+++ b/libs/core/tests/ownership_moves_test.cpp
@@ -51,6 +51,26 @@
     expect_consistent(cluster);
 }
 
+// Guards against a slice that waits longer than the target of 1 s when its owner was lost before
+// its plan listed the slice.
+TEST(ownership_moves, gained_slice_of_a_lost_owner_is_served_within_a_second)
+{
+    for (const std::uint64_t seed : {5U, 6U, 8U}) {
+        cluster_harness cluster(seed);
+        start_balanced(cluster);
+        cluster.node("a1").m_backend_up = false;
+        const auto gained = [&] {
+            const auto& own = cluster.node("b1").m_state.m_ownership;
+            const auto count = cluster.served("b1");
+            return cluster.all_served() && count > 0 && count > own.m_plan.m_slices.size();
+        };
+        ASSERT_TRUE(cluster.run_until(gained, seconds(60))) << seed;
+        cluster.kill("b1");
+        EXPECT_TRUE(served_again(cluster, seconds(1))) << seed << cluster.unserved();
+        expect_consistent(cluster);
+    }
+}
+
 // Guards against a slice that nobody adopts because its entry names the owner before the last one:
 // the standby to which it was released during an outage was lost before it wrote the entry.
 TEST(ownership_moves, receiver_of_a_release_lost_during_an_outage)
