Share the repeated parts of plans, adoption and lease refusals

Cause: a last read of the whole change found the same logic written more than once. Three majority functions in rejoin.cpp differed only in whom they leave out; acquire.cpp noted the time since which a slice lacks an owner in four places and had its own form of is_gone; the first plan and the next one copied the backend server's fields; the bytes of claims were added up twice for each release; the end of a claim's wait for its copy was written out twice. Standbys and witnesses were chosen by two functions that each counted the holders of all plans, so next_plan did this twice; choose_members now counts once for both.

Ruled out: one structure for the parts of the wire table and the tables of enum names, which are data of the same shape without common logic. No behaviour, bound or assertion changes; one test calls choose_members.

--- a/libs/core/src/acquire.cpp
+++ b/libs/core/src/acquire.cpp
@@ -15,13 +15,20 @@
 /// over 16,384 slices takes about 10 ms, so that it costs little at this interval.
 constexpr duration full_pass_interval = seconds(10);
 
+/// Time since which the slice is known to lack an owner. The wait that follows needs another pass,
+/// although nothing but the time changes.
+time_point unowned_since(node_state& state, time_point now, const slice_id& slice)
+{
+    state.m_ownership.m_acquire_waits = true;
+    return state.m_ownership.m_unowned_since.emplace(slice, now).first->second;
+}
+
 /// Whether it is this node's turn to write an entry that lacks an owner. The desired owner is
 /// first; the others follow in rendezvous order, so that a lost node does not hold the slice back.
 bool is_own_turn(node_state& state, time_point now, const slice_id& slice,
                  const std::vector<node_id>& eligible)
 {
-    state.m_ownership.m_acquire_waits = true;
-    const auto since = state.m_ownership.m_unowned_since.emplace(slice, now).first->second;
+    const auto since = unowned_since(state, now, slice);
     const auto& desired = desired_owners(state, slice.m_space);
     const auto& node = state.m_identity.m_node;
     if (slice.m_index < desired.size() && desired[slice.m_index] == node)
@@ -72,13 +79,11 @@
 bool may_adopt_replaced(node_state& state, time_point now, const slice_id& slice,
                         const slice_location& location, const std::vector<node_id>& eligible)
 {
-    auto& unowned = state.m_ownership.m_unowned_since;
     if (!all_replaced(state, location.m_owner)) {
-        unowned.erase(slice);
+        state.m_ownership.m_unowned_since.erase(slice);
         return false;
     }
-    state.m_ownership.m_acquire_waits = true;
-    const auto since = unowned.emplace(slice, now).first->second;
+    const auto since = unowned_since(state, now, slice);
     return now >= since + replaced_wait && is_own_turn(state, now, slice, eligible);
 }
 
@@ -86,15 +91,12 @@
 bool standby_gone(node_state& state, time_point now, const slice_id& slice,
                   const member_ref& standby)
 {
-    auto& own = state.m_ownership;
     if (fenced_plan(state, standby) != nullptr)
         return true;
     if (!is_superseded(state, standby))
         return false;
     // A replaced standby can have lost its witnesses, which then cannot promise.
-    own.m_acquire_waits = true;
-    const auto since = own.m_unowned_since.emplace(slice, now).first->second;
-    return now >= since + replaced_wait;
+    return now >= unowned_since(state, now, slice) + replaced_wait;
 }
 
 /// Whether this node may take back a slice of a former incarnation of its own process. That
@@ -103,13 +105,12 @@
 bool may_adopt_abandoned(node_state& state, time_point now, const slice_id& slice,
                          const slice_location& location, const abandoned_incarnation& former)
 {
-    auto& own = state.m_ownership;
     duration wait(0);
     for (const auto& member : possible_receivers(former, slice, location.m_epoch)) {
         if (member == self(state))
             continue;
-        if (!is_superseded(state, member) && fenced_plan(state, member) == nullptr) {
-            own.m_unowned_since.erase(slice);
+        if (!is_gone(state, member)) {
+            state.m_ownership.m_unowned_since.erase(slice);
             return false;
         }
         // The process of a replaced incarnation may have been suspended.
@@ -117,9 +118,7 @@
         const auto executions = fencing_wait(state, slice, find_plan(state.m_directory, member));
         wait = std::max({wait, gone, executions});
     }
-    own.m_acquire_waits = true;
-    const auto since = own.m_unowned_since.emplace(slice, now).first->second;
-    return now >= since + wait;
+    return now >= unowned_since(state, now, slice) + wait;
 }
 
 bool may_adopt(node_state& state, time_point now, const slice_id& slice,
--- a/libs/core/src/claims_copies.cpp
+++ b/libs/core/src/claims_copies.cpp
@@ -60,6 +60,13 @@
     return pending;
 }
 
+/// Whether the request of the claim must not wait for the copy any longer.
+bool gate_over(const claims_step& step, const slice_id& slice, const pending_copy& pending)
+{
+    return pending.m_gate && (step.m_now - pending.m_started >= copy_ack_time ||
+                              !serving_epoch(step.m_state, slice, step.m_now));
+}
+
 /// Refuses a claim whose copy was not acknowledged, and withdraws it.
 void refuse_gated(claims_step& step, const copy_id& id)
 {
@@ -179,20 +186,14 @@
     auto& copies = step.m_state.m_claims.m_copies;
     std::vector<copy_id> due;
     for (const auto& [id, pending] : copies) {
-        const bool gate_over =
-            pending.m_gate && (step.m_now - pending.m_started >= copy_ack_time ||
-                               !serving_epoch(step.m_state, id.first, step.m_now));
-        if (gate_over || step.m_now >= pending.m_next_send)
+        if (gate_over(step, id.first, pending) || step.m_now >= pending.m_next_send)
             due.push_back(id);
         if (due.size() >= copies_per_tick)
             break;
     }
     for (const auto& id : due) {
         auto& pending = copies.at(id);
-        const bool gate_over =
-            pending.m_gate && (step.m_now - pending.m_started >= copy_ack_time ||
-                               !serving_epoch(step.m_state, id.first, step.m_now));
-        if (gate_over)
+        if (gate_over(step, id.first, pending))
             refuse_gated(step, id);
         else if (retarget(step, id, pending))
             send_copy(step, id, pending);
--- a/libs/core/src/lease_witness.cpp
+++ b/libs/core/src/lease_witness.cpp
@@ -142,6 +142,9 @@
     const auto& member = received.m_from;
     const auto revision = state.m_configuration.m_document.m_revision;
     const auto reply_to = address_of_sender(state, received);
+    const auto refuse = [&](lease_refusal_reason reason) {
+        send_refusal(received, reply_to, reason, request, revision, output);
+    };
     const auto found = own.m_granted.find(member);
     auto stated_digest = request.m_directory_digest;
     if (stated_digest == 0 && found != own.m_granted.end())
@@ -151,24 +154,21 @@
     if (request.m_revision > revision && !reply_to.m_host.empty())
         note_newer_revision(state, member, reply_to, request.m_revision, output);
     if (request.m_witness != state.m_incarnation || !plan_written(state)) {
-        send_refusal(received, reply_to, lease_refusal_reason::unknown_member, request, revision,
-                     output);
+        refuse(lease_refusal_reason::unknown_member);
         return;
     }
     if (found != own.m_granted.end() && found->second.m_promised) {
-        send_refusal(received, reply_to, lease_refusal_reason::fenced, request, revision, output);
+        refuse(lease_refusal_reason::fenced);
         return;
     }
     if (request.m_revision < revision) {
-        send_refusal(received, reply_to, lease_refusal_reason::stale_revision, request, revision,
-                     output);
+        refuse(lease_refusal_reason::stale_revision);
         return;
     }
     const bool leaving = witnesses_lost(state, now);
     if (leaving && found == own.m_granted.end()) {
         // The holder must not choose a witness or standby whose incarnation ends soon.
-        send_refusal(received, reply_to, lease_refusal_reason::unknown_member, request, revision,
-                     output);
+        refuse(lease_refusal_reason::unknown_member);
         return;
     }
     const auto version = version_to_grant(state, member, request.m_plan_version);
@@ -177,8 +177,7 @@
     if (version == 0)
         return;
     if (!is_witness_of(state, member)) {
-        send_refusal(received, reply_to, lease_refusal_reason::not_a_witness, request, revision,
-                     output);
+        refuse(lease_refusal_reason::not_a_witness);
         return;
     }
     auto& granted = own.m_granted[member];
@@ -194,8 +193,7 @@
     output.push_back(send_message{member, reply_to, grant});
     // The holder chooses another witness while this one still grants.
     if (leaving)
-        send_refusal(received, reply_to, lease_refusal_reason::unknown_member, request, revision,
-                     output);
+        refuse(lease_refusal_reason::unknown_member);
 }
 
 void handle_fence_ack(node_state& state, const message_received& received, const fence_ack& ack)
--- a/libs/core/src/ownership_internal.hpp
+++ b/libs/core/src/ownership_internal.hpp
@@ -55,12 +55,18 @@
 bool plan_settled(const node_state& state);
 std::optional<plan> next_plan(const node_state& state, time_point now);
 
+/// States the backend server of the node in the plan, when it is known.
+void describe_backend(const node_state& state, plan& value);
+
 // plan_members.cpp
-std::vector<member_ref> choose_standbys(const node_state& state, time_point now,
-                                        const std::vector<member_ref>& current);
-std::vector<member_ref> choose_witnesses(const node_state& state, time_point now,
-                                         const std::vector<member_ref>& current,
-                                         const std::vector<member_ref>& standbys);
+struct member_choice
+{
+    std::vector<member_ref> m_standbys;
+    std::vector<member_ref> m_witnesses;
+};
+
+/// Standbys and witnesses that should follow the current ones.
+member_choice choose_members(const node_state& state, time_point now, const member_choice& current);
 bool is_usable_member(const node_state& state, time_point now, const member_ref& member);
 std::optional<member_ref> usable_member_of(const node_state& state, time_point now,
                                            const node_id& node);
@@ -134,6 +140,9 @@
 /// Whether a newer incarnation of the member's node is known.
 bool is_superseded(const node_state& state, const member_ref& member);
 
+/// Whether the incarnation is known to have ended.
+bool is_gone(const node_state& state, const member_ref& member);
+
 /// Whether a new plan version may be proposed. While the witnesses do not answer, it could not
 /// become active, but it would name other receivers than the active version, and slices are
 /// released only to a member that both name.
--- a/libs/core/src/ownership_join.cpp
+++ b/libs/core/src/ownership_join.cpp
@@ -59,13 +59,10 @@
     value.m_zone = state.m_identity.m_zone;
     value.m_http_address = state.m_identity.m_http_address;
     value.m_peer_address = state.m_identity.m_peer_address;
-    if (state.m_backend) {
-        value.m_service = state.m_backend->m_service;
-        value.m_server = state.m_backend->m_server;
-        value.m_checks_fencing = state.m_backend->m_fencing == fencing::checked;
-    }
-    value.m_standbys = choose_standbys(state, now, {});
-    value.m_witnesses = choose_witnesses(state, now, {}, value.m_standbys);
+    describe_backend(state, value);
+    auto members = choose_members(state, now, {});
+    value.m_standbys = std::move(members.m_standbys);
+    value.m_witnesses = std::move(members.m_witnesses);
     return value;
 }
 
--- a/libs/core/src/plan_change.cpp
+++ b/libs/core/src/plan_change.cpp
@@ -106,6 +106,15 @@
 
 } // namespace
 
+void describe_backend(const node_state& state, plan& value)
+{
+    if (!state.m_backend)
+        return;
+    value.m_service = state.m_backend->m_service;
+    value.m_server = state.m_backend->m_server;
+    value.m_checks_fencing = state.m_backend->m_fencing == fencing::checked;
+}
+
 bool plan_settled(const node_state& state)
 {
     const auto& own = state.m_ownership;
@@ -118,22 +127,17 @@
     const auto& own = state.m_ownership;
     plan next = own.m_plan;
     ++next.m_version;
-    if (state.m_backend) {
-        next.m_service = state.m_backend->m_service;
-        next.m_server = state.m_backend->m_server;
-        next.m_checks_fencing = state.m_backend->m_fencing == fencing::checked;
-    }
-    next.m_standbys = choose_standbys(state, now, own.m_plan.m_standbys);
+    describe_backend(state, next);
+    auto members = choose_members(state, now, {own.m_plan.m_standbys, own.m_plan.m_witnesses});
+    next.m_standbys = std::move(members.m_standbys);
     next.m_previous_standbys = all_standbys(own.m_plan);
     next.m_slices = planned_slices(own);
     next.m_moves = planned_moves(own);
     next.m_previous_witnesses.clear();
-    if (own.m_plan.m_previous_witnesses.empty()) {
-        auto witnesses = choose_witnesses(state, now, own.m_plan.m_witnesses, next.m_standbys);
-        if (!same_members(witnesses, own.m_plan.m_witnesses)) {
-            next.m_previous_witnesses = own.m_plan.m_witnesses;
-            next.m_witnesses = std::move(witnesses);
-        }
+    if (own.m_plan.m_previous_witnesses.empty() &&
+        !same_members(members.m_witnesses, own.m_plan.m_witnesses)) {
+        next.m_previous_witnesses = own.m_plan.m_witnesses;
+        next.m_witnesses = std::move(members.m_witnesses);
     }
     if (own.m_active.m_version == 0)
         next.m_previous_witnesses.clear(); // see replace_first_witnesses
--- a/libs/core/src/plan_members.cpp
+++ b/libs/core/src/plan_members.cpp
@@ -74,85 +74,9 @@
     }
 }
 
-} // namespace
-
-std::vector<const plan*> usable_plans(const node_state& state, time_point now)
-{
-    // Ranks are computed once for each plan, not for each comparison.
-    std::vector<std::pair<std::uint64_t, const plan*>> ranked;
-    for (const auto* candidate : newest_plans(state.m_directory)) {
-        if (is_usable_member(state, now, candidate->m_member))
-            ranked.emplace_back(rank_for(state, candidate->m_member.m_node), candidate);
-    }
-    std::sort(ranked.begin(), ranked.end(),
-              [](const auto& a, const auto& b) { return a.first < b.first; });
-    std::vector<const plan*> result;
-    result.reserve(ranked.size());
-    for (const auto& entry : ranked)
-        result.push_back(entry.second);
-    return result;
-}
-
-bool can_witness(const node_state& state, time_point now, const member_ref& member)
-{
-    return is_usable_member(state, now, member) &&
-           state.m_ownership.m_refused_by.count(member) == 0;
-}
-
-bool can_stand_by(const node_state& state, const plan& candidate)
-{
-    const auto service = own_service(state);
-    if (service.empty() || spaces_of_node(state, service).size() <= 1)
-        return true;
-    if (candidate.m_service != service)
-        return false;
-    const auto spaces = spaces_of_node(state, service);
-    return std::all_of(spaces.begin(), spaces.end(), [&](const std::string& space) {
-        return space == claim_space ||
-               records::may_own(state.m_configuration.m_document, space, candidate.m_service,
-                                candidate.m_server, candidate.m_zone);
-    });
-}
-
-std::set<std::string> zones_of(const node_state& state, const std::vector<member_ref>& members)
-{
-    std::set<std::string> zones;
-    for (const auto& member : members) {
-        if (const auto* known = find_plan(state.m_directory, member))
-            zones.insert(known->m_zone);
-    }
-    return zones;
-}
-
-bool is_usable_member(const node_state& state, time_point now, const member_ref& member)
-{
-    if (member.m_node == state.m_identity.m_node)
-        return false;
-    const auto& own = state.m_ownership;
-    const auto* newest = find_newest_plan(state.m_directory, member.m_node);
-    if (newest == nullptr || newest->m_member != member)
-        return false;
-    const auto avoided = own.m_avoid_until.find(member);
-    if (avoided != own.m_avoid_until.end() && now < avoided->second)
-        return false;
-    if (fenced_plan(state, member) != nullptr)
-        return false;
-    const auto& document = state.m_configuration.m_document;
-    return records::zone_in_service(document, newest->m_zone) &&
-           records::server_in_service(document, newest->m_server);
-}
-
-std::optional<member_ref> usable_member_of(const node_state& state, time_point now,
-                                           const node_id& node)
-{
-    const auto* newest = find_newest_plan(state.m_directory, node);
-    if (newest == nullptr || !is_usable_member(state, now, newest->m_member))
-        return std::nullopt;
-    return newest->m_member;
-}
-
 std::vector<member_ref> choose_standbys(const node_state& state, time_point now,
-                                        const std::vector<member_ref>& former)
+                                        const holder_counts& counts,
+                                        const std::vector<member_ref>& current)
 {
     struct ranked_plan
     {
@@ -160,8 +84,6 @@
         bool m_able;
         std::tuple<bool, bool, bool, bool, bool> m_key;
     };
-    const auto counts = count_holders(state);
-    auto current = exchanged(former, find_exchange(state, now, counts));
     const auto& own_zone = state.m_identity.m_zone;
     const auto& witnesses = state.m_ownership.m_plan.m_witnesses;
     // Order: able to serve, other zone, already chosen, witness, few holders, rank. A standby that
@@ -199,11 +121,10 @@
 }
 
 std::vector<member_ref> choose_witnesses(const node_state& state, time_point now,
-                                         const std::vector<member_ref>& former,
+                                         const holder_counts& counts,
+                                         const std::vector<member_ref>& current,
                                          const std::vector<member_ref>& standbys)
 {
-    const auto counts = count_holders(state);
-    const auto current = exchanged(former, find_exchange(state, now, counts));
     auto result = kept_witnesses(state, now, current);
     const auto count = state.m_options.m_witness_count;
     if (result.size() >= count)
@@ -238,6 +159,94 @@
     return result;
 }
 
+} // namespace
+
+std::vector<const plan*> usable_plans(const node_state& state, time_point now)
+{
+    // Ranks are computed once for each plan, not for each comparison.
+    std::vector<std::pair<std::uint64_t, const plan*>> ranked;
+    for (const auto* candidate : newest_plans(state.m_directory)) {
+        if (is_usable_member(state, now, candidate->m_member))
+            ranked.emplace_back(rank_for(state, candidate->m_member.m_node), candidate);
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::vector<const plan*> result;
+    result.reserve(ranked.size());
+    for (const auto& entry : ranked)
+        result.push_back(entry.second);
+    return result;
+}
+
+bool can_witness(const node_state& state, time_point now, const member_ref& member)
+{
+    return is_usable_member(state, now, member) &&
+           state.m_ownership.m_refused_by.count(member) == 0;
+}
+
+bool can_stand_by(const node_state& state, const plan& candidate)
+{
+    const auto service = own_service(state);
+    if (service.empty() || spaces_of_node(state, service).size() <= 1)
+        return true;
+    if (candidate.m_service != service)
+        return false;
+    const auto spaces = spaces_of_node(state, service);
+    return std::all_of(spaces.begin(), spaces.end(), [&](const std::string& space) {
+        return space == claim_space ||
+               records::may_own(state.m_configuration.m_document, space, candidate.m_service,
+                                candidate.m_server, candidate.m_zone);
+    });
+}
+
+std::set<std::string> zones_of(const node_state& state, const std::vector<member_ref>& members)
+{
+    std::set<std::string> zones;
+    for (const auto& member : members) {
+        if (const auto* known = find_plan(state.m_directory, member))
+            zones.insert(known->m_zone);
+    }
+    return zones;
+}
+
+bool is_usable_member(const node_state& state, time_point now, const member_ref& member)
+{
+    if (member.m_node == state.m_identity.m_node)
+        return false;
+    const auto& own = state.m_ownership;
+    const auto* newest = find_newest_plan(state.m_directory, member.m_node);
+    if (newest == nullptr || newest->m_member != member)
+        return false;
+    const auto avoided = own.m_avoid_until.find(member);
+    if (avoided != own.m_avoid_until.end() && now < avoided->second)
+        return false;
+    if (fenced_plan(state, member) != nullptr)
+        return false;
+    const auto& document = state.m_configuration.m_document;
+    return records::zone_in_service(document, newest->m_zone) &&
+           records::server_in_service(document, newest->m_server);
+}
+
+std::optional<member_ref> usable_member_of(const node_state& state, time_point now,
+                                           const node_id& node)
+{
+    const auto* newest = find_newest_plan(state.m_directory, node);
+    if (newest == nullptr || !is_usable_member(state, now, newest->m_member))
+        return std::nullopt;
+    return newest->m_member;
+}
+
+member_choice choose_members(const node_state& state, time_point now, const member_choice& current)
+{
+    const auto counts = count_holders(state);
+    const auto exchange = find_exchange(state, now, counts);
+    member_choice next;
+    next.m_standbys = choose_standbys(state, now, counts, exchanged(current.m_standbys, exchange));
+    next.m_witnesses = choose_witnesses(state, now, counts,
+                                        exchanged(current.m_witnesses, exchange), next.m_standbys);
+    return next;
+}
+
 bool reachable(const node_state& state, time_point now, const member_ref& member)
 {
     const auto& heard = state.m_ownership.m_heard;
--- a/libs/core/src/rejoin.cpp
+++ b/libs/core/src/rejoin.cpp
@@ -14,25 +14,13 @@
 /// versions, which they begin within half a second.
 constexpr duration replace_wait = seconds(3);
 
-bool majority_unusable(const node_state& state, time_point now, const std::vector<member_ref>& set)
-{
-    std::vector<member_ref> usable;
-    for (const auto& member : set) {
-        if (member == self(state) || is_usable_member(state, now, member))
-            usable.push_back(member);
-    }
-    return !is_majority(usable, set);
-}
-
-bool majority_replaced(const node_state& state, const std::vector<member_ref>& set)
+/// Whether the members for which `excluded` does not hold are a majority of the set.
+template <class Predicate>
+bool majority_without(const std::vector<member_ref>& set, Predicate excluded)
 {
     std::vector<member_ref> remaining;
-    for (const auto& member : set) {
-        const auto* newest = find_newest_plan(state.m_directory, member.m_node);
-        if (newest == nullptr || newest->m_member == member)
-            remaining.push_back(member);
-    }
-    return !is_majority(remaining, set);
+    std::remove_copy_if(set.begin(), set.end(), std::back_inserter(remaining), excluded);
+    return is_majority(remaining, set);
 }
 
 /// Replaces witnesses that were chosen at the join and whose processes have been replaced. They
@@ -48,20 +36,6 @@
     own.m_lease_held_at = now;
 }
 
-/// Whether the incarnation is known to have ended.
-bool is_gone(const node_state& state, const member_ref& member)
-{
-    return is_superseded(state, member) || fenced_plan(state, member) != nullptr;
-}
-
-template <class Predicate>
-bool majority_without(const std::vector<member_ref>& set, Predicate excluded)
-{
-    std::vector<member_ref> remaining;
-    std::remove_copy_if(set.begin(), set.end(), std::back_inserter(remaining), excluded);
-    return is_majority(remaining, set);
-}
-
 /// Whether so many witnesses of the plan are gone that its node joins again itself.
 bool joins_again(const node_state& state, const plan& value)
 {
@@ -139,6 +113,11 @@
     return newest != nullptr && newest->m_member != member;
 }
 
+bool is_gone(const node_state& state, const member_ref& member)
+{
+    return is_superseded(state, member) || fenced_plan(state, member) != nullptr;
+}
+
 bool may_propose(const node_state& state, time_point now)
 {
     const auto& own = state.m_ownership;
@@ -163,14 +142,20 @@
         return;
     const auto& options = state.m_options;
     if (own.m_active.m_version == 0) {
-        if (majority_replaced(state, own.m_plan.m_witnesses)) {
+        const auto replaced = [&](const member_ref& witness) {
+            return is_superseded(state, witness);
+        };
+        if (!majority_without(own.m_plan.m_witnesses, replaced)) {
             replace_first_witnesses(state, now);
             return;
         }
         // No lease was ever held, so nothing was served. The witnesses chosen at the join are lost.
-        const bool unusable = majority_unusable(state, now, own.m_plan.m_witnesses);
-        const auto limit =
-            unusable ? options.m_member_loss_delay / 2 : 2 * options.m_member_loss_delay;
+        const auto unusable = [&](const member_ref& witness) {
+            return witness != self(state) && !is_usable_member(state, now, witness);
+        };
+        const auto limit = majority_without(own.m_plan.m_witnesses, unusable)
+                               ? 2 * options.m_member_loss_delay
+                               : options.m_member_loss_delay / 2;
         // Two nodes that name each other's former incarnations must not join again in step.
         if (now >= own.m_lease_held_at + limit + own.m_rejoin_jitter)
             begin_join(state, now, true, output);
--- a/libs/core/src/release.cpp
+++ b/libs/core/src/release.cpp
@@ -37,20 +37,25 @@
         output.push_back(send_message{target, known->m_peer_address, std::move(message)});
 }
 
-std::vector<claim> claims_to_send(const node_state& state, const slice_id& slice, time_point now)
+struct sized_claims
 {
-    auto claims = export_claims(state, slice, now);
-    std::size_t bytes = 0;
-    for (auto& value : claims) {
-        bytes += claim_bytes(value);
+    std::vector<claim> m_claims;
+    std::size_t m_bytes = 0;
+};
+
+sized_claims claims_to_send(const node_state& state, const slice_id& slice, time_point now)
+{
+    sized_claims result{export_claims(state, slice, now), 0};
+    for (auto& value : result.m_claims) {
+        result.m_bytes += claim_bytes(value);
         // Without its reply a claim still prevents a second execution.
-        if (bytes > max_claim_bytes) {
-            bytes -= value.m_body.size();
+        if (result.m_bytes > max_claim_bytes) {
+            result.m_bytes -= value.m_body.size();
             value.m_has_reply = false;
             value.m_body.clear();
         }
     }
-    return claims;
+    return result;
 }
 
 /// Whether this incarnation will never accept a release of the sender's version. A refusal stands
@@ -123,10 +128,7 @@
         if (held.m_phase != slice_phase::releasing || now < held.m_next_send)
             continue;
         held.m_next_send = now + state.m_options.m_resend_interval;
-        auto claims = claims_to_send(state, slice, now);
-        std::size_t bytes = 0;
-        for (const auto& value : claims)
-            bytes += claim_bytes(value);
+        const auto [claims, bytes] = claims_to_send(state, slice, now);
         auto& [message, used] = batches[held.m_target];
         if (used + bytes > max_claim_bytes) {
             send_release(state, held.m_target, std::move(message), output);
--- a/libs/core/tests/claims_test.cpp
+++ b/libs/core/tests/claims_test.cpp
@@ -31,6 +31,12 @@
         receive(from, claim_request{token, m_slice, m_key});
     }
 
+    void give_slice_to_c()
+    {
+        stop_serving(m_state, m_slice);
+        set_owner(m_slice, "c", 2);
+    }
+
     void acknowledge()
     {
         const auto copies = sent<claim_copy>();
@@ -270,8 +276,7 @@
 // or keeps the owner uninformed.
 TEST_F(claims, entry_node_asks_the_owner_until_it_answers)
 {
-    stop_serving(m_state, m_slice);
-    set_owner(m_slice, "c", 2);
+    give_slice_to_c();
     const auto token = arrive(make_write());
     EXPECT_EQ(sent<claim_request>().size(), 1U);
     arrive(make_write());
@@ -304,8 +309,7 @@
 // Guards against a request that is dispatched after its caller was told "not executed".
 TEST_F(claims, unanswered_claim_ends_with_the_deadline)
 {
-    stop_serving(m_state, m_slice);
-    set_owner(m_slice, "c", 2);
+    give_slice_to_c();
     auto info = make_write();
     info.m_timeout = milliseconds(500);
     const auto token = arrive(info);
@@ -321,8 +325,7 @@
 // outcome is still on its way to the owner of the claim slice.
 TEST_F(claims, entry_node_waits_for_the_outcome_of_an_earlier_request)
 {
-    stop_serving(m_state, m_slice);
-    set_owner(m_slice, "c", 2);
+    give_slice_to_c();
     auto token = arrive(make_write());
     receive("c", claim_reply{token, claim_verdict::in_progress});
     EXPECT_TRUE(all<answer_with_error>().empty());
@@ -340,8 +343,7 @@
 // Guards against "not executed" for a request whose earlier twin is being executed.
 TEST_F(claims, deadline_while_an_earlier_request_is_in_progress_is_unknown)
 {
-    stop_serving(m_state, m_slice);
-    set_owner(m_slice, "c", 2);
+    give_slice_to_c();
     auto info = make_write();
     info.m_timeout = milliseconds(300);
     receive("c", claim_reply{arrive(info), claim_verdict::in_progress});
@@ -352,8 +354,7 @@
 // Guards against a lost outcome, which leaves the claim in progress until it becomes unknown.
 TEST_F(claims, outcome_is_repeated_to_the_present_owner_until_acknowledged)
 {
-    stop_serving(m_state, m_slice);
-    set_owner(m_slice, "c", 2);
+    give_slice_to_c();
     const auto token = arrive(make_write());
     receive("c", claim_reply{token, claim_verdict::proceed});
     finish(token, 1, attempt_outcome::answered);
--- a/libs/core/tests/plan_members_test.cpp
+++ b/libs/core/tests/plan_members_test.cpp
@@ -49,8 +49,9 @@
         m_state.m_incarnation = value.m_member.m_incarnation;
         m_state.m_ownership.m_plan = m_state.m_ownership.m_active = value;
         const auto before = value;
-        value.m_standbys = choose_standbys(m_state, m_now, value.m_standbys);
-        value.m_witnesses = choose_witnesses(m_state, m_now, value.m_witnesses, value.m_standbys);
+        const auto chosen = choose_members(m_state, m_now, {value.m_standbys, value.m_witnesses});
+        value.m_standbys = chosen.m_standbys;
+        value.m_witnesses = chosen.m_witnesses;
         ++value.m_version;
         return value.m_standbys != before.m_standbys || value.m_witnesses != before.m_witnesses;
     }
