--- a/cmake/library.cmake
+++ b/cmake/library.cmake
@@ -20,7 +20,7 @@
   target_link_libraries(azureladder_${name} ${scope} Threads::Threads ${ARG_LINK})
 
   file(GLOB test_sources CONFIGURE_DEPENDS tests/*.cpp)
-  if(test_sources AND NOT ARG_OWN_TESTS)
+  if(test_sources AND NOT ARG_OWN_TESTS AND NOT AZURELADDER_SIDECAR_ONLY)
     azureladder_test(${name}_test SOURCES ${test_sources} DEPENDS ${name})
     target_include_directories(${name}_test PRIVATE src)
   endif()
--- /dev/null
+++ b/libs/key_ranges/src/key_load.cpp
@@ -0,0 +1,58 @@
+#include <azureladder/key_ranges/key_load.hpp>
+
+#include <azureladder/key_ranges/range_entry.hpp>
+
+namespace azureladder::key_ranges {
+
+namespace {
+
+/// Counts below this one are forgotten, so that they do not become denormal numbers.
+constexpr float smallest_count = 0.001F;
+
+} // namespace
+
+void record_key(key_load& load, std::uint32_t key)
+{
+    if (key > max_key)
+        return;
+    if (load.m_counts.empty())
+        load.m_counts.resize(static_cast<std::size_t>(max_key) + 1);
+    load.m_counts[key] += 1.0F;
+}
+
+void decay(key_load& load, float factor)
+{
+    for (float& count : load.m_counts)
+        count = count < smallest_count ? 0.0F : count * factor;
+}
+
+double load_of(const key_load& load, std::uint32_t from, std::uint32_t to)
+{
+    double sum = 0.0;
+    for (std::size_t key = from; key <= to && key < load.m_counts.size(); ++key)
+        sum += load.m_counts[key];
+    return sum;
+}
+
+std::optional<range_part> narrowest_part(const key_load& load, std::uint32_t from, std::uint32_t to,
+                                         double wanted, double most)
+{
+    if (load.m_counts.empty() || to > max_key || wanted <= 0.0)
+        return std::nullopt;
+    std::optional<range_part> best;
+    double sum = 0.0;
+    std::uint32_t start = from;
+    for (std::uint32_t end = from; end <= to; ++end) {
+        sum += load.m_counts[end];
+        while (start < end && (load.m_counts[start] == 0.0F ||
+                               sum - load.m_counts[start] >= wanted || sum > most))
+            sum -= load.m_counts[start++];
+        if (sum < wanted || sum > most)
+            continue;
+        if (!best || end - start < best->m_to - best->m_from)
+            best = range_part{start, end, sum};
+    }
+    return best;
+}
+
+} // namespace azureladder::key_ranges
--- /dev/null
+++ b/libs/key_ranges/src/range_table.cpp
@@ -0,0 +1,157 @@
+#include <azureladder/key_ranges/range_table.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace azureladder::key_ranges {
+
+bool operator==(const range_entry& a, const range_entry& b)
+{
+    const auto fields = [](const range_entry& entry) {
+        return std::tie(entry.m_from, entry.m_to, entry.m_owner, entry.m_life, entry.m_fence,
+                        entry.m_state, entry.m_former_owner, entry.m_handover);
+    };
+    return fields(a) == fields(b);
+}
+
+range_table make_table(const std::vector<range_owner>& owners)
+{
+    range_table table;
+    const std::uint64_t keys = static_cast<std::uint64_t>(max_key) + 1;
+    for (std::size_t i = 0; i < owners.size(); ++i) {
+        range_entry entry;
+        entry.m_from = static_cast<std::uint32_t>(keys * i / owners.size());
+        entry.m_to = static_cast<std::uint32_t>(keys * (i + 1) / owners.size() - 1);
+        entry.m_owner = owners[i].m_node;
+        entry.m_life = owners[i].m_life;
+        entry.m_fence = table.m_next_fence++;
+        table.m_entries.push_back(entry);
+    }
+    return table;
+}
+
+bool is_consistent(const range_table& table)
+{
+    std::uint32_t next = 0;
+    for (const auto& entry : table.m_entries) {
+        if (entry.m_from != next || entry.m_to < entry.m_from || entry.m_to > max_key ||
+            entry.m_fence >= table.m_next_fence || entry.m_owner.empty())
+            return false;
+        next = entry.m_to + 1;
+    }
+    return next == max_key + 1;
+}
+
+const range_entry* find_entry(const range_table& table, std::uint32_t key)
+{
+    const auto after =
+        std::upper_bound(table.m_entries.begin(), table.m_entries.end(), key,
+                         [](std::uint32_t value, const auto& entry) { return value < entry.m_from; });
+    return after == table.m_entries.begin() ? nullptr : &*std::prev(after);
+}
+
+void transfer(range_table& table, std::uint32_t from, std::uint32_t to, const range_owner& owner,
+              const std::string& handover)
+{
+    const range_entry* found = find_entry(table, from);
+    if (found == nullptr || to > found->m_to || to < from)
+        return;
+    const auto place = table.m_entries.begin() + (found - table.m_entries.data());
+    const range_entry whole = *place;
+    std::vector<range_entry> parts;
+    if (whole.m_from < from) {
+        parts.push_back(whole);
+        parts.back().m_to = from - 1;
+    }
+    range_entry moved;
+    moved.m_from = from;
+    moved.m_to = to;
+    moved.m_owner = owner.m_node;
+    moved.m_life = owner.m_life;
+    moved.m_fence = table.m_next_fence++;
+    moved.m_handover = handover;
+    parts.push_back(moved);
+    if (to < whole.m_to) {
+        parts.push_back(whole);
+        parts.back().m_from = to + 1;
+    }
+    const auto after = table.m_entries.erase(place);
+    table.m_entries.insert(after, parts.begin(), parts.end());
+}
+
+void claim(range_table& table, const std::string& lost_owner, const range_owner& owner)
+{
+    for (auto& entry : table.m_entries) {
+        if (entry.m_owner != lost_owner)
+            continue;
+        if (entry.m_state == range_state::settled)
+            entry.m_former_owner = lost_owner;
+        entry.m_state = range_state::claimed;
+        entry.m_owner = owner.m_node;
+        entry.m_life = owner.m_life;
+        entry.m_handover.clear();
+        entry.m_fence = table.m_next_fence++;
+    }
+}
+
+void reclaim(range_table& table, const range_owner& owner)
+{
+    for (auto& entry : table.m_entries) {
+        if (entry.m_state != range_state::claimed || entry.m_former_owner != owner.m_node)
+            continue;
+        entry.m_state = range_state::settled;
+        entry.m_owner = owner.m_node;
+        entry.m_life = owner.m_life;
+        entry.m_former_owner.clear();
+        entry.m_fence = table.m_next_fence++;
+    }
+}
+
+void settle(range_table& table, const std::string& owner)
+{
+    for (auto& entry : table.m_entries) {
+        if (entry.m_state != range_state::claimed || entry.m_owner != owner)
+            continue;
+        entry.m_state = range_state::settled;
+        entry.m_former_owner.clear();
+    }
+}
+
+void bind_life(range_table& table, const range_owner& owner)
+{
+    for (auto& entry : table.m_entries) {
+        if (entry.m_owner != owner.m_node || entry.m_state != range_state::settled ||
+            entry.m_life == owner.m_life)
+            continue;
+        // The first life takes the token of the transfer; a later one needs a higher token.
+        if (!entry.m_life.empty()) {
+            entry.m_fence = table.m_next_fence++;
+            entry.m_handover.clear();
+        }
+        entry.m_life = owner.m_life;
+    }
+}
+
+void merge_neighbours(range_table& table, const std::string& owner, std::size_t max_entries)
+{
+    if (table.m_entries.size() <= max_entries)
+        return;
+    std::vector<range_entry> merged;
+    for (const auto& entry : table.m_entries) {
+        const bool joins = !merged.empty() && entry.m_owner == owner &&
+                           merged.back().m_owner == owner &&
+                           entry.m_state == range_state::settled &&
+                           merged.back().m_state == range_state::settled &&
+                           !entry.m_life.empty() && merged.back().m_life == entry.m_life;
+        if (!joins) {
+            merged.push_back(entry);
+            continue;
+        }
+        merged.back().m_to = entry.m_to;
+        merged.back().m_fence = table.m_next_fence++;
+        merged.back().m_handover.clear();
+    }
+    table.m_entries = merged;
+}
+
+} // namespace azureladder::key_ranges
--- /dev/null
+++ b/libs/routing/include/azureladder/routing/gate_options.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <azureladder/base/time.hpp>
+
+#include <cstdint>
+
+namespace azureladder::routing {
+
+struct gate_options
+{
+    /// Execution time assumed before the first measurement.
+    duration m_default_service_time = milliseconds(100);
+
+    /// Weight of a new sample in the means of execution time and failures.
+    double m_sample_weight = 0.1;
+
+    /// Time without samples after which the means begin to return to their defaults, so that a
+    /// backend server that was slow gets requests again.
+    duration m_forget_after = seconds(3);
+
+    /// Part of the time to a request's target that waiting and executing may be predicted to take.
+    /// Below 1, since executions take longer than their mean in half of the cases.
+    double m_target_share = 0.9;
+
+    /// Requests a second to a cold backend server, as a multiple of its stated rate. The
+    /// operator's bound is 1.5 times the rate and some requests more.
+    double m_cold_rate_share = 1.15;
+
+    /// Shortest and longest wait that a refusal advises.
+    duration m_min_retry_after = milliseconds(50);
+    duration m_max_retry_after = seconds(2);
+};
+
+} // namespace azureladder::routing
--- /dev/null
+++ b/libs/routing/include/azureladder/routing/placement.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <azureladder/routing/gate_report.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace azureladder::routing {
+
+struct placement_options
+{
+    /// Latency that a node in another zone must save to be worth the price of the link.
+    duration m_zone_penalty = milliseconds(60);
+
+    /// Expected latency that a failed execution adds, since the caller has to repeat it.
+    duration m_failure_penalty = milliseconds(1000);
+
+    /// Service time assumed before the first measurement.
+    duration m_default_service_time = milliseconds(100);
+};
+
+/// A gate that may take the request.
+struct placement_candidate
+{
+    gate_report m_report;
+
+    /// Requests that this node has sent there since the report and that have no answer yet.
+    std::uint32_t m_sent_since_report = 0;
+
+    bool m_same_zone = false;
+
+    /// Round trip to the node.
+    duration m_distance{};
+};
+
+/// Time from sending a request to its answer at this gate, with the penalties of the options.
+duration expected_cost(const placement_candidate& candidate, const placement_options& options);
+
+/// The time a request waits before it starts at this gate.
+duration expected_wait(const gate_report& report, std::uint32_t sent_since_report,
+                       const placement_options& options);
+
+/// Position of the candidate to take, or `candidates.size()` when none is open. Of candidates
+/// whose cost is within a tenth of the best one, `random` chooses, so that nodes with the same
+/// reports do not all take the same gate.
+std::size_t choose_candidate(const std::vector<placement_candidate>& candidates,
+                             const placement_options& options, std::uint64_t random);
+
+} // namespace azureladder::routing
--- /dev/null
+++ b/libs/routing/src/gate.cpp
@@ -0,0 +1,210 @@
+#include <azureladder/routing/gate.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace azureladder::routing {
+
+namespace {
+
+constexpr duration cold_window = seconds(1);
+
+duration scaled(duration value, double factor)
+{
+    return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
+}
+
+duration mixed(duration mean, duration sample, double weight)
+{
+    if (mean == duration::zero())
+        return sample;
+    return scaled(mean, 1.0 - weight) + scaled(sample, weight);
+}
+
+/// A mean loses a tenth of its distance to the default for each second beyond the limit.
+double forgotten_share(time_point last_sample, time_point now, const gate_options& options)
+{
+    const duration beyond = now - last_sample - options.m_forget_after;
+    if (beyond <= duration::zero())
+        return 0.0;
+    return 1.0 - std::pow(0.9, std::chrono::duration<double>(beyond).count());
+}
+
+duration aged_mean(duration mean, time_point last_sample, time_point now,
+                   const gate_options& options)
+{
+    if (mean == duration::zero())
+        return options.m_default_service_time;
+    const double share = forgotten_share(last_sample, now, options);
+    return scaled(mean, 1.0 - share) +
+           scaled(std::min(mean, options.m_default_service_time), share);
+}
+
+bool is_more_urgent(const gate_request& a, const gate_request& b)
+{
+    if (a.m_priority != b.m_priority)
+        return a.m_priority < b.m_priority;
+    return a.m_target < b.m_target;
+}
+
+std::size_t cold_starts_allowed(const gate& state, const gate_options& options)
+{
+    return static_cast<std::size_t>(
+        std::max(1.0, std::floor(state.m_cold_rate_per_s * options.m_cold_rate_share)));
+}
+
+bool may_start(gate& state, time_point now, const gate_options& options)
+{
+    if (state.m_running.size() >= state.m_limit)
+        return false;
+    while (!state.m_starts.empty() && now - state.m_starts.front() > cold_window)
+        state.m_starts.pop_front();
+    return state.m_cold_rate_per_s <= 0.0 ||
+           state.m_starts.size() < cold_starts_allowed(state, options);
+}
+
+void start(gate& state, const gate_request& request, time_point now)
+{
+    state.m_running[request.m_id] = request;
+    state.m_starts.push_back(now);
+}
+
+/// Time until a request with this urgency starts. Running requests are half done on average.
+duration predicted_wait(const gate& state, const gate_request& request, time_point now,
+                        const gate_options& options)
+{
+    duration work{};
+    for (const auto& [id, running] : state.m_running)
+        work += expected_service_time(state, running.m_route, now, options) / 2;
+    std::size_t ahead = 0;
+    for (const auto& waiting : state.m_waiting) {
+        if (is_more_urgent(request, waiting))
+            continue;
+        work += expected_service_time(state, waiting.m_route, now, options);
+        ++ahead;
+    }
+    duration wait{};
+    if (state.m_running.size() >= state.m_limit)
+        wait = work / std::max<std::uint32_t>(state.m_limit, 1);
+    if (state.m_cold_rate_per_s > 0.0)
+        wait = std::max(wait, scaled(cold_window, static_cast<double>(ahead + 1) /
+                                                      state.m_cold_rate_per_s));
+    return wait;
+}
+
+duration clamped_retry_after(duration wait, const gate_options& options)
+{
+    return std::clamp(wait, options.m_min_retry_after, options.m_max_retry_after);
+}
+
+} // namespace
+
+duration expected_service_time(const gate& state, const std::string& route, time_point now,
+                               const gate_options& options)
+{
+    const auto found = state.m_service_times.find(route);
+    if (found == state.m_service_times.end())
+        return aged_mean(state.m_mean_service_time, state.m_last_sample, now, options);
+    return aged_mean(found->second.m_mean, found->second.m_last_sample, now, options);
+}
+
+admission_decision offer(gate& state, const gate_request& request, time_point now,
+                         const gate_options& options)
+{
+    if (state.m_limit == 0)
+        return {admission::refuse, options.m_min_retry_after};
+    const duration service = expected_service_time(state, request.m_route, now, options);
+    if (now + service / 2 > request.m_deadline)
+        return {admission::refuse, options.m_min_retry_after};
+    if (state.m_waiting.empty() && may_start(state, now, options)) {
+        start(state, request, now);
+        return {admission::start, duration::zero()};
+    }
+    const duration wait = predicted_wait(state, request, now, options);
+    const duration allowed = scaled(request.m_target - now, options.m_target_share);
+    if (wait + service > allowed)
+        return {admission::refuse, clamped_retry_after(wait, options)};
+    const auto place = std::upper_bound(state.m_waiting.begin(), state.m_waiting.end(), request,
+                                        is_more_urgent);
+    state.m_waiting.insert(place, request);
+    return {admission::wait, wait};
+}
+
+std::vector<gate_request> take_startable(gate& state, time_point now, const gate_options& options)
+{
+    std::vector<gate_request> result;
+    while (!state.m_waiting.empty() && may_start(state, now, options)) {
+        result.push_back(state.m_waiting.front());
+        state.m_waiting.erase(state.m_waiting.begin());
+        start(state, result.back(), now);
+    }
+    return result;
+}
+
+std::vector<gate_request> take_hopeless(gate& state, time_point now, const gate_options& options)
+{
+    std::vector<gate_request> result;
+    const auto is_hopeless = [&](const gate_request& request) {
+        return now + expected_service_time(state, request.m_route, now, options) / 2 >
+               request.m_deadline;
+    };
+    for (auto it = state.m_waiting.begin(); it != state.m_waiting.end();) {
+        if (is_hopeless(*it)) {
+            result.push_back(*it);
+            it = state.m_waiting.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    return result;
+}
+
+void finish(gate& state, std::uint64_t id, duration elapsed, execution_outcome outcome,
+            time_point now, const gate_options& options)
+{
+    const auto found = state.m_running.find(id);
+    if (found == state.m_running.end())
+        return;
+    const std::string route = found->second.m_route;
+    state.m_running.erase(found);
+    if (outcome == execution_outcome::abandoned)
+        return;
+    const double weight = options.m_sample_weight;
+    state.m_last_outcome = now;
+    const double failed = outcome == execution_outcome::failed ? 1.0 : 0.0;
+    state.m_failure_share += weight * (failed - state.m_failure_share);
+    if (outcome == execution_outcome::failed)
+        return;
+    auto& mean = state.m_service_times[route];
+    mean.m_mean = mixed(mean.m_mean, elapsed, weight);
+    mean.m_last_sample = now;
+    state.m_mean_service_time = mixed(state.m_mean_service_time, elapsed, weight);
+    state.m_last_sample = now;
+}
+
+bool remove_waiting(gate& state, std::uint64_t id)
+{
+    const auto found = std::find_if(state.m_waiting.begin(), state.m_waiting.end(),
+                                    [&](const auto& request) { return request.m_id == id; });
+    if (found == state.m_waiting.end())
+        return false;
+    state.m_waiting.erase(found);
+    return true;
+}
+
+gate_report report_of(const gate& state, bool open, time_point now, const gate_options& options)
+{
+    gate_report report;
+    report.m_open = open && state.m_limit > 0;
+    report.m_running = static_cast<std::uint32_t>(state.m_running.size());
+    report.m_waiting = static_cast<std::uint32_t>(state.m_waiting.size());
+    report.m_limit = state.m_limit;
+    report.m_service_time =
+        aged_mean(state.m_mean_service_time, state.m_last_sample, now, options);
+    report.m_failure_share =
+        state.m_failure_share * (1.0 - forgotten_share(state.m_last_outcome, now, options));
+    report.m_cold_rate_per_s = state.m_cold_rate_per_s;
+    return report;
+}
+
+} // namespace azureladder::routing
--- /dev/null
+++ b/libs/sidecar/include/azureladder/sidecar/forwarded_request.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <azureladder/routing/request_kind.hpp>
+#include <azureladder/sidecar/header_field.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace azureladder::sidecar {
+
+/// What a backend server gets of a caller's request, and what its gate needs to order it.
+struct forwarded_request
+{
+    std::string m_request_id;
+    std::string m_method;
+
+    /// Path and query as the caller sent them.
+    std::string m_target;
+
+    std::string m_host;
+
+    /// End-to-end headers that the system does not set itself.
+    header_fields m_headers;
+
+    std::string m_body;
+
+    /// Service that runs on the VM where the request began.
+    std::string m_caller_service;
+
+    std::optional<std::uint32_t> m_key;
+
+    /// Service that executes the request.
+    std::string m_service;
+
+    std::string m_route;
+    std::uint32_t m_priority = 0;
+    routing::request_kind m_kind = routing::request_kind::non_idempotent;
+};
+
+using forwarded_request_ptr = std::shared_ptr<const forwarded_request>;
+
+} // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <azureladder/base/time.hpp>
+#include <azureladder/routing/gate.hpp>
+#include <azureladder/routing/retry_budget.hpp>
+#include <azureladder/routing/routing_configuration.hpp>
+#include <azureladder/routing/weighted_choice.hpp>
+#include <azureladder/sidecar/backend_announcement.hpp>
+#include <azureladder/sidecar/gate_execution.hpp>
+#include <azureladder/sidecar/key_ownership.hpp>
+#include <azureladder/sidecar/node_options.hpp>
+#include <azureladder/sidecar/open_request.hpp>
+#include <azureladder/sidecar/peer_state.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+namespace azureladder::sidecar {
+
+/// The backend server beside this node.
+struct local_backend
+{
+    backend_announcement m_announcement;
+    time_point m_announced_at;
+    time_point m_cold_until;
+
+    /// The server said that it leaves; since when.
+    bool m_leaving = false;
+    time_point m_leaving_since;
+
+    /// Nothing listens at its address.
+    bool m_unreachable = false;
+    time_point m_unreachable_since;
+
+    /// Consecutive executions without an answer.
+    std::uint32_t m_silent = 0;
+    time_point m_next_trial;
+};
+
+/// The operator's documents in force.
+struct known_configuration
+{
+    std::uint64_t m_revision = 0;
+    std::string m_text;
+    std::shared_ptr<const routing::routing_configuration> m_configuration;
+
+    /// Revision of the evacuations; they change without the configuration.
+    std::uint64_t m_evacuations_revision = 0;
+    std::set<std::string> m_evacuated_zones;
+};
+
+/// A document of which a peer knows a newer revision.
+struct wanted_document
+{
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_link = 0;
+    time_point m_since;
+    time_point m_requested_at;
+};
+
+/// Everything that one node knows. Changed by `step` only.
+struct node_state
+{
+    node_options m_options;
+    time_point m_started_at;
+    time_point m_last_tick;
+    std::mt19937_64 m_random;
+
+    known_configuration m_known;
+
+    /// Ingress.
+    std::map<std::uint64_t, open_request> m_requests;
+    std::map<std::uint64_t, std::uint64_t> m_caller_of_frame;
+    std::uint64_t m_next_frame = 1;
+    std::map<std::string, routing::weighted_choice> m_choices;
+    std::map<std::string, routing::retry_budget> m_retry_budgets;
+
+    /// Mesh.
+    std::map<std::string, peer_state> m_peers;
+    std::map<std::uint64_t, std::string> m_node_of_link;
+    std::set<std::uint64_t> m_accepted_links;
+    std::deque<peer_frame> m_own_frames;
+
+    /// Gate.
+    std::optional<local_backend> m_backend;
+    std::map<std::string, std::int64_t> m_ended_lives;
+    routing::gate m_gate;
+    std::map<std::uint64_t, gate_execution> m_executions;
+    std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> m_execution_of_frame;
+    std::uint64_t m_next_execution = 1;
+    time_point m_cold_until_announced;
+
+    /// Requests reported as unknown to their origin: they are dropped if they arrive late.
+    std::map<std::pair<std::string, std::uint64_t>, time_point> m_disowned;
+
+    /// Keys.
+    std::map<std::string, known_table> m_tables;
+    key_ownership m_ownership;
+    std::uint64_t m_next_order = 1;
+
+    /// Newer documents that peers know: revision, a node that has it, since when it is wanted.
+    std::map<std::string, wanted_document> m_wanted;
+
+    std::string m_last_status_text;
+    bool m_stopping = false;
+    time_point m_stop_requested_at;
+};
+
+} // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <azureladder/base/enum_names.hpp>
+#include <azureladder/routing/gate_report.hpp>
+#include <azureladder/sidecar/forwarded_request.hpp>
+#include <azureladder/sidecar/server_answer.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace azureladder::sidecar {
+
+/// Name and revision of the shared documents that a node knows.
+using document_revisions = std::map<std::string, std::uint64_t>;
+
+/// First frame in each direction of a connection.
+struct hello_frame
+{
+    std::string m_node;
+    std::uint64_t m_incarnation = 0;
+    std::string m_address;
+    std::string m_zone;
+
+    /// Nodes known to the sender, name and address.
+    std::map<std::string, std::string> m_known;
+};
+
+/// State of a node's backend server.
+struct node_status
+{
+    std::string m_service;
+
+    /// Identity of the backend server's life; empty without a server.
+    std::string m_life;
+
+    routing::gate_report m_report;
+
+    /// The node is about to stop.
+    bool m_leaving = false;
+
+    /// Work that arrives for the ranges of this node, as a share of what its server can do.
+    double m_key_use = 0.0;
+    bool m_owns_keys = false;
+};
+
+struct ping_frame
+{
+    std::uint64_t m_sequence = 0;
+    document_revisions m_documents;
+};
+
+/// Answers a ping, or states a change without one (sequence 0).
+struct status_frame
+{
+    std::uint64_t m_sequence = 0;
+    node_status m_status;
+    document_revisions m_documents;
+
+    /// Age of the newest confirmation of each range table, by document name.
+    std::map<std::string, std::int64_t> m_confirmation_age_us;
+};
+
+struct request_frame
+{
+    std::uint64_t m_id = 0;
+    forwarded_request_ptr m_request;
+
+    /// Time left to the caller's deadline and to the target latency, in microseconds.
+    std::int64_t m_remaining_us = 0;
+    std::int64_t m_target_us = 0;
+};
+
+struct cancel_frame
+{
+    std::uint64_t m_id = 0;
+};
+
+/// Asks for the state of a request that was sent over an earlier connection.
+struct resume_frame
+{
+    std::uint64_t m_id = 0;
+};
+
+/// Answer of the backend server.
+struct answer_frame
+{
+    std::uint64_t m_id = 0;
+    server_answer_ptr m_answer;
+    routing::gate_report m_report;
+};
+
+enum class refusal_reason
+{
+    no_server,
+    closed,
+    overloaded,
+    not_owner,
+    rejected_by_server,
+    unknown_request,
+    cancelled
+};
+
+inline constexpr enum_name<refusal_reason> refusal_reason_names[] = {
+    {refusal_reason::no_server, "no_server"},
+    {refusal_reason::closed, "closed"},
+    {refusal_reason::overloaded, "overloaded"},
+    {refusal_reason::not_owner, "not_owner"},
+    {refusal_reason::rejected_by_server, "rejected_by_server"},
+    {refusal_reason::unknown_request, "unknown_request"},
+    {refusal_reason::cancelled, "cancelled"},
+};
+
+/// The request was not executed and never will be.
+struct refusal_frame
+{
+    std::uint64_t m_id = 0;
+    refusal_reason m_reason = refusal_reason::no_server;
+    std::int64_t m_retry_after_us = 0;
+    routing::gate_report m_report;
+};
+
+/// The request was sent to the backend server and has no usable answer.
+struct failure_frame
+{
+    std::uint64_t m_id = 0;
+    std::string m_cause;
+    routing::gate_report m_report;
+};
+
+struct document_request_frame
+{
+    std::string m_name;
+};
+
+struct document_frame
+{
+    std::string m_name;
+    std::uint64_t m_revision = 0;
+    std::string m_text;
+
+    /// Time since the sender's newest confirmation that this is the store's revision; negative
+    /// when it has none.
+    std::int64_t m_confirmation_age_us = -1;
+};
+
+using peer_frame =
+    std::variant<hello_frame, ping_frame, status_frame, request_frame, cancel_frame, resume_frame,
+                 answer_frame, refusal_frame, failure_frame, document_request_frame, document_frame>;
+
+} // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar/include/azureladder/sidecar/peer_state.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <azureladder/base/time.hpp>
+#include <azureladder/sidecar/peer_frame.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace azureladder::sidecar {
+
+/// Another node as this one sees it.
+struct peer_state
+{
+    std::string m_address;
+    std::string m_zone;
+    std::uint64_t m_incarnation = 0;
+
+    /// Connection that this node opened; 0 while there is none.
+    std::uint64_t m_link = 0;
+    bool m_connecting = false;
+    time_point m_next_connect;
+    duration m_connect_pause{};
+
+    /// Whether the other end has said hello on the connection.
+    bool m_greeted = false;
+
+    node_status m_status;
+    std::uint32_t m_open_requests = 0;
+    std::uint32_t m_sent_since_status = 0;
+
+    std::uint64_t m_ping_sequence = 0;
+    time_point m_ping_sent;
+    bool m_ping_open = false;
+    duration m_round_trip = milliseconds(2);
+
+    /// Last sign of life.
+    time_point m_heard;
+};
+
+} // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar/include/azureladder/sidecar/server_answer.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <azureladder/sidecar/header_field.hpp>
+
+#include <memory>
+#include <string>
+
+namespace azureladder::sidecar {
+
+/// The complete answer of a backend server, with its end-to-end headers.
+struct server_answer
+{
+    int m_status = 0;
+    header_fields m_headers;
+    std::string m_body;
+};
+
+using server_answer_ptr = std::shared_ptr<const server_answer>;
+
+} // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar/src/documents.cpp
@@ -0,0 +1,206 @@
+#include "step_context.hpp"
+
+#include <azureladder/key_ranges/range_table_json.hpp>
+
+namespace azureladder::sidecar {
+
+namespace {
+
+constexpr const char* table_prefix = "keys/";
+
+/// Time for which this node's own watch of the store may still bring a document that a peer has.
+constexpr duration watch_head_start = milliseconds(200);
+
+/// Time after which a peer that has not sent a document is asked again.
+constexpr duration document_timeout = milliseconds(500);
+
+bool is_table(const std::string& name)
+{
+    return name.rfind(table_prefix, 0) == 0;
+}
+
+std::string table_service(const std::string& name)
+{
+    return name.substr(std::string_view(table_prefix).size());
+}
+
+void set_evacuations(step_context& context, std::uint64_t revision, std::set<std::string> zones)
+{
+    known_configuration& known = context.m_state.m_known;
+    known.m_evacuations_revision = revision;
+    if (zones == known.m_evacuated_zones)
+        return;
+    known.m_evacuated_zones = std::move(zones);
+    log(context, log_level::info, "evacuations_changed",
+        {{"zones", known.m_evacuated_zones}, {"revision", revision}});
+    local_backend* backend = context.m_state.m_backend ? &*context.m_state.m_backend : nullptr;
+    if (backend != nullptr && known.m_evacuated_zones.count(context.m_state.m_options.m_zone) == 0)
+        // Servers may be cold after an evacuation; the next announcement tells.
+        context.m_state.m_cold_until_announced = context.m_now;
+    broadcast_status(context);
+}
+
+void request_document(step_context& context, const std::string& name, wanted_document& wanted)
+{
+    wanted.m_requested_at = context.m_now;
+    send_on_link(context, wanted.m_link, document_request_frame{name});
+}
+
+} // namespace
+
+std::string table_document(const std::string& service)
+{
+    return table_prefix + service;
+}
+
+document_revisions known_revisions(const node_state& state)
+{
+    document_revisions revisions;
+    if (state.m_known.m_revision != 0)
+        revisions[configuration_document] = state.m_known.m_revision;
+    if (state.m_known.m_evacuations_revision != 0)
+        revisions[evacuations_document] = state.m_known.m_evacuations_revision;
+    for (const auto& [service, table] : state.m_tables)
+        revisions[table_document(service)] = table.m_revision;
+    return revisions;
+}
+
+void on_operator_documents(step_context& context, const operator_documents& read)
+{
+    known_configuration& known = context.m_state.m_known;
+    if (read.m_configuration_text && read.m_configuration_revision > known.m_revision)
+        emit(context,
+             decode_configuration{read.m_configuration_revision, *read.m_configuration_text});
+    const bool changed = read.m_evacuated_zones != known.m_evacuated_zones ||
+                         known.m_evacuations_revision == 0;
+    if (changed && read.m_revision > known.m_evacuations_revision)
+        set_evacuations(context, read.m_revision, read.m_evacuated_zones);
+}
+
+void on_configuration_decoded(step_context& context, const configuration_decoded& decoded)
+{
+    known_configuration& known = context.m_state.m_known;
+    if (decoded.m_revision <= known.m_revision || !decoded.m_configuration)
+        return;
+    const auto& configuration = *decoded.m_configuration;
+    if (known.m_configuration && configuration.m_version < known.m_configuration->m_version) {
+        log(context, log_level::warning, "older_configuration_ignored",
+            {{"version", configuration.m_version},
+             {"in_force", known.m_configuration->m_version}});
+        return;
+    }
+    known.m_revision = decoded.m_revision;
+    known.m_text = decoded.m_text;
+    known.m_configuration = decoded.m_configuration;
+    context.m_state.m_wanted.erase(configuration_document);
+    log(context, log_level::info, "configuration_in_force",
+        {{"version", configuration.m_version},
+         {"revision", known.m_revision},
+         {"routes", configuration.m_routes.size()}});
+    broadcast_status(context);
+    retry_waiting_requests(context);
+}
+
+void on_peer_revisions(step_context& context, std::uint64_t link,
+                       const document_revisions& revisions)
+{
+    node_state& state = context.m_state;
+    const document_revisions known = known_revisions(state);
+    for (const auto& [name, revision] : revisions) {
+        const auto mine = known.find(name);
+        if (mine != known.end() && mine->second >= revision)
+            continue;
+        auto [place, added] = state.m_wanted.try_emplace(name);
+        wanted_document& wanted = place->second;
+        if (!added && wanted.m_revision >= revision)
+            continue;
+        if (added)
+            wanted.m_since = context.m_now;
+        wanted.m_revision = revision;
+        wanted.m_link = link;
+        if (is_table(name))
+            request_document(context, name, wanted);
+    }
+}
+
+void check_wanted_documents(step_context& context)
+{
+    node_state& state = context.m_state;
+    const document_revisions known = known_revisions(state);
+    for (auto it = state.m_wanted.begin(); it != state.m_wanted.end();) {
+        auto& [name, wanted] = *it;
+        const auto mine = known.find(name);
+        const bool link_lost = state.m_node_of_link.count(wanted.m_link) == 0;
+        if (link_lost || (mine != known.end() && mine->second >= wanted.m_revision)) {
+            it = state.m_wanted.erase(it);
+            continue;
+        }
+        const bool asked = wanted.m_requested_at != time_point{};
+        if (asked ? context.m_now - wanted.m_requested_at > document_timeout
+                  : context.m_now - wanted.m_since > watch_head_start)
+            request_document(context, name, wanted);
+        ++it;
+    }
+}
+
+void on_document_request(step_context& context, std::uint64_t link, const std::string& name)
+{
+    const node_state& state = context.m_state;
+    document_frame frame;
+    frame.m_name = name;
+    if (name == configuration_document) {
+        frame.m_revision = state.m_known.m_revision;
+        frame.m_text = state.m_known.m_text;
+    } else if (name == evacuations_document) {
+        frame.m_revision = state.m_known.m_evacuations_revision;
+        frame.m_text = json(state.m_known.m_evacuated_zones).dump();
+    } else if (is_table(name)) {
+        const auto found = state.m_tables.find(table_service(name));
+        if (found == state.m_tables.end())
+            return;
+        frame.m_revision = found->second.m_revision;
+        frame.m_text = found->second.m_text;
+        if (found->second.m_confirmed_at != time_point{})
+            frame.m_confirmation_age_us =
+                (context.m_now - found->second.m_confirmed_at).count();
+    }
+    if (frame.m_revision != 0)
+        send_on_link(context, link, std::move(frame));
+}
+
+void on_document(step_context& context, const document_frame& frame)
+{
+    node_state& state = context.m_state;
+    if (frame.m_name == configuration_document) {
+        if (frame.m_revision > state.m_known.m_revision)
+            emit(context, decode_configuration{frame.m_revision, frame.m_text});
+        return;
+    }
+    if (frame.m_name == evacuations_document) {
+        const json zones = json::parse(frame.m_text, nullptr, false);
+        if (!zones.is_array()) {
+            log(context, log_level::warning, "document_unreadable", {{"document", frame.m_name}});
+            return;
+        }
+        std::set<std::string> names;
+        for (const auto& zone : zones) {
+            if (zone.is_string())
+                names.insert(zone.get<std::string>());
+        }
+        if (frame.m_revision > state.m_known.m_evacuations_revision)
+            set_evacuations(context, frame.m_revision, std::move(names));
+        return;
+    }
+    if (!is_table(frame.m_name))
+        return;
+    const auto wanted = state.m_wanted.find(frame.m_name);
+    time_point confirmed_at;
+    // The answer was made after the request was sent, so this is not too late.
+    if (wanted != state.m_wanted.end() && wanted->second.m_requested_at != time_point{} &&
+        frame.m_confirmation_age_us >= 0)
+        confirmed_at = wanted->second.m_requested_at - duration(frame.m_confirmation_age_us);
+    adopt_table(context, table_service(frame.m_name), frame.m_revision, frame.m_text,
+                confirmed_at);
+}
+
+} // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar/src/gate_node.cpp
@@ -0,0 +1,473 @@
+#include "step_context.hpp"
+
+#include <azureladder/sidecar/step.hpp>
+
+#include <algorithm>
+
+namespace azureladder::sidecar {
+
+namespace {
+
+/// Time for which finished executions are kept for their origin to ask again; longer than any
+/// origin waits.
+constexpr duration result_retention = seconds(10);
+
+/// Pause between two trials of a backend server that gave no answers or was unreachable.
+constexpr duration trial_pause = milliseconds(500);
+
+/// Difference between the deadlines of origin and gate: one way between two zones.
+constexpr duration deadline_tolerance = milliseconds(30);
+
+void note_silence(const step_context& context, local_backend& backend)
+{
+    ++backend.m_silent;
+    backend.m_next_trial = context.m_now + trial_pause;
+}
+
+json execution_fields(const gate_execution& execution)
+{
+    return {{"request", execution.m_request->m_request_id},
+            {"origin", execution.m_origin},
+            {"route", execution.m_request->m_route}};
+}
+
+routing::gate_report own_report(step_context& context)
+{
+    return routing::report_of(context.m_state.m_gate,
+                              is_gate_open(context.m_state, context.m_now), context.m_now,
+                              context.m_state.m_options.m_gate);
+}
+
+void refuse(step_context& context, std::uint64_t link, std::uint64_t frame,
+            const forwarded_request& request, refusal_reason reason, duration retry_after)
+{
+    log(context, log_level::info, "request_refused",
+        {{"request", request.m_request_id},
+         {"reason", std::string(name_in(refusal_reason_names, reason))},
+         {"running", context.m_state.m_gate.m_running.size()},
+         {"waiting", context.m_state.m_gate.m_waiting.size()},
+         {"limit", context.m_state.m_gate.m_limit},
+         {"retry_after_ms", to_ms(retry_after)}});
+    send_on_link(context, link,
+                 refusal_frame{frame, reason, retry_after.count(), own_report(context)});
+}
+
+void forget_execution(step_context& context, std::uint64_t id)
+{
+    const auto found = context.m_state.m_executions.find(id);
+    if (found == context.m_state.m_executions.end())
+        return;
+    context.m_state.m_execution_of_frame.erase(
+        {found->second.m_origin, found->second.m_frame});
+    context.m_state.m_executions.erase(found);
+}
+
+/// Sends the result of an execution, and keeps it for an origin whose connection breaks.
+void deliver(step_context& context, gate_execution& execution, peer_frame result)
+{
+    execution.m_finished_at = context.m_now;
+    execution.m_result = result;
+    if (execution.m_link_lost_at == time_point{})
+        send_on_link(context, execution.m_link, std::move(result));
+}
+
+void begin(step_context& context, gate_execution& execution)
+{
+    const local_backend& backend = *context.m_state.m_backend;
+    execution.m_started = true;
+    execution.m_started_at = context.m_now;
+    json fields = execution_fields(execution);
+    fields["backend"] = backend.m_announcement.m_id;
+    fields["running"] = context.m_state.m_gate.m_running.size();
+    log(context, log_level::info, "execution_started", std::move(fields));
+    emit(context, start_execution{execution.m_id, execution.m_request, backend.m_announcement.m_id,
+                                  backend.m_announcement.m_address,
+                                  execution.m_deadline - context.m_now});
+}
+
+void refuse_waiting(step_context& context, std::uint64_t id, refusal_reason reason,
+                    duration retry_after)
+{
+    const auto found = context.m_state.m_executions.find(id);
+    if (found == context.m_state.m_executions.end())
+        return;
+    const gate_execution execution = found->second;
+    forget_execution(context, id);
+    if (execution.m_link_lost_at == time_point{})
+        refuse(context, execution.m_link, execution.m_frame, *execution.m_request, reason,
+               retry_after);
+}
+
+void start_waiting(step_context& context)
+{
+    node_state& state = context.m_state;
+    const auto& options = state.m_options.m_gate;
+    for (const auto& request : routing::take_hopeless(state.m_gate, context.m_now, options))
+        refuse_waiting(context, request.m_id, refusal_reason::overloaded,
+                       options.m_min_retry_after);
+    if (!state.m_backend)
+        return;
+    for (const auto& request : routing::take_startable(state.m_gate, context.m_now, options)) {
+        const auto found = state.m_executions.find(request.m_id);
+        if (found == state.m_executions.end())
+            continue;
+        const auto& key = found->second.m_request->m_key;
+        if (key && !local_keyed_service(state).empty() && !holds_key(state, *key, context.m_now)) {
+            routing::finish(state.m_gate, request.m_id, {}, routing::execution_outcome::abandoned,
+                            context.m_now, options);
+            refuse_waiting(context, request.m_id, refusal_reason::not_owner, {});
+            continue;
+        }
+        begin(context, found->second);
+    }
+}
+
+void refuse_all_waiting(step_context& context, refusal_reason reason)
+{
+    const auto waiting = context.m_state.m_gate.m_waiting;
+    context.m_state.m_gate.m_waiting.clear();
+    for (const auto& request : waiting)
+        refuse_waiting(context, request.m_id, reason, {});
+}
+
+/// Rate that the backend server bears now; 0 when it is not cold.
+double cold_rate(const node_state& state, time_point now)
+{
+    if (!state.m_backend)
+        return 0.0;
+    const auto* service = find_service(state, state.m_backend->m_announcement.m_service);
+    if (service == nullptr || service->m_cold_rate_per_s <= 0.0)
+        return 0.0;
+    const bool cold =
+        now < state.m_backend->m_cold_until || state.m_cold_until_announced != time_point{};
+    return cold ? service->m_cold_rate_per_s : 0.0;
+}
+
+void update_limits(step_context& context)
+{
+    node_state& state = context.m_state;
+    state.m_gate.m_limit = state.m_backend ? state.m_backend->m_announcement.m_slots : 0;
+    if (state.m_backend && state.m_backend->m_silent >= state.m_options.m_silent_after)
+        state.m_gate.m_limit = std::min<std::uint32_t>(state.m_gate.m_limit, 1);
+    state.m_gate.m_cold_rate_per_s = cold_rate(state, context.m_now);
+}
+
+refusal_reason closed_reason(const node_state& state, const forwarded_request& request)
+{
+    if (!state.m_backend || state.m_backend->m_unreachable ||
+        state.m_backend->m_announcement.m_service != request.m_service)
+        return refusal_reason::no_server;
+    return refusal_reason::closed;
+}
+
+/// A stopping node takes the requests that were sent before its peers learned of the stop.
+constexpr duration stop_notice = milliseconds(1000);
+
+bool is_withdrawn(const node_state& state)
+{
+    return state.m_known.m_evacuated_zones.count(state.m_options.m_zone) != 0 ||
+           state.m_backend->m_leaving;
+}
+
+} // namespace
+
+std::string life_of(const backend_announcement& announcement)
+{
+    return announcement.m_id + '#' + std::to_string(announcement.m_born_ms);
+}
+
+std::string local_life(const node_state& state)
+{
+    return state.m_backend ? life_of(state.m_backend->m_announcement) : std::string();
+}
+
+bool is_gate_open(const node_state& state, time_point now)
+{
+    if (!state.m_backend || is_withdrawn(state) || state.m_stopping)
+        return false;
+    if (state.m_backend->m_unreachable)
+        return now >= state.m_backend->m_next_trial;
+    return state.m_backend->m_silent < state.m_options.m_silent_after ||
+           now >= state.m_backend->m_next_trial;
+}
+
+void on_request(step_context& context, std::uint64_t link, const std::string& origin,
+                const request_frame& frame)
+{
+    node_state& state = context.m_state;
+    const std::pair<std::string, std::uint64_t> frame_key{origin, frame.m_id};
+    if (state.m_disowned.count(frame_key) != 0 || state.m_execution_of_frame.count(frame_key) != 0)
+        return;
+    const forwarded_request& request = *frame.m_request;
+    const bool stop_tolerated =
+        state.m_stopping && context.m_now - state.m_stop_requested_at < stop_notice &&
+        state.m_backend && !is_withdrawn(state);
+    if (!(is_gate_open(state, context.m_now) || stop_tolerated) || !state.m_backend ||
+        state.m_backend->m_announcement.m_service != request.m_service) {
+        refuse(context, link, frame.m_id, request, closed_reason(state, request), {});
+        return;
+    }
+    if (request.m_key && !local_keyed_service(state).empty()) {
+        key_ranges::record_key(state.m_ownership.m_load, *request.m_key);
+        state.m_ownership.m_arrivals += 1.0;
+        if (!holds_key(state, *request.m_key, context.m_now)) {
+            refuse(context, link, frame.m_id, request, refusal_reason::not_owner, {});
+            return;
+        }
+    }
+    update_limits(context);
+    gate_execution execution;
+    execution.m_id = state.m_next_execution++;
+    execution.m_link = link;
+    execution.m_origin = origin;
+    execution.m_frame = frame.m_id;
+    execution.m_request = frame.m_request;
+    execution.m_deadline = context.m_now + duration(frame.m_remaining_us);
+    const routing::gate_request wanted{execution.m_id, request.m_route, request.m_priority,
+                                       context.m_now + duration(frame.m_target_us),
+                                       execution.m_deadline};
+    const auto decision =
+        routing::offer(state.m_gate, wanted, context.m_now, state.m_options.m_gate);
+    if (decision.m_admission == routing::admission::refuse) {
+        refuse(context, link, frame.m_id, request, refusal_reason::overloaded, decision.m_wait);
+        return;
+    }
+    state.m_execution_of_frame[frame_key] = execution.m_id;
+    auto& placed = state.m_executions[execution.m_id] = std::move(execution);
+    if (decision.m_admission == routing::admission::start) {
+        begin(context, placed);
+        return;
+    }
+    json fields = execution_fields(placed);
+    fields["predicted_wait_ms"] = to_ms(decision.m_wait);
+    fields["running"] = state.m_gate.m_running.size();
+    fields["waiting"] = state.m_gate.m_waiting.size();
+    log(context, log_level::info, "request_waits", std::move(fields));
+}
+
+void on_cancel(step_context& context, const std::string& origin, std::uint64_t frame)
+{
+    node_state& state = context.m_state;
+    const auto found = state.m_execution_of_frame.find({origin, frame});
+    if (found == state.m_execution_of_frame.end())
+        return;
+    const std::uint64_t id = found->second;
+    gate_execution& execution = state.m_executions.at(id);
+    if (execution.m_result)
+        return;
+    if (execution.m_started) {
+        emit(context, cancel_execution{id});
+        // An execution that used up its time counts as failed, one that its caller left does not.
+        const bool timed_out = context.m_now + deadline_tolerance >= execution.m_deadline;
+        routing::finish(state.m_gate, id, {},
+                        timed_out ? routing::execution_outcome::failed
+                                  : routing::execution_outcome::abandoned,
+                        context.m_now, state.m_options.m_gate);
+        if (timed_out && state.m_backend)
+            note_silence(context, *state.m_backend);
+    } else {
+        routing::remove_waiting(state.m_gate, id);
+    }
+    log(context, log_level::info, "request_cancelled", execution_fields(execution));
+    forget_execution(context, id);
+    start_waiting(context);
+}
+
+void on_resume(step_context& context, std::uint64_t link, const std::string& origin,
+               std::uint64_t frame)
+{
+    node_state& state = context.m_state;
+    const auto found = state.m_execution_of_frame.find({origin, frame});
+    if (found == state.m_execution_of_frame.end()) {
+        state.m_disowned[{origin, frame}] = context.m_now;
+        send_on_link(context, link,
+                     refusal_frame{frame, refusal_reason::unknown_request, 0, own_report(context)});
+        return;
+    }
+    gate_execution& execution = state.m_executions.at(found->second);
+    execution.m_link = link;
+    execution.m_link_lost_at = {};
+    if (execution.m_result)
+        send_on_link(context, link, *execution.m_result);
+}
+
+void on_execution_ended(step_context& context, const execution_ended& ended)
+{
+    node_state& state = context.m_state;
+    const auto found = state.m_executions.find(ended.m_execution);
+    if (found == state.m_executions.end() || found->second.m_result)
+        return;
+    gate_execution& execution = found->second;
+    const duration elapsed = context.m_now - execution.m_started_at;
+    const bool answered = ended.m_result == execution_result::answered;
+    const bool failed = !answered || ended.m_answer->m_status >= 500;
+    const auto outcome = ended.m_result == execution_result::not_sent
+                             ? routing::execution_outcome::abandoned
+                             : (failed ? routing::execution_outcome::failed
+                                       : routing::execution_outcome::succeeded);
+    routing::finish(state.m_gate, ended.m_execution, elapsed, outcome, context.m_now,
+                    state.m_options.m_gate);
+    json fields = execution_fields(execution);
+    fields["result"] = std::string(name_in(execution_result_names, ended.m_result));
+    fields["elapsed_us"] = elapsed.count();
+    if (ended.m_answer)
+        fields["status"] = ended.m_answer->m_status;
+    if (!ended.m_cause.empty())
+        fields["cause"] = ended.m_cause;
+    log(context, log_level::info, "execution_ended", std::move(fields));
+
+    if (state.m_backend) {
+        local_backend& backend = *state.m_backend;
+        if (answered || ended.m_result == execution_result::rejected) {
+            backend.m_silent = 0;
+            backend.m_unreachable = false;
+        } else if (ended.m_result == execution_result::unknown) {
+            note_silence(context, backend);
+        } else {
+            if (!backend.m_unreachable) {
+                backend.m_unreachable_since = context.m_now;
+                log(context, log_level::warning, "backend_unreachable",
+                    {{"backend", backend.m_announcement.m_id}, {"cause", ended.m_cause}});
+            }
+            backend.m_unreachable = true;
+            backend.m_next_trial = context.m_now + trial_pause;
+        }
+    }
+    const std::uint64_t frame = execution.m_frame;
+    const bool own = execution.m_link == own_link;
+    switch (ended.m_result) {
+    case execution_result::answered:
+        deliver(context, execution, answer_frame{frame, ended.m_answer, own_report(context)});
+        break;
+    case execution_result::rejected:
+        deliver(context, execution,
+                refusal_frame{frame, refusal_reason::rejected_by_server, 0, own_report(context)});
+        break;
+    case execution_result::not_sent:
+        deliver(context, execution,
+                refusal_frame{frame, refusal_reason::no_server, 0, own_report(context)});
+        break;
+    case execution_result::unknown:
+        deliver(context, execution, failure_frame{frame, ended.m_cause, own_report(context)});
+        break;
+    }
+    // A frame of this node to itself can't be lost.
+    if (own)
+        forget_execution(context, ended.m_execution);
+    if (ended.m_other_server && state.m_backend) {
+        log(context, log_level::warning, "backend_replaced",
+            {{"backend", state.m_backend->m_announcement.m_id}});
+        state.m_backend.reset();
+        forget_holds(context);
+        refuse_all_waiting(context, refusal_reason::no_server);
+        broadcast_status(context);
+    }
+    start_waiting(context);
+}
+
+void on_origin_link_lost(step_context& context, std::uint64_t link)
+{
+    for (auto& [id, execution] : context.m_state.m_executions) {
+        if (execution.m_link == link && link != own_link &&
+            execution.m_link_lost_at == time_point{})
+            execution.m_link_lost_at = context.m_now;
+    }
+}
+
+void on_backend_announced(step_context& context, const backend_announcement& announced)
+{
+    node_state& state = context.m_state;
+    const auto ended = state.m_ended_lives.find(announced.m_id);
+    if (ended != state.m_ended_lives.end() && announced.m_born_ms <= ended->second) {
+        log(context, log_level::info, "announcement_of_ended_server_ignored",
+            {{"backend", announced.m_id}});
+        return;
+    }
+    const bool same_life =
+        state.m_backend && life_of(state.m_backend->m_announcement) == life_of(announced);
+    if (state.m_backend && !same_life &&
+        announced.m_born_ms < state.m_backend->m_announcement.m_born_ms) {
+        log(context, log_level::info, "announcement_of_older_server_ignored",
+            {{"backend", announced.m_id}});
+        return;
+    }
+    if (same_life && announced.m_sequence <= state.m_backend->m_announcement.m_sequence)
+        return;
+    if (!same_life) {
+        log(context, log_level::info, "backend_joined",
+            {{"backend", announced.m_id},
+             {"service", announced.m_service},
+             {"slots", announced.m_slots},
+             {"cold_ms", to_ms(announced.m_cold_remaining)}});
+        if (state.m_backend)
+            forget_holds(context);
+        state.m_backend.emplace();
+        state.m_gate.m_failure_share = 0.0;
+    }
+    local_backend& backend = *state.m_backend;
+    const bool leaves = announced.m_draining && !backend.m_leaving;
+    backend.m_announcement = announced;
+    backend.m_announced_at = context.m_now;
+    backend.m_unreachable = false;
+    backend.m_cold_until = context.m_now + announced.m_cold_remaining;
+    state.m_cold_until_announced = {};
+    if (leaves) {
+        backend.m_leaving = true;
+        backend.m_leaving_since = context.m_now;
+        log(context, log_level::info, "backend_leaving", {{"backend", announced.m_id}});
+    }
+    update_limits(context);
+    broadcast_status(context);
+    start_waiting(context);
+}
+
+void on_backend_removed(step_context& context, const std::string& id)
+{
+    node_state& state = context.m_state;
+    if (!state.m_backend || state.m_backend->m_announcement.m_id != id)
+        return;
+    state.m_ended_lives[id] = state.m_backend->m_announcement.m_born_ms;
+    if (!state.m_backend->m_leaving) {
+        state.m_backend->m_leaving = true;
+        state.m_backend->m_leaving_since = context.m_now;
+        log(context, log_level::info, "backend_leaving",
+            {{"backend", id}, {"cause", "removed without notice"}});
+    }
+    broadcast_status(context);
+}
+
+void check_gate(step_context& context)
+{
+    node_state& state = context.m_state;
+    update_limits(context);
+    const bool evacuated =
+        state.m_known.m_evacuated_zones.count(state.m_options.m_zone) != 0;
+    const bool left = state.m_backend && state.m_backend->m_leaving &&
+                      context.m_now - state.m_backend->m_leaving_since >
+                          state.m_options.m_drain_start_window;
+    if (evacuated || left)
+        refuse_all_waiting(context, refusal_reason::closed);
+    start_waiting(context);
+    std::vector<std::uint64_t> ended;
+    std::vector<std::uint64_t> orphaned;
+    for (const auto& [id, execution] : state.m_executions) {
+        if (execution.m_result) {
+            if (context.m_now - execution.m_finished_at > result_retention)
+                ended.push_back(id);
+        } else if (execution.m_link_lost_at != time_point{} &&
+                   context.m_now - execution.m_link_lost_at > state.m_options.m_resume_window) {
+            orphaned.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : ended)
+        forget_execution(context, id);
+    for (const std::uint64_t id : orphaned) {
+        const gate_execution execution = state.m_executions.at(id);
+        on_cancel(context, execution.m_origin, execution.m_frame);
+    }
+    for (auto it = state.m_disowned.begin(); it != state.m_disowned.end();)
+        it = context.m_now - it->second > result_retention ? state.m_disowned.erase(it)
+                                                           : std::next(it);
+}
+
+} // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar/src/key_holds.cpp
@@ -0,0 +1,194 @@
+#include "step_context.hpp"
+
+#include <azureladder/key_ranges/hold_rules.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace azureladder::sidecar {
+
+namespace {
+
+/// Time after which an order without an answer is sent again.
+constexpr duration order_timeout = milliseconds(400);
+
+/// A hold counts as over for new requests this long before it ends, since a request takes time
+/// to reach the backend server.
+constexpr duration serving_margin = milliseconds(100);
+
+struct wanted_hold
+{
+    std::uint32_t m_from = 0;
+    std::uint32_t m_to = 0;
+    std::uint64_t m_fence = 0;
+    std::string m_handover;
+};
+
+/// Cuts the keys that are on their way to another node out of a range.
+std::vector<wanted_hold> without_moves(const key_ranges::range_entry& entry,
+                                       const std::vector<range_move>& moves)
+{
+    std::vector<wanted_hold> parts{{entry.m_from, entry.m_to, entry.m_fence, entry.m_handover}};
+    for (const auto& move : moves) {
+        std::vector<wanted_hold> rest;
+        for (const auto& part : parts) {
+            if (move.m_to < part.m_from || move.m_from > part.m_to) {
+                rest.push_back(part);
+                continue;
+            }
+            if (part.m_from < move.m_from)
+                rest.push_back({part.m_from, move.m_from - 1, part.m_fence, part.m_handover});
+            if (move.m_to < part.m_to)
+                rest.push_back({move.m_to + 1, part.m_to, part.m_fence, part.m_handover});
+        }
+        parts = std::move(rest);
+    }
+    return parts;
+}
+
+/// The ranges that the backend server of this node has to hold.
+std::vector<wanted_hold> wanted_holds(const node_state& state)
+{
+    std::vector<wanted_hold> result;
+    const auto table = state.m_tables.find(local_keyed_service(state));
+    const std::string life = local_life(state);
+    if (table == state.m_tables.end() || life.empty())
+        return result;
+    for (const auto& entry : table->second.m_table.m_entries) {
+        if (entry.m_owner != state.m_options.m_node || entry.m_life != life ||
+            entry.m_state != key_ranges::range_state::settled)
+            continue;
+        for (auto& part : without_moves(entry, state.m_ownership.m_moves))
+            result.push_back(std::move(part));
+    }
+    return result;
+}
+
+void send_grant(step_context& context, std::uint32_t from, range_hold& hold)
+{
+    node_state& state = context.m_state;
+    hold.m_order = state.m_next_order++;
+    hold.m_order_sent = context.m_now;
+    hold.m_last_sent = context.m_now;
+    emit(context, grant_keys{hold.m_order, state.m_backend->m_announcement.m_address, from,
+                             hold.m_to, hold.m_fence, state.m_options.m_holds.m_hold_time,
+                             hold.m_handover});
+}
+
+void renew_if_due(step_context& context, std::uint32_t from, range_hold& hold,
+                  time_point confirmed_at)
+{
+    const auto& options = context.m_state.m_options.m_holds;
+    if (hold.m_order != 0) {
+        if (context.m_now - hold.m_order_sent < order_timeout)
+            return;
+        hold.m_unanswered_sent = hold.m_order_sent;
+        hold.m_order = 0;
+    }
+    const bool due = hold.m_granted_at == time_point{} ||
+                     context.m_now - hold.m_granted_at >= options.m_renew_interval;
+    if (due && key_ranges::may_renew(confirmed_at, context.m_now, options))
+        send_grant(context, from, hold);
+}
+
+} // namespace
+
+bool holds_key(const node_state& state, std::uint32_t key, time_point now)
+{
+    const auto& holds = state.m_ownership.m_holds;
+    auto after = holds.upper_bound(key);
+    if (after == holds.begin())
+        return false;
+    const range_hold& hold = std::prev(after)->second;
+    return key <= hold.m_to && hold.m_granted_at != time_point{} &&
+           now < hold.m_granted_at + state.m_options.m_holds.m_hold_time - serving_margin;
+}
+
+void forget_holds(step_context& context)
+{
+    context.m_state.m_ownership.m_holds.clear();
+    context.m_state.m_ownership.m_moves.clear();
+}
+
+void on_order_ended(step_context& context, const order_ended& ended)
+{
+    key_ownership& keys = context.m_state.m_ownership;
+    for (auto& [from, hold] : keys.m_holds) {
+        if (hold.m_order != ended.m_order)
+            continue;
+        hold.m_order = 0;
+        if (ended.m_result == order_result::accepted) {
+            const bool first = hold.m_granted_at == time_point{};
+            hold.m_granted_at = hold.m_order_sent;
+            hold.m_handover.clear();
+            if (first)
+                log(context, log_level::info, "keys_granted",
+                    {{"from", from}, {"to", hold.m_to}, {"fence", hold.m_fence}});
+        } else {
+            if (ended.m_result == order_result::unanswered)
+                hold.m_unanswered_sent = hold.m_order_sent;
+            log(context, log_level::warning, "grant_failed",
+                {{"from", from},
+                 {"to", hold.m_to},
+                 {"fence", hold.m_fence},
+                 {"result", std::string(name_in(order_result_names, ended.m_result))}});
+        }
+        return;
+    }
+    for (auto& move : keys.m_moves) {
+        if (move.m_order != ended.m_order)
+            continue;
+        move.m_order = 0;
+        if (ended.m_result != order_result::accepted)
+            return;
+        move.m_released = true;
+        move.m_handover = ended.m_handover;
+        log(context, log_level::info, "keys_released",
+            {{"from", move.m_from}, {"to", move.m_to}, {"fence", move.m_fence}});
+        check_tables(context);
+        return;
+    }
+}
+
+void check_holds(step_context& context)
+{
+    node_state& state = context.m_state;
+    key_ownership& keys = state.m_ownership;
+    const std::vector<wanted_hold> wanted = wanted_holds(state);
+    std::map<std::uint32_t, range_hold> holds;
+    for (const auto& part : wanted) {
+        const auto known = keys.m_holds.find(part.m_from);
+        range_hold hold;
+        if (known != keys.m_holds.end() && known->second.m_fence == part.m_fence) {
+            hold = known->second;
+            // A part of a longer hold: an order under way covers more than it.
+            if (hold.m_to != part.m_to && hold.m_order != 0) {
+                hold.m_unanswered_sent = hold.m_order_sent;
+                hold.m_order = 0;
+            }
+        } else {
+            hold.m_handover = part.m_handover;
+            // The rest of a range whose front is moving keeps its times.
+            for (const auto& [from, former] : keys.m_holds) {
+                if (former.m_fence != part.m_fence || from > part.m_from ||
+                    former.m_to < part.m_to)
+                    continue;
+                hold = former;
+                if (hold.m_order != 0)
+                    hold.m_unanswered_sent = hold.m_order_sent;
+                hold.m_order = 0;
+            }
+        }
+        hold.m_fence = part.m_fence;
+        hold.m_to = part.m_to;
+        holds[part.m_from] = hold;
+    }
+    keys.m_holds = std::move(holds);
+    const auto table = state.m_tables.find(local_keyed_service(state));
+    if (table == state.m_tables.end() || !state.m_backend)
+        return;
+    for (auto& [from, hold] : keys.m_holds)
+        renew_if_due(context, from, hold, table->second.m_confirmed_at);
+}
+
+} // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar/src/key_moves.cpp
@@ -0,0 +1,210 @@
+#include "step_context.hpp"
+
+#include <azureladder/key_ranges/hold_rules.hpp>
+#include <azureladder/key_ranges/key_load.hpp>
+
+#include <algorithm>
+
+namespace azureladder::sidecar {
+
+namespace {
+
+/// Time after which a release without an answer is sent again.
+constexpr duration release_timeout = milliseconds(700);
+
+/// Work that can be moved in one step, as a share of a server's work, at most.
+constexpr double max_moved_share = 0.5;
+
+/// Shortest pause of a server whose gate is closed before its ranges move away. Restarts of a
+/// server and short silences end sooner.
+constexpr duration closed_patience = milliseconds(700);
+
+void begin_move(step_context& context, const key_ranges::range_entry& entry, std::uint32_t from,
+                std::uint32_t to, const std::string& target, const char* reason)
+{
+    key_ownership& keys = context.m_state.m_ownership;
+    const auto& options = context.m_state.m_options.m_holds;
+    range_move move;
+    move.m_from = from;
+    move.m_to = to;
+    move.m_fence = entry.m_fence;
+    move.m_target = target;
+    // Without a record of grants the last one may have been sent just before this process began.
+    move.m_hold_end = key_ranges::hold_end(context.m_state.m_started_at, options);
+    for (const auto& [first, hold] : keys.m_holds) {
+        if (hold.m_fence != entry.m_fence || hold.m_to < from || first > to)
+            continue;
+        move.m_hold_end = std::max(move.m_hold_end,
+                                   key_ranges::hold_end(hold.m_last_sent, options));
+        const time_point unanswered =
+            hold.m_order != 0 ? hold.m_order_sent : hold.m_unanswered_sent;
+        if (unanswered != time_point{})
+            move.m_not_before = std::max(move.m_not_before,
+                                         key_ranges::hold_end(unanswered, options));
+    }
+    log(context, log_level::info, "keys_moving",
+        {{"from", from}, {"to", to}, {"fence", move.m_fence}, {"target", target},
+         {"reason", reason}});
+    keys.m_moves.push_back(std::move(move));
+}
+
+void send_release(step_context& context, range_move& move)
+{
+    node_state& state = context.m_state;
+    move.m_order = state.m_next_order++;
+    move.m_order_sent = context.m_now;
+    emit(context, release_keys{move.m_order, state.m_backend->m_announcement.m_address,
+                               move.m_from, move.m_to, move.m_fence});
+}
+
+/// Members that may take ranges, those with the least work first.
+std::vector<std::pair<std::string, double>> receivers(const node_state& state, time_point now)
+{
+    std::vector<std::pair<std::string, double>> result;
+    for (const auto& [node, life] : eligible_owners(state, local_keyed_service(state), now)) {
+        const auto peer = state.m_peers.find(node);
+        if (peer != state.m_peers.end())
+            result.emplace_back(node, peer->second.m_status.m_key_use);
+    }
+    std::sort(result.begin(), result.end(),
+              [](const auto& a, const auto& b) { return a.second < b.second; });
+    return result;
+}
+
+/// Whether this node should own nothing at present.
+bool must_leave(const node_state& state, time_point now)
+{
+    if (state.m_stopping)
+        return true;
+    if (!state.m_backend)
+        return now - state.m_started_at > closed_patience * 4;
+    if (state.m_backend->m_unreachable)
+        return now - state.m_backend->m_unreachable_since > closed_patience;
+    return state.m_backend->m_leaving ||
+           state.m_known.m_evacuated_zones.count(state.m_options.m_zone) != 0;
+}
+
+void move_everything(step_context& context, const key_ranges::range_table& table)
+{
+    const auto targets = receivers(context.m_state, context.m_now);
+    if (targets.empty())
+        return;
+    std::size_t next = 0;
+    for (const auto& entry : table.m_entries) {
+        if (entry.m_owner != context.m_state.m_options.m_node ||
+            entry.m_state != key_ranges::range_state::settled)
+            continue;
+        begin_move(context, entry, entry.m_from, entry.m_to,
+                   targets[next++ % targets.size()].first, "node gives up its ranges");
+    }
+}
+
+/// Moves the narrowest part that evens out this node and the least busy one.
+void balance(step_context& context, const key_ranges::range_table& table)
+{
+    node_state& state = context.m_state;
+    key_ownership& keys = state.m_ownership;
+    const auto targets = receivers(state, context.m_now);
+    if (targets.empty())
+        return;
+    const auto& [target, target_use] = targets.front();
+    const double use = key_use(state, context.m_now);
+    const auto peer = state.m_peers.find(target);
+    const bool newcomer = !peer->second.m_status.m_owns_keys && use > 0.0;
+    if (use - target_use < state.m_options.m_balance_threshold && !newcomer)
+        return;
+    const double share =
+        std::min(max_moved_share, (use - target_use) / 2.0 / std::max(use, 0.01));
+    double total = 0.0;
+    for (const auto& [from, hold] : keys.m_holds)
+        total += key_ranges::load_of(keys.m_load, from, hold.m_to);
+    if (share <= 0.0 || total <= 0.0)
+        return;
+    const key_ranges::range_entry* best_entry = nullptr;
+    std::optional<key_ranges::range_part> best;
+    for (const auto& [from, hold] : keys.m_holds) {
+        const auto part = key_ranges::narrowest_part(keys.m_load, from, hold.m_to,
+                                                     total * share * 0.6, total * share * 1.4);
+        if (!part || (best && part->m_to - part->m_from >= best->m_to - best->m_from))
+            continue;
+        best = part;
+        best_entry = key_ranges::find_entry(table, from);
+    }
+    if (best && best_entry != nullptr)
+        begin_move(context, *best_entry, best->m_from, best->m_to, target, "balance");
+}
+
+/// Drops the moves whose range has another fencing token now: they are done, or were overtaken.
+void drop_finished_moves(step_context& context, const key_ranges::range_table& table)
+{
+    auto& moves = context.m_state.m_ownership.m_moves;
+    const auto is_over = [&](const range_move& move) {
+        const auto* entry = key_ranges::find_entry(table, move.m_from);
+        return entry == nullptr || entry->m_fence != move.m_fence ||
+               entry->m_owner != context.m_state.m_options.m_node;
+    };
+    moves.erase(std::remove_if(moves.begin(), moves.end(), is_over), moves.end());
+}
+
+void advance_moves(step_context& context)
+{
+    node_state& state = context.m_state;
+    for (auto& move : state.m_ownership.m_moves) {
+        if (move.m_released)
+            continue;
+        if (context.m_now >= move.m_hold_end) {
+            move.m_released = true;
+            log(context, log_level::info, "hold_ended",
+                {{"from", move.m_from}, {"to", move.m_to}, {"fence", move.m_fence}});
+            continue;
+        }
+        const bool waiting = move.m_order != 0 &&
+                             context.m_now - move.m_order_sent < release_timeout;
+        if (!waiting && state.m_backend && !state.m_backend->m_unreachable)
+            send_release(context, move);
+    }
+}
+
+} // namespace
+
+double key_use(const node_state& state, time_point now)
+{
+    if (!state.m_backend || state.m_gate.m_limit == 0)
+        return 0.0;
+    const auto report =
+        routing::report_of(state.m_gate, true, now, state.m_options.m_gate);
+    const double seconds_each =
+        std::chrono::duration<double>(report.m_service_time).count();
+    const double interval =
+        std::chrono::duration<double>(state.m_options.m_balance_interval).count();
+    // The decaying count converges to rate * interval / (1 - decay).
+    const double rate =
+        state.m_ownership.m_arrivals * (1.0 - state.m_options.m_load_decay) / interval;
+    return rate * seconds_each / state.m_gate.m_limit;
+}
+
+void check_moves(step_context& context)
+{
+    node_state& state = context.m_state;
+    key_ownership& keys = state.m_ownership;
+    const auto found = state.m_tables.find(local_keyed_service(state));
+    if (found == state.m_tables.end())
+        return;
+    const key_ranges::range_table& table = found->second.m_table;
+    drop_finished_moves(context, table);
+    advance_moves(context);
+    if (must_leave(state, context.m_now)) {
+        if (keys.m_moves.empty())
+            move_everything(context, table);
+        return;
+    }
+    if (context.m_now < keys.m_next_balance)
+        return;
+    keys.m_next_balance = context.m_now + state.m_options.m_balance_interval;
+    key_ranges::decay(keys.m_load, state.m_options.m_load_decay);
+    keys.m_arrivals *= state.m_options.m_load_decay;
+    if (keys.m_moves.empty() && !keys.m_writing)
+        balance(context, table);
+}
+
+} // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar/src/key_tables.cpp
@@ -0,0 +1,303 @@
+#include "step_context.hpp"
+
+#include <azureladder/key_ranges/hold_rules.hpp>
+#include <azureladder/key_ranges/range_table_json.hpp>
+#include <azureladder/sidecar/step.hpp>
+
+#include <algorithm>
+
+namespace azureladder::sidecar {
+
+namespace {
+
+using key_ranges::range_state;
+using key_ranges::range_table;
+
+known_table* local_table(node_state& state)
+{
+    const auto found = state.m_tables.find(local_keyed_service(state));
+    return found == state.m_tables.end() ? nullptr : &found->second;
+}
+
+key_ranges::range_owner self_owner(const node_state& state)
+{
+    return {state.m_options.m_node, local_life(state)};
+}
+
+/// Notes when this node learned of its claims, and forgets those that are gone.
+void note_claims(step_context& context, const range_table& table)
+{
+    auto& claimed_at = context.m_state.m_ownership.m_claimed_at;
+    std::map<std::uint64_t, time_point> present;
+    for (const auto& entry : table.m_entries) {
+        if (entry.m_state != range_state::claimed ||
+            entry.m_owner != context.m_state.m_options.m_node)
+            continue;
+        const auto known = claimed_at.find(entry.m_fence);
+        present[entry.m_fence] = known == claimed_at.end() ? context.m_now : known->second;
+    }
+    claimed_at = std::move(present);
+}
+
+/// Whether all claims of this node have waited until the former holds have ended.
+bool claims_are_over(const step_context& context)
+{
+    const auto& claimed_at = context.m_state.m_ownership.m_claimed_at;
+    return !claimed_at.empty() &&
+           std::all_of(claimed_at.begin(), claimed_at.end(), [&](const auto& claim) {
+               return context.m_now >=
+                      key_ranges::takeover_time(claim.second, context.m_state.m_options.m_holds);
+           });
+}
+
+bool is_alive(const node_state& state, const std::string& node, time_point now)
+{
+    if (node == state.m_options.m_node)
+        return true;
+    const auto peer = state.m_peers.find(node);
+    return peer != state.m_peers.end() && is_usable(state, peer->second, now);
+}
+
+/// Owners without a sign of life whose ranges this node has to claim now.
+std::vector<std::string> owners_to_claim(step_context& context, const range_table& table)
+{
+    node_state& state = context.m_state;
+    auto& lost_at = state.m_ownership.m_owner_lost_at;
+    std::map<std::string, time_point> lost;
+    for (const auto& entry : table.m_entries) {
+        if (is_alive(state, entry.m_owner, context.m_now))
+            continue;
+        const auto known = lost_at.find(entry.m_owner);
+        lost[entry.m_owner] = known == lost_at.end() ? context.m_now : known->second;
+    }
+    lost_at = std::move(lost);
+    const auto eligible = eligible_owners(state, local_keyed_service(state), context.m_now);
+    const auto self = eligible.find(state.m_options.m_node);
+    if (self == eligible.end())
+        return {};
+    // One after the other, so that the claims of several members don't contend.
+    const auto turn = std::distance(eligible.begin(), self);
+    std::vector<std::string> result;
+    for (const auto& [owner, since] : lost_at) {
+        if (context.m_now - since >=
+            state.m_options.m_claim_after + state.m_options.m_claim_turn * turn)
+            result.push_back(owner);
+    }
+    return result;
+}
+
+void apply_released_moves(const node_state& state, time_point now, range_table& table)
+{
+    for (const auto& move : state.m_ownership.m_moves) {
+        if (!move.m_released || now < move.m_not_before)
+            continue;
+        const auto* entry = key_ranges::find_entry(table, move.m_from);
+        if (entry == nullptr || entry->m_fence != move.m_fence ||
+            entry->m_owner != state.m_options.m_node)
+            continue;
+        const auto targets = eligible_owners(state, local_keyed_service(state), now);
+        const auto is_other = [&](const auto& candidate) {
+            return candidate.first != state.m_options.m_node;
+        };
+        auto target = targets.find(move.m_target);
+        if (target == targets.end())
+            target = std::find_if(targets.begin(), targets.end(), is_other);
+        // Released keys whose receivers are all gone come back under a new fencing token.
+        if (target == targets.end())
+            target = targets.find(state.m_options.m_node);
+        if (target != targets.end())
+            key_ranges::transfer(table, move.m_from, move.m_to, {target->first, target->second},
+                                 move.m_handover);
+    }
+}
+
+/// The table as this node would have it now.
+range_table desired_table(step_context& context, const range_table& known)
+{
+    node_state& state = context.m_state;
+    range_table table = known;
+    apply_released_moves(state, context.m_now, table);
+    const std::string life = local_life(state);
+    if (life.empty() || !is_gate_open(state, context.m_now))
+        return table;
+    const auto self = self_owner(state);
+    key_ranges::reclaim(table, self);
+    for (const auto& owner : owners_to_claim(context, table))
+        key_ranges::claim(table, owner, self);
+    if (claims_are_over(context))
+        key_ranges::settle(table, self.m_node);
+    key_ranges::bind_life(table, self);
+    return table;
+}
+
+void write(step_context& context, const std::string& service, std::uint64_t expected_revision,
+           range_table table, const char* reason)
+{
+    key_ownership& keys = context.m_state.m_ownership;
+    keys.m_writing = true;
+    keys.m_proposed = std::move(table);
+    keys.m_proposed_text = key_ranges::to_json_text(keys.m_proposed);
+    log(context, log_level::info, "table_proposed",
+        {{"service", service}, {"expected_revision", expected_revision}, {"reason", reason}});
+    emit(context, write_table{service, expected_revision, keys.m_proposed_text});
+}
+
+/// Divides the keys among the members that are known some time after the start.
+void create_table(step_context& context, const std::string& service)
+{
+    node_state& state = context.m_state;
+    const auto owners = eligible_owners(state, service, context.m_now);
+    const bool first = !owners.empty() && owners.begin()->first == state.m_options.m_node;
+    if (!first || !is_gate_open(state, context.m_now) ||
+        context.m_now - state.m_started_at < state.m_options.m_table_creation_delay)
+        return;
+    std::vector<key_ranges::range_owner> members;
+    members.reserve(owners.size());
+    for (const auto& [node, life] : owners)
+        members.push_back({node, life});
+    write(context, service, 0, key_ranges::make_table(members), "created");
+}
+
+void read_if_due(step_context& context, const std::string& service, const known_table* table)
+{
+    key_ownership& keys = context.m_state.m_ownership;
+    const auto& options = context.m_state.m_options;
+    if (keys.m_reading || keys.m_writing || context.m_now < keys.m_next_read)
+        return;
+    const bool due =
+        table == nullptr ||
+        context.m_now - table->m_confirmed_at > options.m_holds.m_confirmation_validity / 3;
+    if (!due)
+        return;
+    keys.m_reading = true;
+    emit(context, read_table{service});
+}
+
+/// Spreads the calls of the members, so that one read confirms the table for all.
+duration with_jitter(step_context& context, duration base)
+{
+    return base + duration(static_cast<duration::rep>(
+                      context.m_state.m_random() %
+                      static_cast<std::uint64_t>(base.count())));
+}
+
+} // namespace
+
+std::string local_keyed_service(const node_state& state)
+{
+    const std::string& name =
+        state.m_backend ? state.m_backend->m_announcement.m_service : state.m_options.m_service;
+    const auto* service = find_service(state, name);
+    return service != nullptr && service->m_keyed ? name : std::string();
+}
+
+std::map<std::string, std::string> eligible_owners(const node_state& state,
+                                                   const std::string& service, time_point now)
+{
+    std::map<std::string, std::string> owners;
+    if (local_keyed_service(state) == service && is_gate_open(state, now))
+        owners[state.m_options.m_node] = local_life(state);
+    for (const auto& [node, peer] : state.m_peers) {
+        if (is_usable(state, peer, now) && peer.m_status.m_service == service &&
+            peer.m_status.m_report.m_open && !peer.m_status.m_leaving &&
+            !peer.m_status.m_life.empty())
+            owners[node] = peer.m_status.m_life;
+    }
+    return owners;
+}
+
+void adopt_table(step_context& context, const std::string& service, std::uint64_t revision,
+                 const std::string& text, time_point confirmed_at)
+{
+    node_state& state = context.m_state;
+    const auto known = state.m_tables.find(service);
+    if (known != state.m_tables.end() && revision <= known->second.m_revision) {
+        if (revision == known->second.m_revision)
+            known->second.m_confirmed_at = std::max(known->second.m_confirmed_at, confirmed_at);
+        return;
+    }
+    const auto table = key_ranges::parse_table(text);
+    if (!table) {
+        log(context, log_level::error, "table_unreadable",
+            {{"service", service}, {"revision", revision}});
+        return;
+    }
+    known_table& adopted = state.m_tables[service];
+    adopted.m_revision = revision;
+    adopted.m_table = *table;
+    adopted.m_text = text;
+    adopted.m_confirmed_at = std::max(adopted.m_confirmed_at, confirmed_at);
+    log(context, log_level::info, "table_in_force",
+        {{"service", service}, {"revision", revision}, {"ranges", table->m_entries.size()}});
+    if (service == local_keyed_service(state)) {
+        note_claims(context, *table);
+        check_moves(context);
+        check_holds(context);
+    }
+    broadcast_status(context);
+    retry_waiting_requests(context);
+}
+
+void on_table_read(step_context& context, const table_read& read)
+{
+    key_ownership& keys = context.m_state.m_ownership;
+    const auto& options = context.m_state.m_options;
+    keys.m_reading = false;
+    if (!read.m_succeeded) {
+        keys.m_next_read = context.m_now + with_jitter(context, options.m_store_retry);
+        return;
+    }
+    keys.m_next_read = context.m_now + with_jitter(context, options.m_store_retry / 2);
+    keys.m_absent = read.m_revision == 0;
+    if (!keys.m_absent)
+        adopt_table(context, read.m_service, read.m_revision, read.m_text, read.m_sent_at);
+}
+
+void on_table_written(step_context& context, const table_written& written)
+{
+    key_ownership& keys = context.m_state.m_ownership;
+    keys.m_writing = false;
+    log(context, log_level::info, "table_write_ended",
+        {{"service", written.m_service},
+         {"result", written.m_result == write_result::written
+                        ? "written"
+                        : (written.m_result == write_result::conflict ? "conflict" : "unknown")},
+         {"revision", written.m_revision}});
+    if (written.m_result == write_result::written) {
+        keys.m_absent = false;
+        adopt_table(context, written.m_service, written.m_revision, keys.m_proposed_text,
+                    written.m_sent_at);
+        return;
+    }
+    // Reads before the next proposal: the write, or somebody else's, may have taken effect.
+    keys.m_next_write = context.m_now + context.m_state.m_options.m_store_retry;
+    if (!keys.m_reading) {
+        keys.m_reading = true;
+        emit(context, read_table{written.m_service});
+    }
+}
+
+void check_tables(step_context& context)
+{
+    node_state& state = context.m_state;
+    const std::string service = local_keyed_service(state);
+    if (service.empty())
+        return;
+    key_ownership& keys = state.m_ownership;
+    known_table* table = local_table(state);
+    read_if_due(context, service, table);
+    if (keys.m_writing || keys.m_reading || context.m_now < keys.m_next_write)
+        return;
+    if (table == nullptr) {
+        if (keys.m_absent)
+            create_table(context, service);
+        return;
+    }
+    range_table wanted = desired_table(context, table->m_table);
+    if (wanted.m_entries == table->m_table.m_entries)
+        return;
+    key_ranges::merge_neighbours(wanted, state.m_options.m_node, state.m_options.m_max_ranges);
+    write(context, service, table->m_revision, std::move(wanted), "changed");
+}
+
+} // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar/src/mesh.cpp
@@ -0,0 +1,313 @@
+#include "step_context.hpp"
+
+#include <azureladder/sidecar/step.hpp>
+
+#include <algorithm>
+
+namespace azureladder::sidecar {
+
+namespace {
+
+hello_frame make_hello(const node_state& state)
+{
+    hello_frame hello{state.m_options.m_node, state.m_options.m_incarnation,
+                      state.m_options.m_peer_address, state.m_options.m_zone, {}};
+    for (const auto& [node, peer] : state.m_peers) {
+        if (peer.m_greeted)
+            hello.m_known[node] = peer.m_address;
+    }
+    return hello;
+}
+
+void learn_node(step_context& context, const std::string& node, const std::string& address)
+{
+    node_state& state = context.m_state;
+    if (node.empty() || node == state.m_options.m_node || address.empty())
+        return;
+    auto [place, added] = state.m_peers.try_emplace(node);
+    peer_state& peer = place->second;
+    if (added)
+        peer.m_heard = context.m_now;
+    if (peer.m_address == address)
+        return;
+    peer.m_address = address;
+    peer.m_next_connect = context.m_now;
+    peer.m_connect_pause = state.m_options.m_min_connect_pause;
+}
+
+status_frame make_status(const node_state& state, std::uint64_t sequence, time_point now)
+{
+    status_frame frame;
+    frame.m_sequence = sequence;
+    frame.m_status = status_of(state, now);
+    frame.m_documents = known_revisions(state);
+    for (const auto& [service, table] : state.m_tables) {
+        if (table.m_confirmed_at != time_point{})
+            frame.m_confirmation_age_us[table_document(service)] =
+                (now - table.m_confirmed_at).count();
+    }
+    return frame;
+}
+
+/// Part of the status whose changes are stated at once.
+std::string essential_status(const node_state& state, time_point now)
+{
+    const node_status status = status_of(state, now);
+    return status.m_service + '|' + status.m_life + '|' +
+           (status.m_report.m_open ? "open" : "closed") + (status.m_leaving ? "|leaving" : "") +
+           json(known_revisions(state)).dump();
+}
+
+void drop_link(step_context& context, const std::string& node, peer_state& peer)
+{
+    if (peer.m_link == 0)
+        return;
+    context.m_state.m_node_of_link.erase(peer.m_link);
+    peer.m_link = 0;
+    peer.m_greeted = false;
+    peer.m_ping_open = false;
+    peer.m_next_connect = context.m_now;
+    log(context, log_level::warning, "peer_lost", {{"peer", node}});
+    on_peer_link_lost(context, node);
+}
+
+void ping(step_context& context, peer_state& peer)
+{
+    peer.m_ping_sent = context.m_now;
+    peer.m_ping_open = true;
+    send_on_link(context, peer.m_link,
+                 ping_frame{++peer.m_ping_sequence, known_revisions(context.m_state)});
+}
+
+void connect_if_due(step_context& context, const std::string& node, peer_state& peer)
+{
+    if (peer.m_link != 0 || peer.m_connecting || context.m_now < peer.m_next_connect)
+        return;
+    peer.m_connecting = true;
+    emit(context, connect_node{node, peer.m_address});
+}
+
+} // namespace
+
+node_status status_of(const node_state& state, time_point now)
+{
+    node_status status;
+    status.m_service =
+        state.m_backend ? state.m_backend->m_announcement.m_service : state.m_options.m_service;
+    status.m_life = local_life(state);
+    status.m_report = routing::report_of(state.m_gate, is_gate_open(state, now), now,
+                                         state.m_options.m_gate);
+    status.m_leaving = state.m_stopping;
+    status.m_key_use = key_use(state, now);
+    status.m_owns_keys = !state.m_ownership.m_holds.empty();
+    return status;
+}
+
+bool is_usable(const node_state& state, const peer_state& peer, time_point now)
+{
+    if (peer.m_link == 0 || !peer.m_greeted)
+        return false;
+    return !peer.m_ping_open || now - peer.m_ping_sent < state.m_options.m_suspect_after;
+}
+
+void send_on_link(step_context& context, std::uint64_t link, peer_frame frame)
+{
+    if (link == own_link)
+        context.m_state.m_own_frames.push_back(std::move(frame));
+    else
+        emit(context, send_frame{link, std::move(frame)});
+}
+
+void send_to_node(step_context& context, const std::string& node, peer_frame frame)
+{
+    if (node == context.m_state.m_options.m_node) {
+        send_on_link(context, own_link, std::move(frame));
+        return;
+    }
+    const auto peer = context.m_state.m_peers.find(node);
+    if (peer != context.m_state.m_peers.end() && peer->second.m_link != 0)
+        send_on_link(context, peer->second.m_link, std::move(frame));
+}
+
+void broadcast_status(step_context& context)
+{
+    node_state& state = context.m_state;
+    state.m_last_status_text = essential_status(state, context.m_now);
+    const status_frame frame = make_status(state, 0, context.m_now);
+    for (const std::uint64_t link : state.m_accepted_links)
+        emit(context, send_frame{link, frame});
+}
+
+void on_link_opened(step_context& context, const link_opened& opened)
+{
+    node_state& state = context.m_state;
+    if (opened.m_node.empty())
+        return;
+    const auto found = state.m_peers.find(opened.m_node);
+    if (found == state.m_peers.end() || found->second.m_link != 0) {
+        emit(context, close_link{opened.m_link});
+        return;
+    }
+    peer_state& peer = found->second;
+    peer.m_connecting = false;
+    peer.m_link = opened.m_link;
+    peer.m_greeted = false;
+    peer.m_heard = context.m_now;
+    state.m_node_of_link[opened.m_link] = opened.m_node;
+    send_on_link(context, opened.m_link, make_hello(state));
+}
+
+void on_link_closed(step_context& context, const link_closed& closed)
+{
+    node_state& state = context.m_state;
+    on_origin_link_lost(context, closed.m_link);
+    state.m_accepted_links.erase(closed.m_link);
+    const auto found = state.m_node_of_link.find(closed.m_link);
+    if (found == state.m_node_of_link.end())
+        return;
+    const std::string node = found->second;
+    state.m_node_of_link.erase(found);
+    const auto peer = state.m_peers.find(node);
+    if (peer != state.m_peers.end() && peer->second.m_link == closed.m_link)
+        drop_link(context, node, peer->second);
+}
+
+void on_connect_failed(step_context& context, const connect_failed& failed)
+{
+    const auto found = context.m_state.m_peers.find(failed.m_node);
+    if (found == context.m_state.m_peers.end())
+        return;
+    peer_state& peer = found->second;
+    const node_options& options = context.m_state.m_options;
+    peer.m_connecting = false;
+    peer.m_next_connect = context.m_now + peer.m_connect_pause;
+    peer.m_connect_pause =
+        std::clamp(peer.m_connect_pause * 2, options.m_min_connect_pause,
+                   options.m_max_connect_pause);
+}
+
+void on_nodes_listed(step_context& context, const nodes_listed& listed)
+{
+    for (const auto& [node, address] : listed.m_addresses)
+        learn_node(context, node, address);
+}
+
+void on_hello(step_context& context, std::uint64_t link, const hello_frame& frame)
+{
+    node_state& state = context.m_state;
+    if (frame.m_node == state.m_options.m_node) {
+        emit(context, close_link{link});
+        return;
+    }
+    const auto known = state.m_node_of_link.find(link);
+    const bool accepted = known == state.m_node_of_link.end();
+    if (!accepted && known->second != frame.m_node) {
+        // Another node has this address now.
+        log(context, log_level::warning, "peer_address_reused",
+            {{"expected", known->second}, {"found", frame.m_node}});
+        const std::string former = known->second;
+        emit(context, close_link{link});
+        drop_link(context, former, state.m_peers[former]);
+        state.m_peers.erase(former);
+        learn_node(context, frame.m_node, frame.m_address);
+        return;
+    }
+    learn_node(context, frame.m_node, frame.m_address);
+    for (const auto& [node, address] : frame.m_known) {
+        if (state.m_peers.count(node) == 0)
+            learn_node(context, node, address);
+    }
+    peer_state& peer = state.m_peers[frame.m_node];
+    peer.m_zone = frame.m_zone;
+    peer.m_heard = context.m_now;
+    if (accepted) {
+        state.m_node_of_link[link] = frame.m_node;
+        state.m_accepted_links.insert(link);
+        // The peer is alive, so a pause before the next attempt to connect to it is needless.
+        if (peer.m_link == 0)
+            peer.m_next_connect = context.m_now;
+        send_on_link(context, link, make_hello(state));
+        send_on_link(context, link, make_status(state, 0, context.m_now));
+        return;
+    }
+    peer.m_incarnation = frame.m_incarnation;
+    peer.m_greeted = true;
+    peer.m_connect_pause = state.m_options.m_min_connect_pause;
+    log(context, log_level::info, "peer_connected",
+        {{"peer", frame.m_node}, {"peer_incarnation", frame.m_incarnation}});
+    ping(context, peer);
+    on_peer_greeted(context, frame.m_node);
+}
+
+void on_ping(step_context& context, std::uint64_t link, const ping_frame& frame)
+{
+    send_on_link(context, link, make_status(context.m_state, frame.m_sequence, context.m_now));
+    on_peer_revisions(context, link, frame.m_documents);
+}
+
+void on_status(step_context& context, std::uint64_t link, const status_frame& frame)
+{
+    node_state& state = context.m_state;
+    const auto node = state.m_node_of_link.find(link);
+    if (node == state.m_node_of_link.end())
+        return;
+    const auto found = state.m_peers.find(node->second);
+    if (found == state.m_peers.end() || found->second.m_link != link)
+        return;
+    peer_state& peer = found->second;
+    const bool was_open = peer.m_status.m_report.m_open;
+    peer.m_status = frame.m_status;
+    peer.m_sent_since_status = 0;
+    const bool answers_ping = peer.m_ping_open && frame.m_sequence == peer.m_ping_sequence;
+    if (answers_ping) {
+        peer.m_ping_open = false;
+        peer.m_round_trip = (peer.m_round_trip * 3 + (context.m_now - peer.m_ping_sent)) / 4;
+        for (const auto& [name, age] : frame.m_confirmation_age_us) {
+            for (auto& [service, table] : state.m_tables) {
+                const auto revision = frame.m_documents.find(name);
+                if (table_document(service) != name || revision == frame.m_documents.end() ||
+                    revision->second != table.m_revision)
+                    continue;
+                // The answer was made after the ping was sent, so this is not too late.
+                table.m_confirmed_at =
+                    std::max(table.m_confirmed_at, peer.m_ping_sent - duration(age));
+            }
+        }
+    }
+    on_peer_revisions(context, link, frame.m_documents);
+    if (!was_open && peer.m_status.m_report.m_open)
+        retry_waiting_requests(context);
+}
+
+void check_peers(step_context& context)
+{
+    node_state& state = context.m_state;
+    const node_options& options = state.m_options;
+    for (auto it = state.m_peers.begin(); it != state.m_peers.end();) {
+        auto& [node, peer] = *it;
+        if (peer.m_link == 0 && context.m_now - peer.m_heard > options.m_forget_peer_after) {
+            log(context, log_level::info, "peer_forgotten", {{"peer", node}});
+            it = state.m_peers.erase(it);
+            continue;
+        }
+        if (peer.m_link != 0) {
+            const duration silence = context.m_now - std::max(peer.m_heard, peer.m_ping_sent);
+            const duration waited = context.m_now - peer.m_ping_sent;
+            const duration interval =
+                peer.m_open_requests > 0 ? options.m_busy_ping_interval : options.m_idle_ping_interval;
+            if ((peer.m_ping_open && waited > options.m_reconnect_after) ||
+                (!peer.m_greeted && silence > options.m_reconnect_after)) {
+                emit(context, close_link{peer.m_link});
+                drop_link(context, node, peer);
+            } else if (peer.m_greeted && !peer.m_ping_open && waited >= interval) {
+                ping(context, peer);
+            }
+        }
+        connect_if_due(context, node, peer);
+        ++it;
+    }
+    if (essential_status(state, context.m_now) != state.m_last_status_text)
+        broadcast_status(context);
+}
+
+} // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar/src/step.cpp
@@ -0,0 +1,163 @@
+#include <azureladder/sidecar/step.hpp>
+
+#include "step_context.hpp"
+
+namespace azureladder::sidecar {
+
+namespace {
+
+/// A tick that comes this late shows that the process stood still: answers may lie unread.
+constexpr duration pause_limit = milliseconds(300);
+
+void dispatch_frame(step_context& context, std::uint64_t link, const std::string& node,
+                    const peer_frame& frame)
+{
+    struct visitor
+    {
+        step_context& m_context;
+        std::uint64_t m_link;
+        const std::string& m_node;
+
+        void operator()(const hello_frame& f) { on_hello(m_context, m_link, f); }
+        void operator()(const ping_frame& f) { on_ping(m_context, m_link, f); }
+        void operator()(const status_frame& f) { on_status(m_context, m_link, f); }
+        void operator()(const request_frame& f) { on_request(m_context, m_link, m_node, f); }
+        void operator()(const cancel_frame& f) { on_cancel(m_context, m_node, f.m_id); }
+        void operator()(const resume_frame& f) { on_resume(m_context, m_link, m_node, f.m_id); }
+        void operator()(const answer_frame& f) { on_answer(m_context, f); }
+        void operator()(const refusal_frame& f) { on_refusal(m_context, f); }
+        void operator()(const failure_frame& f) { on_failure(m_context, f); }
+        void operator()(const document_request_frame& f)
+        {
+            on_document_request(m_context, m_link, f.m_name);
+        }
+        void operator()(const document_frame& f) { on_document(m_context, f); }
+    };
+    std::visit(visitor{context, link, node}, frame);
+}
+
+void on_frame(step_context& context, const frame_received& received)
+{
+    const auto found = context.m_state.m_node_of_link.find(received.m_link);
+    const bool is_hello = std::holds_alternative<hello_frame>(received.m_frame);
+    if (found == context.m_state.m_node_of_link.end() && !is_hello) {
+        log(context, log_level::warning, "frame_before_hello", {{"link", received.m_link}});
+        emit(context, close_link{received.m_link});
+        return;
+    }
+    const std::string node =
+        found == context.m_state.m_node_of_link.end() ? std::string() : found->second;
+    const auto peer = context.m_state.m_peers.find(node);
+    if (peer != context.m_state.m_peers.end())
+        peer->second.m_heard = context.m_now;
+    dispatch_frame(context, received.m_link, node, received.m_frame);
+}
+
+void on_tick(step_context& context)
+{
+    node_state& state = context.m_state;
+    if (context.m_now - state.m_last_tick > pause_limit) {
+        log(context, log_level::warning, "process_stood_still",
+            {{"pause_ms", to_ms(context.m_now - state.m_last_tick)}});
+        for (auto& [node, peer] : state.m_peers) {
+            peer.m_ping_sent = context.m_now;
+            peer.m_heard = context.m_now;
+        }
+    }
+    state.m_last_tick = context.m_now;
+    check_peers(context);
+    check_wanted_documents(context);
+    check_gate(context);
+    check_tables(context);
+    check_holds(context);
+    check_moves(context);
+    check_open_requests(context);
+}
+
+/// Ends the process once its work is done, or at the end of the time that the platform allows.
+void check_stop(step_context& context)
+{
+    node_state& state = context.m_state;
+    if (!state.m_stopping)
+        return;
+    const duration elapsed = context.m_now - state.m_stop_requested_at;
+    const bool idle = state.m_requests.empty() && state.m_gate.m_running.empty() &&
+                      state.m_gate.m_waiting.empty() && state.m_ownership.m_moves.empty();
+    if (elapsed < state.m_options.m_min_stop_time ||
+        (!idle && elapsed < state.m_options.m_max_stop_time))
+        return;
+    for (const auto& [caller, request] : state.m_requests) {
+        const bool may_have_run = request.m_frame != 0 || request.m_executions > 0;
+        emit(context, answer_caller{caller, may_have_run ? 502 : 503, "node stops", {}});
+    }
+    state.m_requests.clear();
+    log(context, log_level::info, "node_stopped", {{"elapsed_ms", to_ms(elapsed)}});
+    emit(context, stop_process{});
+}
+
+struct event_visitor
+{
+    step_context& m_context;
+
+    void operator()(const caller_request& e) { on_caller_request(m_context, e); }
+    void operator()(const caller_left& e) { on_caller_left(m_context, e); }
+    void operator()(const link_opened& e) { on_link_opened(m_context, e); }
+    void operator()(const link_closed& e) { on_link_closed(m_context, e); }
+    void operator()(const connect_failed& e) { on_connect_failed(m_context, e); }
+    void operator()(const frame_received& e) { on_frame(m_context, e); }
+    void operator()(const execution_ended& e) { on_execution_ended(m_context, e); }
+    void operator()(const order_ended& e) { on_order_ended(m_context, e); }
+    void operator()(const backend_announced& e) { on_backend_announced(m_context, e.m_announcement); }
+    void operator()(const backend_removed& e) { on_backend_removed(m_context, e.m_id); }
+    void operator()(const operator_documents& e) { on_operator_documents(m_context, e); }
+    void operator()(const configuration_decoded& e) { on_configuration_decoded(m_context, e); }
+    void operator()(const table_read& e) { on_table_read(m_context, e); }
+    void operator()(const table_written& e) { on_table_written(m_context, e); }
+    void operator()(const nodes_listed& e) { on_nodes_listed(m_context, e); }
+    void operator()(const timer_tick& /*e*/) { on_tick(m_context); }
+    void operator()(const stop_requested& /*e*/)
+    {
+        if (m_context.m_state.m_stopping)
+            return;
+        m_context.m_state.m_stopping = true;
+        m_context.m_state.m_stop_requested_at = m_context.m_now;
+        log(m_context, log_level::info, "stop_requested",
+            {{"open_requests", m_context.m_state.m_requests.size()}});
+        broadcast_status(m_context);
+    }
+};
+
+} // namespace
+
+node_state make_node(const node_options& options, time_point now, std::uint64_t seed)
+{
+    node_state state;
+    state.m_options = options;
+    state.m_started_at = now;
+    state.m_last_tick = now;
+    state.m_random.seed(seed);
+    // Peers keep the ids of a former incarnation for a while, so a restart does not reuse them.
+    state.m_next_frame = options.m_incarnation | 1U;
+    return state;
+}
+
+effects step(node_state& state, const event& happened, time_point now)
+{
+    effects result;
+    step_context context{state, now, result};
+    std::visit(event_visitor{context}, happened);
+    while (!state.m_own_frames.empty()) {
+        const peer_frame frame = std::move(state.m_own_frames.front());
+        state.m_own_frames.pop_front();
+        dispatch_frame(context, own_link, state.m_options.m_node, frame);
+    }
+    check_stop(context);
+    return result;
+}
+
+bool is_ready(const node_state& state)
+{
+    return state.m_known.m_configuration != nullptr && !state.m_stopping;
+}
+
+} // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar/src/step_context.hpp
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <azureladder/sidecar/effects.hpp>
+#include <azureladder/sidecar/events.hpp>
+#include <azureladder/sidecar/node_state.hpp>
+
+#include <string>
+#include <utility>
+
+namespace azureladder::sidecar {
+
+/// What the parts of one step share.
+struct step_context
+{
+    node_state& m_state;
+    time_point m_now;
+    effects& m_effects;
+};
+
+/// Link of frames that a node sends to itself.
+inline constexpr std::uint64_t own_link = 0;
+
+inline void emit(step_context& context, effect wanted)
+{
+    context.m_effects.push_back(std::move(wanted));
+}
+
+inline void log(step_context& context, log_level level, const char* name, json fields)
+{
+    context.m_effects.push_back(log_line{level, name, std::move(fields)});
+}
+
+inline const routing::service_definition* find_service(const node_state& state,
+                                                       const std::string& name)
+{
+    if (!state.m_known.m_configuration)
+        return nullptr;
+    const auto found = state.m_known.m_configuration->m_services.find(name);
+    return found == state.m_known.m_configuration->m_services.end() ? nullptr : &found->second;
+}
+
+// Ingress (ingress.cpp).
+void on_caller_request(step_context& context, const caller_request& arrived);
+void on_caller_left(step_context& context, const caller_left& left);
+void on_answer(step_context& context, const answer_frame& frame);
+void on_refusal(step_context& context, const refusal_frame& frame);
+void on_failure(step_context& context, const failure_frame& frame);
+void on_peer_link_lost(step_context& context, const std::string& node);
+void on_peer_greeted(step_context& context, const std::string& node);
+void retry_waiting_requests(step_context& context);
+void check_open_requests(step_context& context);
+
+// Gate (gate_node.cpp).
+void on_request(step_context& context, std::uint64_t link, const std::string& origin,
+                const request_frame& frame);
+void on_cancel(step_context& context, const std::string& origin, std::uint64_t frame);
+void on_resume(step_context& context, std::uint64_t link, const std::string& origin,
+               std::uint64_t frame);
+void on_execution_ended(step_context& context, const execution_ended& ended);
+void on_origin_link_lost(step_context& context, std::uint64_t link);
+void on_backend_announced(step_context& context, const backend_announcement& announced);
+void on_backend_removed(step_context& context, const std::string& id);
+void check_gate(step_context& context);
+bool is_gate_open(const node_state& state, time_point now);
+
+/// Identity of one life of a backend server.
+std::string life_of(const backend_announcement& announcement);
+
+/// Life of the backend server beside this node; empty while there is none.
+std::string local_life(const node_state& state);
+
+// Mesh (mesh.cpp).
+void on_link_opened(step_context& context, const link_opened& opened);
+void on_link_closed(step_context& context, const link_closed& closed);
+void on_connect_failed(step_context& context, const connect_failed& failed);
+void on_nodes_listed(step_context& context, const nodes_listed& listed);
+void on_hello(step_context& context, std::uint64_t link, const hello_frame& frame);
+void on_ping(step_context& context, std::uint64_t link, const ping_frame& frame);
+void on_status(step_context& context, std::uint64_t link, const status_frame& frame);
+void send_to_node(step_context& context, const std::string& node, peer_frame frame);
+void send_on_link(step_context& context, std::uint64_t link, peer_frame frame);
+void broadcast_status(step_context& context);
+void check_peers(step_context& context);
+
+/// Whether requests may be sent to a peer: connected, greeted and answering pings.
+bool is_usable(const node_state& state, const peer_state& peer, time_point now);
+
+// Documents (documents.cpp).
+inline constexpr const char* configuration_document = "configuration";
+inline constexpr const char* evacuations_document = "evacuations";
+std::string table_document(const std::string& service);
+document_revisions known_revisions(const node_state& state);
+void on_operator_documents(step_context& context, const operator_documents& read);
+void on_configuration_decoded(step_context& context, const configuration_decoded& decoded);
+void on_peer_revisions(step_context& context, std::uint64_t link,
+                       const document_revisions& revisions);
+void on_document_request(step_context& context, std::uint64_t link, const std::string& name);
+void on_document(step_context& context, const document_frame& frame);
+void check_wanted_documents(step_context& context);
+
+// Keys (key_tables.cpp, key_holds.cpp, key_moves.cpp).
+void on_table_read(step_context& context, const table_read& read);
+void on_table_written(step_context& context, const table_written& written);
+void on_order_ended(step_context& context, const order_ended& ended);
+void adopt_table(step_context& context, const std::string& service, std::uint64_t revision,
+                 const std::string& text, time_point confirmed_at);
+void check_tables(step_context& context);
+void check_holds(step_context& context);
+void check_moves(step_context& context);
+void forget_holds(step_context& context);
+
+/// Whether the backend server beside this node holds a key now.
+bool holds_key(const node_state& state, std::uint32_t key, time_point now);
+
+/// Name of the keyed service of the backend server beside this node; empty when it is not keyed.
+std::string local_keyed_service(const node_state& state);
+
+/// Work that arrives for the ranges of this node, as a share of what its server can do.
+double key_use(const node_state& state, time_point now);
+
+/// Members that may own ranges of a service, with the life of their servers, in order of name.
+std::map<std::string, std::string> eligible_owners(const node_state& state,
+                                                   const std::string& service, time_point now);
+
+} // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar_runtime/include/azureladder/sidecar_runtime/node_runtime.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <azureladder/base/clock.hpp>
+#include <azureladder/sidecar_runtime/sidecar_settings.hpp>
+#include <azureladder/sidecar_runtime/translation.hpp>
+
+#include <memory>
+#include <string>
+
+namespace azureladder::sidecar_runtime {
+
+/// One node: binds its addresses, joins the mesh and serves until it is stopped.
+class node_runtime
+{
+public:
+    /// The references must outlive the runtime. Throws boost::system::system_error when an address
+    /// can't be bound.
+    node_runtime(const sidecar_settings& settings, std::string settings_path,
+                 const translation& formats, const clock& time);
+    node_runtime(const node_runtime&) = delete;
+    node_runtime& operator=(const node_runtime&) = delete;
+    ~node_runtime();
+
+    /// Returns after SIGTERM or SIGINT, when the work is done or the grace period is over. SIGHUP
+    /// reads the settings file again.
+    void run();
+
+private:
+    class impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace azureladder::sidecar_runtime
--- /dev/null
+++ b/libs/sidecar_runtime/src/asio_types.cpp
@@ -0,0 +1,23 @@
+#include "asio_types.hpp"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace azureladder::sidecar_runtime {
+
+void set_connection_options(tcp::socket& socket, const liveness_options& options)
+{
+    // A socket that is closed already fails here; its next operation reports that.
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    const int descriptor = socket.native_handle();
+    const unsigned unacknowledged = static_cast<unsigned>(options.m_unacknowledged.count());
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &options.m_probe_idle_s, sizeof(int));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &options.m_probe_interval_s, sizeof(int));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &options.m_probes, sizeof(int));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged, sizeof unacknowledged);
+}
+
+} // namespace azureladder::sidecar_runtime
--- /dev/null
+++ b/libs/sidecar_runtime/src/backend_pool.cpp
@@ -0,0 +1,119 @@
+#include "backend_pool.hpp"
+
+#include <algorithm>
+
+namespace azureladder::sidecar_runtime {
+
+namespace {
+
+sidecar::execution_ended failed_execution(std::uint64_t execution, const exchange_outcome& outcome)
+{
+    sidecar::execution_ended ended;
+    ended.m_execution = execution;
+    ended.m_cause = outcome.m_cause;
+    ended.m_result = outcome.m_result == exchange_result::not_sent
+                         ? sidecar::execution_result::not_sent
+                         : sidecar::execution_result::unknown;
+    return ended;
+}
+
+} // namespace
+
+backend_pool::backend_pool(asio::io_context& io, const translation& formats,
+                           backend_pool_options options, report_function report)
+    : m_io(io), m_formats(formats), m_options(options), m_report(std::move(report))
+{
+}
+
+backend_pool::connection_ptr backend_pool::take_connection(const std::string& address)
+{
+    auto& idle = m_idle[address];
+    const auto now = std::chrono::steady_clock::now();
+    while (!idle.empty()) {
+        // The connection that was used last is the least likely to be closed.
+        const connection_ptr connection = idle.back();
+        idle.pop_back();
+        if (connection->is_reusable() && now < connection->idle_end())
+            return connection;
+        connection->close();
+    }
+    const auto parsed = parse_endpoint(address);
+    return std::make_shared<client_connection>(m_io, parsed.value_or(endpoint{"127.0.0.1", 9}),
+                                               m_options.m_connect_timeout);
+}
+
+void backend_pool::give_back(const std::string& address, const connection_ptr& connection)
+{
+    if (!connection->is_reusable())
+        return;
+    m_idle[address].push_back(connection);
+    connection->watch_idle([this, address, raw = connection.get()] {
+        auto& idle = m_idle[address];
+        idle.erase(std::remove_if(idle.begin(), idle.end(),
+                                  [&](const auto& known) { return known.get() == raw; }),
+                   idle.end());
+    });
+}
+
+void backend_pool::start(const sidecar::start_execution& execution)
+{
+    const connection_ptr connection = take_connection(execution.m_backend_address);
+    m_running[execution.m_execution] = connection;
+    const auto reply = std::make_shared<backend_reply>();
+    const std::uint64_t id = execution.m_execution;
+    const auto timeout = std::chrono::duration_cast<milliseconds>(execution.m_remaining) +
+                         m_options.m_execution_slack;
+    connection->exchange(
+        m_formats.write_execution(execution), timeout,
+        [this, reply, execution](const http_response& response) {
+            *reply = m_formats.read_backend_reply(execution, response);
+            return reply->m_is_for_request;
+        },
+        [this, reply, id, connection,
+         address = execution.m_backend_address](const exchange_outcome& outcome) {
+            m_running.erase(id);
+            give_back(address, connection);
+            if (outcome.m_result != exchange_result::answered) {
+                m_report(failed_execution(id, outcome));
+                return;
+            }
+            reply->m_ended.m_execution = id;
+            m_report(reply->m_ended);
+        });
+}
+
+void backend_pool::cancel(std::uint64_t execution)
+{
+    const auto found = m_running.find(execution);
+    if (found == m_running.end())
+        return;
+    found->second->close();
+    m_running.erase(found);
+}
+
+void backend_pool::send_order(std::uint64_t order, const std::string& address,
+                              const http_request& request)
+{
+    const connection_ptr connection = take_connection(address);
+    connection->exchange(request, m_options.m_order_timeout, nullptr,
+                         [this, order, address, connection](const exchange_outcome& outcome) {
+                             give_back(address, connection);
+                             if (outcome.m_result == exchange_result::answered)
+                                 m_report(m_formats.read_order_reply(order, outcome.m_response));
+                             else
+                                 m_report(sidecar::order_ended{
+                                     order, sidecar::order_result::unanswered, ""});
+                         });
+}
+
+void backend_pool::grant(const sidecar::grant_keys& order)
+{
+    send_order(order.m_order, order.m_backend_address, m_formats.write_grant(order));
+}
+
+void backend_pool::release(const sidecar::release_keys& order)
+{
+    send_order(order.m_order, order.m_backend_address, m_formats.write_release(order));
+}
+
+} // namespace azureladder::sidecar_runtime
--- /dev/null
+++ b/libs/sidecar_runtime/src/client_connection.cpp
@@ -0,0 +1,183 @@
+#include "client_connection.hpp"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace azureladder::sidecar_runtime {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Longest response head that is read.
+constexpr std::uint32_t max_response_head = 64 * 1024;
+
+/// Idle time after which a connection is not used again when its server states no time.
+constexpr std::chrono::milliseconds default_idle_time{4000};
+
+/// A connection is not used again in the last part of the time that its server states.
+constexpr std::chrono::milliseconds idle_margin{1000};
+
+std::chrono::milliseconds idle_time(const sidecar::header_fields& headers)
+{
+    const std::string_view text = header_value(headers, "Keep-Alive");
+    constexpr std::string_view parameter = "timeout=";
+    const auto at = text.find(parameter);
+    if (at == std::string_view::npos)
+        return default_idle_time;
+    const std::string_view number = text.substr(at + parameter.size());
+    int value = 0;
+    if (std::from_chars(number.data(), number.data() + number.size(), value).ec != std::errc())
+        return default_idle_time;
+    return std::max(std::chrono::milliseconds(0),
+                    std::chrono::milliseconds(value * 1000) - idle_margin);
+}
+
+} // namespace
+
+client_connection::client_connection(asio::io_context& io, const endpoint& address,
+                                     milliseconds connect_timeout)
+    : m_io(io), m_stream(io), m_address(to_tcp(address)), m_connect_timeout(connect_timeout)
+{
+}
+
+void client_connection::exchange(const http_request& request, milliseconds timeout,
+                                 accept_function accept, done_function done)
+{
+    ++m_idle_watch;
+    m_request = {};
+    m_request.version(11);
+    m_request.method_string(request.m_method);
+    m_request.target(request.m_target);
+    for (const auto& field : request.m_headers)
+        m_request.insert(field.m_name, field.m_value);
+    m_request.body() = request.m_body;
+    m_request.prepare_payload();
+    m_timeout = timeout;
+    m_accept = std::move(accept);
+    m_done = std::move(done);
+    m_write_done = false;
+    m_nothing_sent = true;
+    m_reusable = false;
+    if (m_connected)
+        send();
+    else
+        connect();
+}
+
+void client_connection::connect()
+{
+    m_stream.expires_after(m_connect_timeout);
+    m_stream.async_connect(m_address, [self = shared_from_this()](error_code error) {
+        if (!self->m_done)
+            return;
+        if (error) {
+            self->finish(exchange_result::not_sent, "connect: " + error.message());
+            return;
+        }
+        self->m_connected = true;
+        set_connection_options(self->m_stream.socket());
+        self->send();
+    });
+}
+
+void client_connection::send()
+{
+    m_stream.expires_after(m_timeout);
+    http::async_write(m_stream, m_request,
+                      [self = shared_from_this()](error_code error, std::size_t sent) {
+                          self->m_write_done = !error;
+                          if (sent > 0)
+                              self->m_nothing_sent = false;
+                      });
+    receive();
+}
+
+void client_connection::receive()
+{
+    m_parser.emplace();
+    m_parser->header_limit(max_response_head);
+    m_parser->body_limit(boost::none);
+    if (m_request.method() == http::verb::head)
+        m_parser->skip(true);
+    http::async_read(m_stream, m_buffer, *m_parser,
+                     [self = shared_from_this()](error_code error, std::size_t /*size*/) {
+                         self->on_received(error);
+                     });
+}
+
+void client_connection::on_received(error_code error)
+{
+    if (!m_done)
+        return;
+    if (error) {
+        finish(m_nothing_sent && !m_write_done ? exchange_result::not_sent
+                                               : exchange_result::broken,
+               error.message());
+        return;
+    }
+    auto& message = m_parser->get();
+    if (message.result_int() < 200) {
+        receive();
+        return;
+    }
+    exchange_outcome outcome;
+    outcome.m_result = exchange_result::answered;
+    outcome.m_response.m_status = static_cast<int>(message.result_int());
+    for (const auto& field : message) {
+        const auto name = field.name_string();
+        const auto value = field.value();
+        outcome.m_response.m_headers.push_back(
+            {std::string(name.data(), name.size()), std::string(value.data(), value.size())});
+    }
+    outcome.m_response.m_body = std::move(message.body());
+    if (m_accept && !m_accept(outcome.m_response)) {
+        receive();
+        return;
+    }
+    m_stream.expires_never();
+    // Bytes after a complete answer belong to no request.
+    m_reusable = message.keep_alive() && m_write_done && m_buffer.size() == 0;
+    m_idle_end = std::chrono::steady_clock::now() + idle_time(outcome.m_response.m_headers);
+    const done_function done = std::move(m_done);
+    m_done = nullptr;
+    if (!m_reusable)
+        close();
+    done(std::move(outcome));
+}
+
+void client_connection::finish(exchange_result result, const std::string& cause)
+{
+    const done_function done = std::move(m_done);
+    close();
+    done({result, {}, cause});
+}
+
+void client_connection::close()
+{
+    m_done = nullptr;
+    m_connected = false;
+    m_reusable = false;
+    ++m_idle_watch;
+    // The connection is given up, so an error of closing it changes nothing.
+    error_code ignored;
+    m_stream.socket().close(ignored);
+}
+
+void client_connection::watch_idle(std::function<void()> closed)
+{
+    const std::uint64_t watch = ++m_idle_watch;
+    m_stream.socket().async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this(), watch, closed = std::move(closed)](error_code /*error*/) {
+            if (self->m_idle_watch != watch)
+                return;
+            self->close();
+            closed();
+        });
+}
+
+} // namespace azureladder::sidecar_runtime
--- /dev/null
+++ b/libs/sidecar_runtime/src/client_connection.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "asio_types.hpp"
+
+#include <azureladder/sidecar_runtime/http_message.hpp>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace azureladder::sidecar_runtime {
+
+enum class exchange_result
+{
+    answered,
+
+    /// No byte of the request was sent.
+    not_sent,
+
+    /// Sent in part or whole, without a complete answer.
+    broken
+};
+
+struct exchange_outcome
+{
+    exchange_result m_result = exchange_result::broken;
+    http_response m_response;
+    std::string m_cause;
+};
+
+/// One HTTP/1.1 connection to a server, one exchange at a time. Nothing is ever sent twice.
+class client_connection : public std::enable_shared_from_this<client_connection>
+{
+public:
+    /// Returns false for an answer that belongs to no open request; the next one is read then.
+    using accept_function = std::function<bool(const http_response&)>;
+    using done_function = std::function<void(exchange_outcome)>;
+
+    client_connection(asio::io_context& io, const endpoint& address, milliseconds connect_timeout);
+
+    /// Connects first when needed. `done` is called once, unless the connection is closed.
+    void exchange(const http_request& request, milliseconds timeout, accept_function accept,
+                  done_function done);
+
+    /// Closes the connection without calling `done`.
+    void close();
+
+    /// Whether another exchange may follow on this connection.
+    bool is_reusable() const { return m_reusable; }
+
+    /// When the other end may close the idle connection.
+    std::chrono::steady_clock::time_point idle_end() const { return m_idle_end; }
+
+    /// Calls `closed` when the other end closes the idle connection or sends bytes unasked.
+    void watch_idle(std::function<void()> closed);
+
+private:
+    void connect();
+    void send();
+    void receive();
+    void on_received(error_code error);
+    void finish(exchange_result result, const std::string& cause);
+
+    asio::io_context& m_io;
+    boost::beast::tcp_stream m_stream;
+    tcp::endpoint m_address;
+    milliseconds m_connect_timeout;
+    bool m_connected = false;
+    bool m_reusable = false;
+    std::chrono::steady_clock::time_point m_idle_end;
+
+    boost::beast::http::request<boost::beast::http::string_body> m_request;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
+    milliseconds m_timeout{};
+    accept_function m_accept;
+    done_function m_done;
+    bool m_write_done = false;
+    bool m_nothing_sent = true;
+    std::uint64_t m_idle_watch = 0;
+};
+
+} // namespace azureladder::sidecar_runtime
--- /dev/null
+++ b/libs/sidecar_runtime/src/http_listener.cpp
@@ -0,0 +1,60 @@
+#include "http_listener.hpp"
+
+namespace azureladder::sidecar_runtime {
+
+namespace {
+
+constexpr int backlog = 512;
+
+/// Connections of callers at one address; the rest of the descriptors is for peers and servers.
+constexpr std::size_t max_sessions = 2500;
+
+/// Pause after a failed accept, which happens when descriptors run out.
+constexpr std::chrono::milliseconds accept_pause{20};
+
+} // namespace
+
+http_listener::http_listener(asio::io_context& io, const endpoint& address,
+                             http_session::callbacks handlers)
+    : m_io(io), m_acceptor(io), m_pause(io), m_handlers(std::move(handlers))
+{
+    const auto on_end = m_handlers.m_on_end;
+    m_handlers.m_on_end = [this, on_end](const http_session& session) {
+        --m_sessions;
+        if (on_end)
+            on_end(session);
+    };
+    const tcp::endpoint where = to_tcp(address);
+    m_acceptor.open(where.protocol());
+    m_acceptor.set_option(asio::socket_base::reuse_address(true));
+    m_acceptor.bind(where);
+    m_acceptor.listen(backlog);
+    accept();
+}
+
+void http_listener::stop()
+{
+    error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+void http_listener::accept()
+{
+    m_acceptor.async_accept([this](error_code error, tcp::socket socket) {
+        if (!m_acceptor.is_open())
+            return;
+        if (error || m_sessions >= max_sessions) {
+            m_pause.expires_after(accept_pause);
+            m_pause.async_wait([this](error_code cancelled) {
+                if (!cancelled)
+                    accept();
+            });
+            return;
+        }
+        ++m_sessions;
+        std::make_shared<http_session>(std::move(socket), m_handlers)->start();
+        accept();
+    });
+}
+
+} // namespace azureladder::sidecar_runtime
--- /dev/null
+++ b/libs/sidecar_runtime/src/http_session.cpp
@@ -0,0 +1,209 @@
+#include "http_session.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <sys/socket.h>
+
+namespace azureladder::sidecar_runtime {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t first_read_bytes = 4096;
+
+/// Time for the body of a request, and for a caller to take its answer.
+constexpr std::chrono::seconds transfer_timeout{30};
+
+int status_of_error(error_code error)
+{
+    if (error == http::error::header_limit)
+        return 431;
+    if (error == http::error::body_limit)
+        return 413;
+    return 400;
+}
+
+bool is_http_error(error_code error)
+{
+    return error.category() == http::make_error_code(http::error::bad_method).category() &&
+           error != http::error::end_of_stream && error != http::error::partial_message;
+}
+
+} // namespace
+
+http_session::http_session(tcp::socket socket, const callbacks& handlers)
+    : m_stream(std::move(socket)), m_handlers(handlers)
+{
+}
+
+void http_session::start()
+{
+    set_connection_options(m_stream.socket());
+    wait_for_request();
+}
+
+void http_session::wait_for_request()
+{
+    if (m_buffer.size() > 0) {
+        read_head();
+        return;
+    }
+    m_stream.expires_after(
+        std::chrono::duration_cast<milliseconds>(m_handlers.m_limits().m_idle_timeout));
+    m_stream.async_read_some(m_buffer.prepare(first_read_bytes),
+                             [self = shared_from_this()](error_code error, std::size_t size) {
+                                 if (error) {
+                                     self->end();
+                                     return;
+                                 }
+                                 self->m_buffer.commit(size);
+                                 self->read_head();
+                             });
+}
+
+void http_session::read_head()
+{
+    const auto limits = m_handlers.m_limits();
+    m_parser.emplace();
+    m_parser->header_limit(limits.m_max_header_bytes);
+    m_parser->body_limit(limits.m_max_body_bytes);
+    m_stream.expires_after(std::chrono::duration_cast<milliseconds>(limits.m_header_timeout));
+    http::async_read_header(m_stream, m_buffer, *m_parser,
+                            [self = shared_from_this()](error_code error, std::size_t /*size*/) {
+                                if (error)
+                                    self->on_read(error);
+                                else
+                                    self->read_body();
+                            });
+}
+
+void http_session::read_body()
+{
+    m_stream.expires_after(transfer_timeout);
+    const auto read = [self = shared_from_this()] {
+        http::async_read(self->m_stream, self->m_buffer, *self->m_parser,
+                         [self](error_code error, std::size_t /*size*/) { self->on_read(error); });
+    };
+    if (!boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
+        read();
+        return;
+    }
+    static constexpr std::string_view proceed = "HTTP/1.1 100 Continue\r\n\r\n";
+    asio::async_write(m_stream, asio::buffer(proceed),
+                      [self = shared_from_this(), read](error_code error, std::size_t /*size*/) {
+                          if (error)
+                              self->end();
+                          else
+                              read();
+                      });
+}
+
+void http_session::on_read(error_code error)
+{
+    if (error) {
+        if (is_http_error(error))
+            reject(status_of_error(error));
+        else
+            end();
+        return;
+    }
+    m_stream.expires_never();
+    auto& message = m_parser->get();
+    http_request request;
+    request.m_method = std::string(message.method_string());
+    request.m_target = std::string(message.target());
+    for (const auto& field : message) {
+        const auto name = field.name_string();
+        const auto value = field.value();
+        request.m_headers.push_back(
+            {std::string(name.data(), name.size()), std::string(value.data(), value.size())});
+    }
+    request.m_body = std::move(message.body());
+    m_keep_alive = message.keep_alive();
+    m_head_request = message.method() == http::verb::head;
+    m_open_request = true;
+    ++m_requests;
+    watch_for_close();
+    m_handlers.m_on_request(shared_from_this(), std::move(request));
+}
+
+void http_session::watch_for_close()
+{
+    m_stream.socket().async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this(), request = m_requests](error_code error) {
+            if (error || !self->m_open_request || self->m_requests != request)
+                return;
+            char byte = 0;
+            const auto seen = recv(self->m_stream.socket().native_handle(), &byte, 1,
+                                   MSG_PEEK | MSG_DONTWAIT);
+            // A pipelined request keeps the socket readable, so a later close can't be seen.
+            if (seen > 0 || (seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)))
+                return;
+            self->m_open_request = false;
+            self->m_handlers.m_on_left(*self);
+            self->end();
+        });
+}
+
+void http_session::answer(const http_response& response)
+{
+    if (!m_open_request)
+        return;
+    m_open_request = false;
+    write(response, m_keep_alive && !m_handlers.m_is_closing());
+}
+
+void http_session::reject(int status)
+{
+    http_response response;
+    response.m_status = status;
+    response.m_body = "malformed or too large request\n";
+    write(response, false);
+}
+
+void http_session::write(const http_response& response, bool keep_alive)
+{
+    m_response = {};
+    m_response.version(11);
+    m_response.result(static_cast<unsigned>(response.m_status));
+    for (const auto& field : response.m_headers)
+        m_response.insert(field.m_name, field.m_value);
+    m_response.body() = m_head_request ? std::string() : response.m_body;
+    m_response.prepare_payload();
+    m_response.keep_alive(keep_alive);
+    m_stream.expires_after(transfer_timeout);
+    http::async_write(m_stream, m_response,
+                      [self = shared_from_this(), keep_alive](error_code error, std::size_t) {
+                          if (error || !keep_alive) {
+                              error_code ignored;
+                              self->m_stream.socket().shutdown(tcp::socket::shutdown_send,
+                                                               ignored);
+                              self->end();
+                              return;
+                          }
+                          self->wait_for_request();
+                      });
+}
+
+void http_session::close()
+{
+    end();
+}
+
+void http_session::end()
+{
+    if (m_ended)
+        return;
+    m_ended = true;
+    // The connection is given up, so an error of closing it changes nothing.
+    error_code ignored;
+    m_stream.socket().close(ignored);
+    m_handlers.m_on_end(*this);
+}
+
+} // namespace azureladder::sidecar_runtime
--- /dev/null
+++ b/libs/sidecar_runtime/src/http_session.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "asio_types.hpp"
+
+#include <azureladder/routing/client_limits.hpp>
+#include <azureladder/sidecar_runtime/http_message.hpp>
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace azureladder::sidecar_runtime {
+
+/// One connection of a caller: reads a request, waits for its answer, writes it, and so on.
+class http_session : public std::enable_shared_from_this<http_session>
+{
+public:
+    struct callbacks
+    {
+        /// A whole request was read; `answer` is to be called once.
+        std::function<void(const std::shared_ptr<http_session>&, http_request)> m_on_request;
+
+        /// The caller closed the connection while its request was open.
+        std::function<void(const http_session&)> m_on_left;
+
+        /// The connection has ended.
+        std::function<void(const http_session&)> m_on_end;
+
+        /// Limits in force.
+        std::function<routing::client_limits()> m_limits;
+
+        /// Whether connections are to be closed after their next answer.
+        std::function<bool()> m_is_closing;
+    };
+
+    http_session(tcp::socket socket, const callbacks& handlers);
+
+    void start();
+    void answer(const http_response& response);
+    void close();
+
+private:
+    void wait_for_request();
+    void read_head();
+    void read_body();
+    void on_read(error_code error);
+    void reject(int status);
+    void watch_for_close();
+    void write(const http_response& response, bool keep_alive);
+    void end();
+
+    boost::beast::tcp_stream m_stream;
+    const callbacks& m_handlers;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    boost::beast::http::response<boost::beast::http::string_body> m_response;
+    bool m_open_request = false;
+    bool m_head_request = false;
+    bool m_keep_alive = true;
+    bool m_ended = false;
+    std::uint64_t m_requests = 0;
+};
+
+} // namespace azureladder::sidecar_runtime
--- /dev/null
+++ b/libs/sidecar_runtime/src/line_log.cpp
@@ -0,0 +1,69 @@
+#include <azureladder/sidecar_runtime/line_log.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace azureladder::sidecar_runtime {
+
+line_log::line_log(const clock& time, line_log_options options, int descriptor)
+    : m_clock(time), m_options(std::move(options)), m_descriptor(descriptor),
+      m_tokens(m_options.m_burst_lines), m_last_fill(time.now())
+{
+    const int flags = fcntl(m_descriptor, F_GETFL);
+    if (flags >= 0)
+        fcntl(m_descriptor, F_SETFL, flags | O_NONBLOCK);
+}
+
+bool line_log::take_token()
+{
+    const time_point now = m_clock.now();
+    const double elapsed = std::chrono::duration<double>(now - m_last_fill).count();
+    m_last_fill = now;
+    m_tokens = std::min(m_options.m_burst_lines, m_tokens + elapsed * m_options.m_lines_per_s);
+    if (m_tokens < 1.0)
+        return false;
+    m_tokens -= 1.0;
+    return true;
+}
+
+void line_log::append(log_level level, std::string_view event, const json& fields)
+{
+    json line = fields.is_object() ? fields : json::object();
+    line["time_us"] = m_clock.wall_time_us();
+    line["mono_us"] = to_us(m_clock.now());
+    line["node"] = m_options.m_node;
+    line["incarnation"] = m_options.m_incarnation;
+    line["level"] = std::string(to_string(level));
+    line["event"] = std::string(event);
+    m_buffer += line.dump(-1, ' ', false, json::error_handler_t::replace);
+    m_buffer += '\n';
+}
+
+void line_log::write(log_level level, std::string_view event, const json& fields)
+{
+    if (m_buffer.size() > m_options.m_max_buffer_bytes || !take_token()) {
+        ++m_dropped;
+        flush();
+        return;
+    }
+    if (m_dropped != m_reported) {
+        append(log_level::warning, "log_lines_dropped", {{"total", m_dropped}});
+        m_reported = m_dropped;
+    }
+    append(level, event, fields);
+    flush();
+}
+
+void line_log::flush()
+{
+    while (!m_buffer.empty()) {
+        const ssize_t written = ::write(m_descriptor, m_buffer.data(), m_buffer.size());
+        if (written <= 0)
+            return;
+        m_buffer.erase(0, static_cast<std::size_t>(written));
+    }
+}
+
+} // namespace azureladder::sidecar_runtime
--- /dev/null
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -0,0 +1,408 @@
+#include "node_runtime_impl.hpp"
+
+#include <unistd.h>
+
+#include <csignal>
+#include <random>
+
+namespace azureladder::sidecar_runtime {
+
+namespace {
+
+/// Time between two ticks of the reducer. Its shortest time-out is a few times as long.
+constexpr milliseconds tick_interval{25};
+
+constexpr milliseconds peer_connect_timeout{500};
+
+/// The node ends this long before the end of the stop grace period.
+constexpr milliseconds stop_margin{500};
+
+/// Own share of the retry ratio: executions count at the backend server, in sliding windows.
+constexpr double retry_ratio_share = 0.7;
+
+std::uint64_t random_number()
+{
+    std::random_device device;
+    return static_cast<std::uint64_t>(device()) << 32 | device();
+}
+
+sidecar::node_options make_options(const sidecar_settings& settings)
+{
+    sidecar::node_options options;
+    options.m_node = settings.m_node;
+    options.m_incarnation = random_number();
+    options.m_zone = settings.m_zone;
+    options.m_service = settings.m_service;
+    options.m_peer_address = to_string(settings.m_peer_address);
+    options.m_retry.m_ratio = settings.m_retry_ratio * retry_ratio_share;
+    options.m_drain_start_window = milliseconds(settings.m_drain_ms) / 2;
+    options.m_max_stop_time = milliseconds(settings.m_stop_grace_ms) - stop_margin;
+    return options;
+}
+
+store_options make_store_options(const sidecar_settings& settings)
+{
+    store_options options;
+    options.m_node = settings.m_node;
+    options.m_peer_address = to_string(settings.m_peer_address);
+    options.m_address = settings.m_store_address;
+    return options;
+}
+
+std::string retry_after_text(duration wait)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(wait).count());
+    return text;
+}
+
+} // namespace
+
+node_runtime::impl::impl(const sidecar_settings& settings, std::string settings_path,
+                         const translation& formats, const clock& time)
+    : m_settings(settings), m_settings_path(std::move(settings_path)), m_formats(formats),
+      m_clock(time), m_options(make_options(settings)),
+      m_log(time, {m_options.m_node, m_options.m_incarnation}, STDOUT_FILENO),
+      m_state(sidecar::make_node(m_options, time.now(), random_number())),
+      m_backend(m_io, formats, {}, [this](sidecar::event happened) { happen(std::move(happened)); }),
+      m_store(
+          m_io, time, formats, make_store_options(settings),
+          [this](sidecar::event happened) { happen(std::move(happened)); },
+          [this](log_level level, std::string_view event, const json& fields) {
+              m_log.write(level, event, fields);
+          }),
+      m_peer_acceptor(m_io), m_tick_timer(m_io), m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    m_link_callbacks.m_on_frame = [this](std::uint64_t link, sidecar::peer_frame frame) {
+        happen(sidecar::frame_received{link, std::move(frame)});
+    };
+    m_link_callbacks.m_on_closed = [this](std::uint64_t link) {
+        m_links.erase(link);
+        happen(sidecar::link_closed{link});
+    };
+    const tcp::endpoint peers = to_tcp(m_settings.m_peer_address);
+    m_peer_acceptor.open(peers.protocol());
+    m_peer_acceptor.set_option(asio::socket_base::reuse_address(true));
+    m_peer_acceptor.bind(peers);
+    m_peer_acceptor.listen();
+    m_caller_listener =
+        std::make_unique<http_listener>(m_io, m_settings.m_caller_address, caller_callbacks());
+    m_registry_listener = std::make_unique<http_listener>(
+        m_io, m_settings.m_registry_address,
+        plain_callbacks([this](const auto& session, http_request request) {
+            on_registry(session, request);
+        }));
+    m_ready_listener = std::make_unique<http_listener>(
+        m_io, m_settings.m_ready_address,
+        plain_callbacks([this](const auto& session, http_request request) {
+            on_ready_probe(session, request);
+        }));
+    m_metrics_listener = std::make_unique<http_listener>(
+        m_io, m_settings.m_metrics_address,
+        plain_callbacks([this](const auto& session, http_request /*request*/) {
+            on_metrics(session);
+        }));
+}
+
+http_session::callbacks node_runtime::impl::caller_callbacks()
+{
+    http_session::callbacks callbacks;
+    callbacks.m_on_request = [this](const auto& session, http_request request) {
+        on_caller(session, std::move(request));
+    };
+    callbacks.m_on_left = [this](const http_session& session) { on_caller_left(session); };
+    callbacks.m_limits = [this] {
+        return m_state.m_known.m_configuration ? m_state.m_known.m_configuration->m_limits
+                                               : routing::client_limits{};
+    };
+    callbacks.m_is_closing = [this] { return m_state.m_stopping; };
+    return callbacks;
+}
+
+http_session::callbacks node_runtime::impl::plain_callbacks(
+    std::function<void(const std::shared_ptr<http_session>&, http_request)> on_request)
+{
+    http_session::callbacks callbacks;
+    callbacks.m_on_request = std::move(on_request);
+    callbacks.m_on_left = [](const http_session& /*session*/) {};
+    callbacks.m_limits = [] { return routing::client_limits{}; };
+    callbacks.m_is_closing = [] { return false; };
+    return callbacks;
+}
+
+void node_runtime::impl::run()
+{
+    m_log.write(log_level::info, "node_started",
+                {{"zone", m_settings.m_zone},
+                 {"service", m_settings.m_service},
+                 {"peer_address", to_string(m_settings.m_peer_address)},
+                 {"store", to_string(m_settings.m_store_address)}});
+    accept_peers();
+    wait_for_signal();
+    tick();
+    m_store.start();
+    m_io.run();
+}
+
+void node_runtime::impl::happen(sidecar::event happened)
+{
+    m_events.push_back(std::move(happened));
+    if (m_stepping)
+        return;
+    m_stepping = true;
+    while (!m_events.empty()) {
+        const sidecar::event next = std::move(m_events.front());
+        m_events.pop_front();
+        for (const auto& wanted : sidecar::step(m_state, next, m_clock.now()))
+            carry_out(wanted);
+    }
+    m_stepping = false;
+}
+
+void node_runtime::impl::carry_out(const sidecar::effect& wanted)
+{
+    std::visit([this](const auto& value) { apply(value); }, wanted);
+}
+
+void node_runtime::impl::apply(const sidecar::pass_answer& wanted)
+{
+    const auto found = m_callers.find(wanted.m_caller);
+    if (found == m_callers.end())
+        return;
+    const auto session = found->second;
+    m_caller_of_session.erase(session.get());
+    m_callers.erase(found);
+    session->answer(
+        {wanted.m_answer->m_status, wanted.m_answer->m_headers, wanted.m_answer->m_body});
+}
+
+void node_runtime::impl::apply(const sidecar::answer_caller& wanted)
+{
+    const auto found = m_callers.find(wanted.m_caller);
+    if (found == m_callers.end())
+        return;
+    const auto session = found->second;
+    m_caller_of_session.erase(session.get());
+    m_callers.erase(found);
+    http_response response;
+    response.m_status = wanted.m_status;
+    response.m_headers = {{"Content-Type", "text/plain"}};
+    if (wanted.m_retry_after > duration::zero())
+        response.m_headers.push_back({"Retry-After", retry_after_text(wanted.m_retry_after)});
+    response.m_body = wanted.m_reason + "\n";
+    session->answer(response);
+}
+
+void node_runtime::impl::apply(const sidecar::connect_node& wanted)
+{
+    const auto address = parse_endpoint(wanted.m_address);
+    if (!address) {
+        happen(sidecar::connect_failed{wanted.m_node});
+        return;
+    }
+    const auto socket = std::make_shared<tcp::socket>(m_io);
+    const auto timer = std::make_shared<asio::steady_timer>(m_io, peer_connect_timeout);
+    timer->async_wait([socket](error_code error) {
+        error_code ignored;
+        if (!error)
+            socket->close(ignored);
+    });
+    socket->async_connect(to_tcp(*address),
+                          [this, socket, timer, node = wanted.m_node](error_code error) {
+                              timer->cancel();
+                              if (error || !socket->is_open()) {
+                                  happen(sidecar::connect_failed{node});
+                                  return;
+                              }
+                              const std::uint64_t link = add_link(std::move(*socket));
+                              happen(sidecar::link_opened{link, node});
+                          });
+}
+
+void node_runtime::impl::apply(const sidecar::close_link& wanted)
+{
+    close_link(wanted.m_link);
+}
+
+void node_runtime::impl::close_link(std::uint64_t link)
+{
+    const auto found = m_links.find(link);
+    if (found == m_links.end())
+        return;
+    const auto closing = found->second;
+    m_links.erase(found);
+    closing->close();
+    happen(sidecar::link_closed{link});
+}
+
+void node_runtime::impl::apply(const sidecar::send_frame& wanted)
+{
+    const auto found = m_links.find(wanted.m_link);
+    if (found != m_links.end())
+        found->second->send(wanted.m_frame);
+}
+
+void node_runtime::impl::apply(const sidecar::decode_configuration& wanted)
+{
+    auto decoded = m_formats.read_configuration(wanted.m_text);
+    if (const auto* error = std::get_if<translation_error>(&decoded)) {
+        m_log.write(log_level::error, "configuration_unreadable",
+                    {{"revision", wanted.m_revision}, {"cause", error->m_reason}});
+        return;
+    }
+    auto configuration = std::make_shared<routing::routing_configuration>(
+        std::get<routing::routing_configuration>(std::move(decoded)));
+    routing::index_routes(*configuration);
+    happen(sidecar::configuration_decoded{wanted.m_revision, wanted.m_text,
+                                          std::move(configuration)});
+}
+
+void node_runtime::impl::apply(const sidecar::log_line& wanted)
+{
+    ++m_event_counts[wanted.m_event];
+    m_log.write(wanted.m_level, wanted.m_event, wanted.m_fields);
+}
+
+void node_runtime::impl::apply(const sidecar::stop_process& /*wanted*/)
+{
+    m_log.flush();
+    m_io.stop();
+}
+
+void node_runtime::impl::on_caller(const std::shared_ptr<http_session>& session,
+                                   http_request request)
+{
+    auto read = m_formats.read_caller_request(std::move(request));
+    if (const auto* error = std::get_if<translation_error>(&read)) {
+        m_log.write(log_level::info, "request_malformed", {{"cause", error->m_reason}});
+        session->answer({400, {{"Content-Type", "text/plain"}}, error->m_reason + "\n"});
+        return;
+    }
+    auto& arrived = std::get<sidecar::caller_request>(read);
+    arrived.m_caller = m_next_caller++;
+    m_callers[arrived.m_caller] = session;
+    m_caller_of_session[session.get()] = arrived.m_caller;
+    happen(std::move(arrived));
+}
+
+void node_runtime::impl::on_caller_left(const http_session& session)
+{
+    const auto found = m_caller_of_session.find(&session);
+    if (found == m_caller_of_session.end())
+        return;
+    const std::uint64_t caller = found->second;
+    m_caller_of_session.erase(found);
+    m_callers.erase(caller);
+    happen(sidecar::caller_left{caller});
+}
+
+void node_runtime::impl::on_registry(const std::shared_ptr<http_session>& session,
+                                     const http_request& request)
+{
+    auto message = m_formats.read_registry_message(request);
+    if (const auto* error = std::get_if<translation_error>(&message)) {
+        m_log.write(log_level::warning, "announcement_unreadable", {{"cause", error->m_reason}});
+        session->answer({400, {{"Content-Type", "text/plain"}}, error->m_reason + "\n"});
+        return;
+    }
+    if (auto* announced = std::get_if<sidecar::backend_announced>(&message))
+        happen(std::move(*announced));
+    else
+        happen(std::get<sidecar::backend_removed>(message));
+    session->answer({200, {{"Content-Type", "application/json"}}, "{}"});
+}
+
+void node_runtime::impl::on_ready_probe(const std::shared_ptr<http_session>& session,
+                                        const http_request& request)
+{
+    const int status =
+        !m_formats.is_ready_probe(request) ? 404 : (sidecar::is_ready(m_state) ? 200 : 503);
+    session->answer({status, {{"Content-Type", "text/plain"}}, "\n"});
+}
+
+void node_runtime::impl::on_metrics(const std::shared_ptr<http_session>& session)
+{
+    session->answer({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_text()});
+}
+
+std::string node_runtime::impl::metrics_text() const
+{
+    std::string text;
+    const auto add = [&](const std::string& name, const std::string& labels, std::uint64_t value) {
+        text += "azureladder_" + name + labels + ' ' + std::to_string(value) + '\n';
+    };
+    for (const auto& [event, count] : m_event_counts)
+        add("events_total", "{event=\"" + event + "\"}", count);
+    add("open_requests", "", m_state.m_requests.size());
+    add("gate_running", "", m_state.m_gate.m_running.size());
+    add("gate_waiting", "", m_state.m_gate.m_waiting.size());
+    add("gate_limit", "", m_state.m_gate.m_limit);
+    add("peers", "", m_state.m_peers.size());
+    add("store_calls_total", "", m_store.calls());
+    add("log_lines_dropped_total", "", m_log.dropped_lines());
+    return text;
+}
+
+void node_runtime::impl::accept_peers()
+{
+    m_peer_acceptor.async_accept([this](error_code error, tcp::socket socket) {
+        if (!error)
+            happen(sidecar::link_opened{add_link(std::move(socket)), ""});
+        accept_peers();
+    });
+}
+
+std::uint64_t node_runtime::impl::add_link(tcp::socket socket)
+{
+    const std::uint64_t id = m_next_link++;
+    const auto link = std::make_shared<peer_link>(std::move(socket), id, m_link_callbacks);
+    m_links[id] = link;
+    link->start();
+    return id;
+}
+
+void node_runtime::impl::tick()
+{
+    happen(sidecar::timer_tick{});
+    m_log.flush();
+    m_tick_timer.expires_after(tick_interval);
+    m_tick_timer.async_wait([this](error_code error) {
+        if (!error)
+            tick();
+    });
+}
+
+void node_runtime::impl::wait_for_signal()
+{
+    m_signals.async_wait([this](error_code error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP)
+            reload_settings();
+        else
+            happen(sidecar::stop_requested{});
+        wait_for_signal();
+    });
+}
+
+void node_runtime::impl::reload_settings()
+{
+    std::vector<field_error> errors;
+    const sidecar_settings read = load_settings(m_settings_path, errors);
+    if (!errors.empty()) {
+        m_log.write(log_level::error, "settings_rejected",
+                    {{"field", errors.front().m_path}, {"cause", errors.front().m_message}});
+        return;
+    }
+    m_settings.m_retry_ratio = read.m_retry_ratio;
+    m_settings.m_drain_ms = read.m_drain_ms;
+    m_settings.m_stop_grace_ms = read.m_stop_grace_ms;
+    const sidecar::node_options fresh = make_options(m_settings);
+    m_state.m_options.m_retry = fresh.m_retry;
+    m_state.m_options.m_drain_start_window = fresh.m_drain_start_window;
+    m_state.m_options.m_max_stop_time = fresh.m_max_stop_time;
+    m_log.write(log_level::info, "settings_reloaded", {{"path", m_settings_path}});
+}
+
+} // namespace azureladder::sidecar_runtime
--- /dev/null
+++ b/libs/sidecar_runtime/src/store_session.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "client_connection.hpp"
+
+#include <azureladder/base/clock.hpp>
+#include <azureladder/sidecar/effects.hpp>
+#include <azureladder/sidecar/events.hpp>
+#include <azureladder/sidecar_runtime/translation.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace azureladder::sidecar_runtime {
+
+struct store_options
+{
+    std::string m_node;
+    std::string m_peer_address;
+    endpoint m_address;
+
+    milliseconds m_connect_timeout{700};
+
+    /// Longest time for one call; the store answers in milliseconds when it is well.
+    milliseconds m_call_timeout{1500};
+
+    /// How long a watch waits. Each return is a priced call, and TCP probes find a dead
+    /// connection sooner.
+    milliseconds m_watch_wait{20'000};
+
+    /// Pause after a call that failed; each call is priced, also when it fails.
+    milliseconds m_retry_pause{400};
+
+    /// Life of the record of this node without renewal, and time between renewals.
+    milliseconds m_record_life{60'000};
+    milliseconds m_renew_interval{20'000};
+
+    /// Further readings of the list of nodes after the first, from the start. All nodes start
+    /// within a second; later ones introduce themselves.
+    std::vector<milliseconds> m_list_times{milliseconds(900), milliseconds(4000)};
+    milliseconds m_list_interval{30'000};
+};
+
+/// All calls of one node to the store. Keeps what the operator has written and reports changes.
+class store_session
+{
+public:
+    using report_function = std::function<void(sidecar::event)>;
+    using log_function = std::function<void(log_level, std::string_view, const json&)>;
+
+    store_session(asio::io_context& io, const clock& time, const translation& formats,
+                  store_options options, report_function report, log_function write_log);
+
+    void start();
+    void read_table(const sidecar::read_table& wanted);
+    void write_table(const sidecar::write_table& wanted);
+
+    /// Calls made since the start.
+    std::uint64_t calls() const { return m_calls; }
+
+private:
+    using reply_function = std::function<void(const exchange_outcome&)>;
+
+    void call(const http_request& request, milliseconds timeout, reply_function reply);
+    void after(milliseconds pause, std::function<void()> action);
+    milliseconds with_jitter(milliseconds pause);
+    void note_reachable(bool reachable, const std::string& cause);
+
+    void load_documents(const std::string& after_key);
+    void take_item(const store_item& item);
+    void report_documents(std::uint64_t revision);
+    void watch();
+    void on_watch(const exchange_outcome& outcome);
+
+    void create_lease();
+    void write_record(std::uint64_t lease);
+    void renew_lease(std::uint64_t lease);
+    void list_nodes(bool stale, const std::string& after_key);
+    void schedule_lists();
+
+    asio::io_context& m_io;
+    const clock& m_clock;
+    const translation& m_formats;
+    store_options m_options;
+    report_function m_report;
+    log_function m_log;
+    std::mt19937 m_random;
+    std::vector<std::shared_ptr<client_connection>> m_idle;
+    std::shared_ptr<client_connection> m_watch_connection;
+
+    std::uint64_t m_revision = 0;
+    std::string m_configuration_text;
+    std::uint64_t m_configuration_revision = 0;
+    bool m_configuration_changed = false;
+    std::set<std::string> m_evacuated_zones;
+    std::set<std::string> m_listed_zones;
+    std::map<std::string, std::string> m_listed_nodes;
+    bool m_reachable = true;
+    std::uint64_t m_calls = 0;
+};
+
+} // namespace azureladder::sidecar_runtime
