Predict the wait at a gate by the completions of its running requests

Cause: half of the summed execution time of all running requests was taken as the wait for the first place, about nine times too long, so short calls of running requests were refused and their parents failed with 500. Ruled out: telling calls from callers by their address, both come from the VM's own.

--- a/libs/routing/include/azureladder/routing/gate_options.hpp
+++ b/libs/routing/include/azureladder/routing/gate_options.hpp
@@ -22,6 +22,10 @@
     /// Below 1, since executions take longer than their mean in half of the cases.
     double m_target_share = 0.9;
 
+    /// Same for requests whose execution takes at most half of the mean of those running, as a
+    /// part of the time to their deadline.
+    double m_short_deadline_share = 0.7;
+
     /// Requests a second to a cold backend server, as a multiple of its stated rate. The
     /// operator's bound is 1.5 times the rate and some requests more.
     double m_cold_rate_share = 1.15;
--- a/libs/routing/src/gate.cpp
+++ b/libs/routing/src/gate.cpp
@@ -69,13 +69,23 @@
     state.m_starts.push_back(now);
 }
 
-/// Time until a request with this urgency starts. Running requests are half done on average.
+/// Mean expected execution time of the running requests.
+duration mean_running_time(const gate& state, time_point now, const gate_options& options)
+{
+    if (state.m_running.empty())
+        return duration::zero();
+    duration sum{};
+    for (const auto& [id, running] : state.m_running)
+        sum += expected_service_time(state, running.m_route, now, options);
+    return sum / static_cast<std::int64_t>(state.m_running.size());
+}
+
+/// Time until a request with this urgency starts: one of the running requests has to end for each
+/// request ahead and for this one, and all of them together end at the rate of the limit.
 duration predicted_wait(const gate& state, const gate_request& request, time_point now,
                         const gate_options& options)
 {
-    duration work{};
-    for (const auto& [id, running] : state.m_running)
-        work += expected_service_time(state, running.m_route, now, options) / 2;
+    duration work = mean_running_time(state, now, options);
     std::size_t ahead = 0;
     for (const auto& waiting : state.m_waiting) {
         if (is_more_urgent(request, waiting))
@@ -121,7 +131,11 @@
         return {admission::start, duration::zero()};
     }
     const duration wait = predicted_wait(state, request, now, options);
-    const duration allowed = scaled(request.m_target - now, options.m_target_share);
+    // Short executions take little from others, and often a running request waits for them.
+    const bool is_short = service * 2 <= mean_running_time(state, now, options);
+    const duration allowed =
+        is_short ? scaled(request.m_deadline - now, options.m_short_deadline_share)
+                 : scaled(request.m_target - now, options.m_target_share);
     if (wait + service > allowed)
         return {admission::refuse, clamped_retry_after(wait, options)};
     const auto place = std::upper_bound(state.m_waiting.begin(), state.m_waiting.end(), request,
--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -68,6 +68,9 @@
     /// Time between two decisions about moving load.
     duration m_balance_interval = milliseconds(1000);
 
+    /// Use below which a server keeps its keys, since a move makes them wait for running work.
+    double m_balance_min_use = 0.7;
+
     /// Difference in use between two backend servers above which keys move, as a share of one.
     double m_balance_threshold = 0.25;
 
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -120,6 +120,8 @@
     }
     json fields = request_fields(request);
     fields["node"] = node;
+    fields["priority"] = request.m_request->m_priority;
+    fields["target_ms"] = to_ms(request.m_target_latency);
     if (request.m_request->m_key)
         fields["key"] = *request.m_request->m_key;
     log(context, log_level::info, "request_sent", std::move(fields));
--- a/libs/sidecar/src/key_moves.cpp
+++ b/libs/sidecar/src/key_moves.cpp
@@ -111,7 +111,9 @@
     const double use = key_use(state, context.m_now);
     const auto peer = state.m_peers.find(target);
     const bool newcomer = !peer->second.m_status.m_owns_keys && use > 0.0;
-    if (use - target_use < state.m_options.m_balance_threshold && !newcomer)
+    const bool uneven = use >= state.m_options.m_balance_min_use &&
+                        use - target_use >= state.m_options.m_balance_threshold;
+    if (!uneven && !newcomer)
         return;
     const double share =
         std::min(max_moved_share, (use - target_use) / 2.0 / std::max(use, 0.01));
