State a node's status on change only and confirm range tables through one owner

Cause: each announcement of a backend server and each learned document was broadcast to all peers, pings grew with the square of the nodes, and each owner read its table itself.

--- a/apps/azureladder-sidecar/src/main.cpp
+++ b/apps/azureladder-sidecar/src/main.cpp
@@ -17,16 +17,16 @@
 void print_errors(const std::vector<azureladder::field_error>& errors)
 {
     for (const auto& error : errors)
-        std::cerr << (error.m_path.empty() ? "settings" : error.m_path) << ": "
-                  << error.m_message << '\n';
+        std::cerr << (error.m_path.empty() ? "settings" : error.m_path) << ": " << error.m_message
+                  << '\n';
 }
 
 int run(int argc, char** argv)
 {
     std::string path;
     po::options_description options("azureladder-sidecar, the node beside a backend server");
-    options.add_options()("help", "show this text")(
-        "settings", po::value(&path)->required(), "settings file, JSON with comments")(
+    options.add_options()("help", "show this text")("settings", po::value(&path)->required(),
+                                                    "settings file, JSON with comments")(
         "check-settings", "check the settings and exit");
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, options), values);
--- a/libs/key_ranges/src/key_load.cpp
+++ b/libs/key_ranges/src/key_load.cpp
@@ -44,8 +44,8 @@
     std::uint32_t start = from;
     for (std::uint32_t end = from; end <= to; ++end) {
         sum += load.m_counts[end];
-        while (start < end && (load.m_counts[start] == 0.0F ||
-                               sum - load.m_counts[start] >= wanted || sum > most))
+        while (start < end &&
+               (load.m_counts[start] == 0.0F || sum - load.m_counts[start] >= wanted || sum > most))
             sum -= load.m_counts[start++];
         if (sum < wanted || sum > most)
             continue;
--- a/libs/key_ranges/src/range_table.cpp
+++ b/libs/key_ranges/src/range_table.cpp
@@ -44,9 +44,9 @@
 
 const range_entry* find_entry(const range_table& table, std::uint32_t key)
 {
-    const auto after =
-        std::upper_bound(table.m_entries.begin(), table.m_entries.end(), key,
-                         [](std::uint32_t value, const auto& entry) { return value < entry.m_from; });
+    const auto after = std::upper_bound(
+        table.m_entries.begin(), table.m_entries.end(), key,
+        [](std::uint32_t value, const auto& entry) { return value < entry.m_from; });
     return after == table.m_entries.begin() ? nullptr : &*std::prev(after);
 }
 
@@ -141,8 +141,8 @@
         const bool joins = !merged.empty() && entry.m_owner == owner &&
                            merged.back().m_owner == owner &&
                            entry.m_state == range_state::settled &&
-                           merged.back().m_state == range_state::settled &&
-                           !entry.m_life.empty() && merged.back().m_life == entry.m_life;
+                           merged.back().m_state == range_state::settled && !entry.m_life.empty() &&
+                           merged.back().m_life == entry.m_life;
         if (!joins) {
             merged.push_back(entry);
             continue;
--- a/libs/routing/src/gate.cpp
+++ b/libs/routing/src/gate.cpp
@@ -97,8 +97,8 @@
     if (state.m_running.size() >= state.m_limit)
         wait = work / std::max<std::uint32_t>(state.m_limit, 1);
     if (state.m_cold_rate_per_s > 0.0)
-        wait = std::max(wait, scaled(cold_window, static_cast<double>(ahead + 1) /
-                                                      state.m_cold_rate_per_s));
+        wait = std::max(
+            wait, scaled(cold_window, static_cast<double>(ahead + 1) / state.m_cold_rate_per_s));
     return wait;
 }
 
@@ -133,13 +133,13 @@
     const duration wait = predicted_wait(state, request, now, options);
     // Short executions take little from others, and often a running request waits for them.
     const bool is_short = service * 2 <= mean_running_time(state, now, options);
-    const duration allowed =
-        is_short ? scaled(request.m_deadline - now, options.m_short_deadline_share)
-                 : scaled(request.m_target - now, options.m_target_share);
+    const duration allowed = is_short
+                                 ? scaled(request.m_deadline - now, options.m_short_deadline_share)
+                                 : scaled(request.m_target - now, options.m_target_share);
     if (wait + service > allowed)
         return {admission::refuse, clamped_retry_after(wait, options)};
-    const auto place = std::upper_bound(state.m_waiting.begin(), state.m_waiting.end(), request,
-                                        is_more_urgent);
+    const auto place =
+        std::upper_bound(state.m_waiting.begin(), state.m_waiting.end(), request, is_more_urgent);
     state.m_waiting.insert(place, request);
     return {admission::wait, wait};
 }
@@ -213,8 +213,7 @@
     report.m_running = static_cast<std::uint32_t>(state.m_running.size());
     report.m_waiting = static_cast<std::uint32_t>(state.m_waiting.size());
     report.m_limit = state.m_limit;
-    report.m_service_time =
-        aged_mean(state.m_mean_service_time, state.m_last_sample, now, options);
+    report.m_service_time = aged_mean(state.m_mean_service_time, state.m_last_sample, now, options);
     report.m_failure_share =
         state.m_failure_share * (1.0 - forgotten_share(state.m_last_outcome, now, options));
     report.m_cold_rate_per_s = state.m_cold_rate_per_s;
--- a/libs/routing/src/placement.cpp
+++ b/libs/routing/src/placement.cpp
@@ -39,8 +39,7 @@
 {
     const gate_report& report = candidate.m_report;
     const double limit = std::max<std::uint32_t>(report.m_limit, 1);
-    const double use =
-        std::min(1.0, (report.m_running + candidate.m_sent_since_report) / limit);
+    const double use = std::min(1.0, (report.m_running + candidate.m_sent_since_report) / limit);
     // Servers slow down when they are nearly full, so a busy one costs up to half as much again.
     duration cost = scaled(service_time(report, options), 1.0 + 0.5 * use * use);
     cost += expected_wait(report, candidate.m_sent_since_report, options);
--- a/libs/sidecar/include/azureladder/sidecar/effects.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/effects.hpp
@@ -117,10 +117,9 @@
 {
 };
 
-using effect =
-    std::variant<pass_answer, answer_caller, connect_node, close_link, send_frame, start_execution,
-                 cancel_execution, grant_keys, release_keys, decode_configuration, read_table,
-                 write_table, log_line, stop_process>;
+using effect = std::variant<pass_answer, answer_caller, connect_node, close_link, send_frame,
+                            start_execution, cancel_execution, grant_keys, release_keys,
+                            decode_configuration, read_table, write_table, log_line, stop_process>;
 
 using effects = std::vector<effect>;
 
--- a/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
@@ -49,7 +49,6 @@
 struct ping_frame
 {
     std::uint64_t m_sequence = 0;
-    document_revisions m_documents;
 };
 
 /// Answers a ping, or states a change without one (sequence 0).
@@ -146,8 +145,8 @@
     std::int64_t m_confirmation_age_us = -1;
 };
 
-using peer_frame =
-    std::variant<hello_frame, ping_frame, status_frame, request_frame, cancel_frame, resume_frame,
-                 answer_frame, refusal_frame, failure_frame, document_request_frame, document_frame>;
+using peer_frame = std::variant<hello_frame, ping_frame, status_frame, request_frame, cancel_frame,
+                                resume_frame, answer_frame, refusal_frame, failure_frame,
+                                document_request_frame, document_frame>;
 
 } // namespace azureladder::sidecar
--- a/libs/sidecar/include/azureladder/sidecar/peer_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_state.hpp
@@ -33,6 +33,8 @@
     bool m_ping_open = false;
     duration m_round_trip = milliseconds(2);
 
+    time_point m_known_since;
+
     /// Last sign of life.
     time_point m_heard;
 };
--- a/libs/sidecar/src/documents.cpp
+++ b/libs/sidecar/src/documents.cpp
@@ -37,7 +37,6 @@
     if (backend != nullptr && known.m_evacuated_zones.count(context.m_state.m_options.m_zone) == 0)
         // Servers may be cold after an evacuation; the next announcement tells.
         context.m_state.m_cold_until_announced = context.m_now;
-    broadcast_status(context);
 }
 
 void request_document(step_context& context, const std::string& name, wanted_document& wanted)
@@ -71,8 +70,8 @@
     if (read.m_configuration_text && read.m_configuration_revision > known.m_revision)
         emit(context,
              decode_configuration{read.m_configuration_revision, *read.m_configuration_text});
-    const bool changed = read.m_evacuated_zones != known.m_evacuated_zones ||
-                         known.m_evacuations_revision == 0;
+    const bool changed =
+        read.m_evacuated_zones != known.m_evacuated_zones || known.m_evacuations_revision == 0;
     if (changed && read.m_revision > known.m_evacuations_revision)
         set_evacuations(context, read.m_revision, read.m_evacuated_zones);
 }
@@ -85,8 +84,7 @@
     const auto& configuration = *decoded.m_configuration;
     if (known.m_configuration && configuration.m_version < known.m_configuration->m_version) {
         log(context, log_level::warning, "older_configuration_ignored",
-            {{"version", configuration.m_version},
-             {"in_force", known.m_configuration->m_version}});
+            {{"version", configuration.m_version}, {"in_force", known.m_configuration->m_version}});
         return;
     }
     known.m_revision = decoded.m_revision;
@@ -97,7 +95,6 @@
         {{"version", configuration.m_version},
          {"revision", known.m_revision},
          {"routes", configuration.m_routes.size()}});
-    broadcast_status(context);
     retry_waiting_requests(context);
 }
 
@@ -161,8 +158,7 @@
         frame.m_revision = found->second.m_revision;
         frame.m_text = found->second.m_text;
         if (found->second.m_confirmed_at != time_point{})
-            frame.m_confirmation_age_us =
-                (context.m_now - found->second.m_confirmed_at).count();
+            frame.m_confirmation_age_us = (context.m_now - found->second.m_confirmed_at).count();
     }
     if (frame.m_revision != 0)
         send_on_link(context, link, std::move(frame));
@@ -199,8 +195,7 @@
     if (wanted != state.m_wanted.end() && wanted->second.m_requested_at != time_point{} &&
         frame.m_confirmation_age_us >= 0)
         confirmed_at = wanted->second.m_requested_at - duration(frame.m_confirmation_age_us);
-    adopt_table(context, table_service(frame.m_name), frame.m_revision, frame.m_text,
-                confirmed_at);
+    adopt_table(context, table_service(frame.m_name), frame.m_revision, frame.m_text, confirmed_at);
 }
 
 } // namespace azureladder::sidecar
--- a/libs/sidecar/src/gate_node.cpp
+++ b/libs/sidecar/src/gate_node.cpp
@@ -33,9 +33,8 @@
 
 routing::gate_report own_report(step_context& context)
 {
-    return routing::report_of(context.m_state.m_gate,
-                              is_gate_open(context.m_state, context.m_now), context.m_now,
-                              context.m_state.m_options.m_gate);
+    return routing::report_of(context.m_state.m_gate, is_gate_open(context.m_state, context.m_now),
+                              context.m_now, context.m_state.m_options.m_gate);
 }
 
 void refuse(step_context& context, std::uint64_t link, std::uint64_t frame,
@@ -57,8 +56,7 @@
     const auto found = context.m_state.m_executions.find(id);
     if (found == context.m_state.m_executions.end())
         return;
-    context.m_state.m_execution_of_frame.erase(
-        {found->second.m_origin, found->second.m_frame});
+    context.m_state.m_execution_of_frame.erase({found->second.m_origin, found->second.m_frame});
     context.m_state.m_executions.erase(found);
 }
 
@@ -80,9 +78,9 @@
     fields["backend"] = backend.m_announcement.m_id;
     fields["running"] = context.m_state.m_gate.m_running.size();
     log(context, log_level::info, "execution_started", std::move(fields));
-    emit(context, start_execution{execution.m_id, execution.m_request, backend.m_announcement.m_id,
-                                  backend.m_announcement.m_address,
-                                  execution.m_deadline - context.m_now});
+    emit(context,
+         start_execution{execution.m_id, execution.m_request, backend.m_announcement.m_id,
+                         backend.m_announcement.m_address, execution.m_deadline - context.m_now});
 }
 
 void refuse_waiting(step_context& context, std::uint64_t id, refusal_reason reason,
@@ -199,9 +197,9 @@
     if (state.m_disowned.count(frame_key) != 0 || state.m_execution_of_frame.count(frame_key) != 0)
         return;
     const forwarded_request& request = *frame.m_request;
-    const bool stop_tolerated =
-        state.m_stopping && context.m_now - state.m_stop_requested_at < stop_notice &&
-        state.m_backend && !is_withdrawn(state);
+    const bool stop_tolerated = state.m_stopping &&
+                                context.m_now - state.m_stop_requested_at < stop_notice &&
+                                state.m_backend && !is_withdrawn(state);
     if (!(is_gate_open(state, context.m_now) || stop_tolerated) || !state.m_backend ||
         state.m_backend->m_announcement.m_service != request.m_service) {
         refuse(context, link, frame.m_id, request, closed_reason(state, request), {});
@@ -301,10 +299,10 @@
     const duration elapsed = context.m_now - execution.m_started_at;
     const bool answered = ended.m_result == execution_result::answered;
     const bool failed = !answered || ended.m_answer->m_status >= 500;
-    const auto outcome = ended.m_result == execution_result::not_sent
-                             ? routing::execution_outcome::abandoned
-                             : (failed ? routing::execution_outcome::failed
-                                       : routing::execution_outcome::succeeded);
+    const auto outcome =
+        ended.m_result == execution_result::not_sent
+            ? routing::execution_outcome::abandoned
+            : (failed ? routing::execution_outcome::failed : routing::execution_outcome::succeeded);
     routing::finish(state.m_gate, ended.m_execution, elapsed, outcome, context.m_now,
                     state.m_options.m_gate);
     json fields = execution_fields(execution);
@@ -417,7 +415,6 @@
         log(context, log_level::info, "backend_leaving", {{"backend", announced.m_id}});
     }
     update_limits(context);
-    broadcast_status(context);
     start_waiting(context);
 }
 
@@ -440,11 +437,10 @@
 {
     node_state& state = context.m_state;
     update_limits(context);
-    const bool evacuated =
-        state.m_known.m_evacuated_zones.count(state.m_options.m_zone) != 0;
-    const bool left = state.m_backend && state.m_backend->m_leaving &&
-                      context.m_now - state.m_backend->m_leaving_since >
-                          state.m_options.m_drain_start_window;
+    const bool evacuated = state.m_known.m_evacuated_zones.count(state.m_options.m_zone) != 0;
+    const bool left =
+        state.m_backend && state.m_backend->m_leaving &&
+        context.m_now - state.m_backend->m_leaving_since > state.m_options.m_drain_start_window;
     if (evacuated || left)
         refuse_all_waiting(context, refusal_reason::closed);
     start_waiting(context);
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -99,8 +99,8 @@
         finish_with_status(context, request, 502, "failed", {});
         return;
     }
-    const duration advised = request.m_advised_wait > duration::zero() ? request.m_advised_wait
-                                                                       : default_retry_after;
+    const duration advised =
+        request.m_advised_wait > duration::zero() ? request.m_advised_wait : default_retry_after;
     finish_with_status(context, request, 503, "refused", advised);
 }
 
@@ -136,9 +136,9 @@
 /// Lets a request wait for the owner of its key, or refuses it when it has waited long enough.
 void wait_for_owner(step_context& context, open_request& request, const char* cause)
 {
-    const auto limit = duration(static_cast<duration::rep>(
-        static_cast<double>(request.m_target_latency.count()) *
-        context.m_state.m_options.m_moving_wait_share));
+    const auto limit =
+        duration(static_cast<duration::rep>(static_cast<double>(request.m_target_latency.count()) *
+                                            context.m_state.m_options.m_moving_wait_share));
     request.m_last_cause = cause;
     if (context.m_now - request.m_arrived < limit) {
         request.m_waits_for_owner = true;
@@ -222,8 +222,7 @@
     if (request.m_request->m_kind != routing::request_kind::idempotent ||
         request.m_executions >= request.m_max_attempts || context.m_now >= request.m_deadline)
         return false;
-    return routing::take_retry(
-        context.m_state.m_retry_budgets[request.m_request->m_service]);
+    return routing::take_retry(context.m_state.m_retry_budgets[request.m_request->m_service]);
 }
 
 /// Goes on after an execution that failed or whose outcome is unknown.
@@ -241,8 +240,7 @@
     dispatch(context, request);
 }
 
-void note_report(step_context& context, const std::string& node,
-                 const routing::gate_report& report)
+void note_report(step_context& context, const std::string& node, const routing::gate_report& report)
 {
     const auto peer = context.m_state.m_peers.find(node);
     if (peer == context.m_state.m_peers.end())
@@ -347,8 +345,8 @@
     request->m_last_cause = std::string(name_in(refusal_reason_names, frame.m_reason));
     ++request->m_refusals;
     const duration advised(frame.m_retry_after_us);
-    if (advised > duration::zero() && (request->m_advised_wait == duration::zero() ||
-                                       advised < request->m_advised_wait))
+    if (advised > duration::zero() &&
+        (request->m_advised_wait == duration::zero() || advised < request->m_advised_wait))
         request->m_advised_wait = advised;
     if (frame.m_reason != refusal_reason::unknown_request)
         request->m_tried.insert(node);
@@ -358,9 +356,9 @@
         return;
     }
     // The rejected request has arrived at a server, so a further one counts against the budget.
-    const bool may_go_on = frame.m_reason != refusal_reason::rejected_by_server ||
-                           routing::take_retry(
-                               context.m_state.m_retry_budgets[request->m_request->m_service]);
+    const bool may_go_on =
+        frame.m_reason != refusal_reason::rejected_by_server ||
+        routing::take_retry(context.m_state.m_retry_budgets[request->m_request->m_service]);
     const bool only_owner_serves = keyed && frame.m_reason == refusal_reason::overloaded;
     if (request->m_refusals >= max_refusals || !may_go_on || only_owner_serves)
         finish_unserved(context, *request);
--- a/libs/sidecar/src/key_holds.cpp
+++ b/libs/sidecar/src/key_holds.cpp
@@ -70,9 +70,9 @@
     hold.m_order = state.m_next_order++;
     hold.m_order_sent = context.m_now;
     hold.m_last_sent = context.m_now;
-    emit(context, grant_keys{hold.m_order, state.m_backend->m_announcement.m_address, from,
-                             hold.m_to, hold.m_fence, state.m_options.m_holds.m_hold_time,
-                             hold.m_handover});
+    emit(context,
+         grant_keys{hold.m_order, state.m_backend->m_announcement.m_address, from, hold.m_to,
+                    hold.m_fence, state.m_options.m_holds.m_hold_time, hold.m_handover});
 }
 
 void renew_if_due(step_context& context, std::uint32_t from, range_hold& hold,
@@ -170,8 +170,7 @@
             hold.m_handover = part.m_handover;
             // The rest of a range whose front is moving keeps its times.
             for (const auto& [from, former] : keys.m_holds) {
-                if (former.m_fence != part.m_fence || from > part.m_from ||
-                    former.m_to < part.m_to)
+                if (former.m_fence != part.m_fence || from > part.m_from || former.m_to < part.m_to)
                     continue;
                 hold = former;
                 if (hold.m_order != 0)
--- a/libs/sidecar/src/key_moves.cpp
+++ b/libs/sidecar/src/key_moves.cpp
@@ -34,16 +34,19 @@
     for (const auto& [first, hold] : keys.m_holds) {
         if (hold.m_fence != entry.m_fence || hold.m_to < from || first > to)
             continue;
-        move.m_hold_end = std::max(move.m_hold_end,
-                                   key_ranges::hold_end(hold.m_last_sent, options));
+        move.m_hold_end =
+            std::max(move.m_hold_end, key_ranges::hold_end(hold.m_last_sent, options));
         const time_point unanswered =
             hold.m_order != 0 ? hold.m_order_sent : hold.m_unanswered_sent;
         if (unanswered != time_point{})
-            move.m_not_before = std::max(move.m_not_before,
-                                         key_ranges::hold_end(unanswered, options));
+            move.m_not_before =
+                std::max(move.m_not_before, key_ranges::hold_end(unanswered, options));
     }
     log(context, log_level::info, "keys_moving",
-        {{"from", from}, {"to", to}, {"fence", move.m_fence}, {"target", target},
+        {{"from", from},
+         {"to", to},
+         {"fence", move.m_fence},
+         {"target", target},
          {"reason", reason}});
     keys.m_moves.push_back(std::move(move));
 }
@@ -53,8 +56,8 @@
     node_state& state = context.m_state;
     move.m_order = state.m_next_order++;
     move.m_order_sent = context.m_now;
-    emit(context, release_keys{move.m_order, state.m_backend->m_announcement.m_address,
-                               move.m_from, move.m_to, move.m_fence});
+    emit(context, release_keys{move.m_order, state.m_backend->m_announcement.m_address, move.m_from,
+                               move.m_to, move.m_fence});
 }
 
 /// Members that may take ranges, those with the least work first.
@@ -94,8 +97,8 @@
         if (entry.m_owner != context.m_state.m_options.m_node ||
             entry.m_state != key_ranges::range_state::settled)
             continue;
-        begin_move(context, entry, entry.m_from, entry.m_to,
-                   targets[next++ % targets.size()].first, "node gives up its ranges");
+        begin_move(context, entry, entry.m_from, entry.m_to, targets[next++ % targets.size()].first,
+                   "node gives up its ranges");
     }
 }
 
@@ -115,8 +118,7 @@
                         use - target_use >= state.m_options.m_balance_threshold;
     if (!uneven && !newcomer)
         return;
-    const double share =
-        std::min(max_moved_share, (use - target_use) / 2.0 / std::max(use, 0.01));
+    const double share = std::min(max_moved_share, (use - target_use) / 2.0 / std::max(use, 0.01));
     double total = 0.0;
     for (const auto& [from, hold] : keys.m_holds)
         total += key_ranges::load_of(keys.m_load, from, hold.m_to);
@@ -160,8 +162,8 @@
                 {{"from", move.m_from}, {"to", move.m_to}, {"fence", move.m_fence}});
             continue;
         }
-        const bool waiting = move.m_order != 0 &&
-                             context.m_now - move.m_order_sent < release_timeout;
+        const bool waiting =
+            move.m_order != 0 && context.m_now - move.m_order_sent < release_timeout;
         if (!waiting && state.m_backend && !state.m_backend->m_unreachable)
             send_release(context, move);
     }
@@ -173,10 +175,8 @@
 {
     if (!state.m_backend || state.m_gate.m_limit == 0)
         return 0.0;
-    const auto report =
-        routing::report_of(state.m_gate, true, now, state.m_options.m_gate);
-    const double seconds_each =
-        std::chrono::duration<double>(report.m_service_time).count();
+    const auto report = routing::report_of(state.m_gate, true, now, state.m_options.m_gate);
+    const double seconds_each = std::chrono::duration<double>(report.m_service_time).count();
     const double interval =
         std::chrono::duration<double>(state.m_options.m_balance_interval).count();
     // The decaying count converges to rate * interval / (1 - decay).
--- a/libs/sidecar/src/key_tables.cpp
+++ b/libs/sidecar/src/key_tables.cpp
@@ -13,6 +13,9 @@
 using key_ranges::range_state;
 using key_ranges::range_table;
 
+/// Pause between two pings that ask the confirming owner for its age.
+constexpr duration confirmation_ping_pause = milliseconds(300);
+
 known_table* local_table(node_state& state)
 {
     const auto found = state.m_tables.find(local_keyed_service(state));
@@ -158,17 +161,37 @@
     write(context, service, 0, key_ranges::make_table(members), "created");
 }
 
+/// The first of the owners that are alive reads the store for all of them.
+std::string confirming_owner(const node_state& state, const range_table& table, time_point now)
+{
+    std::string first;
+    for (const auto& entry : table.m_entries) {
+        if (is_alive(state, entry.m_owner, now) && (first.empty() || entry.m_owner < first))
+            first = entry.m_owner;
+    }
+    return first;
+}
+
 void read_if_due(step_context& context, const std::string& service, const known_table* table)
 {
-    key_ownership& keys = context.m_state.m_ownership;
-    const auto& options = context.m_state.m_options;
+    node_state& state = context.m_state;
+    key_ownership& keys = state.m_ownership;
     if (keys.m_reading || keys.m_writing || context.m_now < keys.m_next_read)
         return;
-    const bool due =
-        table == nullptr ||
-        context.m_now - table->m_confirmed_at > options.m_holds.m_confirmation_validity / 3;
-    if (!due)
-        return;
+    if (table != nullptr) {
+        const duration validity = state.m_options.m_holds.m_confirmation_validity;
+        const duration age = context.m_now - table->m_confirmed_at;
+        if (age <= validity / 3)
+            return;
+        const std::string confirming = confirming_owner(state, table->m_table, context.m_now);
+        const auto peer = state.m_peers.find(confirming);
+        if (peer != state.m_peers.end() && age <= validity / 2) {
+            if (!peer->second.m_ping_open &&
+                context.m_now - peer->second.m_ping_sent >= confirmation_ping_pause)
+                ping(context, peer->second);
+            return;
+        }
+    }
     keys.m_reading = true;
     emit(context, read_table{service});
 }
@@ -176,9 +199,8 @@
 /// Spreads the calls of the members, so that one read confirms the table for all.
 duration with_jitter(step_context& context, duration base)
 {
-    return base + duration(static_cast<duration::rep>(
-                      context.m_state.m_random() %
-                      static_cast<std::uint64_t>(base.count())));
+    return base + duration(static_cast<duration::rep>(context.m_state.m_random() %
+                                                      static_cast<std::uint64_t>(base.count())));
 }
 
 } // namespace
@@ -234,7 +256,6 @@
         check_moves(context);
         check_holds(context);
     }
-    broadcast_status(context);
     retry_waiting_requests(context);
 }
 
@@ -267,6 +288,8 @@
         keys.m_absent = false;
         adopt_table(context, written.m_service, written.m_revision, keys.m_proposed_text,
                     written.m_sent_at);
+        // Only the writer tells all peers; the others would repeat it.
+        broadcast_status(context);
         return;
     }
     // Reads before the next proposal: the write, or somebody else's, may have taken effect.
--- a/libs/sidecar/src/mesh.cpp
+++ b/libs/sidecar/src/mesh.cpp
@@ -8,12 +8,26 @@
 
 namespace {
 
-hello_frame make_hello(const node_state& state)
+/// Peers that a greeting names at most, and for how long a peer counts as new.
+constexpr std::size_t max_introductions = 8;
+constexpr duration introduction_time = seconds(20);
+
+/// A peer from which nothing was heard is pinged after this time for each known peer, so that the
+/// pings of a node do not grow with the number of nodes.
+constexpr duration ping_time_per_peer = milliseconds(40);
+
+hello_frame make_hello(const node_state& state, time_point now)
 {
-    hello_frame hello{state.m_options.m_node, state.m_options.m_incarnation,
-                      state.m_options.m_peer_address, state.m_options.m_zone, {}};
+    hello_frame hello{state.m_options.m_node,
+                      state.m_options.m_incarnation,
+                      state.m_options.m_peer_address,
+                      state.m_options.m_zone,
+                      {}};
     for (const auto& [node, peer] : state.m_peers) {
-        if (peer.m_greeted)
+        if (hello.m_known.size() >= max_introductions)
+            break;
+        // Nodes that joined last are the ones that others may not know yet.
+        if (peer.m_greeted && now - peer.m_known_since < introduction_time)
             hello.m_known[node] = peer.m_address;
     }
     return hello;
@@ -26,8 +40,10 @@
         return;
     auto [place, added] = state.m_peers.try_emplace(node);
     peer_state& peer = place->second;
-    if (added)
+    if (added) {
         peer.m_heard = context.m_now;
+        peer.m_known_since = context.m_now;
+    }
     if (peer.m_address == address)
         return;
     peer.m_address = address;
@@ -41,11 +57,11 @@
     frame.m_sequence = sequence;
     frame.m_status = status_of(state, now);
     frame.m_documents = known_revisions(state);
-    for (const auto& [service, table] : state.m_tables) {
-        if (table.m_confirmed_at != time_point{})
-            frame.m_confirmation_age_us[table_document(service)] =
-                (now - table.m_confirmed_at).count();
-    }
+    const std::string service = local_keyed_service(state);
+    const auto table = state.m_tables.find(service);
+    if (table != state.m_tables.end() && table->second.m_confirmed_at != time_point{})
+        frame.m_confirmation_age_us[table_document(service)] =
+            (now - table->second.m_confirmed_at).count();
     return frame;
 }
 
@@ -54,8 +70,7 @@
 {
     const node_status status = status_of(state, now);
     return status.m_service + '|' + status.m_life + '|' +
-           (status.m_report.m_open ? "open" : "closed") + (status.m_leaving ? "|leaving" : "") +
-           json(known_revisions(state)).dump();
+           (status.m_report.m_open ? "open" : "closed") + (status.m_leaving ? "|leaving" : "");
 }
 
 void drop_link(step_context& context, const std::string& node, peer_state& peer)
@@ -71,14 +86,6 @@
     on_peer_link_lost(context, node);
 }
 
-void ping(step_context& context, peer_state& peer)
-{
-    peer.m_ping_sent = context.m_now;
-    peer.m_ping_open = true;
-    send_on_link(context, peer.m_link,
-                 ping_frame{++peer.m_ping_sequence, known_revisions(context.m_state)});
-}
-
 void connect_if_due(step_context& context, const std::string& node, peer_state& peer)
 {
     if (peer.m_link != 0 || peer.m_connecting || context.m_now < peer.m_next_connect)
@@ -89,14 +96,21 @@
 
 } // namespace
 
+void ping(step_context& context, peer_state& peer)
+{
+    peer.m_ping_sent = context.m_now;
+    peer.m_ping_open = true;
+    send_on_link(context, peer.m_link, ping_frame{++peer.m_ping_sequence});
+}
+
 node_status status_of(const node_state& state, time_point now)
 {
     node_status status;
     status.m_service =
         state.m_backend ? state.m_backend->m_announcement.m_service : state.m_options.m_service;
     status.m_life = local_life(state);
-    status.m_report = routing::report_of(state.m_gate, is_gate_open(state, now), now,
-                                         state.m_options.m_gate);
+    status.m_report =
+        routing::report_of(state.m_gate, is_gate_open(state, now), now, state.m_options.m_gate);
     status.m_leaving = state.m_stopping;
     status.m_key_use = key_use(state, now);
     status.m_owns_keys = !state.m_ownership.m_holds.empty();
@@ -154,7 +168,7 @@
     peer.m_greeted = false;
     peer.m_heard = context.m_now;
     state.m_node_of_link[opened.m_link] = opened.m_node;
-    send_on_link(context, opened.m_link, make_hello(state));
+    send_on_link(context, opened.m_link, make_hello(state, context.m_now));
 }
 
 void on_link_closed(step_context& context, const link_closed& closed)
@@ -181,9 +195,8 @@
     const node_options& options = context.m_state.m_options;
     peer.m_connecting = false;
     peer.m_next_connect = context.m_now + peer.m_connect_pause;
-    peer.m_connect_pause =
-        std::clamp(peer.m_connect_pause * 2, options.m_min_connect_pause,
-                   options.m_max_connect_pause);
+    peer.m_connect_pause = std::clamp(peer.m_connect_pause * 2, options.m_min_connect_pause,
+                                      options.m_max_connect_pause);
 }
 
 void on_nodes_listed(step_context& context, const nodes_listed& listed)
@@ -226,7 +239,7 @@
         // The peer is alive, so a pause before the next attempt to connect to it is needless.
         if (peer.m_link == 0)
             peer.m_next_connect = context.m_now;
-        send_on_link(context, link, make_hello(state));
+        send_on_link(context, link, make_hello(state, context.m_now));
         send_on_link(context, link, make_status(state, 0, context.m_now));
         return;
     }
@@ -242,7 +255,6 @@
 void on_ping(step_context& context, std::uint64_t link, const ping_frame& frame)
 {
     send_on_link(context, link, make_status(context.m_state, frame.m_sequence, context.m_now));
-    on_peer_revisions(context, link, frame.m_documents);
 }
 
 void on_status(step_context& context, std::uint64_t link, const status_frame& frame)
@@ -294,12 +306,16 @@
             const duration silence = context.m_now - std::max(peer.m_heard, peer.m_ping_sent);
             const duration waited = context.m_now - peer.m_ping_sent;
             const duration interval =
-                peer.m_open_requests > 0 ? options.m_busy_ping_interval : options.m_idle_ping_interval;
+                peer.m_open_requests > 0
+                    ? options.m_busy_ping_interval
+                    : std::max(options.m_idle_ping_interval,
+                               ping_time_per_peer *
+                                   static_cast<std::int64_t>(state.m_peers.size()));
             if ((peer.m_ping_open && waited > options.m_reconnect_after) ||
                 (!peer.m_greeted && silence > options.m_reconnect_after)) {
                 emit(context, close_link{peer.m_link});
                 drop_link(context, node, peer);
-            } else if (peer.m_greeted && !peer.m_ping_open && waited >= interval) {
+            } else if (peer.m_greeted && !peer.m_ping_open && silence >= interval) {
                 ping(context, peer);
             }
         }
--- a/libs/sidecar/src/peer_frame_codec.cpp
+++ b/libs/sidecar/src/peer_frame_codec.cpp
@@ -59,8 +59,12 @@
 
 json report_json(const routing::gate_report& report)
 {
-    return {report.m_open,  report.m_running,       report.m_waiting,
-            report.m_limit, report.m_service_time.count(), report.m_failure_share,
+    return {report.m_open,
+            report.m_running,
+            report.m_waiting,
+            report.m_limit,
+            report.m_service_time.count(),
+            report.m_failure_share,
             report.m_cold_rate_per_s};
 }
 
@@ -79,7 +83,7 @@
 
 json status_json(const node_status& status)
 {
-    return {status.m_service,  status.m_life,    report_json(status.m_report),
+    return {status.m_service, status.m_life,    report_json(status.m_report),
             status.m_leaving, status.m_key_use, status.m_owns_keys};
 }
 
@@ -103,7 +107,7 @@
 
 json head_of(const ping_frame& frame)
 {
-    return {frame.m_sequence, frame.m_documents};
+    return json::array({frame.m_sequence});
 }
 
 json head_of(const status_frame& frame)
@@ -232,7 +236,7 @@
                            head.at(2).get<std::string>(), head.at(3).get<std::string>(),
                            head.at(4).get<std::map<std::string, std::string>>()};
     case frame_type::ping:
-        return ping_frame{head.at(0).get<std::uint64_t>(), head.at(1).get<document_revisions>()};
+        return ping_frame{head.at(0).get<std::uint64_t>()};
     case frame_type::status:
         return status_frame{head.at(0).get<std::uint64_t>(), read_status(head.at(1)),
                             head.at(2).get<document_revisions>(),
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -48,7 +48,8 @@
     const std::string node =
         found == context.m_state.m_node_of_link.end() ? std::string() : found->second;
     const auto peer = context.m_state.m_peers.find(node);
-    if (peer != context.m_state.m_peers.end())
+    // Frames on a connection that the peer opened don't show that this node's own one works.
+    if (peer != context.m_state.m_peers.end() && peer->second.m_link == received.m_link)
         peer->second.m_heard = context.m_now;
     dispatch_frame(context, received.m_link, node, received.m_frame);
 }
@@ -107,7 +108,10 @@
     void operator()(const frame_received& e) { on_frame(m_context, e); }
     void operator()(const execution_ended& e) { on_execution_ended(m_context, e); }
     void operator()(const order_ended& e) { on_order_ended(m_context, e); }
-    void operator()(const backend_announced& e) { on_backend_announced(m_context, e.m_announcement); }
+    void operator()(const backend_announced& e)
+    {
+        on_backend_announced(m_context, e.m_announcement);
+    }
     void operator()(const backend_removed& e) { on_backend_removed(m_context, e.m_id); }
     void operator()(const operator_documents& e) { on_operator_documents(m_context, e); }
     void operator()(const configuration_decoded& e) { on_configuration_decoded(m_context, e); }
--- a/libs/sidecar_runtime/src/backend_pool.cpp
+++ b/libs/sidecar_runtime/src/backend_pool.cpp
@@ -31,7 +31,7 @@
     const auto now = std::chrono::steady_clock::now();
     while (!idle.empty()) {
         // The connection that was used last is the least likely to be closed.
-        const connection_ptr connection = idle.back();
+        connection_ptr connection = idle.back();
         idle.pop_back();
         if (connection->is_reusable() && now < connection->idle_end())
             return connection;
@@ -95,15 +95,15 @@
                               const http_request& request)
 {
     const connection_ptr connection = take_connection(address);
-    connection->exchange(request, m_options.m_order_timeout, nullptr,
-                         [this, order, address, connection](const exchange_outcome& outcome) {
-                             give_back(address, connection);
-                             if (outcome.m_result == exchange_result::answered)
-                                 m_report(m_formats.read_order_reply(order, outcome.m_response));
-                             else
-                                 m_report(sidecar::order_ended{
-                                     order, sidecar::order_result::unanswered, ""});
-                         });
+    connection->exchange(
+        request, m_options.m_order_timeout, nullptr,
+        [this, order, address, connection](const exchange_outcome& outcome) {
+            give_back(address, connection);
+            if (outcome.m_result == exchange_result::answered)
+                m_report(m_formats.read_order_reply(order, outcome.m_response));
+            else
+                m_report(sidecar::order_ended{order, sidecar::order_result::unanswered, ""});
+        });
 }
 
 void backend_pool::grant(const sidecar::grant_keys& order)
--- a/libs/sidecar_runtime/src/http_message.cpp
+++ b/libs/sidecar_runtime/src/http_message.cpp
@@ -22,10 +22,17 @@
 
 bool is_hop_by_hop(std::string_view name)
 {
-    constexpr std::array<std::string_view, 11> names = {
-        "Connection", "Keep-Alive",        "Proxy-Connection",    "Transfer-Encoding",
-        "TE",         "Trailer",           "Upgrade",             "Content-Length",
-        "Expect",     "Proxy-Authenticate", "Proxy-Authorization"};
+    constexpr std::array<std::string_view, 11> names = {"Connection",
+                                                        "Keep-Alive",
+                                                        "Proxy-Connection",
+                                                        "Transfer-Encoding",
+                                                        "TE",
+                                                        "Trailer",
+                                                        "Upgrade",
+                                                        "Content-Length",
+                                                        "Expect",
+                                                        "Proxy-Authenticate",
+                                                        "Proxy-Authorization"};
     return std::any_of(names.begin(), names.end(),
                        [&](std::string_view known) { return same_name(known, name); });
 }
--- a/libs/sidecar_runtime/src/http_session.cpp
+++ b/libs/sidecar_runtime/src/http_session.cpp
@@ -133,21 +133,20 @@
 
 void http_session::watch_for_close()
 {
-    m_stream.socket().async_wait(
-        tcp::socket::wait_read,
-        [self = shared_from_this(), request = m_requests](error_code error) {
-            if (error || !self->m_open_request || self->m_requests != request)
-                return;
-            char byte = 0;
-            const auto seen = recv(self->m_stream.socket().native_handle(), &byte, 1,
-                                   MSG_PEEK | MSG_DONTWAIT);
-            // A pipelined request keeps the socket readable, so a later close can't be seen.
-            if (seen > 0 || (seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)))
-                return;
-            self->m_open_request = false;
-            self->m_handlers.m_on_left(*self);
-            self->end();
-        });
+    m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(),
+                                                          request = m_requests](error_code error) {
+        if (error || !self->m_open_request || self->m_requests != request)
+            return;
+        char byte = 0;
+        const auto seen =
+            recv(self->m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        // A pipelined request keeps the socket readable, so a later close can't be seen.
+        if (seen > 0 || (seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)))
+            return;
+        self->m_open_request = false;
+        self->m_handlers.m_on_left(*self);
+        self->end();
+    });
 }
 
 void http_session::answer(const http_response& response)
@@ -181,8 +180,7 @@
                       [self = shared_from_this(), keep_alive](error_code error, std::size_t) {
                           if (error || !keep_alive) {
                               error_code ignored;
-                              self->m_stream.socket().shutdown(tcp::socket::shutdown_send,
-                                                               ignored);
+                              self->m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
                               self->end();
                               return;
                           }
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -64,7 +64,8 @@
       m_clock(time), m_options(make_options(settings)),
       m_log(time, {m_options.m_node, m_options.m_incarnation}, STDOUT_FILENO),
       m_state(sidecar::make_node(m_options, time.now(), random_number())),
-      m_backend(m_io, formats, {}, [this](sidecar::event happened) { happen(std::move(happened)); }),
+      m_backend(m_io, formats, {},
+                [this](sidecar::event happened) { happen(std::move(happened)); }),
       m_store(
           m_io, time, formats, make_store_options(settings),
           [this](sidecar::event happened) { happen(std::move(happened)); },
@@ -90,26 +91,25 @@
         std::make_unique<http_listener>(m_io, m_settings.m_caller_address, caller_callbacks());
     m_registry_listener = std::make_unique<http_listener>(
         m_io, m_settings.m_registry_address,
-        plain_callbacks([this](const auto& session, http_request request) {
+        plain_callbacks([this](const auto& session, const http_request& request) {
             on_registry(session, request);
         }));
     m_ready_listener = std::make_unique<http_listener>(
         m_io, m_settings.m_ready_address,
-        plain_callbacks([this](const auto& session, http_request request) {
+        plain_callbacks([this](const auto& session, const http_request& request) {
             on_ready_probe(session, request);
         }));
     m_metrics_listener = std::make_unique<http_listener>(
         m_io, m_settings.m_metrics_address,
-        plain_callbacks([this](const auto& session, http_request /*request*/) {
-            on_metrics(session);
-        }));
+        plain_callbacks(
+            [this](const auto& session, const http_request& /*request*/) { on_metrics(session); }));
 }
 
 http_session::callbacks node_runtime::impl::caller_callbacks()
 {
     http_session::callbacks callbacks;
-    callbacks.m_on_request = [this](const auto& session, http_request request) {
-        on_caller(session, std::move(request));
+    callbacks.m_on_request = [this](const auto& session, const http_request& request) {
+        on_caller(session, request);
     };
     callbacks.m_on_left = [this](const http_session& session) { on_caller_left(session); };
     callbacks.m_limits = [this] {
@@ -254,8 +254,8 @@
     auto configuration = std::make_shared<routing::routing_configuration>(
         std::get<routing::routing_configuration>(std::move(decoded)));
     routing::index_routes(*configuration);
-    happen(sidecar::configuration_decoded{wanted.m_revision, wanted.m_text,
-                                          std::move(configuration)});
+    happen(
+        sidecar::configuration_decoded{wanted.m_revision, wanted.m_text, std::move(configuration)});
 }
 
 void node_runtime::impl::apply(const sidecar::log_line& wanted)
@@ -271,9 +271,9 @@
 }
 
 void node_runtime::impl::on_caller(const std::shared_ptr<http_session>& session,
-                                   http_request request)
+                                   const http_request& request)
 {
-    auto read = m_formats.read_caller_request(std::move(request));
+    auto read = m_formats.read_caller_request(request);
     if (const auto* error = std::get_if<translation_error>(&read)) {
         m_log.write(log_level::info, "request_malformed", {{"cause", error->m_reason}});
         session->answer({400, {{"Content-Type", "text/plain"}}, error->m_reason + "\n"});
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -44,7 +44,7 @@
     void apply(const sidecar::log_line& wanted);
     void apply(const sidecar::stop_process& wanted);
 
-    void on_caller(const std::shared_ptr<http_session>& session, http_request request);
+    void on_caller(const std::shared_ptr<http_session>& session, const http_request& request);
     void on_caller_left(const http_session& session);
     void on_registry(const std::shared_ptr<http_session>& session, const http_request& request);
     void on_ready_probe(const std::shared_ptr<http_session>& session, const http_request& request);
--- a/libs/sidecar_runtime/src/sidecar_settings.cpp
+++ b/libs/sidecar_runtime/src/sidecar_settings.cpp
@@ -16,9 +16,8 @@
                               return !text.empty() && is_plain_text(text, max_name_bytes);
                           }};
 
-const text_rule endpoint_rule{"an address IP:PORT", [](const std::string& text) {
-                                  return parse_endpoint(text).has_value();
-                              }};
+const text_rule endpoint_rule{
+    "an address IP:PORT", [](const std::string& text) { return parse_endpoint(text).has_value(); }};
 
 void read_endpoint(object_reader& reader, const std::string& name, endpoint& value)
 {
--- a/libs/sidecar_runtime/src/store_session.cpp
+++ b/libs/sidecar_runtime/src/store_session.cpp
@@ -87,18 +87,17 @@
     if (!connection)
         connection = std::make_shared<client_connection>(m_io, m_options.m_address,
                                                          m_options.m_connect_timeout);
-    connection->exchange(request, timeout, nullptr,
-                         [this, connection, reply = std::move(reply)](
-                             const exchange_outcome& outcome) {
-                             if (connection->is_reusable())
-                                 m_idle.push_back(connection);
-                             const bool reachable =
-                                 outcome.m_result == exchange_result::answered &&
-                                 outcome.m_response.m_status != 503 &&
-                                 outcome.m_response.m_status != 429;
-                             note_reachable(reachable, describe(outcome));
-                             reply(outcome);
-                         });
+    connection->exchange(
+        request, timeout, nullptr,
+        [this, connection, reply = std::move(reply)](const exchange_outcome& outcome) {
+            if (connection->is_reusable())
+                m_idle.push_back(connection);
+            const bool reachable = outcome.m_result == exchange_result::answered &&
+                                   outcome.m_response.m_status != 503 &&
+                                   outcome.m_response.m_status != 429;
+            note_reachable(reachable, describe(outcome));
+            reply(outcome);
+        });
 }
 
 void store_session::load_documents(const std::string& after_key)
@@ -208,10 +207,9 @@
 {
     call(m_formats.write_lease(m_options.m_record_life), m_options.m_call_timeout,
          [this](const exchange_outcome& outcome) {
-             const auto read = is_success(outcome)
-                                   ? m_formats.read_lease(outcome.m_response)
-                                   : std::variant<std::uint64_t, translation_error>(
-                                         translation_error{describe(outcome)});
+             const auto read = is_success(outcome) ? m_formats.read_lease(outcome.m_response)
+                                                   : std::variant<std::uint64_t, translation_error>(
+                                                         translation_error{describe(outcome)});
              if (const auto* lease = std::get_if<std::uint64_t>(&read))
                  write_record(*lease);
              else
--- a/libs/sidecar_runtime/src/store_session.hpp
+++ b/libs/sidecar_runtime/src/store_session.hpp
@@ -35,12 +35,12 @@
     milliseconds m_retry_pause{400};
 
     /// Life of the record of this node without renewal, and time between renewals.
-    milliseconds m_record_life{60'000};
-    milliseconds m_renew_interval{20'000};
+    milliseconds m_record_life{120'000};
+    milliseconds m_renew_interval{40'000};
 
     /// Further readings of the list of nodes after the first, from the start. All nodes start
     /// within a second; later ones introduce themselves.
-    std::vector<milliseconds> m_list_times{milliseconds(900), milliseconds(4000)};
+    std::vector<milliseconds> m_list_times{milliseconds(900)};
     milliseconds m_list_interval{30'000};
 };
 
