Name the new owner of moved keys in refusals and balance towards the mean

Cause: callers of a range that was moving asked its owner every 25 ms, so an owner on 0.1 cores handled ten times its load; each table change went to all nodes in full; conflicting writes waited 400 ms and were tried 358 times for 74 moves; all busy owners chose the same receiver.

--- a/libs/sidecar/include/azureladder/sidecar/events.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/events.hpp
@@ -171,7 +171,10 @@
 {
     std::string m_service;
     write_result m_result = write_result::unknown;
+
+    /// Revision of the table in the store, and after a conflict its text, if the answer has it.
     std::uint64_t m_revision = 0;
+    std::string m_text;
     time_point m_sent_at;
 };
 
--- a/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
@@ -3,6 +3,7 @@
 #include <azureladder/base/time.hpp>
 #include <azureladder/key_ranges/key_load.hpp>
 #include <azureladder/key_ranges/range_table.hpp>
+#include <azureladder/sidecar/peer_frame.hpp>
 
 #include <cstdint>
 #include <map>
@@ -19,6 +20,9 @@
     key_ranges::range_table m_table;
     std::string m_text;
 
+    /// Owners that refusals have named since this revision.
+    std::vector<owner_hint> m_hints;
+
     /// Start of the newest read or write that showed the store's table to be the known one.
     time_point m_confirmed_at;
 };
--- a/libs/sidecar/include/azureladder/sidecar/open_request.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/open_request.hpp
@@ -42,8 +42,9 @@
     duration m_advised_wait{};
     std::string m_last_cause;
 
-    /// Waits for a range that is moving.
+    /// Waits for a range that is moving, and asks its owner again from time to time.
     bool m_waits_for_owner = false;
+    time_point m_ask_owner_at;
 
     /// The best answer so far of a backend server that failed.
     server_answer_ptr m_failed_answer;
--- a/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -112,6 +113,15 @@
     {refusal_reason::cancelled, "cancelled"},
 };
 
+/// Owner of some keys, newer than the table of the receiver.
+struct owner_hint
+{
+    std::uint32_t m_from = 0;
+    std::uint32_t m_to = 0;
+    std::string m_owner;
+    std::uint64_t m_fence = 0;
+};
+
 /// The request was not executed and never will be.
 struct refusal_frame
 {
@@ -119,6 +129,9 @@
     refusal_reason m_reason = refusal_reason::no_server;
     std::int64_t m_retry_after_us = 0;
     routing::gate_report m_report;
+
+    /// Set when the keys of the request have another owner.
+    std::optional<owner_hint> m_owner;
 };
 
 /// The request was sent to the backend server and has no usable answer.
--- a/libs/sidecar/src/documents.cpp
+++ b/libs/sidecar/src/documents.cpp
@@ -11,6 +11,10 @@
 /// Time for which this node's own watch of the store may still bring a document that a peer has.
 constexpr duration watch_head_start = milliseconds(200);
 
+/// Time between two readings of a range table, for its owners and for others.
+constexpr duration owner_table_patience = milliseconds(250);
+constexpr duration table_patience = milliseconds(2000);
+
 /// Time after which a peer that has not sent a document is asked again.
 constexpr duration document_timeout = milliseconds(500);
 
@@ -24,6 +28,18 @@
     return name.substr(std::string_view(table_prefix).size());
 }
 
+/// How long a newer document may stay unknown. Nodes that own no keys of a table need it seldom:
+/// refusals name the owners of moved keys.
+duration patience_for(const node_state& state, const std::string& name)
+{
+    if (!is_table(name))
+        return watch_head_start;
+    const std::string service = table_service(name);
+    if (state.m_tables.count(service) == 0)
+        return duration::zero();
+    return service == local_keyed_service(state) ? owner_table_patience : table_patience;
+}
+
 void set_evacuations(step_context& context, std::uint64_t revision, std::set<std::string> zones)
 {
     known_configuration& known = context.m_state.m_known;
@@ -115,8 +131,6 @@
             wanted.m_since = context.m_now;
         wanted.m_revision = revision;
         wanted.m_link = link;
-        if (is_table(name))
-            request_document(context, name, wanted);
     }
 }
 
@@ -134,7 +148,7 @@
         }
         const bool asked = wanted.m_requested_at != time_point{};
         if (asked ? context.m_now - wanted.m_requested_at > document_timeout
-                  : context.m_now - wanted.m_since > watch_head_start)
+                  : context.m_now - wanted.m_since > patience_for(state, name))
             request_document(context, name, wanted);
         ++it;
     }
--- a/libs/sidecar/src/gate_node.cpp
+++ b/libs/sidecar/src/gate_node.cpp
@@ -37,6 +37,19 @@
                               context.m_now, context.m_state.m_options.m_gate);
 }
 
+/// Owner of a key that this node does not own itself.
+std::optional<owner_hint> other_owner(const node_state& state, const std::string& service,
+                                      std::uint32_t key)
+{
+    const auto table = state.m_tables.find(service);
+    if (table == state.m_tables.end())
+        return std::nullopt;
+    const auto* entry = key_ranges::find_entry(table->second.m_table, key);
+    if (entry == nullptr || entry->m_owner == state.m_options.m_node)
+        return std::nullopt;
+    return owner_hint{entry->m_from, entry->m_to, entry->m_owner, entry->m_fence};
+}
+
 void refuse(step_context& context, std::uint64_t link, std::uint64_t frame,
             const forwarded_request& request, refusal_reason reason, duration retry_after)
 {
@@ -47,8 +60,10 @@
          {"waiting", context.m_state.m_gate.m_waiting.size()},
          {"limit", context.m_state.m_gate.m_limit},
          {"retry_after_ms", to_ms(retry_after)}});
-    send_on_link(context, link,
-                 refusal_frame{frame, reason, retry_after.count(), own_report(context)});
+    refusal_frame refusal{frame, reason, retry_after.count(), own_report(context), {}};
+    if (reason == refusal_reason::not_owner && request.m_key)
+        refusal.m_owner = other_owner(context.m_state, request.m_service, *request.m_key);
+    send_on_link(context, link, std::move(refusal));
 }
 
 void forget_execution(step_context& context, std::uint64_t id)
@@ -278,8 +293,9 @@
     const auto found = state.m_execution_of_frame.find({origin, frame});
     if (found == state.m_execution_of_frame.end()) {
         state.m_disowned[{origin, frame}] = context.m_now;
-        send_on_link(context, link,
-                     refusal_frame{frame, refusal_reason::unknown_request, 0, own_report(context)});
+        send_on_link(
+            context, link,
+            refusal_frame{frame, refusal_reason::unknown_request, 0, own_report(context), {}});
         return;
     }
     gate_execution& execution = state.m_executions.at(found->second);
@@ -338,12 +354,13 @@
         deliver(context, execution, answer_frame{frame, ended.m_answer, own_report(context)});
         break;
     case execution_result::rejected:
-        deliver(context, execution,
-                refusal_frame{frame, refusal_reason::rejected_by_server, 0, own_report(context)});
+        deliver(
+            context, execution,
+            refusal_frame{frame, refusal_reason::rejected_by_server, 0, own_report(context), {}});
         break;
     case execution_result::not_sent:
         deliver(context, execution,
-                refusal_frame{frame, refusal_reason::no_server, 0, own_report(context)});
+                refusal_frame{frame, refusal_reason::no_server, 0, own_report(context), {}});
         break;
     case execution_result::unknown:
         deliver(context, execution, failure_frame{frame, ended.m_cause, own_report(context)});
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -15,6 +15,13 @@
 /// Refusals of gates after which a request is refused, so that it is not held for long.
 constexpr std::uint32_t max_refusals = 3;
 
+/// Pause before the owner of a moving range is asked again, for each refusal so far. A move takes
+/// as long as the running work on its keys.
+constexpr duration ask_owner_pause = milliseconds(60);
+
+/// Owner hints kept for one table; more than that many moves at once are rare.
+constexpr std::size_t max_hints = 32;
+
 json request_fields(const open_request& request)
 {
     return {{"request", request.m_request->m_request_id},
@@ -142,11 +149,42 @@
     request.m_last_cause = cause;
     if (context.m_now - request.m_arrived < limit) {
         request.m_waits_for_owner = true;
+        request.m_ask_owner_at =
+            context.m_now +
+            ask_owner_pause * static_cast<std::int64_t>(std::max(request.m_refusals, 1U));
         return;
     }
     finish_unserved(context, request);
 }
 
+/// Node that owns a key by the newest sign of it; empty while a lost owner's range is taken over.
+std::string owner_of(const known_table& table, std::uint32_t key)
+{
+    const auto* entry = key_ranges::find_entry(table.m_table, key);
+    const owner_hint* newest = nullptr;
+    for (const auto& hint : table.m_hints) {
+        if (key >= hint.m_from && key <= hint.m_to &&
+            (newest == nullptr || hint.m_fence > newest->m_fence))
+            newest = &hint;
+    }
+    if (newest != nullptr && (entry == nullptr || newest->m_fence > entry->m_fence))
+        return newest->m_owner;
+    if (entry == nullptr || entry->m_state == key_ranges::range_state::claimed)
+        return {};
+    return entry->m_owner;
+}
+
+void note_owner(step_context& context, const std::string& service, const owner_hint& hint)
+{
+    const auto table = context.m_state.m_tables.find(service);
+    if (table == context.m_state.m_tables.end())
+        return;
+    auto& hints = table->second.m_hints;
+    if (hints.size() >= max_hints)
+        hints.erase(hints.begin());
+    hints.push_back(hint);
+}
+
 void dispatch_to_owner(step_context& context, open_request& request)
 {
     node_state& state = context.m_state;
@@ -155,23 +193,23 @@
         wait_for_owner(context, request, "range table unknown");
         return;
     }
-    const auto* entry = key_ranges::find_entry(table->second.m_table, *request.m_request->m_key);
-    if (entry == nullptr || entry->m_state == key_ranges::range_state::claimed) {
+    const std::string owner = owner_of(table->second, *request.m_request->m_key);
+    if (owner.empty()) {
         request.m_last_cause = "range has no owner yet";
         finish_unserved(context, request);
         return;
     }
-    const bool refused = request.m_tried.count(entry->m_owner) != 0;
-    const auto peer = state.m_peers.find(entry->m_owner);
+    const bool refused = request.m_tried.count(owner) != 0;
+    const auto peer = state.m_peers.find(owner);
     const bool reachable =
-        entry->m_owner == state.m_options.m_node ||
+        owner == state.m_options.m_node ||
         (peer != state.m_peers.end() && is_usable(state, peer->second, context.m_now));
     if (refused)
         wait_for_owner(context, request, "owner does not hold the range");
     else if (!reachable)
         wait_for_owner(context, request, "owner unreachable");
     else
-        send_request(context, request, entry->m_owner);
+        send_request(context, request, owner);
 }
 
 void dispatch_to_any(step_context& context, open_request& request)
@@ -240,6 +278,23 @@
     dispatch(context, request);
 }
 
+/// Tries waiting requests again for which `is_due` holds.
+template <class Predicate>
+void dispatch_waiting(step_context& context, Predicate is_due)
+{
+    std::vector<std::uint64_t> waiting;
+    for (const auto& [caller, request] : context.m_state.m_requests) {
+        if (request.m_waits_for_owner && is_due(request))
+            waiting.push_back(caller);
+    }
+    for (const std::uint64_t caller : waiting) {
+        open_request& request = context.m_state.m_requests.at(caller);
+        request.m_waits_for_owner = false;
+        request.m_tried.clear();
+        dispatch(context, request);
+    }
+}
+
 void note_report(step_context& context, const std::string& node, const routing::gate_report& report)
 {
     const auto peer = context.m_state.m_peers.find(node);
@@ -352,7 +407,12 @@
         request->m_tried.insert(node);
     const bool keyed = request->m_request->m_key.has_value();
     if (keyed && frame.m_reason == refusal_reason::not_owner) {
-        wait_for_owner(context, *request, "owner does not hold the range");
+        if (frame.m_owner)
+            note_owner(context, request->m_request->m_service, *frame.m_owner);
+        if (frame.m_owner && request->m_refusals < max_refusals)
+            dispatch(context, *request);
+        else
+            wait_for_owner(context, *request, "owner does not hold the range");
         return;
     }
     // The rejected request has arrived at a server, so a further one counts against the budget.
@@ -405,23 +465,15 @@
 
 void retry_waiting_requests(step_context& context)
 {
-    std::vector<std::uint64_t> waiting;
-    for (const auto& [caller, request] : context.m_state.m_requests) {
-        if (request.m_waits_for_owner)
-            waiting.push_back(caller);
-    }
-    for (const std::uint64_t caller : waiting) {
-        open_request& request = context.m_state.m_requests.at(caller);
-        request.m_waits_for_owner = false;
-        request.m_tried.clear();
-        dispatch(context, request);
-    }
+    dispatch_waiting(context, [](const open_request& /*request*/) { return true; });
 }
 
 void check_open_requests(step_context& context)
 {
     node_state& state = context.m_state;
-    retry_waiting_requests(context);
+    dispatch_waiting(context, [&](const open_request& request) {
+        return context.m_now >= request.m_ask_owner_at;
+    });
     std::vector<std::uint64_t> late;
     std::vector<std::uint64_t> lost;
     for (const auto& [caller, request] : state.m_requests) {
--- a/libs/sidecar/src/key_moves.cpp
+++ b/libs/sidecar/src/key_moves.cpp
@@ -15,6 +15,16 @@
 /// Work that can be moved in one step, as a share of a server's work, at most.
 constexpr double max_moved_share = 0.5;
 
+/// Parts of a range that are moved at the same time by one node.
+constexpr std::size_t max_moves_at_once = 3;
+
+/// One of this many possible targets is taken, so that several busy nodes do not choose the same.
+constexpr std::uint64_t target_choice = 2;
+
+/// How far the load of a moved part may lie from the wanted one.
+constexpr double smallest_part_share = 0.6;
+constexpr double largest_part_share = 1.4;
+
 /// Shortest pause of a server whose gate is closed before its ranges move away. Restarts of a
 /// server and short silences end sooner.
 constexpr duration closed_patience = milliseconds(700);
@@ -102,40 +112,69 @@
     }
 }
 
-/// Moves the narrowest part that evens out this node and the least busy one.
-void balance(step_context& context, const key_ranges::range_table& table)
+/// Mean use of all members that may own ranges, this node included.
+double mean_use(const std::vector<std::pair<std::string, double>>& others, double own_use)
 {
-    node_state& state = context.m_state;
-    key_ownership& keys = state.m_ownership;
-    const auto targets = receivers(state, context.m_now);
-    if (targets.empty())
-        return;
-    const auto& [target, target_use] = targets.front();
-    const double use = key_use(state, context.m_now);
-    const auto peer = state.m_peers.find(target);
-    const bool newcomer = !peer->second.m_status.m_owns_keys && use > 0.0;
-    const bool uneven = use >= state.m_options.m_balance_min_use &&
-                        use - target_use >= state.m_options.m_balance_threshold;
-    if (!uneven && !newcomer)
-        return;
-    const double share = std::min(max_moved_share, (use - target_use) / 2.0 / std::max(use, 0.01));
-    double total = 0.0;
-    for (const auto& [from, hold] : keys.m_holds)
-        total += key_ranges::load_of(keys.m_load, from, hold.m_to);
-    if (share <= 0.0 || total <= 0.0)
-        return;
+    double sum = own_use;
+    for (const auto& [node, use] : others)
+        sum += use;
+    return sum / static_cast<double>(others.size() + 1);
+}
+
+/// Starts a move of the narrowest part with about `wanted` of the counted requests.
+bool move_part(step_context& context, const key_ranges::range_table& table, double wanted,
+               const std::string& target)
+{
+    const key_ownership& keys = context.m_state.m_ownership;
     const key_ranges::range_entry* best_entry = nullptr;
     std::optional<key_ranges::range_part> best;
     for (const auto& [from, hold] : keys.m_holds) {
-        const auto part = key_ranges::narrowest_part(keys.m_load, from, hold.m_to,
-                                                     total * share * 0.6, total * share * 1.4);
+        const auto part =
+            key_ranges::narrowest_part(keys.m_load, from, hold.m_to, wanted * smallest_part_share,
+                                       wanted * largest_part_share);
         if (!part || (best && part->m_to - part->m_from >= best->m_to - best->m_from))
             continue;
         best = part;
         best_entry = key_ranges::find_entry(table, from);
     }
-    if (best && best_entry != nullptr)
-        begin_move(context, *best_entry, best->m_from, best->m_to, target, "balance");
+    if (!best || best_entry == nullptr)
+        return false;
+    begin_move(context, *best_entry, best->m_from, best->m_to, target, "balance");
+    return true;
+}
+
+/// Moves the narrowest parts that bring this node and the least busy ones closer to their mean.
+void balance(step_context& context, const key_ranges::range_table& table)
+{
+    node_state& state = context.m_state;
+    const auto targets = receivers(state, context.m_now);
+    const double use = key_use(state, context.m_now);
+    if (targets.empty() || use <= 0.0)
+        return;
+    const double mean = mean_use(targets, use);
+    double total = 0.0;
+    for (const auto& [from, hold] : state.m_ownership.m_holds)
+        total += key_ranges::load_of(state.m_ownership.m_load, from, hold.m_to);
+    double excess = use - mean;
+    std::size_t moves = 0;
+    for (const auto& [target, target_use] : targets) {
+        peer_state& peer = state.m_peers.at(target);
+        const bool newcomer = !peer.m_status.m_owns_keys && use > mean;
+        const bool uneven = use >= state.m_options.m_balance_min_use &&
+                            use - target_use >= state.m_options.m_balance_threshold;
+        const double given = std::min({excess, mean - target_use, use * max_moved_share});
+        if ((!uneven && !newcomer) || given <= 0.0 || total <= 0.0 || moves == max_moves_at_once)
+            return;
+        if (state.m_random() % target_choice != 0)
+            continue;
+        if (!move_part(context, table, total * given / use, target))
+            continue;
+        // Counts the moved work at once, since the peer states its use later.
+        peer.m_status.m_key_use += given;
+        peer.m_status.m_owns_keys = true;
+        excess -= given;
+        ++moves;
+    }
 }
 
 /// Drops the moves whose range has another fencing token now: they are done, or were overtaken.
--- a/libs/sidecar/src/key_tables.cpp
+++ b/libs/sidecar/src/key_tables.cpp
@@ -16,6 +16,9 @@
 /// Pause between two pings that ask the confirming owner for its age.
 constexpr duration confirmation_ping_pause = milliseconds(300);
 
+/// Pause after a change of another owner came first.
+constexpr duration conflict_pause = milliseconds(10);
+
 known_table* local_table(node_state& state)
 {
     const auto found = state.m_tables.find(local_keyed_service(state));
@@ -196,6 +199,19 @@
     emit(context, read_table{service});
 }
 
+/// States the new revision to the peers that may own ranges.
+void tell_owners(step_context& context, const std::string& service)
+{
+    for (const std::uint64_t link : context.m_state.m_accepted_links) {
+        const auto node = context.m_state.m_node_of_link.find(link);
+        if (node == context.m_state.m_node_of_link.end())
+            continue;
+        const auto peer = context.m_state.m_peers.find(node->second);
+        if (peer != context.m_state.m_peers.end() && peer->second.m_status.m_service == service)
+            send_status(context, link);
+    }
+}
+
 /// Spreads the calls of the members, so that one read confirms the table for all.
 duration with_jitter(step_context& context, duration base)
 {
@@ -288,8 +304,14 @@
         keys.m_absent = false;
         adopt_table(context, written.m_service, written.m_revision, keys.m_proposed_text,
                     written.m_sent_at);
-        // Only the writer tells all peers; the others would repeat it.
-        broadcast_status(context);
+        // The writer tells the other owners; nodes of other services learn from refusals.
+        tell_owners(context, written.m_service);
+        return;
+    }
+    if (written.m_result == write_result::conflict && !written.m_text.empty()) {
+        adopt_table(context, written.m_service, written.m_revision, written.m_text,
+                    written.m_sent_at);
+        keys.m_next_write = context.m_now + with_jitter(context, conflict_pause);
         return;
     }
     // Reads before the next proposal: the write, or somebody else's, may have taken effect.
--- a/libs/sidecar/src/mesh.cpp
+++ b/libs/sidecar/src/mesh.cpp
@@ -143,6 +143,11 @@
         send_on_link(context, peer->second.m_link, std::move(frame));
 }
 
+void send_status(step_context& context, std::uint64_t link)
+{
+    send_on_link(context, link, make_status(context.m_state, 0, context.m_now));
+}
+
 void broadcast_status(step_context& context)
 {
     node_state& state = context.m_state;
@@ -295,6 +300,7 @@
 {
     node_state& state = context.m_state;
     const node_options& options = state.m_options;
+    const std::string keyed_service = local_keyed_service(state);
     for (auto it = state.m_peers.begin(); it != state.m_peers.end();) {
         auto& [node, peer] = *it;
         if (peer.m_link == 0 && context.m_now - peer.m_heard > options.m_forget_peer_after) {
@@ -305,12 +311,14 @@
         if (peer.m_link != 0) {
             const duration silence = context.m_now - std::max(peer.m_heard, peer.m_ping_sent);
             const duration waited = context.m_now - peer.m_ping_sent;
+            const bool fellow_owner =
+                !keyed_service.empty() && peer.m_status.m_service == keyed_service;
             const duration interval =
-                peer.m_open_requests > 0
-                    ? options.m_busy_ping_interval
-                    : std::max(options.m_idle_ping_interval,
-                               ping_time_per_peer *
-                                   static_cast<std::int64_t>(state.m_peers.size()));
+                peer.m_open_requests > 0 ? options.m_busy_ping_interval
+                : fellow_owner           ? options.m_idle_ping_interval
+                                         : std::max(options.m_idle_ping_interval,
+                                                    ping_time_per_peer *
+                                                        static_cast<std::int64_t>(state.m_peers.size()));
             if ((peer.m_ping_open && waited > options.m_reconnect_after) ||
                 (!peer.m_greeted && silence > options.m_reconnect_after)) {
                 emit(context, close_link{peer.m_link});
--- a/libs/sidecar/src/peer_frame_codec.cpp
+++ b/libs/sidecar/src/peer_frame_codec.cpp
@@ -151,10 +151,25 @@
             report_json(frame.m_report)};
 }
 
+json hint_json(const std::optional<owner_hint>& hint)
+{
+    if (!hint)
+        return nullptr;
+    return {hint->m_from, hint->m_to, hint->m_owner, hint->m_fence};
+}
+
+std::optional<owner_hint> read_hint(const json& row)
+{
+    if (row.is_null())
+        return std::nullopt;
+    return owner_hint{row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint32_t>(),
+                      row.at(2).get<std::string>(), row.at(3).get<std::uint64_t>()};
+}
+
 json head_of(const refusal_frame& frame)
 {
     return {frame.m_id, static_cast<int>(frame.m_reason), frame.m_retry_after_us,
-            report_json(frame.m_report)};
+            report_json(frame.m_report), hint_json(frame.m_owner)};
 }
 
 json head_of(const failure_frame& frame)
@@ -250,9 +265,9 @@
     case frame_type::answer:
         return read_answer(head, body);
     case frame_type::refusal:
-        return refusal_frame{head.at(0).get<std::uint64_t>(),
-                             static_cast<refusal_reason>(head.at(1).get<int>()),
-                             head.at(2).get<std::int64_t>(), read_report(head.at(3))};
+        return refusal_frame{
+            head.at(0).get<std::uint64_t>(), static_cast<refusal_reason>(head.at(1).get<int>()),
+            head.at(2).get<std::int64_t>(), read_report(head.at(3)), read_hint(head.at(4))};
     case frame_type::failure:
         return failure_frame{head.at(0).get<std::uint64_t>(), head.at(1).get<std::string>(),
                              read_report(head.at(2))};
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -80,6 +80,7 @@
 void send_to_node(step_context& context, const std::string& node, peer_frame frame);
 void send_on_link(step_context& context, std::uint64_t link, peer_frame frame);
 void broadcast_status(step_context& context);
+void send_status(step_context& context, std::uint64_t link);
 void ping(step_context& context, peer_state& peer);
 void check_peers(step_context& context);
 
--- a/libs/sidecar_runtime/include/azureladder/sidecar_runtime/translation.hpp
+++ b/libs/sidecar_runtime/include/azureladder/sidecar_runtime/translation.hpp
@@ -63,6 +63,9 @@
 
     /// The lease of the item has ended.
     bool m_lease_lost = false;
+
+    /// After a conflict: the items of the conditions as they are now.
+    std::vector<store_item> m_present;
 };
 
 /// Names and formats of the world outside. Translates only.
--- a/libs/sidecar_runtime/src/store_session.cpp
+++ b/libs/sidecar_runtime/src/store_session.cpp
@@ -326,6 +326,10 @@
                  const store_change change = m_formats.read_change(outcome.m_response);
                  written.m_result = change.m_result;
                  written.m_revision = change.m_revision;
+                 if (!change.m_present.empty()) {
+                     written.m_revision = change.m_present.front().m_revision;
+                     written.m_text = change.m_present.front().m_value;
+                 }
              }
              m_report(std::move(written));
          });
