--- /dev/null
+++ b/libs/key_ranges/tests/range_table_test.cpp
@@ -0,0 +1,153 @@
+#include <azureladder/key_ranges/hold_rules.hpp>
+#include <azureladder/key_ranges/key_load.hpp>
+#include <azureladder/key_ranges/range_table.hpp>
+#include <azureladder/key_ranges/range_table_json.hpp>
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace azureladder::key_ranges {
+
+namespace {
+
+range_table three_owners()
+{
+    return make_table({{"a", "a#1"}, {"b", "b#1"}, {"c", "c#1"}});
+}
+
+std::uint64_t highest_fence(const range_table& table)
+{
+    std::uint64_t highest = 0;
+    for (const auto& entry : table.m_entries)
+        highest = std::max(highest, entry.m_fence);
+    return highest;
+}
+
+} // namespace
+
+TEST(range_table, divides_all_keys)
+{
+    const range_table table = three_owners();
+    EXPECT_TRUE(is_consistent(table));
+    EXPECT_EQ(find_entry(table, 0)->m_owner, "a");
+    EXPECT_EQ(find_entry(table, max_key)->m_owner, "c");
+}
+
+// Guards against keys without an owner or with two, and against fencing tokens used twice, after
+// any series of changes.
+TEST(range_table, stays_consistent_through_any_changes)
+{
+    std::mt19937 random(5);
+    range_table table = three_owners();
+    const std::string names[] = {"a", "b", "c", "d"};
+    for (int i = 0; i < 5000; ++i) {
+        const std::uint64_t fence = table.m_next_fence;
+        const range_table before = table;
+        const std::string& node = names[random() % 4];
+        switch (random() % 6) {
+        case 0: {
+            const auto& entry = table.m_entries[random() % table.m_entries.size()];
+            const std::uint32_t width = entry.m_to - entry.m_from + 1;
+            const std::uint32_t from = entry.m_from + random() % width;
+            const std::uint32_t to = from + random() % (entry.m_to - from + 1);
+            transfer(table, from, to, {node, node + "#1"}, "proof");
+            EXPECT_EQ(highest_fence(table), fence);
+            break;
+        }
+        case 1:
+            claim(table, node, {names[random() % 4], "x#1"});
+            break;
+        case 2:
+            reclaim(table, {node, node + "#1"});
+            break;
+        case 3:
+            settle(table, node);
+            break;
+        case 4:
+            bind_life(table, {node, node + "#" + std::to_string(random() % 3)});
+            break;
+        default:
+            merge_neighbours(table, node, 10);
+        }
+        ASSERT_TRUE(is_consistent(table));
+        ASSERT_EQ(parse_table(to_json_text(table))->m_entries, table.m_entries);
+        for (const auto& entry : table.m_entries) {
+            const auto* former = find_entry(before, entry.m_from);
+            // A change of owner always takes a new token.
+            if (former->m_owner != entry.m_owner) {
+                ASSERT_GE(entry.m_fence, fence);
+            }
+        }
+    }
+}
+
+// Guards against a lost owner that comes back while its ranges are claimed: until the claim is
+// settled nobody else holds them, so it may go on at once.
+TEST(range_table, former_owner_takes_back_unsettled_claims)
+{
+    range_table table = three_owners();
+    claim(table, "a", {"b", "b#1"});
+    EXPECT_EQ(find_entry(table, 0)->m_state, range_state::claimed);
+    claim(table, "b", {"c", "c#1"});
+    EXPECT_EQ(find_entry(table, 0)->m_former_owner, "a");
+    reclaim(table, {"a", "a#1"});
+    EXPECT_EQ(find_entry(table, 0)->m_owner, "a");
+    EXPECT_EQ(find_entry(table, 0)->m_state, range_state::settled);
+    settle(table, "c");
+    reclaim(table, {"b", "b#1"});
+    EXPECT_EQ(find_entry(table, max_key / 2)->m_owner, "c");
+}
+
+// Guards against a restarted backend server that takes keys with the token of its former life.
+TEST(range_table, another_life_gets_a_higher_token)
+{
+    range_table table = three_owners();
+    const std::uint64_t fence = find_entry(table, 0)->m_fence;
+    bind_life(table, {"a", "a#1"});
+    EXPECT_EQ(find_entry(table, 0)->m_fence, fence);
+    bind_life(table, {"a", "a#2"});
+    EXPECT_GT(find_entry(table, 0)->m_fence, highest_fence(three_owners()));
+}
+
+TEST(range_table, unreadable_texts_are_refused)
+{
+    EXPECT_FALSE(parse_table("not json"));
+    EXPECT_FALSE(parse_table("{}"));
+    EXPECT_FALSE(parse_table(R"({"next_fence":2,"ranges":[[0,5,"a","",1,"settled","",""]]})"));
+    EXPECT_FALSE(parse_table(R"({"next_fence":2,"ranges":[[0,65535,"a","",1,"odd","",""]]})"));
+    EXPECT_FALSE(parse_table(R"({"next_fence":1,"ranges":[[0,65535,"a","",1,"settled","",""]]})"));
+    EXPECT_TRUE(parse_table(R"({"next_fence":2,"ranges":[[0,65535,"a","",1,"settled","",""]]})"));
+}
+
+// Guards against two holders at a time: the last renewal that a lost owner may send ends before
+// the new owner's first grant.
+TEST(hold_rules, takeover_waits_for_the_last_possible_hold)
+{
+    const hold_options options;
+    const time_point claimed{std::chrono::seconds(50)};
+    // The owner confirmed its table just before the claim and renews as late as it may.
+    time_point last_renewal = claimed;
+    while (may_renew(claimed, last_renewal + milliseconds(1), options))
+        last_renewal += milliseconds(1);
+    const auto slow_hold = options.m_hold_time * 102 / 100;
+    EXPECT_GT(takeover_time(claimed, options), last_renewal + slow_hold);
+    EXPECT_FALSE(may_renew(time_point{}, claimed, options));
+}
+
+// Guards against moving a wide range for the work of a few hot keys.
+TEST(key_load, finds_the_narrow_hot_part)
+{
+    key_load load;
+    for (std::uint32_t key = 1000; key < 2000; ++key)
+        record_key(load, key);
+    for (int i = 0; i < 500; ++i)
+        record_key(load, 1500 + i % 5);
+    const auto part = narrowest_part(load, 1000, 1999, 400.0, 700.0);
+    ASSERT_TRUE(part);
+    EXPECT_LE(part->m_to - part->m_from, 4U);
+    EXPECT_GE(part->m_from, 1500U);
+    EXPECT_FALSE(narrowest_part(load, 0, 999, 1.0, 700.0));
+}
+
+} // namespace azureladder::key_ranges
--- /dev/null
+++ b/libs/routing/tests/choice_test.cpp
@@ -0,0 +1,108 @@
+#include <azureladder/routing/placement.hpp>
+#include <azureladder/routing/retry_budget.hpp>
+#include <azureladder/routing/routing_configuration.hpp>
+#include <azureladder/routing/weighted_choice.hpp>
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace azureladder::routing {
+
+namespace {
+
+placement_candidate make_candidate(std::uint32_t running, milliseconds service, bool same_zone)
+{
+    placement_candidate candidate;
+    candidate.m_report.m_open = true;
+    candidate.m_report.m_limit = 10;
+    candidate.m_report.m_running = running;
+    candidate.m_report.m_service_time = service;
+    candidate.m_same_zone = same_zone;
+    candidate.m_distance = same_zone ? duration{} : duration(milliseconds(7));
+    return candidate;
+}
+
+} // namespace
+
+// Guards against paying for links between zones while the own zone serves as well.
+TEST(placement, prefers_the_own_zone_while_it_is_not_much_slower)
+{
+    const placement_options options;
+    EXPECT_EQ(choose_candidate({make_candidate(2, milliseconds(100), false),
+                                make_candidate(2, milliseconds(120), true)},
+                               options, 0),
+              1U);
+    EXPECT_EQ(choose_candidate({make_candidate(2, milliseconds(100), false),
+                                make_candidate(30, milliseconds(120), true)},
+                               options, 0),
+              0U);
+}
+
+// Guards against sending requests to gates that take none.
+TEST(placement, takes_no_closed_gate)
+{
+    auto closed = make_candidate(0, milliseconds(1), true);
+    closed.m_report.m_open = false;
+    EXPECT_EQ(choose_candidate({closed}, {}, 7), 1U);
+    EXPECT_EQ(choose_candidate({closed, make_candidate(50, milliseconds(500), false)}, {}, 7), 1U);
+}
+
+// Guards against a backend server that answers fast because it fails.
+TEST(placement, avoids_servers_that_fail)
+{
+    auto failing = make_candidate(0, milliseconds(5), true);
+    failing.m_report.m_failure_share = 0.5;
+    EXPECT_EQ(choose_candidate({failing, make_candidate(5, milliseconds(100), false)}, {}, 0), 1U);
+}
+
+// Guards against parts of a route that drift from their weights.
+TEST(weighted_choice, keeps_the_weights_in_short_runs)
+{
+    weighted_choice state;
+    const std::vector<weighted_service> services = {{"a", 90}, {"b", 10}, {"c", 0}};
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 100; ++i)
+        ++counts[next_service(state, services)->m_service];
+    EXPECT_EQ(counts["a"], 90);
+    EXPECT_EQ(counts["b"], 10);
+    EXPECT_EQ(counts["c"], 0);
+    EXPECT_EQ(next_service(state, {{"a", 0}}), nullptr);
+}
+
+// Guards against retries that multiply the load: their share of the requests is bounded.
+TEST(retry_budget, bounds_the_share_of_repeated_executions)
+{
+    retry_budget budget;
+    const retry_budget_options options;
+    int taken = 0;
+    for (int i = 0; i < 1000; ++i) {
+        record_request(budget, options);
+        while (take_retry(budget))
+            ++taken;
+    }
+    EXPECT_LE(taken, 1000 * options.m_ratio + options.m_burst);
+    EXPECT_GE(taken, 140);
+}
+
+// Guards against a request that goes to the service of a shorter prefix or of another host.
+TEST(find_route, takes_the_longest_prefix_of_the_host)
+{
+    routing_configuration configuration;
+    for (const auto& [host, prefix] : std::vector<std::pair<std::string, std::string>>{
+             {"a", "/x/"}, {"a", "/x/y/"}, {"b", "/"}}) {
+        route entry;
+        entry.m_name = host + prefix;
+        entry.m_host = host;
+        entry.m_prefix = prefix;
+        configuration.m_routes.push_back(entry);
+    }
+    index_routes(configuration);
+    EXPECT_EQ(find_route(configuration, "a", "/x/y/z?q=/x/")->m_name, "a/x/y/");
+    EXPECT_EQ(find_route(configuration, "a", "/x/yy")->m_name, "a/x/");
+    EXPECT_EQ(find_route(configuration, "a", "/x"), nullptr);
+    EXPECT_EQ(find_route(configuration, "c", "/x/"), nullptr);
+    EXPECT_EQ(find_route(configuration, "b", "/any")->m_name, "b/");
+}
+
+} // namespace azureladder::routing
--- /dev/null
+++ b/libs/routing/tests/gate_test.cpp
@@ -0,0 +1,166 @@
+#include <azureladder/routing/gate.hpp>
+
+#include <gtest/gtest.h>
+
+namespace azureladder::routing {
+
+namespace {
+
+constexpr time_point start_time{std::chrono::seconds(100)};
+
+gate_request make_request(std::uint64_t id, const std::string& route, std::uint32_t priority,
+                          milliseconds target, milliseconds deadline)
+{
+    return {id, route, priority, start_time + target, start_time + deadline};
+}
+
+/// A gate whose requests of `route` have taken `mean` each.
+gate make_gate(std::uint32_t limit, const std::string& route, milliseconds mean)
+{
+    gate state;
+    state.m_limit = limit;
+    state.m_service_times[route] = {mean, start_time};
+    state.m_mean_service_time = mean;
+    state.m_last_sample = start_time;
+    return state;
+}
+
+} // namespace
+
+// Guards against more requests in flight than slots: some servers never answer what they can't
+// queue, and then keep the connection silent.
+TEST(gate, starts_no_more_than_its_limit)
+{
+    gate state = make_gate(2, "r", milliseconds(50));
+    const gate_options options;
+    for (std::uint64_t id = 1; id <= 5; ++id)
+        offer(state, make_request(id, "r", 1, milliseconds(1000), milliseconds(2000)), start_time,
+              options);
+    EXPECT_EQ(state.m_running.size(), 2U);
+    EXPECT_EQ(state.m_waiting.size(), 3U);
+    finish(state, 1, milliseconds(50), execution_outcome::succeeded, start_time, options);
+    EXPECT_EQ(take_startable(state, start_time, options).size(), 1U);
+    EXPECT_EQ(state.m_running.size(), 2U);
+}
+
+// Guards against a predicted wait that counts each running request in full: with nine running the
+// first place in the queue is free after a ninth of an execution, not after all nine.
+TEST(gate, predicts_the_wait_by_completions)
+{
+    gate state = make_gate(9, "r", milliseconds(270));
+    const gate_options options;
+    for (std::uint64_t id = 1; id <= 9; ++id)
+        offer(state, make_request(id, "r", 1, milliseconds(1000), milliseconds(2000)), start_time,
+              options);
+    const auto decision =
+        offer(state, make_request(10, "r", 1, milliseconds(600), milliseconds(1500)), start_time,
+              options);
+    EXPECT_EQ(decision.m_admission, admission::wait);
+    EXPECT_EQ(decision.m_wait, milliseconds(30));
+}
+
+// Guards against holding a request that can't be answered in its target time: the caller learns
+// at once when to come back.
+TEST(gate, refuses_at_once_what_would_be_late)
+{
+    gate state = make_gate(1, "r", milliseconds(200));
+    const gate_options options;
+    offer(state, make_request(1, "r", 1, milliseconds(500), milliseconds(1000)), start_time,
+          options);
+    const auto decision = offer(
+        state, make_request(2, "r", 1, milliseconds(300), milliseconds(1000)), start_time, options);
+    EXPECT_EQ(decision.m_admission, admission::refuse);
+    EXPECT_EQ(decision.m_wait, milliseconds(200));
+}
+
+// Guards against refusing the short calls of running requests while long ones wait: a refused call
+// wastes the whole execution that made it.
+TEST(gate, short_executions_may_wait_beyond_their_target)
+{
+    gate state = make_gate(1, "long", milliseconds(200));
+    state.m_service_times["short"] = {milliseconds(20), start_time};
+    const gate_options options;
+    offer(state, make_request(1, "long", 1, milliseconds(600), milliseconds(1500)), start_time,
+          options);
+    const auto decision =
+        offer(state, make_request(2, "short", 1, milliseconds(150), milliseconds(500)), start_time,
+              options);
+    EXPECT_EQ(decision.m_admission, admission::wait);
+}
+
+// Guards against serving a report before a till under load.
+TEST(gate, starts_the_most_urgent_request_first)
+{
+    gate state = make_gate(1, "r", milliseconds(10));
+    const gate_options options;
+    offer(state, make_request(1, "r", 1, milliseconds(500), milliseconds(1000)), start_time,
+          options);
+    offer(state, make_request(2, "r", 2, milliseconds(300), milliseconds(1000)), start_time,
+          options);
+    offer(state, make_request(3, "r", 1, milliseconds(500), milliseconds(1000)), start_time,
+          options);
+    offer(state, make_request(4, "r", 1, milliseconds(400), milliseconds(1000)), start_time,
+          options);
+    finish(state, 1, milliseconds(10), execution_outcome::succeeded, start_time, options);
+    const auto next = take_startable(state, start_time, options);
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next.front().m_id, 4U);
+}
+
+// Guards against overloading a cold server: the rate holds in each window of one second, also
+// across its borders.
+TEST(gate, keeps_the_cold_rate_in_each_window)
+{
+    gate state = make_gate(100, "r", milliseconds(1));
+    state.m_cold_rate_per_s = 10.0;
+    const gate_options options;
+    std::vector<time_point> starts;
+    std::uint64_t id = 0;
+    for (int ms = 0; ms < 3000; ms += 5) {
+        const time_point now = start_time + milliseconds(ms);
+        const gate_request request{++id, "r", 1, now + milliseconds(3000),
+                                   now + milliseconds(5000)};
+        if (offer(state, request, now, options).m_admission == admission::start) {
+            starts.push_back(now);
+            finish(state, id, milliseconds(1), execution_outcome::succeeded, now, options);
+        }
+        for (const auto& started : take_startable(state, now, options)) {
+            starts.push_back(now);
+            finish(state, started.m_id, milliseconds(1), execution_outcome::succeeded, now,
+                   options);
+        }
+    }
+    for (std::size_t first = 0; first < starts.size(); ++first) {
+        std::size_t count = 0;
+        while (first + count < starts.size() && starts[first + count] - starts[first] < seconds(1))
+            ++count;
+        EXPECT_LE(count, 15U);
+    }
+    EXPECT_GE(starts.size(), 30U);
+}
+
+// Guards against keeping a waiting request whose caller has given up by the time it would end.
+TEST(gate, gives_up_waiting_requests_that_became_hopeless)
+{
+    gate state = make_gate(1, "r", milliseconds(100));
+    const gate_options options;
+    offer(state, make_request(1, "r", 1, milliseconds(500), milliseconds(1000)), start_time,
+          options);
+    offer(state, make_request(2, "r", 1, milliseconds(500), milliseconds(600)), start_time,
+          options);
+    EXPECT_TRUE(take_hopeless(state, start_time + milliseconds(400), options).empty());
+    EXPECT_EQ(take_hopeless(state, start_time + milliseconds(580), options).size(), 1U);
+}
+
+// Guards against avoiding a server for good after it was slow for a while.
+TEST(gate, forgets_old_execution_times)
+{
+    gate state = make_gate(1, "r", milliseconds(2000));
+    const gate_options options;
+    const auto fresh = expected_service_time(state, "r", start_time + seconds(1), options);
+    const auto old = expected_service_time(state, "r", start_time + seconds(60), options);
+    EXPECT_EQ(fresh, milliseconds(2000));
+    EXPECT_LT(old, milliseconds(150));
+}
+
+} // namespace azureladder::routing
--- /dev/null
+++ b/libs/sidecar/tests/peer_frame_codec_test.cpp
@@ -0,0 +1,100 @@
+#include <azureladder/sidecar/peer_frame_codec.hpp>
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace azureladder::sidecar {
+
+namespace {
+
+request_frame make_request()
+{
+    auto request = std::make_shared<forwarded_request>();
+    request->m_request_id = "id-1";
+    request->m_method = "POST";
+    request->m_target = "/a/b?c=\xff";
+    request->m_host = "h.example";
+    request->m_headers = {{"X-Bytes", std::string("\x01\xfe", 2)}};
+    request->m_body = std::string("\0body", 5);
+    request->m_key = 65535;
+    request->m_service = "s";
+    request->m_route = "r";
+    request->m_priority = 2;
+    request->m_kind = routing::request_kind::non_idempotent;
+    return {7, request, 1'500'000, 600'000};
+}
+
+template <class Frame>
+Frame round_trip(const Frame& frame)
+{
+    const std::string bytes = encode_frame(frame);
+    peer_frame decoded;
+    std::size_t used = 0;
+    EXPECT_EQ(decode_frame(bytes, decoded, used), frame_state::complete);
+    EXPECT_EQ(used, bytes.size());
+    return std::get<Frame>(decoded);
+}
+
+} // namespace
+
+TEST(peer_frame_codec, keeps_requests_whole)
+{
+    const request_frame sent = make_request();
+    const request_frame received = round_trip(sent);
+    EXPECT_EQ(received.m_id, sent.m_id);
+    EXPECT_EQ(received.m_remaining_us, sent.m_remaining_us);
+    EXPECT_EQ(received.m_request->m_target, sent.m_request->m_target);
+    EXPECT_EQ(received.m_request->m_body, sent.m_request->m_body);
+    EXPECT_EQ(received.m_request->m_headers[0].m_value, sent.m_request->m_headers[0].m_value);
+    EXPECT_EQ(received.m_request->m_key, sent.m_request->m_key);
+    EXPECT_EQ(received.m_request->m_kind, sent.m_request->m_kind);
+}
+
+TEST(peer_frame_codec, keeps_refusals_with_and_without_an_owner)
+{
+    refusal_frame refusal{9, refusal_reason::not_owner, 250, {}, owner_hint{5, 9, "node", 77}};
+    refusal.m_report.m_limit = 12;
+    const refusal_frame received = round_trip(refusal);
+    EXPECT_EQ(received.m_reason, refusal_reason::not_owner);
+    EXPECT_EQ(received.m_report.m_limit, 12U);
+    ASSERT_TRUE(received.m_owner);
+    EXPECT_EQ(received.m_owner->m_fence, 77U);
+    refusal.m_owner.reset();
+    EXPECT_FALSE(round_trip(refusal).m_owner);
+}
+
+TEST(peer_frame_codec, keeps_hello_status_and_documents)
+{
+    EXPECT_EQ(round_trip(hello_frame{"n", 1ULL << 63, "1.2.3.4:5", "z", {{"m", "1.2.3.5:6"}}})
+                  .m_known.size(),
+              1U);
+    EXPECT_TRUE(round_trip(hello_frame{"n", 1, "a", "z", {}}).m_known.empty());
+    status_frame status;
+    status.m_documents["configuration"] = 12;
+    status.m_confirmation_age_us["keys/s"] = 99;
+    status.m_status.m_life = "i#1";
+    EXPECT_EQ(round_trip(status).m_confirmation_age_us.at("keys/s"), 99);
+    EXPECT_EQ(round_trip(document_frame{"d", 4, "{}", -1}).m_text, "{}");
+}
+
+// Guards against frames that are cut at a read of the socket, and against bytes that are no frame.
+TEST(peer_frame_codec, waits_for_whole_frames_and_refuses_others)
+{
+    const std::string bytes = encode_frame(make_request());
+    peer_frame frame;
+    std::size_t used = 0;
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+        EXPECT_EQ(decode_frame(bytes.substr(0, size), frame, used), frame_state::incomplete);
+    EXPECT_EQ(decode_frame(std::string(64, '\xff'), frame, used), frame_state::invalid);
+    std::mt19937 random(3);
+    for (int i = 0; i < 5000; ++i) {
+        std::string damaged = bytes;
+        for (int j = 0; j < 3; ++j)
+            damaged[8 + random() % (damaged.size() - 8)] = static_cast<char>(random());
+        // Must not end the process; the content may be readable by chance.
+        decode_frame(damaged, frame, used);
+    }
+}
+
+} // namespace azureladder::sidecar
