Settle each claim after its own wait and bound the hold of a restarted server

Found by the simulated cluster with random faults (3 of 1500 seeds, kept as regression cases): - a node with an old and a new claim settled both when the old one had waited (seeds 1136, 1178); - a backend server that restarted under its address took renewals meant for its former life; its ranges then moved without a wait (seed 1891).

--- a/libs/key_ranges/include/azureladder/key_ranges/range_table.hpp
+++ b/libs/key_ranges/include/azureladder/key_ranges/range_table.hpp
@@ -3,6 +3,7 @@
 #include <azureladder/key_ranges/range_entry.hpp>
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,8 +45,8 @@
 /// Takes back the ranges that others have claimed from `owner` and not settled yet.
 void reclaim(range_table& table, const range_owner& owner);
 
-/// Marks the claimed ranges of `owner` as settled.
-void settle(range_table& table, const std::string& owner);
+/// Marks the claimed ranges of `owner` with these fencing tokens as settled.
+void settle(range_table& table, const std::string& owner, const std::set<std::uint64_t>& fences);
 
 /// Takes new fencing tokens for the settled ranges of `owner` that belong to another life.
 void bind_life(range_table& table, const range_owner& owner);
--- a/libs/key_ranges/src/range_table.cpp
+++ b/libs/key_ranges/src/range_table.cpp
@@ -107,10 +107,11 @@
     }
 }
 
-void settle(range_table& table, const std::string& owner)
+void settle(range_table& table, const std::string& owner, const std::set<std::uint64_t>& fences)
 {
     for (auto& entry : table.m_entries) {
-        if (entry.m_state != range_state::claimed || entry.m_owner != owner)
+        if (entry.m_state != range_state::claimed || entry.m_owner != owner ||
+            fences.count(entry.m_fence) == 0)
             continue;
         entry.m_state = range_state::settled;
         entry.m_former_owner.clear();
--- a/libs/key_ranges/tests/range_table_test.cpp
+++ b/libs/key_ranges/tests/range_table_test.cpp
@@ -61,9 +61,13 @@
         case 2:
             reclaim(table, {node, node + "#1"});
             break;
-        case 3:
-            settle(table, node);
+        case 3: {
+            std::set<std::uint64_t> fences;
+            for (const auto& entry : table.m_entries)
+                fences.insert(entry.m_fence);
+            settle(table, node, fences);
             break;
+        }
         case 4:
             bind_life(table, {node, node + "#" + std::to_string(random() % 3)});
             break;
@@ -94,7 +98,10 @@
     reclaim(table, {"a", "a#1"});
     EXPECT_EQ(find_entry(table, 0)->m_owner, "a");
     EXPECT_EQ(find_entry(table, 0)->m_state, range_state::settled);
-    settle(table, "c");
+    const std::uint64_t fence = find_entry(table, max_key / 2)->m_fence;
+    settle(table, "c", {fence + 1});
+    EXPECT_EQ(find_entry(table, max_key / 2)->m_state, range_state::claimed);
+    settle(table, "c", {fence});
     reclaim(table, {"b", "b#1"});
     EXPECT_EQ(find_entry(table, max_key / 2)->m_owner, "c");
 }
--- a/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
@@ -76,6 +76,10 @@
     /// Holds by first key.
     std::map<std::uint32_t, range_hold> m_holds;
 
+    /// Start of the newest grant of any range, also to an earlier life: a server that restarts at
+    /// its address takes the renewals sent before its announcement.
+    time_point m_last_grant_sent;
+
     std::vector<range_move> m_moves;
     key_ranges::key_load m_load;
     double m_arrivals = 0.0;
--- a/libs/sidecar/src/gate_node.cpp
+++ b/libs/sidecar/src/gate_node.cpp
@@ -217,7 +217,11 @@
                                 state.m_backend && !is_withdrawn(state);
     if (!(is_gate_open(state, context.m_now) || stop_tolerated) || !state.m_backend ||
         state.m_backend->m_announcement.m_service != request.m_service) {
-        refuse(context, link, frame.m_id, request, closed_reason(state, request), {});
+        // The keys of a node that gives up its ranges have another owner, which the caller needs.
+        const bool moved =
+            request.m_key && other_owner(state, request.m_service, *request.m_key).has_value();
+        refuse(context, link, frame.m_id, request,
+               moved ? refusal_reason::not_owner : closed_reason(state, request), {});
         return;
     }
     if (request.m_key && !local_keyed_service(state).empty()) {
--- a/libs/sidecar/src/key_holds.cpp
+++ b/libs/sidecar/src/key_holds.cpp
@@ -70,6 +70,7 @@
     hold.m_order = state.m_next_order++;
     hold.m_order_sent = context.m_now;
     hold.m_last_sent = context.m_now;
+    state.m_ownership.m_last_grant_sent = context.m_now;
     emit(context,
          grant_keys{hold.m_order, state.m_backend->m_announcement.m_address, from, hold.m_to,
                     hold.m_fence, state.m_options.m_holds.m_hold_time, hold.m_handover});
--- a/libs/sidecar/src/key_moves.cpp
+++ b/libs/sidecar/src/key_moves.cpp
@@ -39,8 +39,10 @@
     move.m_to = to;
     move.m_fence = entry.m_fence;
     move.m_target = target;
-    // Without a record of grants the last one may have been sent just before this process began.
-    move.m_hold_end = key_ranges::hold_end(context.m_state.m_started_at, options);
+    // Without a record of grants the last one may have been sent just before this process began,
+    // or to the server's former life.
+    move.m_hold_end = key_ranges::hold_end(
+        std::max(context.m_state.m_started_at, keys.m_last_grant_sent), options);
     for (const auto& [first, hold] : keys.m_holds) {
         if (hold.m_fence != entry.m_fence || hold.m_to < from || first > to)
             continue;
--- a/libs/sidecar/src/key_tables.cpp
+++ b/libs/sidecar/src/key_tables.cpp
@@ -45,15 +45,16 @@
     claimed_at = std::move(present);
 }
 
-/// Whether all claims of this node have waited until the former holds have ended.
-bool claims_are_over(const step_context& context)
+/// Fencing tokens of the claims that have waited until the former holds have ended.
+std::set<std::uint64_t> finished_claims(const step_context& context)
 {
-    const auto& claimed_at = context.m_state.m_ownership.m_claimed_at;
-    return !claimed_at.empty() &&
-           std::all_of(claimed_at.begin(), claimed_at.end(), [&](const auto& claim) {
-               return context.m_now >=
-                      key_ranges::takeover_time(claim.second, context.m_state.m_options.m_holds);
-           });
+    const node_state& state = context.m_state;
+    std::set<std::uint64_t> finished;
+    for (const auto& [fence, claimed_at] : state.m_ownership.m_claimed_at) {
+        if (context.m_now >= key_ranges::takeover_time(claimed_at, state.m_options.m_holds))
+            finished.insert(fence);
+    }
+    return finished;
 }
 
 bool is_alive(const node_state& state, const std::string& node, time_point now)
@@ -130,8 +131,7 @@
     key_ranges::reclaim(table, self);
     for (const auto& owner : owners_to_claim(context, table))
         key_ranges::claim(table, owner, self);
-    if (claims_are_over(context))
-        key_ranges::settle(table, self.m_node);
+    key_ranges::settle(table, self.m_node, finished_claims(context));
     key_ranges::bind_life(table, self);
     return table;
 }
@@ -199,6 +199,24 @@
     emit(context, read_table{service});
 }
 
+/// Sends a written table to the nodes that gained ranges by it: nobody serves these keys until
+/// they know.
+void give_to_new_owners(step_context& context, const table_written& written)
+{
+    const key_ownership& keys = context.m_state.m_ownership;
+    const known_table* known = local_table(context.m_state);
+    std::set<std::string> gained;
+    for (const auto& entry : keys.m_proposed.m_entries) {
+        const bool is_new = known == nullptr || entry.m_fence >= known->m_table.m_next_fence;
+        if (is_new && entry.m_owner != context.m_state.m_options.m_node)
+            gained.insert(entry.m_owner);
+    }
+    for (const auto& node : gained)
+        send_to_node(context, node,
+                     document_frame{table_document(written.m_service), written.m_revision,
+                                    keys.m_proposed_text, -1});
+}
+
 /// States the new revision to the peers that may own ranges.
 void tell_owners(step_context& context, const std::string& service)
 {
@@ -302,6 +320,7 @@
          {"revision", written.m_revision}});
     if (written.m_result == write_result::written) {
         keys.m_absent = false;
+        give_to_new_owners(context, written);
         adopt_table(context, written.m_service, written.m_revision, keys.m_proposed_text,
                     written.m_sent_at);
         // The writer tells the other owners; nodes of other services learn from refusals.
--- /dev/null
+++ b/libs/sidecar/tests/cluster_test.cpp
@@ -0,0 +1,278 @@
+#include "sidecar_cluster.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <numeric>
+
+namespace azureladder::sidecar {
+
+namespace {
+
+/// Time for a new cluster to create its table and grant all keys.
+constexpr duration settling = seconds(5);
+
+/// Seeds that failed once, by cause.
+constexpr std::uint64_t failed_seeds[] = {
+    // A claim was settled together with an older one of the same node, without its wait.
+    1136, 1178,
+    // A server that restarted had taken renewals sent to its former life, and its ranges moved on.
+    1891};
+
+/// Seeds 1 to 20 and those that failed once, or as many as SIDECAR_TEST_SEEDS says, from
+/// SIDECAR_TEST_FIRST_SEED on.
+std::vector<std::uint64_t> fault_seeds()
+{
+    const char* count = std::getenv("SIDECAR_TEST_SEEDS");
+    const char* first = std::getenv("SIDECAR_TEST_FIRST_SEED");
+    std::vector<std::uint64_t> seeds(count == nullptr ? 20 : std::stoul(count));
+    std::iota(seeds.begin(), seeds.end(), first == nullptr ? 1 : std::stoull(first));
+    if (count == nullptr)
+        seeds.insert(seeds.end(), std::begin(failed_seeds), std::end(failed_seeds));
+    return seeds;
+}
+
+/// Share of requests to keys of all ranges that are answered, sent over a second.
+double served_share(sidecar_cluster& cluster, const std::string& node, const std::string& service)
+{
+    std::vector<std::string> sent;
+    for (std::uint32_t i = 0; i < 20; ++i) {
+        const auto key = service == "shelf" ? std::optional<std::uint32_t>(i * 3200) : std::nullopt;
+        sent.push_back(cluster.send(node, service, key));
+        cluster.run_for(milliseconds(50));
+    }
+    cluster.run_for(seconds(2));
+    double served = 0;
+    for (const auto& id : sent)
+        served += cluster.status(id) == 200 ? 1 : 0;
+    return served / 20.0;
+}
+
+} // namespace
+
+TEST(sidecar_cluster, serves_plain_and_keyed_requests)
+{
+    sidecar_cluster cluster({3, 3, 1});
+    cluster.run_for(settling);
+    EXPECT_EQ(served_share(cluster, "orders-0", "orders"), 1.0);
+    EXPECT_EQ(served_share(cluster, "orders-1", "shelf"), 1.0);
+    EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
+}
+
+// Guards against more requests in flight than a backend server has slots, also in a burst.
+TEST(sidecar_cluster, burst_stays_within_the_slots)
+{
+    sidecar_cluster cluster({2, 0, 2});
+    cluster.run_for(settling);
+    std::vector<std::string> sent;
+    for (int i = 0; i < 200; ++i)
+        sent.push_back(cluster.send("orders-" + std::to_string(i % 2), "orders"));
+    cluster.run_for(seconds(3));
+    for (const auto& id : sent)
+        EXPECT_TRUE(cluster.status(id) == 200 || cluster.status(id) == 503) << cluster.status(id);
+    EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
+}
+
+// Guards against a second execution of an order whose answer was lost, and against calling it
+// refused.
+TEST(sidecar_cluster, lost_answers_execute_orders_once)
+{
+    sidecar_cluster cluster({3, 0, 3});
+    cluster.run_for(settling);
+    cluster.lose_answers(0.5);
+    std::vector<std::string> sent;
+    for (int i = 0; i < 60; ++i) {
+        sent.push_back(cluster.send("orders-0", "orders"));
+        cluster.run_for(milliseconds(30));
+    }
+    cluster.run_for(seconds(3));
+    for (const auto& id : sent) {
+        EXPECT_LE(cluster.executions(id), 1U);
+        EXPECT_NE(cluster.status(id), 0);
+    }
+    EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
+}
+
+// Guards against answers that are lost with a connection between nodes although they are ready.
+TEST(sidecar_cluster, requests_survive_reset_connections)
+{
+    sidecar_cluster cluster({3, 0, 4});
+    cluster.run_for(settling);
+    std::vector<std::string> sent;
+    for (int i = 0; i < 12; ++i)
+        sent.push_back(cluster.send("orders-0", "orders"));
+    cluster.run_for(milliseconds(30));
+    cluster.reset_links("orders-0");
+    cluster.run_for(seconds(3));
+    for (const auto& id : sent)
+        EXPECT_EQ(cluster.status(id), 200) << id;
+    EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
+}
+
+// Guards against keys that stay without an owner after their node is lost for good.
+TEST(sidecar_cluster, ranges_of_a_lost_node_are_taken_over)
+{
+    sidecar_cluster cluster({1, 3, 5});
+    cluster.run_for(settling);
+    cluster.kill_node("shelf-1");
+    cluster.backend("shelf-1").m_alive = false;
+    cluster.run_for(seconds(13));
+    EXPECT_EQ(served_share(cluster, "orders-0", "shelf"), 1.0);
+    EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
+}
+
+// Guards against a takeover while the backend server of a killed node still holds its keys.
+TEST(sidecar_cluster, restarted_node_takes_its_ranges_back)
+{
+    sidecar_cluster cluster({1, 3, 6});
+    cluster.run_for(settling);
+    cluster.kill_node("shelf-1");
+    cluster.run_for(seconds(3));
+    cluster.start_node("shelf-1");
+    cluster.run_for(seconds(3));
+    EXPECT_EQ(served_share(cluster, "orders-0", "shelf"), 1.0);
+    EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
+}
+
+// Guards against keyed services that stop while the store turns one of their nodes away.
+TEST(sidecar_cluster, owner_without_the_store_is_confirmed_by_its_peers)
+{
+    sidecar_cluster cluster({1, 3, 7});
+    cluster.run_for(settling);
+    cluster.cut_store("shelf-0", true);
+    cluster.run_for(seconds(15));
+    EXPECT_EQ(served_share(cluster, "orders-0", "shelf"), 1.0);
+    EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
+}
+
+// Guards against an owner that goes on renewing its hold behind a cut after others took over.
+TEST(sidecar_cluster, owner_behind_a_cut_stops_before_the_takeover)
+{
+    sidecar_cluster cluster({1, 3, 8});
+    cluster.run_for(settling);
+    for (const auto& node : cluster.nodes()) {
+        if (node != "shelf-2")
+            cluster.cut("shelf-2", node, true);
+    }
+    cluster.cut_store("shelf-2", true);
+    cluster.run_for(seconds(14));
+    EXPECT_EQ(served_share(cluster, "orders-0", "shelf"), 1.0);
+    for (const auto& node : cluster.nodes()) {
+        if (node != "shelf-2")
+            cluster.cut("shelf-2", node, false);
+    }
+    cluster.cut_store("shelf-2", false);
+    cluster.run_for(seconds(5));
+    EXPECT_EQ(served_share(cluster, "shelf-2", "shelf"), 1.0);
+    EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
+}
+
+// Guards against requests to an evacuated zone, and against keys that stay behind in it.
+TEST(sidecar_cluster, evacuated_zone_gets_no_requests)
+{
+    sidecar_cluster cluster({3, 3, 9});
+    cluster.run_for(settling);
+    cluster.evacuate({"zone-1"});
+    cluster.run_for(seconds(2));
+    const auto before = cluster.backend("orders-1").m_executed.size() +
+                        cluster.backend("shelf-1").m_executed.size();
+    EXPECT_EQ(served_share(cluster, "orders-0", "shelf"), 1.0);
+    EXPECT_EQ(served_share(cluster, "orders-1", "orders"), 1.0);
+    EXPECT_EQ(cluster.backend("orders-1").m_executed.size() +
+                  cluster.backend("shelf-1").m_executed.size(),
+              before);
+    EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
+}
+
+// Guards against requests to a server that has announced that it leaves.
+TEST(sidecar_cluster, draining_server_gets_no_requests)
+{
+    sidecar_cluster cluster({3, 3, 10});
+    cluster.run_for(settling);
+    cluster.backend("orders-2").m_draining = true;
+    cluster.backend("shelf-2").m_draining = true;
+    cluster.run_for(seconds(3));
+    const auto before = cluster.backend("orders-2").m_executed.size() +
+                        cluster.backend("shelf-2").m_executed.size();
+    EXPECT_EQ(served_share(cluster, "orders-0", "shelf"), 1.0);
+    EXPECT_EQ(served_share(cluster, "orders-2", "orders"), 1.0);
+    EXPECT_EQ(cluster.backend("orders-2").m_executed.size() +
+                  cluster.backend("shelf-2").m_executed.size(),
+              before);
+    EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
+}
+
+// Guards against two owners, double executions and false refusals under any mix of faults. Each
+// seed is one series of kills, restarts, freezes, cuts, resets and lost answers.
+class sidecar_faults : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+TEST_P(sidecar_faults, promises_hold)
+{
+    sidecar_cluster cluster({3, 4, GetParam()});
+    std::mt19937_64 random(GetParam() * 77);
+    cluster.run_for(settling);
+    cluster.lose_answers(0.05);
+    const auto nodes = cluster.nodes();
+    const auto any = [&] { return nodes[random() % nodes.size()]; };
+    std::map<std::string, bool> down;
+    for (int round = 0; round < 60; ++round) {
+        const std::string node = any();
+        switch (random() % 10) {
+        case 0:
+            if (!down[node]) {
+                cluster.kill_node(node);
+                down[node] = true;
+            }
+            break;
+        case 1:
+            for (const auto& name : nodes) {
+                if (down[name])
+                    cluster.start_node(name);
+                down[name] = false;
+            }
+            break;
+        case 2:
+            cluster.freeze_node(node, milliseconds(200 + random() % 6000));
+            break;
+        case 3:
+            cluster.cut(node, any(), true);
+            break;
+        case 4:
+            for (const auto& name : nodes)
+                cluster.cut(node, name, false);
+            break;
+        case 5:
+            cluster.reset_links(node);
+            break;
+        case 6:
+            cluster.cut_store(node, true);
+            break;
+        case 7:
+            for (const auto& name : nodes)
+                cluster.cut_store(name, false);
+            break;
+        case 8:
+            cluster.backend(node).restart(cluster.now());
+            break;
+        default:
+            cluster.evacuate(random() % 2 == 0 ? std::set<std::string>{"zone-1"}
+                                               : std::set<std::string>{});
+        }
+        for (int i = 0; i < 10; ++i) {
+            const std::string from = any();
+            if (!down[from]) {
+                cluster.send(from, "orders");
+                cluster.send(from, "shelf", static_cast<std::uint32_t>(random() % 65536));
+            }
+            cluster.run_for(milliseconds(50));
+        }
+        ASSERT_TRUE(cluster.violations().empty())
+            << "round " << round << ": " << cluster.violations().front();
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, sidecar_faults, testing::ValuesIn(fault_seeds()));
+
+} // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar/tests/fake_backend.cpp
@@ -0,0 +1,88 @@
+#include "fake_backend.hpp"
+
+#include <algorithm>
+
+namespace azureladder::sidecar {
+
+fake_backend::fake_backend(std::string id, std::string service, std::string address)
+    : m_id(std::move(id)), m_service(std::move(service)), m_address(std::move(address))
+{
+}
+
+backend_announcement fake_backend::announcement(time_point /*now*/)
+{
+    backend_announcement result;
+    result.m_id = m_id;
+    result.m_born_ms = m_life;
+    result.m_sequence = ++m_sequence;
+    result.m_address = m_address;
+    result.m_service = m_service;
+    result.m_slots = slots;
+    result.m_draining = m_draining;
+    return result;
+}
+
+order_ended fake_backend::grant(const grant_keys& order, time_point now)
+{
+    order_ended ended;
+    ended.m_order = order.m_order;
+    for (const auto& [from, held] : m_holds) {
+        if (held.m_to >= order.m_from && from <= order.m_to && held.m_fence > order.m_fence) {
+            ended.m_result = order_result::fenced;
+            return ended;
+        }
+    }
+    release_keys covered;
+    covered.m_from = order.m_from;
+    covered.m_to = order.m_to;
+    release(covered);
+    m_holds[order.m_from] = {order.m_to, order.m_fence, now + order.m_hold_time};
+    ended.m_result = order_result::accepted;
+    return ended;
+}
+
+order_ended fake_backend::release(const release_keys& order)
+{
+    std::map<std::uint32_t, hold> rest;
+    for (const auto& [from, held] : m_holds) {
+        if (held.m_to < order.m_from || from > order.m_to) {
+            rest[from] = held;
+            continue;
+        }
+        if (from < order.m_from)
+            rest[from] = {order.m_from - 1, held.m_fence, held.m_end};
+        if (held.m_to > order.m_to)
+            rest[order.m_to + 1] = held;
+    }
+    m_holds = std::move(rest);
+    order_ended ended;
+    ended.m_order = order.m_order;
+    ended.m_result = order_result::accepted;
+    ended.m_handover = "released";
+    return ended;
+}
+
+bool fake_backend::holds(std::uint32_t key, time_point now) const
+{
+    if (!m_alive)
+        return false;
+    return std::any_of(m_holds.begin(), m_holds.end(), [&](const auto& held) {
+        return key >= held.first && key <= held.second.m_to && now < held.second.m_end;
+    });
+}
+
+bool fake_backend::accepts(const forwarded_request& request, time_point now) const
+{
+    return m_alive && (!request.m_key || holds(*request.m_key, now));
+}
+
+void fake_backend::restart(time_point /*now*/)
+{
+    m_holds.clear();
+    m_running.clear();
+    ++m_life;
+    m_sequence = 0;
+    m_alive = true;
+}
+
+} // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar/tests/fake_backend.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <azureladder/base/time.hpp>
+#include <azureladder/sidecar/effects.hpp>
+#include <azureladder/sidecar/events.hpp>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace azureladder::sidecar {
+
+/// A backend server with holds and fencing tokens. Keeps what the checks need.
+class fake_backend
+{
+public:
+    fake_backend(std::string id, std::string service, std::string address);
+
+    backend_announcement announcement(time_point now);
+
+    /// Result of an order at its arrival.
+    order_ended grant(const grant_keys& order, time_point now);
+    order_ended release(const release_keys& order);
+
+    /// Whether the server runs a request; a keyed one needs a hold.
+    bool accepts(const forwarded_request& request, time_point now) const;
+    bool holds(std::uint32_t key, time_point now) const;
+
+    /// Ends this life and begins another one without holds.
+    void restart(time_point now);
+
+    /// Ids of the requests that were run, in order.
+    std::vector<std::string> m_executed;
+
+    /// Executions under way, by the run of the node and its id. A server drops an execution whose
+    /// connection closes.
+    std::set<std::pair<std::uint64_t, std::uint64_t>> m_running;
+    bool m_alive = true;
+    bool m_draining = false;
+
+    static constexpr std::uint32_t slots = 4;
+
+private:
+    struct hold
+    {
+        std::uint32_t m_to = 0;
+        std::uint64_t m_fence = 0;
+        time_point m_end;
+    };
+
+    std::string m_id;
+    std::string m_service;
+    std::string m_address;
+    std::int64_t m_life = 1;
+    std::int64_t m_sequence = 0;
+    std::map<std::uint32_t, hold> m_holds;
+    std::uint64_t m_highest_fence = 0;
+};
+
+} // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar/tests/fake_store.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <azureladder/sidecar/effects.hpp>
+#include <azureladder/sidecar/events.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace azureladder::sidecar {
+
+/// Range tables under compare-and-swap, as the platform's store keeps them.
+class fake_store
+{
+public:
+    table_read read(const std::string& service, time_point sent_at) const;
+    table_written write(const write_table& wanted, time_point sent_at);
+
+private:
+    struct item
+    {
+        std::string m_text;
+        std::uint64_t m_revision = 0;
+    };
+
+    std::map<std::string, item> m_items;
+    std::uint64_t m_revision = 100;
+};
+
+} // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar/tests/sidecar_cluster.cpp
@@ -0,0 +1,428 @@
+#include "sidecar_cluster.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+
+namespace azureladder::sidecar {
+
+namespace {
+
+constexpr duration tick = milliseconds(25);
+constexpr duration link_delay = milliseconds(4);
+constexpr duration store_delay = milliseconds(4);
+constexpr duration work_time = milliseconds(60);
+constexpr duration announcement_interval = milliseconds(870);
+
+routing::route make_route(const std::string& service, routing::request_kind kind)
+{
+    routing::route result;
+    result.m_name = "route-" + service;
+    result.m_host = service;
+    result.m_prefix = "/";
+    result.m_kind = kind;
+    result.m_timeout = milliseconds(2000);
+    result.m_target_latency = milliseconds(1000);
+    result.m_attempts = 2;
+    result.m_services = {{service, 1}};
+    return result;
+}
+
+std::shared_ptr<const routing::routing_configuration> make_configuration()
+{
+    auto result = std::make_shared<routing::routing_configuration>();
+    result->m_version = 1;
+    result->m_routes = {make_route("orders", routing::request_kind::non_idempotent),
+                        make_route("shelf", routing::request_kind::idempotent)};
+    result->m_services["orders"].m_name = "orders";
+    result->m_services["shelf"].m_name = "shelf";
+    result->m_services["shelf"].m_keyed = true;
+    routing::index_routes(*result);
+    return result;
+}
+
+} // namespace
+
+sidecar_cluster::sidecar_cluster(const shape& wanted)
+    : m_random(wanted.m_seed), m_configuration(make_configuration())
+{
+    const auto add = [&](const std::string& service, std::size_t number) {
+        const std::string name = service + "-" + std::to_string(number);
+        machine& added = m_machines[name];
+        added.m_service = service;
+        added.m_zone = "zone-" + std::to_string(number % 3);
+        added.m_backend = std::make_unique<fake_backend>("i-" + name, service, name + ":1");
+    };
+    for (std::size_t i = 0; i < wanted.m_plain; ++i)
+        add("orders", i);
+    for (std::size_t i = 0; i < wanted.m_keyed; ++i)
+        add("shelf", i);
+    for (const auto& node : nodes())
+        start_node(node);
+}
+
+std::vector<std::string> sidecar_cluster::nodes() const
+{
+    std::vector<std::string> result;
+    for (const auto& [name, unused] : m_machines)
+        result.push_back(name);
+    return result;
+}
+
+void sidecar_cluster::at(duration delay, std::function<void()> action)
+{
+    m_agenda.emplace(m_now + delay, std::move(action));
+}
+
+void sidecar_cluster::run_for(duration time)
+{
+    const time_point end = m_now + time;
+    while (!m_agenda.empty() && m_agenda.begin()->first <= end) {
+        const auto next = m_agenda.begin();
+        m_now = std::max(m_now, next->first);
+        const auto action = std::move(next->second);
+        m_agenda.erase(next);
+        action();
+        check_owners();
+    }
+    m_now = end;
+}
+
+bool sidecar_cluster::is_up(const std::string& node, std::uint64_t incarnation) const
+{
+    const machine& wanted = m_machines.at(node);
+    return wanted.m_state && wanted.m_incarnation == incarnation;
+}
+
+bool sidecar_cluster::is_cut(const std::string& a, const std::string& b) const
+{
+    return m_cuts.count({std::min(a, b), std::max(a, b)}) != 0;
+}
+
+void sidecar_cluster::happen(const std::string& node, event happened)
+{
+    machine& wanted = m_machines.at(node);
+    if (!wanted.m_state)
+        return;
+    if (m_now < wanted.m_frozen_until) {
+        const std::uint64_t incarnation = wanted.m_incarnation;
+        wanted.m_while_frozen.push_back([this, node, incarnation, happened] {
+            if (is_up(node, incarnation))
+                this->happen(node, happened);
+        });
+        return;
+    }
+    for (const auto& todo : step(*wanted.m_state, happened, m_now))
+        carry_out(node, todo);
+}
+
+void sidecar_cluster::start_node(const std::string& node)
+{
+    machine& wanted = m_machines.at(node);
+    node_options options;
+    options.m_node = node;
+    options.m_incarnation = m_random();
+    options.m_zone = wanted.m_zone;
+    options.m_service = wanted.m_service;
+    options.m_peer_address = node + ":0";
+    wanted.m_incarnation = options.m_incarnation;
+    wanted.m_state = std::make_unique<node_state>(make_node(options, m_now, m_random()));
+    const std::uint64_t incarnation = wanted.m_incarnation;
+    const auto repeat = [this, node, incarnation](duration interval, auto action) {
+        const auto loop = std::make_shared<std::function<void()>>();
+        *loop = [this, node, incarnation, interval, action, loop] {
+            if (!is_up(node, incarnation)) {
+                // Breaks the cycle of the loop that holds itself.
+                at(duration::zero(), [loop] { *loop = nullptr; });
+                return;
+            }
+            action();
+            at(interval, [loop] { (*loop)(); });
+        };
+        at(duration(static_cast<duration::rep>(m_random() % 1000)), [loop] { (*loop)(); });
+    };
+    repeat(tick, [this, node] { happen(node, timer_tick{}); });
+    repeat(announcement_interval, [this, node] {
+        fake_backend& server = backend(node);
+        if (server.m_alive)
+            happen(node, backend_announced{server.announcement(m_now)});
+    });
+    at(store_delay, [this, node, incarnation] {
+        if (!is_up(node, incarnation) || m_store_cuts.count(node) != 0)
+            return;
+        give_operator_documents(node);
+        nodes_listed listed;
+        for (const auto& name : nodes())
+            listed.m_addresses[name] = name + ":0";
+        happen(node, listed);
+    });
+}
+
+void sidecar_cluster::give_operator_documents(const std::string& node)
+{
+    happen(node, configuration_decoded{5, "text", m_configuration});
+    operator_documents documents;
+    documents.m_revision = m_operator_revision;
+    documents.m_evacuated_zones = m_evacuated;
+    happen(node, documents);
+}
+
+void sidecar_cluster::evacuate(const std::set<std::string>& zones)
+{
+    m_evacuated = zones;
+    ++m_operator_revision;
+    for (const auto& node : nodes()) {
+        if (m_store_cuts.count(node) == 0)
+            at(store_delay, [this, node] { give_operator_documents(node); });
+    }
+}
+
+void sidecar_cluster::kill_node(const std::string& node)
+{
+    m_machines.at(node).m_state.reset();
+    backend(node).m_running.clear();
+    std::vector<std::uint64_t> closed;
+    for (const auto& [id, end] : m_links) {
+        if (end.m_node == node)
+            closed.push_back(id);
+    }
+    for (const std::uint64_t link : closed)
+        close(link);
+}
+
+void sidecar_cluster::freeze_node(const std::string& node, duration time)
+{
+    m_machines.at(node).m_frozen_until = m_now + time;
+    at(time, [this, node] {
+        auto missed = std::move(m_machines.at(node).m_while_frozen);
+        m_machines.at(node).m_while_frozen.clear();
+        for (const auto& action : missed)
+            action();
+    });
+}
+
+void sidecar_cluster::cut(const std::string& a, const std::string& b, bool is_cut)
+{
+    const std::pair<std::string, std::string> pair{std::min(a, b), std::max(a, b)};
+    if (is_cut)
+        m_cuts.insert(pair);
+    else
+        m_cuts.erase(pair);
+}
+
+void sidecar_cluster::cut_store(const std::string& node, bool is_cut)
+{
+    if (is_cut)
+        m_store_cuts.insert(node);
+    else if (m_store_cuts.erase(node) != 0)
+        at(store_delay, [this, node] { give_operator_documents(node); });
+}
+
+void sidecar_cluster::reset_links(const std::string& node)
+{
+    std::vector<std::uint64_t> closed;
+    for (const auto& [id, end] : m_links) {
+        if (end.m_node == node)
+            closed.push_back(id);
+    }
+    for (const std::uint64_t link : closed)
+        close(link);
+}
+
+void sidecar_cluster::connect(const std::string& node, const std::string& peer)
+{
+    const std::uint64_t incarnation = m_machines.at(node).m_incarnation;
+    at(link_delay * 2, [this, node, peer, incarnation] {
+        if (!is_up(node, incarnation))
+            return;
+        if (is_cut(node, peer) || !m_machines.at(peer).m_state) {
+            happen(node, connect_failed{peer});
+            return;
+        }
+        const std::uint64_t own = m_next_id++;
+        const std::uint64_t other = m_next_id++;
+        m_links[own] = {node, peer, other};
+        m_links[other] = {peer, node, own};
+        happen(peer, link_opened{other, ""});
+        happen(node, link_opened{own, peer});
+    });
+}
+
+void sidecar_cluster::close(std::uint64_t link)
+{
+    const auto found = m_links.find(link);
+    if (found == m_links.end())
+        return;
+    const link_end end = found->second;
+    m_links.erase(found);
+    m_links.erase(end.m_other);
+    if (m_machines.at(end.m_node).m_state)
+        happen(end.m_node, link_closed{link});
+    at(link_delay, [this, end] {
+        if (m_machines.at(end.m_peer).m_state)
+            happen(end.m_peer, link_closed{end.m_other});
+    });
+}
+
+void sidecar_cluster::deliver(std::uint64_t link, const peer_frame& frame)
+{
+    const auto found = m_links.find(link);
+    if (found == m_links.end() || is_cut(found->second.m_node, found->second.m_peer))
+        return;
+    const link_end end = found->second;
+    at(link_delay, [this, end, frame] {
+        if (m_links.count(end.m_other) != 0)
+            happen(end.m_peer, frame_received{end.m_other, frame});
+    });
+}
+
+void sidecar_cluster::execute(const std::string& node, const start_execution& wanted)
+{
+    fake_backend& server = backend(node);
+    const std::uint64_t incarnation = m_machines.at(node).m_incarnation;
+    const auto end_with = [this, node, incarnation](execution_ended ended, duration delay) {
+        at(delay, [this, node, incarnation, ended] {
+            if (is_up(node, incarnation))
+                happen(node, ended);
+        });
+    };
+    execution_ended ended;
+    ended.m_execution = wanted.m_execution;
+    if (!server.m_alive) {
+        ended.m_result = execution_result::not_sent;
+        end_with(ended, milliseconds(1));
+        return;
+    }
+    const forwarded_request& request = *wanted.m_request;
+    if (!server.accepts(request, m_now)) {
+        ended.m_result = execution_result::rejected;
+        end_with(ended, milliseconds(1));
+        return;
+    }
+    server.m_executed.push_back(request.m_request_id);
+    if (m_repeatable[request.m_request_id] == false && executions(request.m_request_id) > 1)
+        m_violations.push_back("executed twice: " + request.m_request_id);
+    const int status = this->status(request.m_request_id);
+    if (!m_repeatable[request.m_request_id] && status == 503)
+        m_violations.push_back("executed after a refusal: " + request.m_request_id);
+    const std::pair<std::uint64_t, std::uint64_t> run{incarnation, wanted.m_execution};
+    server.m_running.insert(run);
+    if (server.m_running.size() > fake_backend::slots)
+        m_violations.push_back("more requests than slots at " + node);
+    at(work_time, [this, node, run] { backend(node).m_running.erase(run); });
+    if (random_share() < m_lost_answers) {
+        ended.m_result = execution_result::unknown;
+        end_with(ended, work_time);
+        return;
+    }
+    auto answer = std::make_shared<server_answer>();
+    answer->m_status = 200;
+    answer->m_body = request.m_request_id;
+    ended.m_result = execution_result::answered;
+    ended.m_answer = std::move(answer);
+    end_with(ended, work_time);
+}
+
+void sidecar_cluster::carry_out(const std::string& node, const effect& wanted)
+{
+    const std::uint64_t incarnation = m_machines.at(node).m_incarnation;
+    const auto later = [this, node, incarnation](duration delay, event happened) {
+        at(delay, [this, node, incarnation, happened] {
+            if (is_up(node, incarnation))
+                happen(node, happened);
+        });
+    };
+    const bool store_cut = m_store_cuts.count(node) != 0;
+    if (const auto* passed = std::get_if<pass_answer>(&wanted)) {
+        const std::string& id = m_request_of_caller.at(passed->m_caller);
+        if (passed->m_answer->m_body != id)
+            m_violations.push_back("answer of another request for " + id);
+        m_status[id] = passed->m_answer->m_status;
+    } else if (const auto* answered = std::get_if<answer_caller>(&wanted)) {
+        const std::string& id = m_request_of_caller.at(answered->m_caller);
+        m_status[id] = answered->m_status;
+        if (answered->m_status == 503 && !m_repeatable[id] && executions(id) != 0)
+            m_violations.push_back("refused although executed: " + id);
+    } else if (const auto* line = std::get_if<log_line>(&wanted)) {
+        // For tracing one seed by hand.
+        if (std::getenv("SIDECAR_TEST_LOG") != nullptr)
+            std::printf("%.3f %s %s %s\n", static_cast<double>(to_us(m_now)) / 1e6, node.c_str(),
+                        line->m_event.c_str(), line->m_fields.dump().c_str());
+    } else if (const auto* connecting = std::get_if<connect_node>(&wanted)) {
+        connect(node, connecting->m_node);
+    } else if (const auto* closing = std::get_if<close_link>(&wanted)) {
+        close(closing->m_link);
+    } else if (const auto* sent = std::get_if<send_frame>(&wanted)) {
+        deliver(sent->m_link, sent->m_frame);
+    } else if (const auto* started = std::get_if<start_execution>(&wanted)) {
+        execute(node, *started);
+    } else if (const auto* cancelled = std::get_if<cancel_execution>(&wanted)) {
+        backend(node).m_running.erase({incarnation, cancelled->m_execution});
+    } else if (const auto* granted = std::get_if<grant_keys>(&wanted)) {
+        if (backend(node).m_alive)
+            later(milliseconds(2), backend(node).grant(*granted, m_now));
+    } else if (const auto* released = std::get_if<release_keys>(&wanted)) {
+        if (backend(node).m_alive)
+            later(milliseconds(20), backend(node).release(*released));
+    } else if (const auto* reading = std::get_if<read_table>(&wanted)) {
+        table_read result = m_store.read(reading->m_service, m_now);
+        result.m_succeeded = !store_cut;
+        later(store_cut ? duration(milliseconds(700)) : store_delay, result);
+    } else if (const auto* writing = std::get_if<write_table>(&wanted)) {
+        table_written result;
+        result.m_service = writing->m_service;
+        result.m_sent_at = m_now;
+        if (!store_cut)
+            result = m_store.write(*writing, m_now);
+        later(store_cut ? duration(milliseconds(700)) : store_delay, result);
+    }
+}
+
+std::string sidecar_cluster::send(const std::string& node, const std::string& service,
+                                  std::optional<std::uint32_t> key)
+{
+    caller_request request;
+    request.m_caller = m_next_id++;
+    const std::string id = "request-" + std::to_string(request.m_caller);
+    m_request_of_caller[request.m_caller] = id;
+    m_repeatable[id] = service == "shelf";
+    request.m_request.m_request_id = id;
+    request.m_request.m_host = service;
+    request.m_request.m_target = "/x";
+    request.m_request.m_key = key;
+    request.m_remaining = milliseconds(1500);
+    happen(node, request);
+    return id;
+}
+
+int sidecar_cluster::status(const std::string& request) const
+{
+    const auto found = m_status.find(request);
+    return found == m_status.end() ? 0 : found->second;
+}
+
+std::size_t sidecar_cluster::executions(const std::string& request) const
+{
+    std::size_t count = 0;
+    for (const auto& [node, wanted] : m_machines)
+        count += static_cast<std::size_t>(std::count(wanted.m_backend->m_executed.begin(),
+                                                     wanted.m_backend->m_executed.end(), request));
+    return count;
+}
+
+void sidecar_cluster::check_owners()
+{
+    for (const std::uint32_t key : {0U, 9000U, 22000U, 30000U, 44000U, 60000U}) {
+        std::string holder;
+        for (const auto& [node, wanted] : m_machines) {
+            if (!wanted.m_backend->holds(key, m_now))
+                continue;
+            if (!holder.empty())
+                m_violations.push_back("key " + std::to_string(key) + " held by " + holder +
+                                       " and " + node);
+            holder = node;
+        }
+    }
+}
+
+} // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar/tests/sidecar_cluster.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "fake_backend.hpp"
+#include "fake_store.hpp"
+
+#include <azureladder/sidecar/step.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace azureladder::sidecar {
+
+/// Nodes, backend servers, connections and the store in simulated time. The nodes run the real
+/// reducer; everything else is played by this class.
+class sidecar_cluster
+{
+public:
+    struct shape
+    {
+        /// Backend servers of the service "orders", which has no keys.
+        std::size_t m_plain = 3;
+
+        /// Backend servers of the service "shelf", which is divided by key.
+        std::size_t m_keyed = 3;
+
+        std::uint64_t m_seed = 1;
+    };
+
+    explicit sidecar_cluster(const shape& wanted);
+
+    /// Lets the time pass.
+    void run_for(duration time);
+
+    /// Sends a request of a caller to a node and returns its id.
+    std::string send(const std::string& node, const std::string& service,
+                     std::optional<std::uint32_t> key = {});
+
+    /// Status that the caller got; 0 while there is none.
+    int status(const std::string& request) const;
+
+    /// Times that a request was executed by all backend servers together.
+    std::size_t executions(const std::string& request) const;
+
+    /// Faults.
+    void kill_node(const std::string& node);
+    void start_node(const std::string& node);
+    void freeze_node(const std::string& node, duration time);
+    void cut(const std::string& a, const std::string& b, bool is_cut);
+    void reset_links(const std::string& node);
+    void cut_store(const std::string& node, bool is_cut);
+    void evacuate(const std::set<std::string>& zones);
+    void lose_answers(double share) { m_lost_answers = share; }
+
+    fake_backend& backend(const std::string& node) { return *m_machines.at(node).m_backend; }
+    const node_state& state(const std::string& node) const { return *m_machines.at(node).m_state; }
+    std::vector<std::string> nodes() const;
+    time_point now() const { return m_now; }
+
+    /// Violations of the promises, in order of time. Empty in a correct run.
+    const std::vector<std::string>& violations() const { return m_violations; }
+
+private:
+    struct machine
+    {
+        std::unique_ptr<node_state> m_state;
+        std::unique_ptr<fake_backend> m_backend;
+        std::string m_service;
+        std::string m_zone;
+        std::uint64_t m_incarnation = 0;
+        time_point m_frozen_until;
+        std::vector<std::function<void()>> m_while_frozen;
+    };
+
+    struct link_end
+    {
+        std::string m_node;
+        std::string m_peer;
+        std::uint64_t m_other = 0;
+    };
+
+    void at(duration delay, std::function<void()> action);
+    void happen(const std::string& node, event happened);
+    void carry_out(const std::string& node, const effect& wanted);
+    void connect(const std::string& node, const std::string& peer);
+    void close(std::uint64_t link);
+    void deliver(std::uint64_t link, const peer_frame& frame);
+    void execute(const std::string& node, const start_execution& wanted);
+    void give_operator_documents(const std::string& node);
+    bool is_up(const std::string& node, std::uint64_t incarnation) const;
+    bool is_cut(const std::string& a, const std::string& b) const;
+    void check_owners();
+    double random_share() { return static_cast<double>(m_random() % 1000) / 1000.0; }
+
+    std::mt19937_64 m_random;
+    time_point m_now{std::chrono::seconds(1000)};
+    std::multimap<time_point, std::function<void()>> m_agenda;
+    std::map<std::string, machine> m_machines;
+    fake_store m_store;
+    std::map<std::uint64_t, link_end> m_links;
+    std::uint64_t m_next_id = 1;
+    std::set<std::pair<std::string, std::string>> m_cuts;
+    std::set<std::string> m_store_cuts;
+    std::shared_ptr<const routing::routing_configuration> m_configuration;
+    std::set<std::string> m_evacuated;
+    std::uint64_t m_operator_revision = 10;
+    std::map<std::uint64_t, std::string> m_request_of_caller;
+    std::map<std::string, int> m_status;
+    std::map<std::string, bool> m_repeatable;
+    double m_lost_answers = 0.0;
+    std::vector<std::string> m_violations;
+};
+
+} // namespace azureladder::sidecar
