--- a/libs/sidecar/tests/cluster_test.cpp
+++ b/libs/sidecar/tests/cluster_test.cpp
@@ -65,6 +65,7 @@
     sidecar_cluster cluster({2, 0, 2});
     cluster.run_for(settling);
     std::vector<std::string> sent;
+    sent.reserve(200);
     for (int i = 0; i < 200; ++i)
         sent.push_back(cluster.send("orders-" + std::to_string(i % 2), "orders"));
     cluster.run_for(seconds(3));
@@ -99,6 +100,7 @@
     sidecar_cluster cluster({3, 0, 4});
     cluster.run_for(settling);
     std::vector<std::string> sent;
+    sent.reserve(12);
     for (int i = 0; i < 12; ++i)
         sent.push_back(cluster.send("orders-0", "orders"));
     cluster.run_for(milliseconds(30));
--- a/libs/sidecar/tests/sidecar_cluster.cpp
+++ b/libs/sidecar/tests/sidecar_cluster.cpp
@@ -99,7 +99,7 @@
     return m_cuts.count({std::min(a, b), std::max(a, b)}) != 0;
 }
 
-void sidecar_cluster::happen(const std::string& node, event happened)
+void sidecar_cluster::happen(const std::string& node, const event& happened)
 {
     machine& wanted = m_machines.at(node);
     if (!wanted.m_state)
@@ -280,7 +280,7 @@
 {
     fake_backend& server = backend(node);
     const std::uint64_t incarnation = m_machines.at(node).m_incarnation;
-    const auto end_with = [this, node, incarnation](execution_ended ended, duration delay) {
+    const auto end_with = [this, node, incarnation](const execution_ended& ended, duration delay) {
         at(delay, [this, node, incarnation, ended] {
             if (is_up(node, incarnation))
                 happen(node, ended);
@@ -326,7 +326,7 @@
 void sidecar_cluster::carry_out(const std::string& node, const effect& wanted)
 {
     const std::uint64_t incarnation = m_machines.at(node).m_incarnation;
-    const auto later = [this, node, incarnation](duration delay, event happened) {
+    const auto later = [this, node, incarnation](duration delay, const event& happened) {
         at(delay, [this, node, incarnation, happened] {
             if (is_up(node, incarnation))
                 happen(node, happened);
@@ -383,7 +383,7 @@
 {
     caller_request request;
     request.m_caller = m_next_id++;
-    const std::string id = "request-" + std::to_string(request.m_caller);
+    std::string id = "request-" + std::to_string(request.m_caller);
     m_request_of_caller[request.m_caller] = id;
     m_repeatable[id] = service == "shelf";
     request.m_request.m_request_id = id;
@@ -418,8 +418,12 @@
             if (!wanted.m_backend->holds(key, m_now))
                 continue;
             if (!holder.empty())
-                m_violations.push_back("key " + std::to_string(key) + " held by " + holder +
-                                       " and " + node);
+                m_violations.push_back(std::string("key held twice: ")
+                                           .append(std::to_string(key))
+                                           .append(" by ")
+                                           .append(holder)
+                                           .append(" and ")
+                                           .append(node));
             holder = node;
         }
     }
--- a/libs/sidecar/tests/sidecar_cluster.hpp
+++ b/libs/sidecar/tests/sidecar_cluster.hpp
@@ -84,7 +84,7 @@
     };
 
     void at(duration delay, std::function<void()> action);
-    void happen(const std::string& node, event happened);
+    void happen(const std::string& node, const event& happened);
     void carry_out(const std::string& node, const effect& wanted);
     void connect(const std::string& node, const std::string& peer);
     void close(std::uint64_t link);
