--- a/libs/routing/include/azureladder/routing/placement.hpp
+++ b/libs/routing/include/azureladder/routing/placement.hpp
@@ -18,6 +18,14 @@
 
     /// Service time assumed before the first measurement.
     duration m_default_service_time = milliseconds(100);
+
+    /// Difference in cost at which a gate is chosen about a third as often, as a share of the best
+    /// cost. Nodes have old reports of each other, so all of them taking the best gate at the same
+    /// time would overload it.
+    double m_spread = 0.35;
+
+    /// Age at which a reported load counts about a third.
+    duration m_report_life = milliseconds(1500);
 };
 
 /// A gate that may take the request.
@@ -28,6 +36,9 @@
     /// Requests that this node has sent there since the report and that have no answer yet.
     std::uint32_t m_sent_since_report = 0;
 
+    /// Time since the report.
+    duration m_report_age{};
+
     bool m_same_zone = false;
 
     /// Round trip to the node.
@@ -41,9 +52,9 @@
 duration expected_wait(const gate_report& report, std::uint32_t sent_since_report,
                        const placement_options& options);
 
-/// Position of the candidate to take, or `candidates.size()` when none is open. Of candidates
-/// whose cost is within a tenth of the best one, `random` chooses, so that nodes with the same
-/// reports do not all take the same gate.
+/// Position of the candidate to take, or `candidates.size()` when none is open. Chosen at random,
+/// gates of low cost and high capacity more often. Gates of other zones take part only when the
+/// best of them is better than all of the own zone.
 std::size_t choose_candidate(const std::vector<placement_candidate>& candidates,
                              const placement_options& options, std::uint64_t random);
 
--- a/libs/routing/src/placement.cpp
+++ b/libs/routing/src/placement.cpp
@@ -1,6 +1,7 @@
 #include <azureladder/routing/placement.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace azureladder::routing {
 
@@ -39,10 +40,13 @@
 {
     const gate_report& report = candidate.m_report;
     const double limit = std::max<std::uint32_t>(report.m_limit, 1);
-    const double use = std::min(1.0, (report.m_running + candidate.m_sent_since_report) / limit);
+    const double freshness = std::exp(-std::chrono::duration<double>(candidate.m_report_age) /
+                                      std::chrono::duration<double>(options.m_report_life));
+    const double use =
+        std::min(1.0, (report.m_running * freshness + candidate.m_sent_since_report) / limit);
     // Servers slow down when they are nearly full, so a busy one costs up to half as much again.
     duration cost = scaled(service_time(report, options), 1.0 + 0.5 * use * use);
-    cost += expected_wait(report, candidate.m_sent_since_report, options);
+    cost += scaled(expected_wait(report, candidate.m_sent_since_report, options), freshness);
     cost += candidate.m_distance;
     cost += scaled(options.m_failure_penalty, report.m_failure_share);
     if (!candidate.m_same_zone)
@@ -54,21 +58,44 @@
                              const placement_options& options, std::uint64_t random)
 {
     std::vector<duration> costs(candidates.size());
-    duration best = duration::max();
+    duration best_near = duration::max();
+    duration best_far = duration::max();
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         if (!candidates[i].m_report.m_open)
             continue;
         costs[i] = expected_cost(candidates[i], options);
+        duration& best = candidates[i].m_same_zone ? best_near : best_far;
         best = std::min(best, costs[i]);
     }
+    const duration best = std::min(best_near, best_far);
     if (best == duration::max())
         return candidates.size();
-    std::vector<std::size_t> near;
+    const bool near_only = best_near <= best_far;
+    const double scale = std::max(1.0, static_cast<double>(best.count()) * options.m_spread);
+    std::vector<double> weights(candidates.size(), 0.0);
+    double sum = 0.0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (candidates[i].m_report.m_open && costs[i] <= best + best / 10)
-            near.push_back(i);
+        const gate_report& report = candidates[i].m_report;
+        if (!report.m_open || (near_only && !candidates[i].m_same_zone))
+            continue;
+        const double capacity =
+            std::max<std::uint32_t>(report.m_limit, 1) /
+            std::max(1.0, static_cast<double>(service_time(report, options).count()));
+        weights[i] = capacity * std::exp(-static_cast<double>((costs[i] - best).count()) / scale);
+        sum += weights[i];
+    }
+    // 53 random bits give an even number from 0 to 1.
+    double left = sum * (static_cast<double>(random >> 11) / 9007199254740992.0);
+    std::size_t chosen = candidates.size();
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (weights[i] <= 0.0)
+            continue;
+        chosen = i;
+        left -= weights[i];
+        if (left < 0.0)
+            break;
     }
-    return near[random % near.size()];
+    return chosen;
 }
 
 } // namespace azureladder::routing
--- a/libs/routing/tests/choice_test.cpp
+++ b/libs/routing/tests/choice_test.cpp
@@ -39,6 +39,22 @@
               0U);
 }
 
+// Guards against nodes with the same old reports that all take the same gate and overload it: the
+// better gate gets more, but not everything.
+TEST(placement, spreads_requests_over_gates_of_similar_cost)
+{
+    const std::vector<placement_candidate> gates = {make_candidate(2, milliseconds(100), true),
+                                                    make_candidate(2, milliseconds(130), true),
+                                                    make_candidate(9, milliseconds(400), true)};
+    std::vector<int> counts(gates.size() + 1);
+    for (std::uint64_t i = 0; i < 1000; ++i)
+        ++counts[choose_candidate(gates, {}, i * (UINT64_MAX / 1000))];
+    EXPECT_GT(counts[0], counts[1]);
+    EXPECT_GT(counts[1], 150);
+    EXPECT_LT(counts[2], 50);
+    EXPECT_EQ(counts[3], 0);
+}
+
 // Guards against sending requests to gates that take none.
 TEST(placement, takes_no_closed_gate)
 {
--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -66,7 +66,7 @@
     duration m_claim_turn = milliseconds(1500);
 
     /// Time between two decisions about moving load.
-    duration m_balance_interval = milliseconds(1000);
+    duration m_balance_interval = milliseconds(600);
 
     /// Use below which a server keeps its keys, since a move makes them wait for running work.
     double m_balance_min_use = 0.7;
@@ -75,7 +75,7 @@
     double m_balance_threshold = 0.25;
 
     /// Fraction of requests kept by the decaying counts at each balance interval.
-    float m_load_decay = 0.8F;
+    float m_load_decay = 0.7F;
 
     /// Largest number of ranges of one service before neighbours are joined.
     std::size_t m_max_ranges = 64;
@@ -83,8 +83,9 @@
     /// Shortest time before a store call that failed is repeated.
     duration m_store_retry = milliseconds(400);
 
-    /// Time after the start for which a first table waits for further members.
-    duration m_table_creation_delay = milliseconds(2500);
+    /// Time after the start for which a first table waits for further members. Connecting to a
+    /// hundred peers takes seconds on a tenth of a core.
+    duration m_table_creation_delay = milliseconds(5000);
 
     /// Shortest and longest time from a stop request to the end of the process. Callers see the
     /// node as not ready after two probes, one a second.
--- a/libs/sidecar/include/azureladder/sidecar/peer_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_state.hpp
@@ -25,6 +25,7 @@
     bool m_greeted = false;
 
     node_status m_status;
+    time_point m_reported_at;
     std::uint32_t m_open_requests = 0;
     std::uint32_t m_sent_since_status = 0;
 
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -15,6 +15,10 @@
 /// Refusals of gates after which a request is refused, so that it is not held for long.
 constexpr std::uint32_t max_refusals = 3;
 
+/// Silence of a node after which its idempotent requests are sent to another one. Longer than the
+/// time after which it gets no new ones, since the first execution is wasted.
+constexpr duration resend_after = milliseconds(600);
+
 /// Pause before the owner of a moving range is asked again, for each refusal so far. A move takes
 /// as long as the running work on its keys.
 constexpr duration ask_owner_pause = milliseconds(60);
@@ -217,18 +221,18 @@
     node_state& state = context.m_state;
     std::vector<routing::placement_candidate> candidates;
     std::vector<std::string> nodes;
-    const auto add = [&](const std::string& node, const node_status& status, bool same_zone,
-                         duration distance, std::uint32_t sent) {
+    const auto add = [&](const std::string& node, const node_status& status, duration age,
+                         bool same_zone, duration distance, std::uint32_t sent) {
         if (status.m_service != request.m_request->m_service || request.m_tried.count(node) != 0)
             return;
-        candidates.push_back({status.m_report, sent, same_zone, distance});
+        candidates.push_back({status.m_report, sent, age, same_zone, distance});
         nodes.push_back(node);
     };
-    add(state.m_options.m_node, status_of(state, context.m_now), true, {}, 0);
+    add(state.m_options.m_node, status_of(state, context.m_now), {}, true, {}, 0);
     for (const auto& [node, peer] : state.m_peers) {
         if (is_usable(state, peer, context.m_now) && !peer.m_status.m_leaving)
-            add(node, peer.m_status, peer.m_zone == state.m_options.m_zone, peer.m_round_trip,
-                peer.m_sent_since_status);
+            add(node, peer.m_status, context.m_now - peer.m_reported_at,
+                peer.m_zone == state.m_options.m_zone, peer.m_round_trip, peer.m_sent_since_status);
     }
     const std::size_t chosen =
         routing::choose_candidate(candidates, state.m_options.m_placement, state.m_random());
@@ -295,12 +299,32 @@
     }
 }
 
+/// Whether a request may be executed once more at a node that was not tried yet. The owner of a
+/// key has no replacement, so its answer is waited for.
+bool may_be_served_elsewhere(const step_context& context, const open_request& request)
+{
+    const node_state& state = context.m_state;
+    if (request.m_request->m_kind != routing::request_kind::idempotent ||
+        request.m_request->m_key || request.m_executions + 1 >= request.m_max_attempts)
+        return false;
+    const auto budget = state.m_retry_budgets.find(request.m_request->m_service);
+    if (budget == state.m_retry_budgets.end() || budget->second.m_tokens < 1.0)
+        return false;
+    return std::any_of(state.m_peers.begin(), state.m_peers.end(), [&](const auto& entry) {
+        const auto& [node, peer] = entry;
+        return node != request.m_node && request.m_tried.count(node) == 0 &&
+               is_usable(state, peer, context.m_now) && peer.m_status.m_report.m_open &&
+               peer.m_status.m_service == request.m_request->m_service;
+    });
+}
+
 void note_report(step_context& context, const std::string& node, const routing::gate_report& report)
 {
     const auto peer = context.m_state.m_peers.find(node);
     if (peer == context.m_state.m_peers.end())
         return;
     peer->second.m_status.m_report = report;
+    peer->second.m_reported_at = context.m_now;
     peer->second.m_sent_since_status = 0;
 }
 
@@ -487,10 +511,9 @@
             request.m_link_lost_at != time_point{} &&
             context.m_now - request.m_link_lost_at > state.m_options.m_resume_window;
         const auto peer = state.m_peers.find(request.m_node);
-        const bool silent = request.m_request->m_kind == routing::request_kind::idempotent &&
-                            peer != state.m_peers.end() &&
-                            !is_usable(state, peer->second, context.m_now);
-        if (link_lost || silent)
+        const bool silent = peer != state.m_peers.end() && peer->second.m_ping_open &&
+                            context.m_now - peer->second.m_ping_sent > resend_after;
+        if (link_lost || (silent && may_be_served_elsewhere(context, request)))
             lost.push_back(caller);
     }
     for (const std::uint64_t caller : late) {
--- a/libs/sidecar/src/key_moves.cpp
+++ b/libs/sidecar/src/key_moves.cpp
@@ -15,8 +15,9 @@
 /// Work that can be moved in one step, as a share of a server's work, at most.
 constexpr double max_moved_share = 0.5;
 
-/// Parts of a range that are moved at the same time by one node.
-constexpr std::size_t max_moves_at_once = 3;
+/// Parts of a range that are moved at the same time by one node. Skewed traffic starts within a
+/// second on a table that was divided evenly.
+constexpr std::size_t max_moves_at_once = 6;
 
 /// One of this many possible targets is taken, so that several busy nodes do not choose the same.
 constexpr std::uint64_t target_choice = 2;
@@ -142,6 +143,8 @@
     if (!best || best_entry == nullptr)
         return false;
     begin_move(context, *best_entry, best->m_from, best->m_to, target, "balance");
+    // Takes the part out of the holds, so that the next one is another.
+    check_holds(context);
     return true;
 }
 
--- a/libs/sidecar/src/mesh.cpp
+++ b/libs/sidecar/src/mesh.cpp
@@ -274,6 +274,7 @@
     peer_state& peer = found->second;
     const bool was_open = peer.m_status.m_report.m_open;
     peer.m_status = frame.m_status;
+    peer.m_reported_at = context.m_now;
     peer.m_sent_since_status = 0;
     const bool answers_ping = peer.m_ping_open && frame.m_sequence == peer.m_ping_sequence;
     if (answers_ping) {
