Let a move wait only for a grant that stays unanswered

A move that began while a renewal was under way waited 2.85 s, although the renewal was answered after 2 ms (test evacuated_zone_gets_no_requests).

--- a/libs/routing/src/placement.cpp
+++ b/libs/routing/src/placement.cpp
@@ -78,9 +78,9 @@
         const gate_report& report = candidates[i].m_report;
         if (!report.m_open || (near_only && !candidates[i].m_same_zone))
             continue;
-        const double capacity =
-            std::max<std::uint32_t>(report.m_limit, 1) /
-            std::max(1.0, static_cast<double>(service_time(report, options).count()));
+        // Slots by cost, not by execution time: failures are fast.
+        const double capacity = std::max<std::uint32_t>(report.m_limit, 1) /
+                                std::max(1.0, static_cast<double>(costs[i].count()));
         weights[i] = capacity * std::exp(-static_cast<double>((costs[i] - best).count()) / scale);
         sum += weights[i];
     }
--- a/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
@@ -68,6 +68,11 @@
 
     /// Before this time a grant without an answer may still take effect.
     time_point m_not_before;
+
+    /// Grant that was under way when the move began; 0 once it is answered. Until then it may
+    /// take effect late, up to `m_open_grant_end`.
+    std::uint64_t m_open_grant = 0;
+    time_point m_open_grant_end;
 };
 
 /// Ranges at the backend server of this node, and their changes.
--- a/libs/sidecar/src/key_holds.cpp
+++ b/libs/sidecar/src/key_holds.cpp
@@ -114,6 +114,10 @@
 void on_order_ended(step_context& context, const order_ended& ended)
 {
     key_ownership& keys = context.m_state.m_ownership;
+    for (auto& move : keys.m_moves) {
+        if (move.m_open_grant == ended.m_order && ended.m_result != order_result::unanswered)
+            move.m_open_grant = 0;
+    }
     for (auto& [from, hold] : keys.m_holds) {
         if (hold.m_order != ended.m_order)
             continue;
--- a/libs/sidecar/src/key_moves.cpp
+++ b/libs/sidecar/src/key_moves.cpp
@@ -49,8 +49,11 @@
             continue;
         move.m_hold_end =
             std::max(move.m_hold_end, key_ranges::hold_end(hold.m_last_sent, options));
-        const time_point unanswered =
-            hold.m_order != 0 ? hold.m_order_sent : hold.m_unanswered_sent;
+        if (hold.m_order != 0) {
+            move.m_open_grant = hold.m_order;
+            move.m_open_grant_end = key_ranges::hold_end(hold.m_order_sent, options);
+        }
+        const time_point unanswered = hold.m_unanswered_sent;
         if (unanswered != time_point{})
             move.m_not_before =
                 std::max(move.m_not_before, key_ranges::hold_end(unanswered, options));
