--- a/libs/sidecar/tests/sidecar_cluster.hpp
+++ b/libs/sidecar/tests/sidecar_cluster.hpp
@@ -115,6 +115,7 @@
     std::map<std::string, bool> m_repeatable;
     double m_lost_answers = 0.0;
     double m_late_orders = 0.0;
+    time_point m_next_check;
     std::vector<std::string> m_violations;
 };
 
