--- a/libs/routing/include/azureladder/routing/route.hpp
+++ b/libs/routing/include/azureladder/routing/route.hpp
@@ -31,7 +31,7 @@
     duration m_timeout{};
 
     /// Time within which an answer is worth most to the caller.
-    duration m_target_latency{};
+    duration m_latency_objective{};
 
     /// Rank; 0 is the most urgent.
     std::uint32_t m_priority = 0;
--- a/libs/sidecar/include/azureladder/sidecar/backend_announcement.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/backend_announcement.hpp
@@ -25,7 +25,7 @@
     bool m_draining = false;
 
     /// How long the server stays cold.
-    duration m_cold_remaining{};
+    duration m_cold_time_left{};
 };
 
 } // namespace azureladder::sidecar
--- a/libs/sidecar/include/azureladder/sidecar/open_request.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/open_request.hpp
@@ -16,7 +16,7 @@
     std::uint64_t m_caller = 0;
     forwarded_request_ptr m_request;
     std::uint32_t m_max_attempts = 1;
-    duration m_target_latency{};
+    duration m_latency_objective{};
 
     time_point m_arrived;
     time_point m_target;
--- a/libs/sidecar/src/gate_node.cpp
+++ b/libs/sidecar/src/gate_node.cpp
@@ -84,6 +84,54 @@
         send_on_link(context, execution.m_link, std::move(result));
 }
 
+/// Learns from the end of an execution whether the backend server can be reached and answers.
+void note_backend_health(step_context& context, const execution_ended& ended)
+{
+    if (!context.m_state.m_backend)
+        return;
+    local_backend& backend = *context.m_state.m_backend;
+    if (ended.m_result == execution_result::answered ||
+        ended.m_result == execution_result::rejected) {
+        backend.m_silent = 0;
+        backend.m_unreachable = false;
+        return;
+    }
+    if (ended.m_result == execution_result::unknown) {
+        note_silence(context, backend);
+        return;
+    }
+    if (!backend.m_unreachable) {
+        backend.m_unreachable_since = context.m_now;
+        log(context, log_level::warning, "backend_unreachable",
+            {{"backend", backend.m_announcement.m_id}, {"cause", ended.m_cause}});
+    }
+    backend.m_unreachable = true;
+    backend.m_next_trial = context.m_now + trial_pause;
+}
+
+/// Tells the origin of an execution how it ended.
+void deliver_result(step_context& context, gate_execution& execution, const execution_ended& ended)
+{
+    const std::uint64_t frame = execution.m_frame;
+    switch (ended.m_result) {
+    case execution_result::answered:
+        deliver(context, execution, answer_frame{frame, ended.m_answer, own_report(context)});
+        break;
+    case execution_result::rejected:
+        deliver(
+            context, execution,
+            refusal_frame{frame, refusal_reason::rejected_by_server, 0, own_report(context), {}});
+        break;
+    case execution_result::not_sent:
+        deliver(context, execution,
+                refusal_frame{frame, refusal_reason::no_server, 0, own_report(context), {}});
+        break;
+    case execution_result::unknown:
+        deliver(context, execution, failure_frame{frame, ended.m_cause, own_report(context)});
+        break;
+    }
+}
+
 void begin(step_context& context, gate_execution& execution)
 {
     const local_backend& backend = *context.m_state.m_backend;
@@ -184,16 +232,6 @@
 
 } // namespace
 
-std::string life_of(const backend_announcement& announcement)
-{
-    return announcement.m_id + '#' + std::to_string(announcement.m_born_ms);
-}
-
-std::string local_life(const node_state& state)
-{
-    return state.m_backend ? life_of(state.m_backend->m_announcement) : std::string();
-}
-
 bool is_gate_open(const node_state& state, time_point now)
 {
     if (!state.m_backend || is_withdrawn(state) || state.m_stopping)
@@ -334,42 +372,9 @@
         fields["cause"] = ended.m_cause;
     log(context, log_level::info, "execution_ended", std::move(fields));
 
-    if (state.m_backend) {
-        local_backend& backend = *state.m_backend;
-        if (answered || ended.m_result == execution_result::rejected) {
-            backend.m_silent = 0;
-            backend.m_unreachable = false;
-        } else if (ended.m_result == execution_result::unknown) {
-            note_silence(context, backend);
-        } else {
-            if (!backend.m_unreachable) {
-                backend.m_unreachable_since = context.m_now;
-                log(context, log_level::warning, "backend_unreachable",
-                    {{"backend", backend.m_announcement.m_id}, {"cause", ended.m_cause}});
-            }
-            backend.m_unreachable = true;
-            backend.m_next_trial = context.m_now + trial_pause;
-        }
-    }
-    const std::uint64_t frame = execution.m_frame;
+    note_backend_health(context, ended);
     const bool own = execution.m_link == own_link;
-    switch (ended.m_result) {
-    case execution_result::answered:
-        deliver(context, execution, answer_frame{frame, ended.m_answer, own_report(context)});
-        break;
-    case execution_result::rejected:
-        deliver(
-            context, execution,
-            refusal_frame{frame, refusal_reason::rejected_by_server, 0, own_report(context), {}});
-        break;
-    case execution_result::not_sent:
-        deliver(context, execution,
-                refusal_frame{frame, refusal_reason::no_server, 0, own_report(context), {}});
-        break;
-    case execution_result::unknown:
-        deliver(context, execution, failure_frame{frame, ended.m_cause, own_report(context)});
-        break;
-    }
+    deliver_result(context, execution, ended);
     // A frame of this node to itself can't be lost.
     if (own)
         forget_execution(context, ended.m_execution);
@@ -417,7 +422,7 @@
             {{"backend", announced.m_id},
              {"service", announced.m_service},
              {"slots", announced.m_slots},
-             {"cold_ms", to_ms(announced.m_cold_remaining)}});
+             {"cold_ms", to_ms(announced.m_cold_time_left)}});
         if (state.m_backend)
             forget_holds(context);
         state.m_backend.emplace();
@@ -428,7 +433,7 @@
     backend.m_announcement = announced;
     backend.m_announced_at = context.m_now;
     backend.m_unreachable = false;
-    backend.m_cold_until = context.m_now + announced.m_cold_remaining;
+    backend.m_cold_until = context.m_now + announced.m_cold_time_left;
     state.m_cold_until_announced = {};
     if (leaves) {
         backend.m_leaving = true;
@@ -439,21 +444,6 @@
     start_waiting(context);
 }
 
-void on_backend_removed(step_context& context, const std::string& id)
-{
-    node_state& state = context.m_state;
-    if (!state.m_backend || state.m_backend->m_announcement.m_id != id)
-        return;
-    state.m_ended_lives[id] = state.m_backend->m_announcement.m_born_ms;
-    if (!state.m_backend->m_leaving) {
-        state.m_backend->m_leaving = true;
-        state.m_backend->m_leaving_since = context.m_now;
-        log(context, log_level::info, "backend_leaving",
-            {{"backend", id}, {"cause", "removed without notice"}});
-    }
-    broadcast_status(context);
-}
-
 void check_gate(step_context& context)
 {
     node_state& state = context.m_state;
--- /dev/null
+++ b/libs/sidecar/src/ingress_answers.cpp
@@ -0,0 +1,97 @@
+#include "ingress_internal.hpp"
+
+#include <azureladder/sidecar/step.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace azureladder::sidecar {
+
+json request_fields(const open_request& request)
+{
+    return {{"request", request.m_request->m_request_id},
+            {"route", request.m_request->m_route},
+            {"service", request.m_request->m_service}};
+}
+
+open_request* find_request(step_context& context, std::uint64_t frame)
+{
+    const auto caller = context.m_state.m_caller_of_frame.find(frame);
+    if (caller == context.m_state.m_caller_of_frame.end())
+        return nullptr;
+    const auto found = context.m_state.m_requests.find(caller->second);
+    return found == context.m_state.m_requests.end() ? nullptr : &found->second;
+}
+
+void end_attempt(step_context& context, open_request& request)
+{
+    if (request.m_frame == 0)
+        return;
+    context.m_state.m_caller_of_frame.erase(request.m_frame);
+    const auto peer = context.m_state.m_peers.find(request.m_node);
+    if (peer != context.m_state.m_peers.end() && peer->second.m_open_requests > 0)
+        --peer->second.m_open_requests;
+    request.m_frame = 0;
+    request.m_node.clear();
+    request.m_link_lost_at = {};
+}
+
+void cancel_attempt(step_context& context, open_request& request)
+{
+    if (request.m_frame == 0)
+        return;
+    send_to_node(context, request.m_node, cancel_frame{request.m_frame});
+    end_attempt(context, request);
+}
+
+void log_end(step_context& context, const open_request& request, const char* outcome, int status)
+{
+    json fields = request_fields(request);
+    fields["outcome"] = outcome;
+    fields["status"] = status;
+    fields["executions"] = request.m_executions;
+    fields["refusals"] = request.m_refusals;
+    fields["elapsed_us"] = (context.m_now - request.m_arrived).count();
+    fields["version"] = context.m_state.m_known.m_configuration
+                            ? context.m_state.m_known.m_configuration->m_version
+                            : 0;
+    if (!request.m_last_cause.empty())
+        fields["cause"] = request.m_last_cause;
+    log(context, log_level::info, "request_finished", std::move(fields));
+}
+
+void finish_with_answer(step_context& context, open_request& request, server_answer_ptr answer)
+{
+    log_end(context, request, "answered", answer->m_status);
+    emit(context, pass_answer{request.m_caller, std::move(answer)});
+    end_attempt(context, request);
+    context.m_state.m_requests.erase(request.m_caller);
+}
+
+void finish_with_status(step_context& context, open_request& request, int status,
+                        const char* outcome, duration retry_after)
+{
+    if (request.m_failed_answer) {
+        finish_with_answer(context, request, request.m_failed_answer);
+        return;
+    }
+    log_end(context, request, outcome, status);
+    const std::string reason =
+        request.m_last_cause.empty() ? outcome : outcome + (": " + request.m_last_cause);
+    emit(context, answer_caller{request.m_caller, status, reason, retry_after});
+    end_attempt(context, request);
+    context.m_state.m_requests.erase(request.m_caller);
+}
+
+void finish_unserved(step_context& context, open_request& request)
+{
+    if (request.m_executions > 0) {
+        finish_with_status(context, request, 502, "failed", {});
+        return;
+    }
+    const duration advised =
+        request.m_advised_wait > duration::zero() ? request.m_advised_wait : default_retry_after;
+    finish_with_status(context, request, 503, "refused", advised);
+}
+
+} // namespace azureladder::sidecar
--- a/libs/sidecar/tests/sidecar_cluster.cpp
+++ b/libs/sidecar/tests/sidecar_cluster.cpp
@@ -24,7 +24,7 @@
     result.m_prefix = "/";
     result.m_kind = kind;
     result.m_timeout = milliseconds(2000);
-    result.m_target_latency = milliseconds(1000);
+    result.m_latency_objective = milliseconds(1000);
     result.m_attempts = 2;
     result.m_services = {{service, 1}};
     return result;
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -165,26 +165,31 @@
     std::visit([this](const auto& value) { apply(value); }, wanted);
 }
 
-void node_runtime::impl::apply(const sidecar::pass_answer& wanted)
+std::shared_ptr<http_session> node_runtime::impl::take_session(std::uint64_t caller)
 {
-    const auto found = m_callers.find(wanted.m_caller);
+    const auto found = m_callers.find(caller);
     if (found == m_callers.end())
-        return;
-    const auto session = found->second;
+        return nullptr;
+    auto session = found->second;
     m_caller_of_session.erase(session.get());
     m_callers.erase(found);
+    return session;
+}
+
+void node_runtime::impl::apply(const sidecar::pass_answer& wanted)
+{
+    const auto session = take_session(wanted.m_caller);
+    if (!session)
+        return;
     session->answer(
         {wanted.m_answer->m_status, wanted.m_answer->m_headers, wanted.m_answer->m_body});
 }
 
 void node_runtime::impl::apply(const sidecar::answer_caller& wanted)
 {
-    const auto found = m_callers.find(wanted.m_caller);
-    if (found == m_callers.end())
+    const auto session = take_session(wanted.m_caller);
+    if (!session)
         return;
-    const auto session = found->second;
-    m_caller_of_session.erase(session.get());
-    m_callers.erase(found);
     http_response response;
     response.m_status = wanted.m_status;
     response.m_headers = {{"Content-Type", "text/plain"}};
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -29,6 +29,9 @@
     void happen(sidecar::event happened);
     void carry_out(const sidecar::effect& wanted);
 
+    /// Session that waits for the answer to a caller, or null when the caller has left.
+    std::shared_ptr<http_session> take_session(std::uint64_t caller);
+
     void apply(const sidecar::pass_answer& wanted);
     void apply(const sidecar::answer_caller& wanted);
     void apply(const sidecar::connect_node& wanted);
