Refuse callers in the last part of a stop

It refuses them from 2.9 s on, with proof that nothing ran, so all that it took can end. Test: stopping_node_cuts_no_request.

--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -87,6 +87,10 @@
     /// hundred peers takes seconds on a tenth of a core.
     duration m_table_creation_delay = milliseconds(5000);
 
+    /// Time from a stop request after which callers are refused: their requests could be cut by the
+    /// end of the process.
+    duration m_stop_admission = milliseconds(2900);
+
     /// Shortest and longest time from a stop request to the end of the process. Callers see the
     /// node as not ready after two probes, one a second.
     duration m_min_stop_time = milliseconds(3300);
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -108,6 +108,11 @@
         refuse_arrival(context, arrived, 503, "no configuration known yet", default_retry_after);
         return;
     }
+    if (state.m_stopping &&
+        context.m_now - state.m_stop_requested_at > state.m_options.m_stop_admission) {
+        refuse_arrival(context, arrived, 503, "node stops", default_retry_after);
+        return;
+    }
     const routing::route* route =
         routing::find_route(*configuration, arrived.m_request.m_host, arrived.m_request.m_target);
     if (route == nullptr) {
--- a/libs/sidecar/tests/cluster_test.cpp
+++ b/libs/sidecar/tests/cluster_test.cpp
@@ -204,6 +204,26 @@
     EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
 }
 
+// Guards against requests that a stopping node takes until its end and then gives up: callers on
+// open connections go on sending until the process is gone.
+TEST(sidecar_cluster, stopping_node_cuts_no_request)
+{
+    sidecar_cluster cluster({3, 3, 12});
+    cluster.run_for(settling);
+    std::vector<std::string> sent;
+    cluster.stop_node("orders-0");
+    for (int i = 0; i < 60; ++i) {
+        const auto key = i % 2 == 0 ? std::optional<std::uint32_t>(i * 1000) : std::nullopt;
+        if (cluster.is_running("orders-0"))
+            sent.push_back(cluster.send("orders-0", key ? "shelf" : "orders", key));
+        cluster.run_for(milliseconds(100));
+    }
+    EXPECT_FALSE(cluster.is_running("orders-0"));
+    for (const auto& id : sent)
+        EXPECT_TRUE(cluster.status(id) == 200 || cluster.status(id) == 503) << cluster.status(id);
+    EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
+}
+
 // Guards against parts that are moved to several nodes at once, which leaves the busy node busy:
 // most work lies on the keys of one node, and all nodes have to take a share of it.
 TEST(sidecar_cluster, hot_range_is_spread_over_all_nodes)
--- a/libs/sidecar/tests/sidecar_cluster.cpp
+++ b/libs/sidecar/tests/sidecar_cluster.cpp
@@ -192,6 +192,11 @@
         close(link);
 }
 
+void sidecar_cluster::stop_node(const std::string& node)
+{
+    happen(node, stop_requested{});
+}
+
 void sidecar_cluster::freeze_node(const std::string& node, duration time)
 {
     m_machines.at(node).m_frozen_until = m_now + time;
@@ -364,6 +369,11 @@
         m_status[id] = answered->m_status;
         if (answered->m_status == 503 && !m_repeatable[id] && executions(id) != 0)
             m_violations.push_back("refused although executed: " + id);
+    } else if (std::holds_alternative<stop_process>(wanted)) {
+        at(duration::zero(), [this, node, incarnation] {
+            if (is_up(node, incarnation))
+                kill_node(node);
+        });
     } else if (const auto* line = std::get_if<log_line>(&wanted)) {
         // For tracing one seed by hand.
         if (std::getenv("SIDECAR_TEST_LOG") != nullptr)
--- a/libs/sidecar/tests/sidecar_cluster.hpp
+++ b/libs/sidecar/tests/sidecar_cluster.hpp
@@ -49,6 +49,9 @@
     /// Faults.
     void kill_node(const std::string& node);
     void start_node(const std::string& node);
+
+    /// Asks a node to stop, as SIGTERM does. It is down when its process has ended.
+    void stop_node(const std::string& node);
     void freeze_node(const std::string& node, duration time);
     void cut(const std::string& a, const std::string& b, bool is_cut);
     void reset_links(const std::string& node);
@@ -60,6 +63,10 @@
     fake_backend& backend(const std::string& node) { return *m_machines.at(node).m_backend; }
     const node_state& state(const std::string& node) const { return *m_machines.at(node).m_state; }
     std::vector<std::string> nodes() const;
+    bool is_running(const std::string& node) const
+    {
+        return m_machines.at(node).m_state != nullptr;
+    }
     time_point now() const { return m_now; }
 
     /// Violations of the promises, in order of time. Empty in a correct run.
