--- a/libs/sidecar/src/ingress_dispatch.cpp
+++ b/libs/sidecar/src/ingress_dispatch.cpp
@@ -16,10 +16,6 @@
 /// Owner hints kept for one table; more than that many moves at once are rare.
 constexpr std::size_t max_hints = 32;
 
-} // namespace
-
-namespace {
-
 void send_request(step_context& context, open_request& request, const std::string& node)
 {
     node_state& state = context.m_state;
@@ -128,10 +124,6 @@
         send_request(context, request, owner);
 }
 
-} // namespace
-
-namespace {
-
 void dispatch_to_any(step_context& context, open_request& request)
 {
     node_state& state = context.m_state;
