Send callers at a higher rate in the test of a stopping node

At one request each 100 ms the node was idle at 3.3 s and the test passed without the refusal; at one each 20 ms it fails without it (502) and passes with it. Reserves a vector that the linter names.

--- a/libs/sidecar/tests/cluster_test.cpp
+++ b/libs/sidecar/tests/cluster_test.cpp
@@ -212,11 +212,12 @@
     cluster.run_for(settling);
     std::vector<std::string> sent;
     cluster.stop_node("orders-0");
-    for (int i = 0; i < 60; ++i) {
-        const auto key = i % 2 == 0 ? std::optional<std::uint32_t>(i * 1000) : std::nullopt;
+    sent.reserve(320);
+    for (int i = 0; i < 320; ++i) {
+        const auto key = i % 2 == 0 ? std::optional<std::uint32_t>(i * 200) : std::nullopt;
         if (cluster.is_running("orders-0"))
             sent.push_back(cluster.send("orders-0", key ? "shelf" : "orders", key));
-        cluster.run_for(milliseconds(100));
+        cluster.run_for(milliseconds(20));
     }
     EXPECT_FALSE(cluster.is_running("orders-0"));
     for (const auto& id : sent)
@@ -238,6 +239,7 @@
     };
     send_hot(1500);
     std::vector<std::size_t> before;
+    before.reserve(5);
     for (int node = 0; node < 5; ++node)
         before.push_back(cluster.backend("shelf-" + std::to_string(node)).m_executed.size());
     send_hot(500);
