--- a/libs/routing/src/gate.cpp
+++ b/libs/routing/src/gate.cpp
@@ -1,5 +1,7 @@
 #include <azureladder/routing/gate.hpp>
 
+#include <azureladder/routing/scaled_duration.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -9,11 +11,6 @@
 
 constexpr duration cold_window = seconds(1);
 
-duration scaled(duration value, double factor)
-{
-    return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
-}
-
 duration mixed(duration mean, duration sample, double weight)
 {
     if (mean == duration::zero())
--- a/libs/routing/src/placement.cpp
+++ b/libs/routing/src/placement.cpp
@@ -1,5 +1,7 @@
 #include <azureladder/routing/placement.hpp>
 
+#include <azureladder/routing/scaled_duration.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -13,11 +15,6 @@
                                                     : options.m_default_service_time;
 }
 
-duration scaled(duration value, double factor)
-{
-    return duration(static_cast<duration::rep>(static_cast<double>(value.count()) * factor));
-}
-
 } // namespace
 
 duration expected_wait(const gate_report& report, std::uint32_t sent_since_report,
--- a/libs/sidecar_runtime/src/http_session.cpp
+++ b/libs/sidecar_runtime/src/http_session.cpp
@@ -188,11 +188,6 @@
                       });
 }
 
-void http_session::close()
-{
-    end();
-}
-
 void http_session::end()
 {
     if (m_ended)
--- a/libs/sidecar_runtime/src/http_session.hpp
+++ b/libs/sidecar_runtime/src/http_session.hpp
@@ -43,7 +43,6 @@
 
     void start();
     void answer(const http_response& response);
-    void close();
 
 private:
     void wait_for_request();
