Keep acknowledged departures of backend servers over restarts

Its server sends only its removal, which does not state the start of its life. The new process acknowledged it without knowing the server, and used the server again when an announcement sent before arrived.

Change: departed lives are kept in the store before the acknowledgement, for at most 0.4 s, and stated to peers, which return them in their greeting. A removal of an unknown server covers all lives that started before it arrived. Late announcements of departed lives no longer open the gate.

--- a/libs/sidecar/include/azureladder/sidecar/effects.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/effects.hpp
@@ -3,6 +3,7 @@
 #include <azureladder/base/json.hpp>
 #include <azureladder/base/log_level.hpp>
 #include <azureladder/base/time.hpp>
+#include <azureladder/sidecar/departed_lives.hpp>
 #include <azureladder/sidecar/forwarded_request.hpp>
 #include <azureladder/sidecar/peer_frame.hpp>
 #include <azureladder/sidecar/server_answer.hpp>
@@ -105,6 +106,12 @@
     std::string m_text;
 };
 
+/// Keeps the acknowledged departures for the next process of this node.
+struct record_departures
+{
+    departed_lives m_lives;
+};
+
 struct log_line
 {
     log_level m_level = log_level::info;
@@ -117,9 +124,10 @@
 {
 };
 
-using effect = std::variant<pass_answer, answer_caller, connect_node, close_link, send_frame,
-                            start_execution, cancel_execution, grant_keys, release_keys,
-                            decode_configuration, read_table, write_table, log_line, stop_process>;
+using effect =
+    std::variant<pass_answer, answer_caller, connect_node, close_link, send_frame, start_execution,
+                 cancel_execution, grant_keys, release_keys, decode_configuration, read_table,
+                 write_table, record_departures, log_line, stop_process>;
 
 using effects = std::vector<effect>;
 
--- a/libs/sidecar/include/azureladder/sidecar/events.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/events.hpp
@@ -3,6 +3,7 @@
 #include <azureladder/base/time.hpp>
 #include <azureladder/routing/routing_configuration.hpp>
 #include <azureladder/sidecar/backend_announcement.hpp>
+#include <azureladder/sidecar/departed_lives.hpp>
 #include <azureladder/sidecar/forwarded_request.hpp>
 #include <azureladder/sidecar/peer_frame.hpp>
 #include <azureladder/sidecar/server_answer.hpp>
@@ -124,10 +125,21 @@
     backend_announcement m_announcement;
 };
 
-/// The backend server says that it is leaving without having announced it before.
+/// The backend server takes itself off the list, with or without having announced it before.
 struct backend_removed
 {
     std::string m_id;
+
+    /// Time of day at its arrival in Unix milliseconds, set by the runtime. The message does not
+    /// say which life ends; it is one that started before.
+    std::int64_t m_received_ms = 0;
+};
+
+/// The departures of backend servers that this node or its former processes acknowledged, as read
+/// from the store.
+struct departures_read
+{
+    departed_lives m_lives;
 };
 
 /// The operator's documents as read from the store.
@@ -192,9 +204,10 @@
 {
 };
 
-using event = std::variant<caller_request, caller_left, link_opened, link_closed, connect_failed,
-                           frame_received, execution_ended, order_ended, backend_announced,
-                           backend_removed, operator_documents, configuration_decoded, table_read,
-                           table_written, nodes_listed, timer_tick, stop_requested>;
+using event =
+    std::variant<caller_request, caller_left, link_opened, link_closed, connect_failed,
+                 frame_received, execution_ended, order_ended, backend_announced, backend_removed,
+                 departures_read, operator_documents, configuration_decoded, table_read,
+                 table_written, nodes_listed, timer_tick, stop_requested>;
 
 } // namespace azureladder::sidecar
--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -89,7 +89,7 @@
 
     /// Gate.
     std::optional<local_backend> m_backend;
-    std::map<std::string, std::int64_t> m_ended_lives;
+    departed_lives m_departed_lives;
     routing::gate m_gate;
     std::map<std::uint64_t, gate_execution> m_executions;
     std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> m_execution_of_frame;
--- a/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
@@ -2,6 +2,7 @@
 
 #include <azureladder/base/enum_names.hpp>
 #include <azureladder/routing/gate_report.hpp>
+#include <azureladder/sidecar/departed_lives.hpp>
 #include <azureladder/sidecar/forwarded_request.hpp>
 #include <azureladder/sidecar/server_answer.hpp>
 
@@ -27,6 +28,9 @@
 
     /// Nodes known to the sender, name and address.
     std::map<std::string, std::string> m_known;
+
+    /// Departures that the receiver, or a former process of it, has stated to the sender.
+    departed_lives m_departed_lives;
 };
 
 /// State of a node's backend server.
@@ -45,6 +49,10 @@
     /// Work that arrives for the ranges of this node, as a share of what its server can do.
     double m_key_use = 0.0;
     bool m_owns_keys = false;
+
+    /// Departures that the node has acknowledged. Peers keep them for its next process, which
+    /// can't read them while the store is away.
+    departed_lives m_departed_lives;
 };
 
 struct ping_frame
--- a/libs/sidecar/include/azureladder/sidecar/peer_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_state.hpp
@@ -29,6 +29,9 @@
     std::uint32_t m_open_requests = 0;
     std::uint32_t m_sent_since_status = 0;
 
+    /// Departures that all processes of the peer have stated.
+    departed_lives m_departed_lives;
+
     std::uint64_t m_ping_sequence = 0;
     time_point m_ping_sent;
     bool m_ping_open = false;
--- a/libs/sidecar/src/backend_life.cpp
+++ b/libs/sidecar/src/backend_life.cpp
@@ -1,7 +1,23 @@
 #include "step_context.hpp"
 
+#include <algorithm>
+
 namespace azureladder::sidecar {
 
+namespace {
+
+/// Departures kept for each node. A VM sees few servers in a day, and a late announcement is late
+/// by seconds.
+constexpr std::size_t max_departed_lives = 16;
+
+bool has_departed(const node_state& state, const backend_announcement& announcement)
+{
+    const auto found = state.m_departed_lives.find(announcement.m_id);
+    return found != state.m_departed_lives.end() && announcement.m_born_ms <= found->second;
+}
+
+} // namespace
+
 std::string life_of(const backend_announcement& announcement)
 {
     return announcement.m_id + '#' + std::to_string(announcement.m_born_ms);
@@ -12,18 +28,49 @@
     return state.m_backend ? life_of(state.m_backend->m_announcement) : std::string();
 }
 
-void on_backend_removed(step_context& context, const std::string& id)
+void apply_departures(step_context& context)
+{
+    node_state& state = context.m_state;
+    if (!state.m_backend || state.m_backend->m_leaving ||
+        !has_departed(state, state.m_backend->m_announcement))
+        return;
+    state.m_backend->m_leaving = true;
+    state.m_backend->m_leaving_since = context.m_now;
+    log(context, log_level::info, "backend_leaving",
+        {{"backend", state.m_backend->m_announcement.m_id}});
+}
+
+void note_departures(step_context& context, const departed_lives& departed)
 {
     node_state& state = context.m_state;
-    if (!state.m_backend || state.m_backend->m_announcement.m_id != id)
+    departed_lives& lives = state.m_departed_lives;
+    if (!merge(lives, departed))
         return;
-    state.m_ended_lives[id] = state.m_backend->m_announcement.m_born_ms;
-    if (!state.m_backend->m_leaving) {
-        state.m_backend->m_leaving = true;
-        state.m_backend->m_leaving_since = context.m_now;
-        log(context, log_level::info, "backend_leaving",
-            {{"backend", id}, {"cause", "removed without notice"}});
+    while (lives.size() > max_departed_lives) {
+        lives.erase(std::min_element(lives.begin(), lives.end(), [](const auto& a, const auto& b) {
+            return a.second < b.second;
+        }));
     }
+    emit(context, record_departures{lives});
+    apply_departures(context);
+}
+
+void on_departures_read(step_context& context, const departures_read& read)
+{
+    note_departures(context, read.m_lives);
+    const bool is_stored = context.m_state.m_departed_lives == read.m_lives;
+    if (!is_stored)
+        emit(context, record_departures{context.m_state.m_departed_lives});
+}
+
+void on_backend_removed(step_context& context, const backend_removed& removed)
+{
+    const node_state& state = context.m_state;
+    // The process may have restarted and not know the server yet, whose late announcements follow.
+    const bool is_known = state.m_backend && state.m_backend->m_announcement.m_id == removed.m_id;
+    const std::int64_t born_ms =
+        is_known ? state.m_backend->m_announcement.m_born_ms : removed.m_received_ms;
+    note_departures(context, {{removed.m_id, born_ms}});
     broadcast_status(context);
 }
 
--- a/libs/sidecar/src/gate_node.cpp
+++ b/libs/sidecar/src/gate_node.cpp
@@ -401,12 +401,6 @@
 void on_backend_announced(step_context& context, const backend_announcement& announced)
 {
     node_state& state = context.m_state;
-    const auto ended = state.m_ended_lives.find(announced.m_id);
-    if (ended != state.m_ended_lives.end() && announced.m_born_ms <= ended->second) {
-        log(context, log_level::info, "announcement_of_ended_server_ignored",
-            {{"backend", announced.m_id}});
-        return;
-    }
     const bool same_life =
         state.m_backend && life_of(state.m_backend->m_announcement) == life_of(announced);
     if (state.m_backend && !same_life &&
@@ -429,17 +423,14 @@
         state.m_gate.m_failure_share = 0.0;
     }
     local_backend& backend = *state.m_backend;
-    const bool leaves = announced.m_draining && !backend.m_leaving;
     backend.m_announcement = announced;
     backend.m_announced_at = context.m_now;
     backend.m_unreachable = false;
     backend.m_cold_until = context.m_now + announced.m_cold_time_left;
     state.m_cold_until_announced = {};
-    if (leaves) {
-        backend.m_leaving = true;
-        backend.m_leaving_since = context.m_now;
-        log(context, log_level::info, "backend_leaving", {{"backend", announced.m_id}});
-    }
+    if (announced.m_draining)
+        note_departures(context, {{announced.m_id, announced.m_born_ms}});
+    apply_departures(context);
     update_limits(context);
     start_waiting(context);
 }
--- a/libs/sidecar/src/mesh.cpp
+++ b/libs/sidecar/src/mesh.cpp
@@ -16,13 +16,14 @@
 /// pings of a node do not grow with the number of nodes.
 constexpr duration ping_time_per_peer = milliseconds(40);
 
-hello_frame make_hello(const node_state& state, time_point now)
+hello_frame make_hello(const node_state& state, const peer_state& receiver, time_point now)
 {
     hello_frame hello{state.m_options.m_node,
                       state.m_options.m_incarnation,
                       state.m_options.m_peer_address,
                       state.m_options.m_zone,
-                      {}};
+                      {},
+                      receiver.m_departed_lives};
     for (const auto& [node, peer] : state.m_peers) {
         if (hello.m_known.size() >= max_introductions)
             break;
@@ -114,6 +115,7 @@
     status.m_leaving = state.m_stopping;
     status.m_key_use = key_use(state, now);
     status.m_owns_keys = !state.m_ownership.m_holds.empty();
+    status.m_departed_lives = state.m_departed_lives;
     return status;
 }
 
@@ -173,7 +175,7 @@
     peer.m_greeted = false;
     peer.m_heard = context.m_now;
     state.m_node_of_link[opened.m_link] = opened.m_node;
-    send_on_link(context, opened.m_link, make_hello(state, context.m_now));
+    send_on_link(context, opened.m_link, make_hello(state, peer, context.m_now));
 }
 
 void on_link_closed(step_context& context, const link_closed& closed)
@@ -238,13 +240,14 @@
     peer_state& peer = state.m_peers[frame.m_node];
     peer.m_zone = frame.m_zone;
     peer.m_heard = context.m_now;
+    note_departures(context, frame.m_departed_lives);
     if (accepted) {
         state.m_node_of_link[link] = frame.m_node;
         state.m_accepted_links.insert(link);
         // The peer is alive, so a pause before the next attempt to connect to it is needless.
         if (peer.m_link == 0)
             peer.m_next_connect = context.m_now;
-        send_on_link(context, link, make_hello(state, context.m_now));
+        send_on_link(context, link, make_hello(state, peer, context.m_now));
         send_on_link(context, link, make_status(state, 0, context.m_now));
         return;
     }
@@ -274,6 +277,7 @@
     peer_state& peer = found->second;
     const bool was_open = peer.m_status.m_report.m_open;
     peer.m_status = frame.m_status;
+    merge(peer.m_departed_lives, frame.m_status.m_departed_lives);
     peer.m_reported_at = context.m_now;
     peer.m_sent_since_status = 0;
     const bool answers_ping = peer.m_ping_open && frame.m_sequence == peer.m_ping_sequence;
--- a/libs/sidecar/src/peer_frame_codec.cpp
+++ b/libs/sidecar/src/peer_frame_codec.cpp
@@ -83,8 +83,8 @@
 
 json status_json(const node_status& status)
 {
-    return {status.m_service, status.m_life,    report_json(status.m_report),
-            status.m_leaving, status.m_key_use, status.m_owns_keys};
+    return {status.m_service, status.m_life,      report_json(status.m_report), status.m_leaving,
+            status.m_key_use, status.m_owns_keys, status.m_departed_lives};
 }
 
 node_status read_status(const json& row)
@@ -96,13 +96,15 @@
     status.m_leaving = row.at(3).get<bool>();
     status.m_key_use = row.at(4).get<double>();
     status.m_owns_keys = row.at(5).get<bool>();
+    status.m_departed_lives = row.at(6).get<departed_lives>();
     return status;
 }
 
 /// Head of each frame type; the body, if any, is returned by `body_of`.
 json head_of(const hello_frame& frame)
 {
-    return {frame.m_node, frame.m_incarnation, frame.m_address, frame.m_zone, frame.m_known};
+    return {frame.m_node, frame.m_incarnation, frame.m_address,
+            frame.m_zone, frame.m_known,       frame.m_departed_lives};
 }
 
 json head_of(const ping_frame& frame)
@@ -247,9 +249,12 @@
 {
     switch (type) {
     case frame_type::hello:
-        return hello_frame{head.at(0).get<std::string>(), head.at(1).get<std::uint64_t>(),
-                           head.at(2).get<std::string>(), head.at(3).get<std::string>(),
-                           head.at(4).get<std::map<std::string, std::string>>()};
+        return hello_frame{head.at(0).get<std::string>(),
+                           head.at(1).get<std::uint64_t>(),
+                           head.at(2).get<std::string>(),
+                           head.at(3).get<std::string>(),
+                           head.at(4).get<std::map<std::string, std::string>>(),
+                           head.at(5).get<departed_lives>()};
     case frame_type::ping:
         return ping_frame{head.at(0).get<std::uint64_t>()};
     case frame_type::status:
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -112,7 +112,8 @@
     {
         on_backend_announced(m_context, e.m_announcement);
     }
-    void operator()(const backend_removed& e) { on_backend_removed(m_context, e.m_id); }
+    void operator()(const backend_removed& e) { on_backend_removed(m_context, e); }
+    void operator()(const departures_read& e) { on_departures_read(m_context, e); }
     void operator()(const operator_documents& e) { on_operator_documents(m_context, e); }
     void operator()(const configuration_decoded& e) { on_configuration_decoded(m_context, e); }
     void operator()(const table_read& e) { on_table_read(m_context, e); }
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -59,7 +59,15 @@
 void on_execution_ended(step_context& context, const execution_ended& ended);
 void on_origin_link_lost(step_context& context, std::uint64_t link);
 void on_backend_announced(step_context& context, const backend_announcement& announced);
-void on_backend_removed(step_context& context, const std::string& id);
+void on_backend_removed(step_context& context, const backend_removed& removed);
+void on_departures_read(step_context& context, const departures_read& read);
+
+/// Notes servers that are leaving. A late announcement that calls one of them ready changes
+/// nothing.
+void note_departures(step_context& context, const departed_lives& departed);
+
+/// Marks the present server as leaving if its departure is noted.
+void apply_departures(step_context& context);
 void check_gate(step_context& context);
 bool is_gate_open(const node_state& state, time_point now);
 
--- a/libs/sidecar/tests/cluster_test.cpp
+++ b/libs/sidecar/tests/cluster_test.cpp
@@ -204,6 +204,80 @@
     EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
 }
 
+// Guards against a restarted node that takes a late announcement for the present state of a server
+// whose leaving its former process acknowledged.
+TEST(sidecar_cluster, restarted_node_remembers_a_leaving_server)
+{
+    sidecar_cluster cluster({3, 3, 13});
+    cluster.run_for(settling);
+    cluster.backend("orders-2").m_draining = true;
+    cluster.backend("shelf-2").m_draining = true;
+    cluster.run_for(seconds(2));
+    cluster.kill_node("orders-2");
+    cluster.kill_node("shelf-2");
+    // Announcements that were held up on the way arrive after the restart.
+    cluster.backend("orders-2").m_draining = false;
+    cluster.backend("shelf-2").m_draining = false;
+    const auto executed = [&] {
+        return cluster.backend("orders-2").m_executed.size() +
+               cluster.backend("shelf-2").m_executed.size();
+    };
+    const auto before = executed();
+    cluster.start_node("orders-2");
+    cluster.start_node("shelf-2");
+    cluster.run_for(seconds(2));
+    served_share(cluster, "orders-0", "shelf");
+    served_share(cluster, "orders-2", "orders");
+    EXPECT_EQ(executed(), before);
+    // A new life under the same id is used.
+    cluster.backend("orders-2").restart(cluster.now());
+    cluster.run_for(seconds(2));
+    served_share(cluster, "orders-2", "orders");
+    EXPECT_GT(executed(), before);
+    EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
+}
+
+// Guards against the same while the store is away: peers have kept the departure.
+TEST(sidecar_cluster, restarted_node_learns_departures_from_peers)
+{
+    sidecar_cluster cluster({3, 0, 14});
+    cluster.run_for(settling);
+    cluster.cut_store("orders-2", true);
+    cluster.backend("orders-2").m_draining = true;
+    cluster.run_for(seconds(2));
+    cluster.kill_node("orders-2");
+    cluster.backend("orders-2").m_draining = false;
+    const auto before = cluster.backend("orders-2").m_executed.size();
+    cluster.start_node("orders-2");
+    cluster.run_for(seconds(2));
+    served_share(cluster, "orders-0", "orders");
+    EXPECT_EQ(cluster.backend("orders-2").m_executed.size(), before);
+    EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
+}
+
+// Guards against a late announcement of a server whose removal was the first that this process
+// heard of it. Seen on a day where nodes restart during an outage of the store.
+TEST(sidecar_node, announcement_after_the_removal_of_an_unknown_server)
+{
+    node_options options;
+    options.m_node = "node-1";
+    const time_point now{std::chrono::seconds(1000)};
+    node_state state = make_node(options, now, 1);
+    backend_announcement announced;
+    announced.m_id = "i-1";
+    announced.m_service = "orders";
+    announced.m_slots = 4;
+    announced.m_born_ms = 2000;
+    announced.m_sequence = 1;
+    step(state, backend_removed{"i-1", 9000}, now);
+    step(state, backend_announced{announced}, now);
+    EXPECT_TRUE(state.m_backend->m_leaving);
+    // A life that began after the removal is a new one.
+    announced.m_born_ms = 9500;
+    step(state, backend_announced{announced}, now);
+    EXPECT_FALSE(state.m_backend->m_leaving);
+}
+
 // Guards against requests that a stopping node takes until its end and then gives up: callers on
 // open connections go on sending until the process is gone.
 TEST(sidecar_cluster, stopping_node_cuts_no_request)
--- a/libs/sidecar/tests/peer_frame_codec_test.cpp
+++ b/libs/sidecar/tests/peer_frame_codec_test.cpp
@@ -69,12 +69,15 @@
     EXPECT_EQ(round_trip(hello_frame{"n", 1ULL << 63, "1.2.3.4:5", "z", {{"m", "1.2.3.5:6"}}})
                   .m_known.size(),
               1U);
-    EXPECT_TRUE(round_trip(hello_frame{"n", 1, "a", "z", {}}).m_known.empty());
+    EXPECT_TRUE(round_trip(hello_frame{"n", 1, "a", "z", {}, {}}).m_known.empty());
+    EXPECT_EQ(round_trip(hello_frame{"n", 1, "a", "z", {}, {{"i", 9}}}).m_departed_lives.at("i"), 9);
     status_frame status;
     status.m_documents["configuration"] = 12;
     status.m_confirmation_age_us["keys/s"] = 99;
     status.m_status.m_life = "i#1";
+    status.m_status.m_departed_lives["i"] = 7;
     EXPECT_EQ(round_trip(status).m_confirmation_age_us.at("keys/s"), 99);
+    EXPECT_EQ(round_trip(status).m_status.m_departed_lives.at("i"), 7);
     EXPECT_EQ(round_trip(document_frame{"d", 4, "{}", -1}).m_text, "{}");
 }
 
--- a/libs/sidecar/tests/sidecar_cluster.cpp
+++ b/libs/sidecar/tests/sidecar_cluster.cpp
@@ -153,6 +153,7 @@
         if (!is_up(node, incarnation) || m_store_cuts.count(node) != 0)
             return;
         give_operator_documents(node);
+        happen(node, departures_read{m_departures[node]});
         nodes_listed listed;
         for (const auto& name : nodes())
             listed.m_addresses[name] = name + ":0";
@@ -394,6 +395,9 @@
     } else if (const auto* released = std::get_if<release_keys>(&wanted)) {
         if (backend(node).m_alive)
             later(milliseconds(20), backend(node).release(*released));
+    } else if (const auto* departed = std::get_if<record_departures>(&wanted)) {
+        if (!store_cut)
+            m_departures[node] = departed->m_lives;
     } else if (const auto* reading = std::get_if<read_table>(&wanted)) {
         table_read result = m_store.read(reading->m_service, m_now);
         result.m_succeeded = !store_cut;
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -311,11 +311,17 @@
         session->answer({400, {{"Content-Type", "text/plain"}}, error->m_reason + "\n"});
         return;
     }
-    if (auto* announced = std::get_if<sidecar::backend_announced>(&message))
+    if (auto* announced = std::get_if<sidecar::backend_announced>(&message)) {
         happen(std::move(*announced));
-    else
-        happen(std::get<sidecar::backend_removed>(message));
-    session->answer({200, {{"Content-Type", "application/json"}}, "{}"});
+    } else {
+        auto& removed = std::get<sidecar::backend_removed>(message);
+        removed.m_received_ms = m_clock.wall_time_us() / 1000;
+        happen(removed);
+    }
+    // The answer acknowledges a departure, which has to outlive this process.
+    m_store.when_departures_are_written([session] {
+        session->answer({200, {{"Content-Type", "application/json"}}, "{}"});
+    });
 }
 
 void node_runtime::impl::on_ready_probe(const std::shared_ptr<http_session>& session,
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -44,6 +44,7 @@
     void apply(const sidecar::decode_configuration& wanted);
     void apply(const sidecar::read_table& wanted) { m_store.read_table(wanted); }
     void apply(const sidecar::write_table& wanted) { m_store.write_table(wanted); }
+    void apply(const sidecar::record_departures& wanted) { m_store.write_departures(wanted); }
     void apply(const sidecar::log_line& wanted);
     void apply(const sidecar::stop_process& wanted);
 
--- a/libs/sidecar_runtime/src/store_session.cpp
+++ b/libs/sidecar_runtime/src/store_session.cpp
@@ -1,6 +1,7 @@
 #include "store_session.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace azureladder::sidecar_runtime {
 
@@ -9,6 +10,16 @@
 constexpr const char* node_prefix = "azureladder/nodes/";
 constexpr const char* table_prefix = "azureladder/keys/";
 
+/// Ends the key, below that of its node, of the departures that a node acknowledged. They are read
+/// with the list of nodes, at no further call.
+constexpr std::string_view departures_suffix = "/departures";
+
+bool is_departures_key(std::string_view key)
+{
+    return key.size() > departures_suffix.size() &&
+           key.substr(key.size() - departures_suffix.size()) == departures_suffix;
+}
+
 /// Pause before the next watch after one that brought events, so that events that come in quick
 /// succession are read by one call.
 constexpr milliseconds watch_pause{30};
@@ -262,6 +273,12 @@
                  return;
              }
              for (const auto& item : page->m_items) {
+                 if (is_departures_key(item.m_key)) {
+                     // A stale list may lack the newest departures.
+                     if (!stale)
+                         take_departures(item);
+                     continue;
+                 }
                  const json record = json::parse(item.m_value, nullptr, false);
                  if (!record.is_object() || !record.value("node", json()).is_string() ||
                      !record.value("address", json()).is_string() ||
@@ -290,6 +307,92 @@
     });
 }
 
+std::string store_session::departures_key() const
+{
+    return node_prefix + m_options.m_node + std::string(departures_suffix);
+}
+
+void store_session::take_departures(const store_item& item)
+{
+    if (item.m_key != departures_key() || item.m_revision <= m_departures_revision)
+        return;
+    m_departures_revision = item.m_revision;
+    const auto lives = sidecar::parse_departed_lives(item.m_value);
+    if (lives)
+        m_report(sidecar::departures_read{*lives});
+    else
+        m_log(log_level::warning, "departures_unreadable", {{"key", item.m_key}});
+}
+
+void store_session::write_departures(const sidecar::record_departures& wanted)
+{
+    m_departures_wanted = sidecar::to_text(wanted.m_lives);
+    if (!m_departures_sending)
+        send_departures();
+}
+
+void store_session::send_departures()
+{
+    m_departures_sending = true;
+    // A write without an answer may be carried out late. The condition keeps it from replacing a
+    // newer text.
+    call(m_formats.write_change(departures_key(), m_departures_wanted, m_departures_revision, 0),
+         m_options.m_call_timeout,
+         [this, text = m_departures_wanted](const exchange_outcome& outcome) {
+             on_departures_sent(text, outcome);
+         });
+}
+
+void store_session::on_departures_sent(const std::string& text, const exchange_outcome& outcome)
+{
+    store_change change;
+    if (outcome.m_result == exchange_result::answered)
+        change = m_formats.read_change(outcome.m_response);
+    if (change.m_result == sidecar::write_result::written) {
+        m_departures_revision = change.m_revision;
+        m_log(log_level::info, "departures_written", {{"revision", change.m_revision}});
+        m_departures_sending = false;
+        if (m_departures_wanted == text)
+            end_departure_waits();
+        else
+            send_departures();
+        return;
+    }
+    if (change.m_result == sidecar::write_result::conflict && !change.m_present.empty()) {
+        // The reducer merges the present text and asks for another writing if it lacks something.
+        m_departures_sending = false;
+        take_departures(change.m_present.front());
+        if (!m_departures_sending)
+            end_departure_waits();
+        return;
+    }
+    if (change.m_result == sidecar::write_result::conflict)
+        m_departures_revision = 0;
+    m_log(log_level::warning, "departures_not_written", {{"cause", describe(outcome)}});
+    after(with_jitter(m_options.m_retry_pause), [this] { send_departures(); });
+}
+
+void store_session::when_departures_are_written(std::function<void()> action)
+{
+    if (!m_departures_sending) {
+        action();
+        return;
+    }
+    const auto waiting = std::make_shared<std::function<void()>>(std::move(action));
+    const auto finish = [waiting] {
+        if (const auto wanted = std::exchange(*waiting, nullptr))
+            wanted();
+    };
+    m_departure_waits.push_back(finish);
+    after(m_options.m_departure_wait, finish);
+}
+
+void store_session::end_departure_waits()
+{
+    for (const auto& finish : std::exchange(m_departure_waits, {}))
+        finish();
+}
+
 void store_session::read_table(const sidecar::read_table& wanted)
 {
     const time_point sent_at = m_clock.now();
--- a/libs/sidecar_runtime/src/store_session.hpp
+++ b/libs/sidecar_runtime/src/store_session.hpp
@@ -42,6 +42,10 @@
     /// within a second; later ones introduce themselves.
     std::vector<milliseconds> m_list_times{milliseconds(900)};
     milliseconds m_list_interval{30'000};
+
+    /// Longest wait of an acknowledgement for the record of a departure. A backend server gives an
+    /// acknowledgement up after 1 s, and it leaves without one too.
+    milliseconds m_departure_wait{400};
 };
 
 /// All calls of one node to the store. Keeps what the operator has written and reports changes.
@@ -58,6 +62,12 @@
     void read_table(const sidecar::read_table& wanted);
     void write_table(const sidecar::write_table& wanted);
 
+    /// Keeps the departures in the store; tries until they are written.
+    void write_departures(const sidecar::record_departures& wanted);
+
+    /// Calls `action` once no departure waits for the store, or after m_departure_wait.
+    void when_departures_are_written(std::function<void()> action);
+
     /// Calls made since the start.
     std::uint64_t calls() const { return m_calls; }
 
@@ -81,6 +91,12 @@
     void list_nodes(bool stale, const std::string& after_key);
     void schedule_lists();
 
+    std::string departures_key() const;
+    void take_departures(const store_item& item);
+    void send_departures();
+    void on_departures_sent(const std::string& text, const exchange_outcome& outcome);
+    void end_departure_waits();
+
     asio::io_context& m_io;
     const clock& m_clock;
     const translation& m_formats;
@@ -98,6 +114,14 @@
     std::set<std::string> m_evacuated_zones;
     std::set<std::string> m_listed_zones;
     std::map<std::string, std::string> m_listed_nodes;
+
+    /// Departures of this node's servers: text that is wanted in the store (empty: nothing new),
+    /// revision of the present text, and who waits for its writing.
+    std::string m_departures_wanted;
+    std::uint64_t m_departures_revision = 0;
+    bool m_departures_sending = false;
+    std::vector<std::function<void()>> m_departure_waits;
+
     bool m_reachable = true;
     std::uint64_t m_calls = 0;
 };
