Make fewer calls to the store at the start and while nothing changes

Ruled out: doubling the pause after each conflict of table writes.

Change: members read an absent table once, and again a second after its creation is due. A node lists the others once its own record is written: of two nodes that start together the later one sees the other. Stale lists go on every 30 s, they ended after the second. Watches wait 28 s.

The new test fails without the change (12 members made 189 reads instead of 12).

--- a/libs/sidecar/src/key_tables.cpp
+++ b/libs/sidecar/src/key_tables.cpp
@@ -19,6 +19,9 @@
 /// Pause after a change of another owner came first.
 constexpr duration conflict_pause = milliseconds(10);
 
+/// Time for which a member waits for a new table from its creator before it reads the store itself.
+constexpr duration created_table_patience = milliseconds(1000);
+
 known_table* local_table(node_state& state)
 {
     const auto found = state.m_tables.find(local_keyed_service(state));
@@ -304,8 +307,14 @@
     }
     keys.m_next_read = context.m_now + with_jitter(context, options.m_store_retry / 2);
     keys.m_absent = read.m_revision == 0;
-    if (!keys.m_absent)
+    if (!keys.m_absent) {
         adopt_table(context, read.m_service, read.m_revision, read.m_text, read.m_sent_at);
+        return;
+    }
+    // The member that creates the table gives it to the others.
+    keys.m_next_read =
+        std::max(context.m_now, context.m_state.m_started_at + options.m_table_creation_delay) +
+        with_jitter(context, created_table_patience);
 }
 
 void on_table_written(step_context& context, const table_written& written)
--- a/libs/sidecar/tests/cluster_test.cpp
+++ b/libs/sidecar/tests/cluster_test.cpp
@@ -278,6 +278,17 @@
     EXPECT_FALSE(state.m_backend->m_leaving);
 }
 
+// Guards against members that poll the store for a table that nobody may create yet. On a site of
+// 91 nodes that was a quarter of all store calls of a quiet day.
+TEST(sidecar_cluster, absent_table_is_read_once_by_each_member)
+{
+    sidecar_cluster cluster({0, 12, 15});
+    cluster.run_for(seconds(5));
+    EXPECT_LE(cluster.store().m_reads, 12U);
+    cluster.run_for(seconds(3));
+    EXPECT_EQ(served_share(cluster, "shelf-0", "shelf"), 1.0);
+}
+
 // Guards against requests that a stopping node takes until its end and then gives up: callers on
 // open connections go on sending until the process is gone.
 TEST(sidecar_cluster, stopping_node_cuts_no_request)
--- a/libs/sidecar/tests/fake_store.cpp
+++ b/libs/sidecar/tests/fake_store.cpp
@@ -2,8 +2,9 @@
 
 namespace azureladder::sidecar {
 
-table_read fake_store::read(const std::string& service, time_point sent_at) const
+table_read fake_store::read(const std::string& service, time_point sent_at)
 {
+    ++m_reads;
     table_read result;
     result.m_service = service;
     result.m_succeeded = true;
--- a/libs/sidecar/tests/fake_store.hpp
+++ b/libs/sidecar/tests/fake_store.hpp
@@ -13,9 +13,11 @@
 class fake_store
 {
 public:
-    table_read read(const std::string& service, time_point sent_at) const;
+    table_read read(const std::string& service, time_point sent_at);
     table_written write(const write_table& wanted, time_point sent_at);
 
+    std::size_t m_reads = 0;
+
 private:
     struct item
     {
--- a/libs/sidecar/tests/sidecar_cluster.hpp
+++ b/libs/sidecar/tests/sidecar_cluster.hpp
@@ -62,6 +62,7 @@
 
     fake_backend& backend(const std::string& node) { return *m_machines.at(node).m_backend; }
     const node_state& state(const std::string& node) const { return *m_machines.at(node).m_state; }
+    const fake_store& store() const { return m_store; }
     std::vector<std::string> nodes() const;
     bool is_running(const std::string& node) const
     {
--- a/libs/sidecar_runtime/src/store_session.cpp
+++ b/libs/sidecar_runtime/src/store_session.cpp
@@ -53,7 +53,6 @@
 {
     load_documents("");
     create_lease();
-    list_nodes(false, "");
     schedule_lists();
 }
 
@@ -224,7 +223,7 @@
              if (const auto* lease = std::get_if<std::uint64_t>(&read))
                  write_record(*lease);
              else
-                 after(with_jitter(m_options.m_retry_pause * 2), [this] { create_lease(); });
+                 retry_record();
          });
 }
 
@@ -235,13 +234,24 @@
          m_options.m_call_timeout, [this, lease](const exchange_outcome& outcome) {
              if (is_success(outcome)) {
                  m_log(log_level::info, "node_record_written", {{"lease", lease}});
+                 // Of two nodes that start together, the one whose record is later lists the other.
+                 m_list_begun = true;
+                 list_nodes(false, "");
                  after(m_options.m_renew_interval, [this, lease] { renew_lease(lease); });
              } else {
-                 after(with_jitter(m_options.m_retry_pause * 2), [this] { create_lease(); });
+                 retry_record();
              }
          });
 }
 
+void store_session::retry_record()
+{
+    // The others may be listed although the record could not be written.
+    if (!std::exchange(m_list_begun, true))
+        list_nodes(false, "");
+    after(with_jitter(m_options.m_retry_pause * 2), [this] { create_lease(); });
+}
+
 void store_session::renew_lease(std::uint64_t lease)
 {
     call(m_formats.write_lease_renewal(lease), m_options.m_call_timeout,
@@ -299,11 +309,9 @@
 
 void store_session::schedule_lists()
 {
-    for (const milliseconds time : m_options.m_list_times)
-        after(time, [this] { list_nodes(false, ""); });
     after(m_options.m_list_interval, [this] {
         list_nodes(true, "");
-        after(m_options.m_list_interval, [this] { list_nodes(true, ""); });
+        schedule_lists();
     });
 }
 
--- a/libs/sidecar_runtime/src/store_session.hpp
+++ b/libs/sidecar_runtime/src/store_session.hpp
@@ -29,7 +29,7 @@
 
     /// How long a watch waits. Each return is a priced call, and TCP probes find a dead
     /// connection sooner.
-    milliseconds m_watch_wait{20'000};
+    milliseconds m_watch_wait{28'000};
 
     /// Pause after a call that failed; each call is priced, also when it fails.
     milliseconds m_retry_pause{400};
@@ -38,9 +38,8 @@
     milliseconds m_record_life{120'000};
     milliseconds m_renew_interval{40'000};
 
-    /// Further readings of the list of nodes after the first, from the start. All nodes start
-    /// within a second; later ones introduce themselves.
-    std::vector<milliseconds> m_list_times{milliseconds(900)};
+    /// Time between two readings of the list of nodes after the first. Nodes that join later
+    /// introduce themselves.
     milliseconds m_list_interval{30'000};
 
     /// Longest wait of an acknowledgement for the record of a departure. A backend server gives an
@@ -87,6 +86,7 @@
 
     void create_lease();
     void write_record(std::uint64_t lease);
+    void retry_record();
     void renew_lease(std::uint64_t lease);
     void list_nodes(bool stale, const std::string& after_key);
     void schedule_lists();
@@ -114,6 +114,7 @@
     std::set<std::string> m_evacuated_zones;
     std::set<std::string> m_listed_zones;
     std::map<std::string, std::string> m_listed_nodes;
+    bool m_list_begun = false;
 
     /// Departures of this node's servers: text that is wanted in the store (empty: nothing new),
     /// revision of the present text, and who waits for its writing.
