Keep standing queues short and count targets from the first attempt

Cause: under lasting overload half of the answers are late although gates refuse what they predict to be late. Gates fill their queues up to the target, more urgent requests pass those that wait, and a caller that comes back is treated as if its target began anew.

Ruled out: a server that slows down when nearly full (mean times of the site do not depend on the number of running requests).

Change: a queue that has not been empty for 500 ms admits only what waits at most 0.15 of the time to its target. An ingress learns the deadline that first attempts of a route state, and counts the target of later attempts from the first one. Those that can't meet it wait behind the others, and only while the queue is no standing one.

--- a/libs/routing/include/azureladder/routing/gate.hpp
+++ b/libs/routing/include/azureladder/routing/gate.hpp
@@ -54,9 +54,13 @@
 
     std::map<std::uint64_t, gate_request> m_running;
 
-    /// Most urgent first: priority, then target, then order of arrival.
+    /// Most urgent first: priority, then those that can meet their target, then target, then order
+    /// of arrival.
     std::vector<gate_request> m_waiting;
 
+    /// Since when requests have been waiting without a break.
+    time_point m_queue_since;
+
     std::map<std::string, service_time_mean, std::less<>> m_service_times;
     duration m_mean_service_time{};
     time_point m_last_sample;
--- a/libs/routing/include/azureladder/routing/gate_options.hpp
+++ b/libs/routing/include/azureladder/routing/gate_options.hpp
@@ -27,6 +27,19 @@
     /// part of the time to their deadline.
     double m_short_deadline_share = 0.7;
 
+    /// A queue that has not been empty for this long does not come from a burst: the load exceeds
+    /// the capacity, and a longer wait serves no more requests but makes all answers late. Well
+    /// above the mean execution times.
+    duration m_standing_queue_after = milliseconds(500);
+
+    /// Longest predicted wait in such a queue, as a part of the time to the target. Some
+    /// completions of a server, so that its slots stay in use.
+    double m_standing_queue_share = 0.15;
+
+    /// Same for callers that come back and can't be answered before their target. Half, so that few
+    /// of them are passed by others until their deadline.
+    double m_late_deadline_share = 0.5;
+
     /// Requests a second to a cold backend server, as a multiple of its stated rate. The
     /// operator's bound is 1.5 times the rate and some requests more.
     double m_cold_rate_share = 1.15;
--- a/libs/routing/include/azureladder/routing/gate_request.hpp
+++ b/libs/routing/include/azureladder/routing/gate_request.hpp
@@ -24,6 +24,13 @@
 
     /// When the caller stops waiting.
     time_point m_deadline;
+
+    /// The caller has made an earlier attempt, from which its target counts.
+    bool m_is_repeated = false;
+
+    /// Admitted for an answer after its target, behind all of the same priority that can still
+    /// meet theirs. Set by the gate.
+    bool m_is_late = false;
 };
 
 } // namespace azureladder::routing
--- a/libs/routing/src/gate.cpp
+++ b/libs/routing/src/gate.cpp
@@ -43,6 +43,8 @@
 {
     if (a.m_priority != b.m_priority)
         return a.m_priority < b.m_priority;
+    if (a.m_is_late != b.m_is_late)
+        return b.m_is_late;
     return a.m_target < b.m_target;
 }
 
@@ -102,7 +104,8 @@
 }
 
 /// A request that every other one goes ahead of.
-const gate_request least_urgent_request{0, {}, UINT32_MAX, time_point::max(), time_point::max()};
+const gate_request least_urgent_request{
+    0, {}, UINT32_MAX, time_point::max(), time_point::max(), false, true};
 
 /// Mean times of the routes that were executed lately, the longest ones first.
 std::vector<route_time> longest_route_times(const gate& state, time_point now,
@@ -127,6 +130,16 @@
     return std::clamp(wait, options.m_min_retry_after, options.m_max_retry_after);
 }
 
+admission_decision enqueue(gate& state, const gate_request& request, duration wait, time_point now)
+{
+    if (state.m_waiting.empty())
+        state.m_queue_since = now;
+    const auto place =
+        std::upper_bound(state.m_waiting.begin(), state.m_waiting.end(), request, is_more_urgent);
+    state.m_waiting.insert(place, request);
+    return {admission::wait, wait};
+}
+
 } // namespace
 
 std::uint32_t route_code(std::string_view route)
@@ -163,12 +176,21 @@
     const duration allowed = is_short
                                  ? scaled(request.m_deadline - now, options.m_short_deadline_share)
                                  : scaled(request.m_target - now, options.m_target_share);
-    if (wait + service > allowed)
-        return {admission::refuse, clamped_retry_after(wait, options)};
-    const auto place =
-        std::upper_bound(state.m_waiting.begin(), state.m_waiting.end(), request, is_more_urgent);
-    state.m_waiting.insert(place, request);
-    return {admission::wait, wait};
+    const bool in_standing_queue =
+        !state.m_waiting.empty() && now - state.m_queue_since > options.m_standing_queue_after;
+    const bool is_queue_short =
+        is_short || !in_standing_queue ||
+        wait <= scaled(request.m_target - now, options.m_standing_queue_share);
+    if (wait + service <= allowed && is_queue_short)
+        return enqueue(state, request, wait, now);
+    // A caller that comes back has no other chance, so a late answer is better than none.
+    gate_request late = request;
+    late.m_is_late = true;
+    const duration late_wait = predicted_wait(state, late, now, options);
+    if (request.m_is_repeated && !in_standing_queue &&
+        late_wait + service <= scaled(request.m_deadline - now, options.m_late_deadline_share))
+        return enqueue(state, late, late_wait, now);
+    return {admission::refuse, clamped_retry_after(wait, options)};
 }
 
 std::vector<gate_request> take_startable(gate& state, time_point now, const gate_options& options)
--- /dev/null
+++ b/libs/routing/tests/attempt_age_test.cpp
@@ -0,0 +1,40 @@
+#include <azureladder/routing/attempt_age.hpp>
+
+#include <gtest/gtest.h>
+
+namespace azureladder::routing {
+
+// Guards against a target that starts anew with each attempt of a caller.
+TEST(attempt_age, counts_from_the_first_attempt)
+{
+    deadline_history history;
+    const attempt_age_options options;
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(attempt_age(history, milliseconds(1500), options), duration::zero());
+    EXPECT_EQ(attempt_age(history, milliseconds(1498), options), duration::zero());
+    EXPECT_EQ(attempt_age(history, milliseconds(1100), options), duration(milliseconds(400)));
+}
+
+// Guards against taking calls for repeated requests: their time depends on that of their parents.
+TEST(attempt_age, is_unknown_while_the_times_are_spread)
+{
+    deadline_history history;
+    const attempt_age_options options;
+    for (int i = 0; i < 500; ++i)
+        attempt_age(history, milliseconds(100 + i * 37 % 400), options);
+    EXPECT_EQ(attempt_age(history, milliseconds(200), options), duration::zero());
+}
+
+// Guards against a deadline that callers once had and that makes all of them look repeated.
+TEST(attempt_age, forgets_a_deadline_that_is_no_longer_stated)
+{
+    deadline_history history;
+    const attempt_age_options options;
+    attempt_age(history, milliseconds(3000), options);
+    for (int i = 0; i < 500; ++i)
+        attempt_age(history, milliseconds(1000), options);
+    EXPECT_EQ(attempt_age(history, milliseconds(1000), options), duration::zero());
+    EXPECT_EQ(attempt_age(history, milliseconds(600), options), duration(milliseconds(400)));
+}
+
+} // namespace azureladder::routing
--- a/libs/routing/tests/gate_test.cpp
+++ b/libs/routing/tests/gate_test.cpp
@@ -43,6 +43,63 @@
     EXPECT_EQ(state.m_running.size(), 2U);
 }
 
+// Guards against callers that come back and take the places of those that can still be answered in
+// time: under lasting overload most answers came late. A caller that comes back is served behind
+// them, and a first attempt that would be late is refused at once.
+TEST(gate, serves_repeated_requests_behind_those_that_can_meet_their_target)
+{
+    gate state = make_gate(1, "r", milliseconds(100));
+    const gate_options options;
+    offer(state, make_request(1, "r", 1, milliseconds(1000), milliseconds(2000)), start_time,
+          options);
+    gate_request repeated = make_request(2, "r", 1, milliseconds(-50), milliseconds(800));
+    EXPECT_EQ(offer(state, repeated, start_time, options).m_admission, admission::refuse);
+    repeated.m_is_repeated = true;
+    EXPECT_EQ(offer(state, repeated, start_time, options).m_admission, admission::wait);
+    const auto fresh = make_request(3, "r", 1, milliseconds(400), milliseconds(1500));
+    const auto decision = offer(state, fresh, start_time, options);
+    EXPECT_EQ(decision.m_admission, admission::wait);
+    EXPECT_EQ(decision.m_wait, duration(milliseconds(100)));
+    finish(state, 1, milliseconds(100), execution_outcome::succeeded, start_time, options);
+    EXPECT_EQ(take_startable(state, start_time, options).front().m_id, 3U);
+    // A further one would wait for too long behind the others.
+    repeated.m_id = 4;
+    repeated.m_deadline = start_time + milliseconds(500);
+    EXPECT_EQ(offer(state, repeated, start_time, options).m_admission, admission::refuse);
+}
+
+// Guards against a queue that stays as long as targets allow while the load exceeds the capacity:
+// on a grown site half of the answers were late then, and no more requests were served.
+TEST(gate, keeps_the_queue_short_under_lasting_overload)
+{
+    gate state = make_gate(10, "r", milliseconds(200));
+    const gate_options options;
+    std::uint64_t id = 0;
+    time_point now = start_time;
+    std::size_t longest_in_burst = 0;
+    std::size_t longest_later = 0;
+    std::size_t idle_later = 0;
+    // 100 requests a second where the server ends 50.
+    for (int step = 0; step < 300; ++step, now += milliseconds(10)) {
+        ++id;
+        offer(state, {id, "r", 1, now + milliseconds(600), now + milliseconds(1500)}, now, options);
+        if (step % 2 == 0 && step >= 20 && !state.m_running.empty()) {
+            finish(state, state.m_running.begin()->first, milliseconds(200),
+                   execution_outcome::succeeded, now, options);
+            take_startable(state, now, options);
+        }
+        if (step < 50)
+            longest_in_burst = std::max(longest_in_burst, state.m_waiting.size());
+        if (step >= 200) {
+            longest_later = std::max(longest_later, state.m_waiting.size());
+            idle_later += state.m_running.size() < state.m_limit ? 1 : 0;
+        }
+    }
+    EXPECT_GT(longest_in_burst, 10U);
+    EXPECT_LE(longest_later, 5U);
+    EXPECT_EQ(idle_later, 0U);
+}
+
 // Guards against reports from which others can't tell how long their own request would take: the
 // routes with long executions are named, and old ones are not.
 TEST(gate, reports_the_times_of_its_routes_and_its_wait)
--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -2,6 +2,7 @@
 
 #include <azureladder/base/time.hpp>
 #include <azureladder/key_ranges/hold_rules.hpp>
+#include <azureladder/routing/attempt_age.hpp>
 #include <azureladder/routing/gate_options.hpp>
 #include <azureladder/routing/placement.hpp>
 #include <azureladder/routing/retry_budget.hpp>
@@ -26,6 +27,7 @@
     routing::gate_options m_gate;
     routing::placement_options m_placement;
     routing::retry_budget_options m_retry;
+    routing::attempt_age_options m_attempt_age;
     key_ranges::hold_options m_holds;
 
     /// Time between two pings of a peer; shorter while requests are open there.
--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <azureladder/base/time.hpp>
+#include <azureladder/routing/attempt_age.hpp>
 #include <azureladder/routing/gate.hpp>
 #include <azureladder/routing/retry_budget.hpp>
 #include <azureladder/routing/routing_configuration.hpp>
@@ -81,6 +82,9 @@
     std::map<std::string, routing::weighted_choice> m_choices;
     std::map<std::string, routing::retry_budget> m_retry_budgets;
 
+    /// By route.
+    std::map<std::string, routing::deadline_history> m_deadline_histories;
+
     /// Mesh.
     std::map<std::string, peer_state> m_peers;
     std::map<std::uint64_t, std::string> m_node_of_link;
--- a/libs/sidecar/include/azureladder/sidecar/open_request.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/open_request.hpp
@@ -22,6 +22,9 @@
     time_point m_target;
     time_point m_deadline;
 
+    /// The caller has made an earlier attempt.
+    bool m_is_repeated = false;
+
     /// Node and frame of the present attempt; empty and 0 while there is none.
     std::string m_node;
     std::uint64_t m_node_incarnation = 0;
--- a/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
@@ -76,9 +76,13 @@
     std::uint64_t m_id = 0;
     forwarded_request_ptr m_request;
 
-    /// Time left to the caller's deadline and to the target latency, in microseconds.
+    /// Time left to the caller's deadline and to the target latency, in microseconds. The target
+    /// counts from the caller's first attempt and may have passed.
     std::int64_t m_remaining_us = 0;
     std::int64_t m_target_us = 0;
+
+    /// The caller has made an earlier attempt.
+    bool m_is_repeated = false;
 };
 
 struct cancel_frame
--- a/libs/sidecar/src/gate_node.cpp
+++ b/libs/sidecar/src/gate_node.cpp
@@ -278,9 +278,10 @@
     execution.m_frame = frame.m_id;
     execution.m_request = frame.m_request;
     execution.m_deadline = context.m_now + duration(frame.m_remaining_us);
-    const routing::gate_request wanted{execution.m_id, request.m_route, request.m_priority,
-                                       context.m_now + duration(frame.m_target_us),
-                                       execution.m_deadline};
+    const routing::gate_request wanted{
+        execution.m_id,       request.m_route,
+        request.m_priority,   context.m_now + duration(frame.m_target_us),
+        execution.m_deadline, frame.m_is_repeated};
     const auto decision =
         routing::offer(state.m_gate, wanted, context.m_now, state.m_options.m_gate);
     if (decision.m_admission == routing::admission::refuse) {
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -142,7 +142,13 @@
     const duration remaining =
         std::min(arrived.m_remaining.value_or(route->m_timeout), route->m_timeout);
     request.m_deadline = context.m_now + remaining;
-    request.m_target = context.m_now + std::min(remaining, route->m_latency_objective);
+    const duration age =
+        arrived.m_remaining
+            ? routing::attempt_age(state.m_deadline_histories[route->m_name], *arrived.m_remaining,
+                                   state.m_options.m_attempt_age)
+            : duration::zero();
+    request.m_is_repeated = age > duration::zero();
+    request.m_target = context.m_now + std::min(remaining, route->m_latency_objective - age);
     auto& budget = state.m_retry_budgets[request.m_request->m_service];
     routing::record_request(budget, state.m_options.m_retry);
     const auto [place, added] = state.m_requests.emplace(arrived.m_caller, std::move(request));
--- a/libs/sidecar/src/ingress_dispatch.cpp
+++ b/libs/sidecar/src/ingress_dispatch.cpp
@@ -43,6 +43,7 @@
     frame.m_request = request.m_request;
     frame.m_remaining_us = (request.m_deadline - context.m_now).count();
     frame.m_target_us = (request.m_target - context.m_now).count();
+    frame.m_is_repeated = request.m_is_repeated;
     send_to_node(context, node, std::move(frame));
 }
 
--- a/libs/sidecar/src/peer_frame_codec.cpp
+++ b/libs/sidecar/src/peer_frame_codec.cpp
@@ -151,7 +151,8 @@
             request.m_service,
             request.m_route,
             request.m_priority,
-            static_cast<int>(request.m_kind)};
+            static_cast<int>(request.m_kind),
+            frame.m_is_repeated};
 }
 
 json head_of(const cancel_frame& frame)
@@ -248,6 +249,7 @@
     request->m_priority = head.at(12).get<std::uint32_t>();
     request->m_kind = head.at(13).get<int>() == 0 ? routing::request_kind::idempotent
                                                   : routing::request_kind::non_idempotent;
+    frame.m_is_repeated = head.at(14).get<bool>();
     request->m_body = body;
     frame.m_request = std::move(request);
     return frame;
