Serve latency histograms and outcomes of requests as metrics

Cause: the metrics of the node had counters of log events and gauges only, so nobody could compare latencies with the objectives of routes.

Change: the reducer states each finished request as an effect; the runtime counts it with the metrics of libs/telemetry (Boost.Histogram) by service, service of the caller, class and outcome. The text that the runtime formatted itself is gone.

The new test checks the latency of a request that a gate refused first.

--- a/libs/sidecar/include/azureladder/sidecar/effects.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/effects.hpp
@@ -112,6 +112,18 @@
     departed_lives m_lives;
 };
 
+/// Counts a finished request and its latency.
+struct record_request
+{
+    std::string m_service;
+
+    /// Service on the VM where the request began.
+    std::string m_caller_service;
+    std::uint32_t m_priority = 0;
+    std::string m_outcome;
+    duration m_latency{};
+};
+
 struct log_line
 {
     log_level m_level = log_level::info;
@@ -127,7 +139,7 @@
 using effect =
     std::variant<pass_answer, answer_caller, connect_node, close_link, send_frame, start_execution,
                  cancel_execution, grant_keys, release_keys, decode_configuration, read_table,
-                 write_table, record_departures, log_line, stop_process>;
+                 write_table, record_departures, record_request, log_line, stop_process>;
 
 using effects = std::vector<effect>;
 
--- a/libs/sidecar/src/ingress_answers.cpp
+++ b/libs/sidecar/src/ingress_answers.cpp
@@ -64,6 +64,9 @@
     if (!request.m_last_cause.empty())
         fields["cause"] = request.m_last_cause;
     log(context, log_level::info, "request_finished", std::move(fields));
+    emit(context,
+         record_request{request.m_request->m_service, request.m_request->m_caller_service,
+                        request.m_request->m_priority, outcome, context.m_now - request.m_arrived});
 }
 
 void finish_with_answer(step_context& context, open_request& request, server_answer_ptr answer)
--- a/libs/sidecar/tests/ingress_test.cpp
+++ b/libs/sidecar/tests/ingress_test.cpp
@@ -98,6 +98,37 @@
     EXPECT_NE(second.first, first.first);
 }
 
+// Guards against requests that end without being counted, and against latencies that start at the
+// newest attempt at a gate instead of the request's arrival.
+TEST(ingress, finished_request_is_counted_with_its_latency)
+{
+    node_state state = make_connected_node({"a", "b"});
+    const auto first = sent_request(step(state, make_request(), start_time));
+    refusal_frame refusal;
+    refusal.m_id = first.second;
+    refusal.m_reason = refusal_reason::overloaded;
+    refusal.m_report.m_open = true;
+    const auto second = sent_request(
+        step(state, frame_received{first.first, refusal}, start_time + milliseconds(20)));
+    auto answer = std::make_shared<server_answer>();
+    answer->m_status = 200;
+    answer_frame frame;
+    frame.m_id = second.second;
+    frame.m_answer = std::move(answer);
+    const auto done =
+        step(state, frame_received{second.first, frame}, start_time + milliseconds(120));
+    const record_request* recorded = nullptr;
+    for (const auto& effect : done) {
+        if (const auto* found = std::get_if<record_request>(&effect))
+            recorded = found;
+    }
+    ASSERT_NE(recorded, nullptr);
+    EXPECT_EQ(recorded->m_service, "orders");
+    EXPECT_EQ(recorded->m_caller_service, "other");
+    EXPECT_EQ(recorded->m_outcome, "answered");
+    EXPECT_EQ(recorded->m_latency, duration(milliseconds(120)));
+}
+
 // Guards against waiting for a silent node when another one could execute the request.
 TEST(ingress, key_of_an_undivided_service_does_not_keep_a_request_at_a_silent_node)
 {
--- a/libs/sidecar/tests/peer_frame_codec_test.cpp
+++ b/libs/sidecar/tests/peer_frame_codec_test.cpp
@@ -22,7 +22,7 @@
     request->m_route = "r";
     request->m_priority = 2;
     request->m_kind = routing::request_kind::non_idempotent;
-    return {7, request, 1'500'000, 600'000};
+    return {7, request, 1'500'000, 600'000, true};
 }
 
 template <class Frame>
@@ -44,6 +44,7 @@
     const request_frame received = round_trip(sent);
     EXPECT_EQ(received.m_id, sent.m_id);
     EXPECT_EQ(received.m_remaining_us, sent.m_remaining_us);
+    EXPECT_TRUE(received.m_is_repeated);
     EXPECT_EQ(received.m_request->m_target, sent.m_request->m_target);
     EXPECT_EQ(received.m_request->m_body, sent.m_request->m_body);
     EXPECT_EQ(received.m_request->m_headers[0].m_value, sent.m_request->m_headers[0].m_value);
@@ -79,6 +80,11 @@
     status.m_status.m_departed_lives["i"] = 7;
     EXPECT_EQ(round_trip(status).m_confirmation_age_us.at("keys/s"), 99);
     EXPECT_EQ(round_trip(status).m_status.m_departed_lives.at("i"), 7);
+    status.m_status.m_report.m_wait = milliseconds(40);
+    status.m_status.m_report.m_route_times = {{5, milliseconds(60)}};
+    EXPECT_EQ(round_trip(status).m_status.m_report.m_wait, duration(milliseconds(40)));
+    ASSERT_EQ(round_trip(status).m_status.m_report.m_route_times.size(), 1U);
+    EXPECT_EQ(round_trip(status).m_status.m_report.m_route_times[0].m_route, 5U);
     EXPECT_EQ(round_trip(document_frame{"d", 4, "{}", -1}).m_text, "{}");
 }
 
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <random>
 
@@ -263,9 +264,18 @@
         sidecar::configuration_decoded{wanted.m_revision, wanted.m_text, std::move(configuration)});
 }
 
+void node_runtime::impl::apply(const sidecar::record_request& wanted)
+{
+    // The classes of the metrics are ranks too; the platform names no organisation of a caller.
+    const auto priority = static_cast<request_class>(
+        std::min(wanted.m_priority, static_cast<std::uint32_t>(request_class::batch)));
+    m_metrics.record_request(wanted.m_service, wanted.m_caller_service, priority, wanted.m_outcome,
+                             wanted.m_latency);
+}
+
 void node_runtime::impl::apply(const sidecar::log_line& wanted)
 {
-    ++m_event_counts[wanted.m_event];
+    m_metrics.add_counter("events_total", 1, {{"event", wanted.m_event}});
     m_log.write(wanted.m_level, wanted.m_event, wanted.m_fields);
 }
 
@@ -337,22 +347,16 @@
     session->answer({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_text()});
 }
 
-std::string node_runtime::impl::metrics_text() const
+std::string node_runtime::impl::metrics_text()
 {
-    std::string text;
-    const auto add = [&](const std::string& name, const std::string& labels, std::uint64_t value) {
-        text += "azureladder_" + name + labels + ' ' + std::to_string(value) + '\n';
-    };
-    for (const auto& [event, count] : m_event_counts)
-        add("events_total", "{event=\"" + event + "\"}", count);
-    add("open_requests", "", m_state.m_requests.size());
-    add("gate_running", "", m_state.m_gate.m_running.size());
-    add("gate_waiting", "", m_state.m_gate.m_waiting.size());
-    add("gate_limit", "", m_state.m_gate.m_limit);
-    add("peers", "", m_state.m_peers.size());
-    add("store_calls_total", "", m_store.calls());
-    add("log_lines_dropped_total", "", m_log.dropped_lines());
-    return text;
+    m_metrics.set_gauge("open_requests", static_cast<double>(m_state.m_requests.size()));
+    m_metrics.set_gauge("gate_running", static_cast<double>(m_state.m_gate.m_running.size()));
+    m_metrics.set_gauge("gate_waiting", static_cast<double>(m_state.m_gate.m_waiting.size()));
+    m_metrics.set_gauge("gate_limit", m_state.m_gate.m_limit);
+    m_metrics.set_gauge("peers", static_cast<double>(m_state.m_peers.size()));
+    m_metrics.set_counter("store_calls_total", m_store.calls());
+    m_metrics.set_counter("log_lines_dropped_total", m_log.dropped_lines());
+    return m_metrics.prometheus_text();
 }
 
 void node_runtime::impl::accept_peers()
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -8,6 +8,7 @@
 #include <azureladder/sidecar/step.hpp>
 #include <azureladder/sidecar_runtime/line_log.hpp>
 #include <azureladder/sidecar_runtime/node_runtime.hpp>
+#include <azureladder/telemetry/metrics.hpp>
 
 #include <boost/asio/signal_set.hpp>
 
@@ -45,6 +46,7 @@
     void apply(const sidecar::read_table& wanted) { m_store.read_table(wanted); }
     void apply(const sidecar::write_table& wanted) { m_store.write_table(wanted); }
     void apply(const sidecar::record_departures& wanted) { m_store.write_departures(wanted); }
+    void apply(const sidecar::record_request& wanted);
     void apply(const sidecar::log_line& wanted);
     void apply(const sidecar::stop_process& wanted);
 
@@ -64,7 +66,7 @@
     void tick();
     void wait_for_signal();
     void reload_settings();
-    std::string metrics_text() const;
+    std::string metrics_text();
 
     sidecar_settings m_settings;
     std::string m_settings_path;
@@ -93,7 +95,7 @@
     std::unique_ptr<http_listener> m_metrics_listener;
     asio::steady_timer m_tick_timer;
     asio::signal_set m_signals;
-    std::map<std::string, std::uint64_t> m_event_counts;
+    telemetry::metrics m_metrics;
 };
 
 } // namespace azureladder::sidecar_runtime
