Name the gate in the log line of a sent request

Cause: "request_sent" stated the chosen node in the field "node", which the log replaces by the writer of the line. An engineer on call could not tell where a request went unless the gate wrote a line of its own.

Change: the field is "gate".

Measure: a test checks the field; nothing else of the node changes.

--- a/libs/sidecar/src/ingress_dispatch.cpp
+++ b/libs/sidecar/src/ingress_dispatch.cpp
@@ -32,7 +32,8 @@
         request.m_node_incarnation = peer->second.m_incarnation;
     }
     json fields = request_fields(request);
-    fields["node"] = node;
+    // "node" is the writer of the line.
+    fields["gate"] = node;
     fields["priority"] = request.m_request->m_priority;
     fields["target_ms"] = to_ms(request.m_latency_objective);
     if (request.m_request->m_key)
--- a/libs/sidecar/tests/ingress_test.cpp
+++ b/libs/sidecar/tests/ingress_test.cpp
@@ -98,6 +98,20 @@
     EXPECT_NE(second.first, first.first);
 }
 
+// Guards against a line that does not say where a request went: its field had the name of the one
+// that states the writer of the line.
+TEST(ingress, log_line_of_a_sent_request_names_the_gate)
+{
+    node_state state = make_connected_node({"a"});
+    std::string gate;
+    for (const auto& effect : step(state, make_request(), start_time)) {
+        const auto* line = std::get_if<log_line>(&effect);
+        if (line != nullptr && line->m_event == "request_sent")
+            gate = line->m_fields.value("gate", "");
+    }
+    EXPECT_EQ(gate, "a");
+}
+
 // Guards against requests that end without being counted, and against latencies that start at the
 // newest attempt at a gate instead of the request's arrival.
 TEST(ingress, finished_request_is_counted_with_its_latency)
