Keep the gate closed until the node knows a configuration

Its peers connect to it, its cold server announced itself, and the gate sends it everything, because the rate that a cold server bears stands in the configuration.

Ruled out: a server that became cold without notice (it had announced 2,997 ms 2.2 s earlier), and a restart that forgot its starts.

Change: a gate without a configuration is closed.

Measure: the new test fails without the change.

--- a/libs/sidecar/src/gate_node.cpp
+++ b/libs/sidecar/src/gate_node.cpp
@@ -234,7 +234,9 @@
 
 bool is_gate_open(const node_state& state, time_point now)
 {
-    if (!state.m_backend || is_withdrawn(state) || state.m_stopping)
+    // Without a configuration the rate that a cold server bears is unknown.
+    if (!state.m_backend || !state.m_known.m_configuration || is_withdrawn(state) ||
+        state.m_stopping)
         return false;
     if (state.m_backend->m_unreachable)
         return now >= state.m_backend->m_next_trial;
--- a/libs/sidecar/tests/cluster_test.cpp
+++ b/libs/sidecar/tests/cluster_test.cpp
@@ -255,6 +255,28 @@
     EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
 }
 
+// Guards against a node that has no configuration yet and gives its cold server all requests of its
+// peers, since it does not know the rate that the server bears. Seen on a grown site, where a node
+// started while the store turned it away.
+TEST(sidecar_node, gate_stays_closed_without_a_configuration)
+{
+    node_options options;
+    options.m_node = "node-1";
+    const time_point now{std::chrono::seconds(1000)};
+    node_state state = make_node(options, now, 1);
+    backend_announcement announced;
+    announced.m_id = "i-1";
+    announced.m_service = "orders";
+    announced.m_slots = 4;
+    announced.m_sequence = 1;
+    announced.m_cold_time_left = seconds(3);
+    step(state, backend_announced{announced}, now);
+    EXPECT_FALSE(status_of(state, now).m_report.m_open);
+    step(state,
+         configuration_decoded{5, "text", std::make_shared<routing::routing_configuration>()}, now);
+    EXPECT_TRUE(status_of(state, now).m_report.m_open);
+}
+
 // Guards against a late announcement of a server whose removal was the first that this process
 // heard of it. Seen on a day where nodes restart during an outage of the store.
 TEST(sidecar_node, announcement_after_the_removal_of_an_unknown_server)
