Keep one copy of shared steps and drop work that nobody needs

Cause: a second reading of the change. The loop that takes an idle connection stood in the pool of the backend server and in the store's session. The service of the VM was chosen by the same expression in three files. Each tick (25 ms) made the whole status, with the times of all routes, to compare four of its fields, and each dispatch made it for the node itself even for other services. Departures read from the store were written back, a priced call at each restart of such a node.

Change: take_idle and local_service serve all callers; the comparison reads its fields directly; only departures that the store lacks are written. Removed: fields that were decoded and never read, an unused stop of the listener.

A new test counts the writes of departures.

--- a/libs/sidecar/src/backend_life.cpp
+++ b/libs/sidecar/src/backend_life.cpp
@@ -40,26 +40,35 @@
         {{"backend", state.m_backend->m_announcement.m_id}});
 }
 
-void note_departures(step_context& context, const departed_lives& departed)
+namespace {
+
+/// Adds departures and returns whether any was new.
+bool add_departures(step_context& context, const departed_lives& departed)
 {
-    node_state& state = context.m_state;
-    departed_lives& lives = state.m_departed_lives;
+    departed_lives& lives = context.m_state.m_departed_lives;
     if (!merge(lives, departed))
-        return;
+        return false;
     while (lives.size() > max_departed_lives) {
         lives.erase(std::min_element(lives.begin(), lives.end(), [](const auto& a, const auto& b) {
             return a.second < b.second;
         }));
     }
-    emit(context, record_departures{lives});
     apply_departures(context);
+    return true;
+}
+
+} // namespace
+
+void note_departures(step_context& context, const departed_lives& departed)
+{
+    if (add_departures(context, departed))
+        emit(context, record_departures{context.m_state.m_departed_lives});
 }
 
 void on_departures_read(step_context& context, const departures_read& read)
 {
-    note_departures(context, read.m_lives);
-    const bool is_stored = context.m_state.m_departed_lives == read.m_lives;
-    if (!is_stored)
+    add_departures(context, read.m_lives);
+    if (context.m_state.m_departed_lives != read.m_lives)
         emit(context, record_departures{context.m_state.m_departed_lives});
 }
 
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -130,8 +130,7 @@
     forwarded->m_route = route->m_name;
     forwarded->m_priority = route->m_priority;
     forwarded->m_kind = route->m_kind;
-    forwarded->m_caller_service =
-        state.m_backend ? state.m_backend->m_announcement.m_service : state.m_options.m_service;
+    forwarded->m_caller_service = local_service(state);
 
     open_request request;
     request.m_caller = arrived.m_caller;
--- a/libs/sidecar/src/ingress_dispatch.cpp
+++ b/libs/sidecar/src/ingress_dispatch.cpp
@@ -138,7 +138,8 @@
         candidates.push_back({status.m_report, {}, sent, age, same_zone, distance});
         nodes.push_back(node);
     };
-    add(state.m_options.m_node, status_of(state, context.m_now), {}, true, {}, 0);
+    if (local_service(state) == request.m_request->m_service)
+        add(state.m_options.m_node, status_of(state, context.m_now), {}, true, {}, 0);
     for (const auto& [node, peer] : state.m_peers) {
         if (is_usable(state, peer, context.m_now) && !peer.m_status.m_leaving)
             add(node, peer.m_status, context.m_now - peer.m_reported_at,
--- a/libs/sidecar/src/key_tables.cpp
+++ b/libs/sidecar/src/key_tables.cpp
@@ -244,8 +244,7 @@
 
 std::string local_keyed_service(const node_state& state)
 {
-    const std::string& name =
-        state.m_backend ? state.m_backend->m_announcement.m_service : state.m_options.m_service;
+    const std::string& name = local_service(state);
     const auto* service = find_service(state, name);
     return service != nullptr && service->m_keyed ? name : std::string();
 }
--- a/libs/sidecar/src/mesh.cpp
+++ b/libs/sidecar/src/mesh.cpp
@@ -66,12 +66,13 @@
     return frame;
 }
 
-/// Part of the status whose changes are stated at once.
+/// Part of the status whose changes are stated at once. Compared at each tick, so it does not make
+/// the whole report.
 std::string essential_status(const node_state& state, time_point now)
 {
-    const node_status status = status_of(state, now);
-    return status.m_service + '|' + status.m_life + '|' +
-           (status.m_report.m_open ? "open" : "closed") + (status.m_leaving ? "|leaving" : "");
+    const bool open = is_gate_open(state, now) && state.m_gate.m_limit > 0;
+    return local_service(state) + '|' + local_life(state) + '|' + (open ? "open" : "closed") +
+           (state.m_stopping ? "|leaving" : "");
 }
 
 void drop_link(step_context& context, const std::string& node, peer_state& peer)
@@ -107,8 +108,7 @@
 node_status status_of(const node_state& state, time_point now)
 {
     node_status status;
-    status.m_service =
-        state.m_backend ? state.m_backend->m_announcement.m_service : state.m_options.m_service;
+    status.m_service = local_service(state);
     status.m_life = local_life(state);
     status.m_report =
         routing::report_of(state.m_gate, is_gate_open(state, now), now, state.m_options.m_gate);
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -39,6 +39,12 @@
     return found == state.m_known.m_configuration->m_services.end() ? nullptr : &found->second;
 }
 
+/// Service of the backend server beside this node, by its announcement or else by the settings.
+inline const std::string& local_service(const node_state& state)
+{
+    return state.m_backend ? state.m_backend->m_announcement.m_service : state.m_options.m_service;
+}
+
 // Ingress (ingress.cpp).
 void on_caller_request(step_context& context, const caller_request& arrived);
 void on_caller_left(step_context& context, const caller_left& left);
--- a/libs/sidecar/tests/cluster_test.cpp
+++ b/libs/sidecar/tests/cluster_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <numeric>
 
@@ -32,6 +33,15 @@
     return seeds;
 }
 
+/// Requests that the backend servers of some nodes have executed.
+std::size_t executed_at(sidecar_cluster& cluster, const std::vector<std::string>& nodes)
+{
+    std::size_t count = 0;
+    for (const auto& node : nodes)
+        count += cluster.backend(node).m_executed.size();
+    return count;
+}
+
 /// Share of requests to keys of all ranges that are answered, sent over a second.
 double served_share(sidecar_cluster& cluster, const std::string& node, const std::string& service)
 {
@@ -176,13 +186,10 @@
     cluster.run_for(settling);
     cluster.evacuate({"zone-1"});
     cluster.run_for(seconds(2));
-    const auto before = cluster.backend("orders-1").m_executed.size() +
-                        cluster.backend("shelf-1").m_executed.size();
+    const auto before = executed_at(cluster, {"orders-1", "shelf-1"});
     EXPECT_EQ(served_share(cluster, "orders-0", "shelf"), 1.0);
     EXPECT_EQ(served_share(cluster, "orders-1", "orders"), 1.0);
-    EXPECT_EQ(cluster.backend("orders-1").m_executed.size() +
-                  cluster.backend("shelf-1").m_executed.size(),
-              before);
+    EXPECT_EQ(executed_at(cluster, {"orders-1", "shelf-1"}), before);
     EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
 }
 
@@ -194,13 +201,10 @@
     cluster.backend("orders-2").m_draining = true;
     cluster.backend("shelf-2").m_draining = true;
     cluster.run_for(seconds(3));
-    const auto before = cluster.backend("orders-2").m_executed.size() +
-                        cluster.backend("shelf-2").m_executed.size();
+    const auto before = executed_at(cluster, {"orders-2", "shelf-2"});
     EXPECT_EQ(served_share(cluster, "orders-0", "shelf"), 1.0);
     EXPECT_EQ(served_share(cluster, "orders-2", "orders"), 1.0);
-    EXPECT_EQ(cluster.backend("orders-2").m_executed.size() +
-                  cluster.backend("shelf-2").m_executed.size(),
-              before);
+    EXPECT_EQ(executed_at(cluster, {"orders-2", "shelf-2"}), before);
     EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
 }
 
@@ -218,10 +222,7 @@
     // Announcements that were held up on the way arrive after the restart.
     cluster.backend("orders-2").m_draining = false;
     cluster.backend("shelf-2").m_draining = false;
-    const auto executed = [&] {
-        return cluster.backend("orders-2").m_executed.size() +
-               cluster.backend("shelf-2").m_executed.size();
-    };
+    const auto executed = [&] { return executed_at(cluster, {"orders-2", "shelf-2"}); };
     const auto before = executed();
     cluster.start_node("orders-2");
     cluster.start_node("shelf-2");
@@ -311,6 +312,24 @@
     EXPECT_EQ(served_share(cluster, "shelf-0", "shelf"), 1.0);
 }
 
+// Guards against a priced call that writes what was just read, at each restart of a node.
+TEST(sidecar_node, departures_that_were_read_are_not_written_again)
+{
+    node_options options;
+    options.m_node = "node-1";
+    const time_point now{std::chrono::seconds(1000)};
+    node_state state = make_node(options, now, 1);
+    const auto writes = [](const effects& done) {
+        return std::count_if(done.begin(), done.end(), [](const effect& wanted) {
+            return std::holds_alternative<record_departures>(wanted);
+        });
+    };
+    EXPECT_EQ(writes(step(state, departures_read{{{"i-1", 2000}}}, now)), 0);
+    EXPECT_EQ(writes(step(state, backend_removed{"i-2", 3000}, now)), 1);
+    // The store lacks the newer one.
+    EXPECT_EQ(writes(step(state, departures_read{{{"i-1", 2000}}}, now)), 1);
+}
+
 // Guards against requests that a stopping node takes until its end and then gives up: callers on
 // open connections go on sending until the process is gone.
 TEST(sidecar_cluster, stopping_node_cuts_no_request)
--- a/libs/sidecar_runtime/include/azureladder/sidecar_runtime/translation.hpp
+++ b/libs/sidecar_runtime/include/azureladder/sidecar_runtime/translation.hpp
@@ -61,9 +61,6 @@
     sidecar::write_result m_result = sidecar::write_result::unknown;
     std::uint64_t m_revision = 0;
 
-    /// The lease of the item has ended.
-    bool m_lease_lost = false;
-
     /// After a conflict: the items of the conditions as they are now.
     std::vector<store_item> m_present;
 };
--- a/libs/sidecar_runtime/src/backend_pool.cpp
+++ b/libs/sidecar_runtime/src/backend_pool.cpp
@@ -27,16 +27,8 @@
 
 backend_pool::connection_ptr backend_pool::take_connection(const std::string& address)
 {
-    auto& idle = m_idle[address];
-    const auto now = std::chrono::steady_clock::now();
-    while (!idle.empty()) {
-        // The connection that was used last is the least likely to be closed.
-        connection_ptr connection = idle.back();
-        idle.pop_back();
-        if (connection->is_reusable() && now < connection->idle_end())
-            return connection;
-        connection->close();
-    }
+    if (auto connection = take_idle(m_idle[address]))
+        return connection;
     const auto parsed = parse_endpoint(address);
     return std::make_shared<client_connection>(m_io, parsed.value_or(endpoint{"127.0.0.1", 9}),
                                                m_options.m_connect_timeout);
--- a/libs/sidecar_runtime/src/client_connection.cpp
+++ b/libs/sidecar_runtime/src/client_connection.cpp
@@ -180,4 +180,17 @@
         });
 }
 
+std::shared_ptr<client_connection> take_idle(std::vector<std::shared_ptr<client_connection>>& idle)
+{
+    const auto now = std::chrono::steady_clock::now();
+    while (!idle.empty()) {
+        auto connection = idle.back();
+        idle.pop_back();
+        if (connection->is_reusable() && now < connection->idle_end())
+            return connection;
+        connection->close();
+    }
+    return nullptr;
+}
+
 } // namespace azureladder::sidecar_runtime
--- a/libs/sidecar_runtime/src/client_connection.hpp
+++ b/libs/sidecar_runtime/src/client_connection.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace azureladder::sidecar_runtime {
 
@@ -87,4 +88,8 @@
     std::uint64_t m_idle_watch = 0;
 };
 
+/// Takes the connection that was used last, the least likely to be closed, and closes those that
+/// can't be used any more. Null when none is left.
+std::shared_ptr<client_connection> take_idle(std::vector<std::shared_ptr<client_connection>>& idle);
+
 } // namespace azureladder::sidecar_runtime
--- a/libs/sidecar_runtime/src/http_listener.cpp
+++ b/libs/sidecar_runtime/src/http_listener.cpp
@@ -32,12 +32,6 @@
     accept();
 }
 
-void http_listener::stop()
-{
-    error_code ignored;
-    m_acceptor.close(ignored);
-}
-
 void http_listener::accept()
 {
     m_acceptor.async_accept([this](error_code error, tcp::socket socket) {
--- a/libs/sidecar_runtime/src/http_listener.hpp
+++ b/libs/sidecar_runtime/src/http_listener.hpp
@@ -3,7 +3,6 @@
 #include "http_session.hpp"
 
 #include <memory>
-#include <set>
 
 namespace azureladder::sidecar_runtime {
 
@@ -14,9 +13,6 @@
     /// Throws boost::system::system_error when the address can't be bound.
     http_listener(asio::io_context& io, const endpoint& address, http_session::callbacks handlers);
 
-    /// Accepts no further connections.
-    void stop();
-
 private:
     void accept();
 
--- a/libs/sidecar_runtime/src/store_session.cpp
+++ b/libs/sidecar_runtime/src/store_session.cpp
@@ -84,16 +84,7 @@
 void store_session::call(const http_request& request, milliseconds timeout, reply_function reply)
 {
     ++m_calls;
-    std::shared_ptr<client_connection> connection;
-    const auto now = std::chrono::steady_clock::now();
-    while (!m_idle.empty() && !connection) {
-        const auto last = m_idle.back();
-        m_idle.pop_back();
-        if (last->is_reusable() && now < last->idle_end())
-            connection = last;
-        else
-            last->close();
-    }
+    auto connection = take_idle(m_idle);
     if (!connection)
         connection = std::make_shared<client_connection>(m_io, m_options.m_address,
                                                          m_options.m_connect_timeout);
