--- a/libs/sidecar/include/azureladder/sidecar/events.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/events.hpp
@@ -118,6 +118,9 @@
     std::uint64_t m_order = 0;
     order_result m_result = order_result::unanswered;
     std::string m_handover;
+
+    /// For logs: why there is no answer, or the status that refused the order.
+    std::string m_cause;
 };
 
 struct backend_announced
--- a/libs/sidecar/src/key_holds.cpp
+++ b/libs/sidecar/src/key_holds.cpp
@@ -16,6 +16,12 @@
 /// to reach the backend server.
 constexpr duration serving_margin = milliseconds(100);
 
+/// Id of the server that this node last heard of; orders name its address only.
+std::string known_backend_id(const node_state& state)
+{
+    return state.m_backend ? state.m_backend->m_announcement.m_id : std::string();
+}
+
 struct wanted_hold
 {
     std::uint32_t m_from = 0;
@@ -128,7 +134,11 @@
             hold.m_handover.clear();
             if (first)
                 log(context, log_level::info, "keys_granted",
-                    {{"from", from}, {"to", hold.m_to}, {"fence", hold.m_fence}});
+                    {{"from", from},
+                     {"to", hold.m_to},
+                     {"fence", hold.m_fence},
+                     {"order", ended.m_order},
+                     {"backend", known_backend_id(context.m_state)}});
         } else {
             if (ended.m_result == order_result::unanswered)
                 hold.m_unanswered_sent = hold.m_order_sent;
@@ -136,7 +146,11 @@
                 {{"from", from},
                  {"to", hold.m_to},
                  {"fence", hold.m_fence},
-                 {"result", std::string(name_in(order_result_names, ended.m_result))}});
+                 {"order", ended.m_order},
+                 {"backend", known_backend_id(context.m_state)},
+                 {"sent_us_ago", (context.m_now - hold.m_order_sent).count()},
+                 {"result", std::string(name_in(order_result_names, ended.m_result))},
+                 {"cause", ended.m_cause}});
         }
         return;
     }
@@ -144,12 +158,27 @@
         if (move.m_order != ended.m_order)
             continue;
         move.m_order = 0;
-        if (ended.m_result != order_result::accepted)
+        if (ended.m_result != order_result::accepted) {
+            log(context, log_level::warning, "release_failed",
+                {{"from", move.m_from},
+                 {"to", move.m_to},
+                 {"fence", move.m_fence},
+                 {"order", ended.m_order},
+                 {"result", std::string(name_in(order_result_names, ended.m_result))},
+                 {"cause", ended.m_cause}});
             return;
+        }
         move.m_released = true;
         move.m_handover = ended.m_handover;
         log(context, log_level::info, "keys_released",
-            {{"from", move.m_from}, {"to", move.m_to}, {"fence", move.m_fence}});
+            {{"from", move.m_from},
+             {"to", move.m_to},
+             {"fence", move.m_fence},
+             {"order", ended.m_order},
+             {"elapsed_us", (context.m_now - move.m_order_sent).count()},
+             {"has_handover", !ended.m_handover.empty()},
+             {"late_grants_end_ms",
+              to_ms(std::max(duration::zero(), move.m_not_before - context.m_now))}});
         check_tables(context);
         return;
     }
--- a/libs/sidecar/src/key_moves.cpp
+++ b/libs/sidecar/src/key_moves.cpp
@@ -67,6 +67,8 @@
          {"to", to},
          {"fence", move.m_fence},
          {"target", target},
+         {"open_grant", move.m_open_grant},
+         {"hold_ends_ms", to_ms(std::max(duration::zero(), move.m_hold_end - context.m_now))},
          {"reason", reason}});
     keys.m_moves.push_back(std::move(move));
 }
