--- a/libs/sidecar/tests/fake_backend.hpp
+++ b/libs/sidecar/tests/fake_backend.hpp
@@ -31,6 +31,9 @@
     /// Ends this life and begins another one without holds.
     void restart(time_point now);
 
+    /// Tells the lives of this server apart.
+    std::int64_t life() const { return m_life; }
+
     /// Ids of the requests that were run, in order.
     std::vector<std::string> m_executed;
 
--- /dev/null
+++ b/libs/sidecar/tests/key_ownership_test.cpp
@@ -0,0 +1,98 @@
+#include "sidecar_cluster.hpp"
+
+#include <gtest/gtest.h>
+
+namespace azureladder::sidecar {
+
+namespace {
+
+/// Time for a new cluster to create its table and grant all keys.
+constexpr duration settling = seconds(8);
+
+/// Time between a restart of a server and its next announcement, at most.
+constexpr duration announced = milliseconds(900);
+
+/// Seeds of each scenario; each is another timing of grants, announcements and faults.
+constexpr std::uint64_t seeds = 40;
+
+/// Sends requests to all keys of the service for some time.
+void send_keyed(sidecar_cluster& cluster, duration time)
+{
+    const time_point end = cluster.now() + time;
+    for (std::uint32_t i = 0; cluster.now() < end; ++i) {
+        cluster.send("orders-0", "shelf", i * 1009 % 65536);
+        cluster.run_for(milliseconds(10));
+    }
+}
+
+} // namespace
+
+// Guards against a renewal that the next life of a restarted server takes with the token of its
+// former life. Seen on days with restarts of keyed servers.
+TEST(key_ownership, restarted_server_takes_no_token_of_its_former_life)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        sidecar_cluster cluster({1, 3, seed});
+        cluster.check_tokens();
+        cluster.run_for(settling);
+        for (const char* node : {"shelf-0", "shelf-1", "shelf-2"}) {
+            cluster.restart_backend(node, milliseconds(300 + seed * 37 % 400));
+            send_keyed(cluster, milliseconds(1500));
+        }
+        ASSERT_TRUE(cluster.violations().empty()) << seed << ": " << cluster.violations().front();
+    }
+}
+
+// Guards against a range that moves on from a restarted server while a grant to its former life may
+// still be carried out.
+TEST(key_ownership, late_grant_to_a_restarted_server_gives_no_key_two_holders)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        sidecar_cluster cluster({1, 4, seed});
+        cluster.run_for(settling);
+        cluster.delay_grants(0.5);
+        send_keyed(cluster, milliseconds(1000));
+        cluster.backend("shelf-1").restart(cluster.now());
+        send_keyed(cluster, announced);
+        cluster.stop_node("shelf-1");
+        send_keyed(cluster, seconds(4));
+        ASSERT_TRUE(cluster.violations().empty()) << seed << ": " << cluster.violations().front();
+    }
+}
+
+// Guards against a range that moves on from a restarted node while a grant of its former process
+// may still be carried out.
+TEST(key_ownership, late_grant_of_a_killed_process_gives_no_key_two_holders)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        sidecar_cluster cluster({1, 4, seed});
+        cluster.run_for(settling);
+        cluster.delay_grants(0.5);
+        send_keyed(cluster, milliseconds(1000));
+        cluster.kill_node("shelf-1");
+        cluster.start_node("shelf-1");
+        send_keyed(cluster, announced);
+        cluster.stop_node("shelf-1");
+        send_keyed(cluster, seconds(4));
+        ASSERT_TRUE(cluster.violations().empty()) << seed << ": " << cluster.violations().front();
+    }
+}
+
+// Guards against a transfer that is carried out late, after the process that wrote it was replaced
+// and the next one has granted the range again.
+TEST(key_ownership, late_transfer_of_a_killed_process_gives_no_key_two_holders)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        sidecar_cluster cluster({1, 4, seed});
+        cluster.run_for(settling);
+        cluster.delay_writes(0.7);
+        cluster.stop_node("shelf-1");
+        send_keyed(cluster, milliseconds(300));
+        cluster.kill_node("shelf-1");
+        cluster.start_node("shelf-1");
+        send_keyed(cluster, seconds(8));
+        ASSERT_TRUE(cluster.violations().empty()) << seed << ": " << cluster.violations().front();
+    }
+}
+
+} // namespace azureladder::sidecar
--- a/libs/sidecar/tests/sidecar_cluster.cpp
+++ b/libs/sidecar/tests/sidecar_cluster.cpp
@@ -341,6 +341,8 @@
         if (!backend(node).m_alive)
             return;
         const order_ended ended = backend(node).grant(order, arrived);
+        if (!late && ended.m_result == order_result::accepted)
+            check_token(node, order);
         if (late && delay > milliseconds(900))
             return;
         at(milliseconds(2), [this, node, incarnation, ended] {
@@ -350,6 +352,55 @@
     });
 }
 
+void sidecar_cluster::check_token(const std::string& node, const grant_keys& order)
+{
+    if (!m_checks_tokens)
+        return;
+    const std::int64_t life = backend(node).life();
+    bool is_known = false;
+    for (const auto& taken : m_taken) {
+        if (taken.m_to < order.m_from || taken.m_from > order.m_to)
+            continue;
+        const bool same_life = taken.m_node == node && taken.m_life == life;
+        if (!same_life && taken.m_fence >= order.m_fence)
+            m_violations.push_back("token not raised: " + std::to_string(order.m_from) + " at " +
+                                   node + " with " + std::to_string(order.m_fence) + ", " +
+                                   taken.m_node + " had it with " + std::to_string(taken.m_fence));
+        is_known = is_known || (same_life && taken.m_from == order.m_from &&
+                                taken.m_to == order.m_to && taken.m_fence == order.m_fence);
+    }
+    if (!is_known)
+        m_taken.push_back({node, life, order.m_from, order.m_to, order.m_fence});
+}
+
+void sidecar_cluster::restart_backend(const std::string& node, duration down)
+{
+    backend(node).m_alive = false;
+    at(down, [this, node] { backend(node).restart(m_now); });
+}
+
+void sidecar_cluster::write(const std::string& node, const write_table& wanted)
+{
+    table_written result;
+    result.m_service = wanted.m_service;
+    result.m_sent_at = m_now;
+    duration delay = store_delay;
+    if (m_store_cuts.count(node) != 0) {
+        delay = milliseconds(700);
+    } else if (random_share() < m_late_writes) {
+        delay = milliseconds(700);
+        at(milliseconds(1000 + m_random() % 5000),
+           [this, wanted, sent_at = m_now] { m_store.write(wanted, sent_at); });
+    } else {
+        result = m_store.write(wanted, m_now);
+    }
+    const std::uint64_t incarnation = m_machines.at(node).m_incarnation;
+    at(delay, [this, node, incarnation, result] {
+        if (is_up(node, incarnation))
+            happen(node, result);
+    });
+}
+
 void sidecar_cluster::carry_out(const std::string& node, const effect& wanted)
 {
     const std::uint64_t incarnation = m_machines.at(node).m_incarnation;
@@ -403,12 +454,7 @@
         result.m_succeeded = !store_cut;
         later(store_cut ? duration(milliseconds(700)) : store_delay, result);
     } else if (const auto* writing = std::get_if<write_table>(&wanted)) {
-        table_written result;
-        result.m_service = writing->m_service;
-        result.m_sent_at = m_now;
-        if (!store_cut)
-            result = m_store.write(*writing, m_now);
-        later(store_cut ? duration(milliseconds(700)) : store_delay, result);
+        write(node, *writing);
     }
 }
 
--- a/libs/sidecar/tests/sidecar_cluster.hpp
+++ b/libs/sidecar/tests/sidecar_cluster.hpp
@@ -60,6 +60,15 @@
     void lose_answers(double share) { m_lost_answers = share; }
     void delay_grants(double share) { m_late_orders = share; }
 
+    /// Ends a backend server; another life starts at its address after `down`.
+    void restart_backend(const std::string& node, duration down);
+
+    /// Leaves a share of the table writes without an answer and carries them out 1 to 6 s later.
+    void delay_writes(double share) { m_late_writes = share; }
+
+    /// Checks that each server and each life of one takes keys with tokens above those of others.
+    void check_tokens() { m_checks_tokens = true; }
+
     fake_backend& backend(const std::string& node) { return *m_machines.at(node).m_backend; }
     const node_state& state(const std::string& node) const { return *m_machines.at(node).m_state; }
     const fake_store& store() const { return m_store; }
@@ -85,6 +94,16 @@
         std::vector<std::function<void()>> m_while_frozen;
     };
 
+    /// Keys that a life of a backend server has taken.
+    struct taken_keys
+    {
+        std::string m_node;
+        std::int64_t m_life = 0;
+        std::uint32_t m_from = 0;
+        std::uint32_t m_to = 0;
+        std::uint64_t m_fence = 0;
+    };
+
     struct link_end
     {
         std::string m_node;
@@ -104,6 +123,8 @@
     bool is_up(const std::string& node, std::uint64_t incarnation) const;
     bool is_cut(const std::string& a, const std::string& b) const;
     void check_owners();
+    void check_token(const std::string& node, const grant_keys& order);
+    void write(const std::string& node, const write_table& wanted);
     double random_share() { return static_cast<double>(m_random() % 1000) / 1000.0; }
 
     std::mt19937_64 m_random;
@@ -124,6 +145,9 @@
     std::map<std::string, bool> m_repeatable;
     double m_lost_answers = 0.0;
     double m_late_orders = 0.0;
+    double m_late_writes = 0.0;
+    bool m_checks_tokens = false;
+    std::vector<taken_keys> m_taken;
     time_point m_next_check;
     std::vector<std::string> m_violations;
 };
