Number the connections for grants in their fencing tokens

Operators saw a restarted server take keys with the token that its former life had. A grant names an address and the token of the range; the token changed only when the server had announced its new life. Whatever listened at the address before that took the renewal of the former life, and after a crash renewals went out every tick.

Grants now travel on a connection of their own, one at a time, and the number of the connection is the low part of the token. A connection ends with the server at its other end, so a new life takes keys with a higher token only, also under the id that its former life had. Grants name the server that they are for, which others refuse. A grant that could not be sent no longer counts as one that may be carried out, and failed grants wait 100 ms. Releases use a connection each: an answer that is written once more on a kept connection must not prove that keys are free.

--- a/libs/sidecar/include/azureladder/sidecar/effects.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/effects.hpp
@@ -70,6 +70,13 @@
 struct grant_keys
 {
     std::uint64_t m_order = 0;
+
+    /// Number of the connection that carries the order. A new number opens a connection; one that
+    /// has ended is not opened again.
+    std::uint64_t m_connection = 0;
+
+    /// Server that takes the keys; another one at the address refuses them.
+    std::string m_backend_id;
     std::string m_backend_address;
     std::uint32_t m_from = 0;
     std::uint32_t m_to = 0;
--- a/libs/sidecar/include/azureladder/sidecar/events.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/events.hpp
@@ -102,13 +102,19 @@
 enum class order_result
 {
     accepted,
-    fenced,
+
+    /// The server did not and will not carry the order out.
+    refused,
+
+    /// No byte of the order was sent.
+    not_sent,
     unanswered
 };
 
 inline constexpr enum_name<order_result> order_result_names[] = {
     {order_result::accepted, "accepted"},
-    {order_result::fenced, "fenced"},
+    {order_result::refused, "refused"},
+    {order_result::not_sent, "not_sent"},
     {order_result::unanswered, "unanswered"},
 };
 
--- a/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
@@ -4,6 +4,7 @@
 #include <azureladder/key_ranges/grant_history.hpp>
 #include <azureladder/key_ranges/key_load.hpp>
 #include <azureladder/key_ranges/range_table.hpp>
+#include <azureladder/sidecar/order_connection.hpp>
 #include <azureladder/sidecar/peer_frame.hpp>
 
 #include <cstdint>
@@ -41,6 +42,9 @@
 
     /// Start of the newest grant that the backend server accepted.
     time_point m_granted_at;
+
+    /// Earliest time of the next grant, after one that was not accepted.
+    time_point m_next_grant;
 };
 
 /// A part of a range on its way to another node.
@@ -68,6 +72,8 @@
     /// Grants to any life of the server at the address, of this process and of its predecessor.
     key_ranges::grant_history m_grants;
 
+    order_connection m_connection;
+
     std::vector<range_move> m_moves;
     key_ranges::key_load m_load;
     double m_arrivals = 0.0;
--- a/libs/sidecar/src/backend_life.cpp
+++ b/libs/sidecar/src/backend_life.cpp
@@ -1,5 +1,7 @@
 #include "step_context.hpp"
 
+#include <azureladder/key_ranges/fencing_token.hpp>
+
 #include <algorithm>
 
 namespace azureladder::sidecar {
@@ -25,7 +27,10 @@
 
 std::string local_life(const node_state& state)
 {
-    return state.m_backend ? life_of(state.m_backend->m_announcement) : std::string();
+    if (!state.m_backend)
+        return {};
+    return life_of(state.m_backend->m_announcement) + '.' +
+           std::to_string(key_ranges::connection_epoch(state.m_ownership.m_connection.m_number));
 }
 
 void apply_departures(step_context& context)
--- a/libs/sidecar/src/key_holds.cpp
+++ b/libs/sidecar/src/key_holds.cpp
@@ -1,5 +1,6 @@
 #include "step_context.hpp"
 
+#include <azureladder/key_ranges/fencing_token.hpp>
 #include <azureladder/key_ranges/hold_rules.hpp>
 
 #include <algorithm>
@@ -12,6 +13,14 @@
 /// Time after which an order without an answer is sent again.
 constexpr duration order_timeout = milliseconds(400);
 
+/// Time for which the connection for grants waits for an answer before the next grant opens another
+/// one. Above the pause of a processor quota.
+constexpr duration connection_patience = milliseconds(150);
+
+/// Pause after a grant that was refused or whose connection failed. A server that restarts is away
+/// for some hundred milliseconds.
+constexpr duration grant_retry_pause = milliseconds(100);
+
 /// A hold counts as over for new requests this long before it ends, since a request takes time
 /// to reach the backend server.
 constexpr duration serving_margin = milliseconds(100);
@@ -70,31 +79,80 @@
     return result;
 }
 
+void open_next_connection(order_connection& connection)
+{
+    ++connection.m_number;
+    connection.m_order = 0;
+}
+
+/// Whether a grant may be sent now; one that waits too long for its answer is left behind.
+bool is_connection_free(order_connection& connection, time_point now)
+{
+    if (now < connection.m_next_order)
+        return false;
+    if (connection.m_order != 0 && now - connection.m_order_sent >= connection_patience)
+        open_next_connection(connection);
+    return connection.m_order == 0;
+}
+
 void send_grant(step_context& context, std::uint32_t from, range_hold& hold)
 {
     node_state& state = context.m_state;
-    hold.m_order = state.m_next_order++;
-    hold.m_order_sent = context.m_now;
+    order_connection& connection = state.m_ownership.m_connection;
+    const backend_announcement& server = state.m_backend->m_announcement;
+    hold.m_order = connection.m_order = state.m_next_order++;
+    hold.m_order_sent = connection.m_order_sent = context.m_now;
     key_ranges::record_grant(state.m_ownership.m_grants, hold.m_order, from, hold.m_to,
                              context.m_now);
     emit(context,
-         grant_keys{hold.m_order, state.m_backend->m_announcement.m_address, from, hold.m_to,
-                    hold.m_fence, state.m_options.m_holds.m_hold_time, hold.m_handover});
+         grant_keys{hold.m_order, connection.m_number, server.m_id, server.m_address, from,
+                    hold.m_to, key_ranges::fencing_token(hold.m_fence, connection.m_number),
+                    state.m_options.m_holds.m_hold_time, hold.m_handover});
 }
 
-void renew_if_due(step_context& context, std::uint32_t from, range_hold& hold,
-                  time_point confirmed_at)
+bool is_due(range_hold& hold, time_point now, const key_ranges::hold_options& options)
 {
-    const auto& options = context.m_state.m_options.m_holds;
-    if (hold.m_order != 0) {
-        if (context.m_now - hold.m_order_sent < order_timeout)
-            return;
+    if (hold.m_order != 0 && now - hold.m_order_sent >= order_timeout)
         hold.m_order = 0;
+    return hold.m_order == 0 && now >= hold.m_next_grant &&
+           (hold.m_granted_at == time_point{} ||
+            now - hold.m_granted_at >= options.m_renew_interval);
+}
+
+/// Sends the grant of the hold that ends first, if one is due.
+void renew_holds(step_context& context)
+{
+    node_state& state = context.m_state;
+    const auto& options = state.m_options.m_holds;
+    const auto table = state.m_tables.find(local_keyed_service(state));
+    if (table == state.m_tables.end() || !state.m_backend ||
+        !key_ranges::may_renew(table->second.m_confirmed_at, context.m_now, options))
+        return;
+    auto& holds = state.m_ownership.m_holds;
+    auto urgent = holds.end();
+    for (auto hold = holds.begin(); hold != holds.end(); ++hold) {
+        if (is_due(hold->second, context.m_now, options) &&
+            (urgent == holds.end() || hold->second.m_granted_at < urgent->second.m_granted_at))
+            urgent = hold;
     }
-    const bool due = hold.m_granted_at == time_point{} ||
-                     context.m_now - hold.m_granted_at >= options.m_renew_interval;
-    if (due && key_ranges::may_renew(confirmed_at, context.m_now, options))
-        send_grant(context, from, hold);
+    if (urgent != holds.end() && is_connection_free(state.m_ownership.m_connection, context.m_now))
+        send_grant(context, urgent->first, urgent->second);
+}
+
+void note_grant_ended(step_context& context, const order_ended& ended)
+{
+    key_ownership& keys = context.m_state.m_ownership;
+    if (ended.m_result == order_result::accepted)
+        key_ranges::record_acceptance(keys.m_grants, ended.m_order);
+    else if (ended.m_result != order_result::unanswered)
+        key_ranges::record_refusal(keys.m_grants, ended.m_order);
+    if (keys.m_connection.m_order != ended.m_order)
+        return;
+    keys.m_connection.m_order = 0;
+    if (ended.m_result == order_result::accepted || ended.m_result == order_result::refused)
+        return;
+    open_next_connection(keys.m_connection);
+    keys.m_connection.m_next_order = context.m_now + grant_retry_pause;
 }
 
 } // namespace
@@ -119,10 +177,7 @@
 void on_order_ended(step_context& context, const order_ended& ended)
 {
     key_ownership& keys = context.m_state.m_ownership;
-    if (ended.m_result == order_result::accepted)
-        key_ranges::record_acceptance(keys.m_grants, ended.m_order);
-    else if (ended.m_result == order_result::fenced)
-        key_ranges::record_refusal(keys.m_grants, ended.m_order);
+    note_grant_ended(context, ended);
     for (auto& [from, hold] : keys.m_holds) {
         if (hold.m_order != ended.m_order)
             continue;
@@ -139,6 +194,7 @@
                      {"order", ended.m_order},
                      {"backend", known_backend_id(context.m_state)}});
         } else {
+            hold.m_next_grant = context.m_now + grant_retry_pause;
             log(context, log_level::warning, "grant_failed",
                 {{"from", from},
                  {"to", hold.m_to},
@@ -149,6 +205,7 @@
                  {"result", std::string(name_in(order_result_names, ended.m_result))},
                  {"cause", ended.m_cause}});
         }
+        renew_holds(context);
         return;
     }
     for (auto& move : keys.m_moves) {
@@ -212,11 +269,7 @@
         holds[part.m_from] = hold;
     }
     keys.m_holds = std::move(holds);
-    const auto table = state.m_tables.find(local_keyed_service(state));
-    if (table == state.m_tables.end() || !state.m_backend)
-        return;
-    for (auto& [from, hold] : keys.m_holds)
-        renew_if_due(context, from, hold, table->second.m_confirmed_at);
+    renew_holds(context);
 }
 
 } // namespace azureladder::sidecar
--- a/libs/sidecar/src/key_moves.cpp
+++ b/libs/sidecar/src/key_moves.cpp
@@ -1,5 +1,6 @@
 #include "step_context.hpp"
 
+#include <azureladder/key_ranges/fencing_token.hpp>
 #include <azureladder/key_ranges/hold_rules.hpp>
 #include <azureladder/key_ranges/key_load.hpp>
 
@@ -61,8 +62,10 @@
     move.m_order = state.m_next_order++;
     move.m_order_sent = context.m_now;
     key_ranges::record_release(state.m_ownership.m_grants, move.m_from, move.m_to);
-    emit(context, release_keys{move.m_order, state.m_backend->m_announcement.m_address, move.m_from,
-                               move.m_to, move.m_fence});
+    emit(context,
+         release_keys{
+             move.m_order, state.m_backend->m_announcement.m_address, move.m_from, move.m_to,
+             key_ranges::fencing_token(move.m_fence, state.m_ownership.m_connection.m_number)});
 }
 
 /// Members that may take ranges, those with the least work first.
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -80,7 +80,8 @@
 /// Identity of one life of a backend server.
 std::string life_of(const backend_announcement& announcement);
 
-/// Life of the backend server beside this node; empty while there is none.
+/// Life of the backend server beside this node for which ranges have tokens; empty while there is
+/// none.
 std::string local_life(const node_state& state);
 
 // Mesh (mesh.cpp).
--- a/libs/sidecar/tests/fake_backend.cpp
+++ b/libs/sidecar/tests/fake_backend.cpp
@@ -28,7 +28,7 @@
     ended.m_order = order.m_order;
     for (const auto& [from, held] : m_holds) {
         if (held.m_to >= order.m_from && from <= order.m_to && held.m_fence > order.m_fence) {
-            ended.m_result = order_result::fenced;
+            ended.m_result = order_result::refused;
             return ended;
         }
     }
--- a/libs/sidecar/tests/sidecar_cluster.cpp
+++ b/libs/sidecar/tests/sidecar_cluster.cpp
@@ -336,7 +336,22 @@
     // A late order is carried out after newer ones; its hold still counts from its arrival.
     const bool late = random_share() < m_late_orders;
     const duration delay = late ? duration(milliseconds(100 + m_random() % 3000)) : duration{};
-    const std::uint64_t incarnation = m_machines.at(node).m_incarnation;
+    machine& wanted = m_machines.at(node);
+    const std::uint64_t incarnation = wanted.m_incarnation;
+    const fake_backend& server = backend(node);
+    const auto [connection, is_new] = wanted.m_order_connections.emplace(
+        std::pair(incarnation, order.m_connection), server.m_alive ? server.life() : 0);
+    if (!late && (!server.m_alive || connection->second != server.life())) {
+        // A new connection is refused; what was written to an older one may have arrived or not.
+        order_ended ended;
+        ended.m_order = order.m_order;
+        ended.m_result = is_new ? order_result::not_sent : order_result::unanswered;
+        at(milliseconds(1), [this, node, incarnation, ended] {
+            if (is_up(node, incarnation))
+                happen(node, ended);
+        });
+        return;
+    }
     at(delay, [this, node, incarnation, order, late, delay, arrived = m_now] {
         if (!backend(node).m_alive)
             return;
--- a/libs/sidecar/tests/sidecar_cluster.hpp
+++ b/libs/sidecar/tests/sidecar_cluster.hpp
@@ -92,6 +92,10 @@
         std::uint64_t m_incarnation = 0;
         time_point m_frozen_until;
         std::vector<std::function<void()>> m_while_frozen;
+
+        /// Life of the backend server at the other end of each connection for orders, by the run
+        /// of the node and the number of the connection.
+        std::map<std::pair<std::uint64_t, std::uint64_t>, std::int64_t> m_order_connections;
     };
 
     /// Keys that a life of a backend server has taken.
--- a/libs/sidecar_runtime/src/backend_pool.cpp
+++ b/libs/sidecar_runtime/src/backend_pool.cpp
@@ -83,30 +83,4 @@
     m_running.erase(found);
 }
 
-void backend_pool::send_order(std::uint64_t order, const std::string& address,
-                              const http_request& request)
-{
-    const connection_ptr connection = take_connection(address);
-    connection->exchange(request, m_options.m_order_timeout, nullptr,
-                         [this, order, address, connection](const exchange_outcome& outcome) {
-                             give_back(address, connection);
-                             if (outcome.m_result == exchange_result::answered)
-                                 m_report(m_formats.read_order_reply(order, outcome.m_response));
-                             else
-                                 m_report(sidecar::order_ended{order,
-                                                               sidecar::order_result::unanswered,
-                                                               "", outcome.m_cause});
-                         });
-}
-
-void backend_pool::grant(const sidecar::grant_keys& order)
-{
-    send_order(order.m_order, order.m_backend_address, m_formats.write_grant(order));
-}
-
-void backend_pool::release(const sidecar::release_keys& order)
-{
-    send_order(order.m_order, order.m_backend_address, m_formats.write_release(order));
-}
-
 } // namespace azureladder::sidecar_runtime
--- a/libs/sidecar_runtime/src/backend_pool.hpp
+++ b/libs/sidecar_runtime/src/backend_pool.hpp
@@ -21,9 +21,6 @@
 
     /// Executions end by the cancellation of their origin; this bounds those that nobody ends.
     milliseconds m_execution_slack{1500};
-
-    /// Longest time for a grant or a release, which waits for the work on its keys.
-    milliseconds m_order_timeout{3000};
 };
 
 /// Connections to the backend server beside this node.
@@ -37,15 +34,12 @@
 
     void start(const sidecar::start_execution& execution);
     void cancel(std::uint64_t execution);
-    void grant(const sidecar::grant_keys& order);
-    void release(const sidecar::release_keys& order);
 
 private:
     using connection_ptr = std::shared_ptr<client_connection>;
 
     connection_ptr take_connection(const std::string& address);
     void give_back(const std::string& address, const connection_ptr& connection);
-    void send_order(std::uint64_t order, const std::string& address, const http_request& request);
 
     asio::io_context& m_io;
     const translation& m_formats;
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -2,6 +2,7 @@
 
 #include "backend_pool.hpp"
 #include "http_listener.hpp"
+#include "order_sender.hpp"
 #include "peer_link.hpp"
 #include "store_session.hpp"
 
@@ -40,8 +41,8 @@
     void apply(const sidecar::send_frame& wanted);
     void apply(const sidecar::start_execution& wanted) { m_backend.start(wanted); }
     void apply(const sidecar::cancel_execution& wanted) { m_backend.cancel(wanted.m_execution); }
-    void apply(const sidecar::grant_keys& wanted) { m_backend.grant(wanted); }
-    void apply(const sidecar::release_keys& wanted) { m_backend.release(wanted); }
+    void apply(const sidecar::grant_keys& wanted) { m_orders.grant(wanted); }
+    void apply(const sidecar::release_keys& wanted) { m_orders.release(wanted); }
     void apply(const sidecar::decode_configuration& wanted);
     void apply(const sidecar::read_table& wanted) { m_store.read_table(wanted); }
     void apply(const sidecar::write_table& wanted) { m_store.write_table(wanted); }
@@ -80,6 +81,7 @@
     bool m_stepping = false;
 
     backend_pool m_backend;
+    order_sender m_orders;
     store_session m_store;
     peer_link::callbacks m_link_callbacks;
     std::map<std::uint64_t, std::shared_ptr<peer_link>> m_links;
