Name the node's process in the life that ranges are bound to

Two servers held the same keys after a table write without an answer. A process had released a range and written its transfer, and was killed before the answer. The next process found the range still its own and granted it again with the old token; then the store carried out the transfer, whose condition still held, and the new owner granted it too.

A new process now takes new tokens before its first grant, as it does for a new life of its server: the life in the table names both. That write changes the table's revision, so that no write of the former process can be carried out afterwards.

A restarted node needs the store once now.

--- a/libs/sidecar/src/backend_life.cpp
+++ b/libs/sidecar/src/backend_life.cpp
@@ -29,7 +29,8 @@
 {
     if (!state.m_backend)
         return {};
-    return life_of(state.m_backend->m_announcement) + '.' +
+    return life_of(state.m_backend->m_announcement) + '@' +
+           std::to_string(state.m_options.m_incarnation) + '.' +
            std::to_string(key_ranges::connection_epoch(state.m_ownership.m_connection.m_number));
 }
 
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -80,8 +80,9 @@
 /// Identity of one life of a backend server.
 std::string life_of(const backend_announcement& announcement);
 
-/// Life of the backend server beside this node for which ranges have tokens; empty while there is
-/// none.
+/// Life for which this node takes tokens: that of its backend server and of its own process. A new
+/// process thus writes the table before it grants, which fails the writes of its predecessor that
+/// may still be carried out. Empty while there is no server.
 std::string local_life(const node_state& state);
 
 // Mesh (mesh.cpp).
