Take new tokens for an owner that the store turns away

A node that restarts takes new tokens in the table before it grants. While the store turns that node away and serves the others, its keys would stay unserved: it lives, so nobody claims its ranges.

Other members now take the tokens for it, in turns, when it has lived for 0.6 s without tokens for its present life. It learns the table from them.

--- a/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
@@ -15,6 +15,9 @@
 
 namespace azureladder::sidecar {
 
+/// Times by name of a node.
+using owner_times = std::map<std::string, time_point>;
+
 /// The range table of one service as this node knows it.
 struct known_table
 {
@@ -81,8 +84,11 @@
     /// When this node learned of claimed ranges of its own, by fencing token.
     std::map<std::uint64_t, time_point> m_claimed_at;
 
-    /// Since when an owner has given no sign of life, by node.
-    std::map<std::string, time_point> m_owner_lost_at;
+    /// Since when an owner has given no sign of life.
+    owner_times m_owner_lost_at;
+
+    /// Since when an owner has lived without tokens for its present life.
+    owner_times m_owner_unbound_at;
 
     bool m_reading = false;
     bool m_writing = false;
--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -6,6 +6,7 @@
 #include <azureladder/routing/gate_options.hpp>
 #include <azureladder/routing/placement.hpp>
 #include <azureladder/routing/retry_budget.hpp>
+#include <azureladder/sidecar/help_pauses.hpp>
 
 #include <cstdint>
 #include <string>
@@ -62,10 +63,10 @@
     std::uint32_t m_silent_after = 4;
 
     /// Time without a sign of life after which a lost owner's ranges are claimed.
-    duration m_claim_after = milliseconds(1500);
+    help_pauses m_claim_pauses{milliseconds(1500), milliseconds(1500)};
 
-    /// Further wait of each member that is not the first in the order of claims.
-    duration m_claim_turn = milliseconds(1500);
+    /// Time for which an owner may take tokens for a new life itself: a few calls of the store.
+    help_pauses m_bind_pauses{milliseconds(600), milliseconds(300)};
 
     /// Time between two decisions about moving load.
     duration m_balance_interval = milliseconds(600);
--- a/libs/sidecar/src/key_tables.cpp
+++ b/libs/sidecar/src/key_tables.cpp
@@ -68,34 +68,65 @@
     return peer != state.m_peers.end() && is_usable(state, peer->second, now);
 }
 
-/// Owners without a sign of life whose ranges this node has to claim now.
-std::vector<std::string> owners_to_claim(step_context& context, const range_table& table)
+/// Owners that need help since some time, for which it is this node's turn to give it. Members take
+/// turns, so that their writes don't contend.
+std::vector<std::string> owners_in_turn(const step_context& context, owner_times& needing_since,
+                                        const std::set<std::string>& needing,
+                                        const help_pauses& pauses)
 {
-    node_state& state = context.m_state;
-    auto& lost_at = state.m_ownership.m_owner_lost_at;
-    std::map<std::string, time_point> lost;
-    for (const auto& entry : table.m_entries) {
-        if (is_alive(state, entry.m_owner, context.m_now))
-            continue;
-        const auto known = lost_at.find(entry.m_owner);
-        lost[entry.m_owner] = known == lost_at.end() ? context.m_now : known->second;
+    const node_state& state = context.m_state;
+    owner_times present;
+    for (const auto& owner : needing) {
+        const auto known = needing_since.find(owner);
+        present[owner] = known == needing_since.end() ? context.m_now : known->second;
     }
-    lost_at = std::move(lost);
+    needing_since = std::move(present);
     const auto eligible = eligible_owners(state, local_keyed_service(state), context.m_now);
     const auto self = eligible.find(state.m_options.m_node);
     if (self == eligible.end())
         return {};
-    // One after the other, so that the claims of several members don't contend.
     const auto turn = std::distance(eligible.begin(), self);
     std::vector<std::string> result;
-    for (const auto& [owner, since] : lost_at) {
-        if (context.m_now - since >=
-            state.m_options.m_claim_after + state.m_options.m_claim_turn * turn)
+    for (const auto& [owner, since] : needing_since) {
+        if (context.m_now - since >= pauses.m_first + pauses.m_turn * turn)
             result.push_back(owner);
     }
     return result;
 }
 
+/// Owners without a sign of life whose ranges this node has to claim now.
+std::vector<std::string> owners_to_claim(step_context& context, const range_table& table)
+{
+    node_state& state = context.m_state;
+    std::set<std::string> lost;
+    for (const auto& entry : table.m_entries) {
+        if (!is_alive(state, entry.m_owner, context.m_now))
+            lost.insert(entry.m_owner);
+    }
+    return owners_in_turn(context, state.m_ownership.m_owner_lost_at, lost,
+                          state.m_options.m_claim_pauses);
+}
+
+/// Other owners, with their present lives, for which this node has to take new tokens now: the
+/// store turns them away.
+std::vector<key_ranges::range_owner> owners_to_bind(step_context& context, const range_table& table)
+{
+    node_state& state = context.m_state;
+    const auto owners = eligible_owners(state, local_keyed_service(state), context.m_now);
+    std::set<std::string> unbound;
+    for (const auto& entry : table.m_entries) {
+        const auto owner = owners.find(entry.m_owner);
+        if (owner != owners.end() && entry.m_owner != state.m_options.m_node &&
+            entry.m_state == range_state::settled && entry.m_life != owner->second)
+            unbound.insert(entry.m_owner);
+    }
+    std::vector<key_ranges::range_owner> result;
+    for (const auto& node : owners_in_turn(context, state.m_ownership.m_owner_unbound_at, unbound,
+                                           state.m_options.m_bind_pauses))
+        result.push_back({node, owners.at(node)});
+    return result;
+}
+
 void apply_released_moves(const node_state& state, time_point now, range_table& table)
 {
     for (const auto& move : state.m_ownership.m_moves) {
@@ -138,6 +169,8 @@
         key_ranges::claim(table, owner, self);
     key_ranges::settle(table, self.m_node, finished_claims(context));
     key_ranges::bind_life(table, self);
+    for (const auto& owner : owners_to_bind(context, table))
+        key_ranges::bind_life(table, owner);
     return table;
 }
 
--- a/libs/sidecar/tests/cluster_test.cpp
+++ b/libs/sidecar/tests/cluster_test.cpp
@@ -160,6 +160,20 @@
     EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
 }
 
+// Guards against ranges that stay unserved because their node restarted while the store turns it
+// away: its process may not grant before the table has changed.
+TEST(sidecar_cluster, ranges_of_a_node_that_restarts_without_the_store_are_served)
+{
+    sidecar_cluster cluster({1, 3, 17});
+    cluster.run_for(settling);
+    cluster.cut_store("shelf-0", true);
+    cluster.kill_node("shelf-0");
+    cluster.start_node("shelf-0");
+    cluster.run_for(seconds(4));
+    EXPECT_EQ(served_share(cluster, "orders-0", "shelf"), 1.0);
+    EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
+}
+
 // Guards against an owner that goes on renewing its hold behind a cut after others took over.
 TEST(sidecar_cluster, owner_behind_a_cut_stops_before_the_takeover)
 {
--- a/libs/sidecar/tests/sidecar_cluster.cpp
+++ b/libs/sidecar/tests/sidecar_cluster.cpp
@@ -461,6 +461,9 @@
     } else if (const auto* released = std::get_if<release_keys>(&wanted)) {
         if (backend(node).m_alive)
             later(milliseconds(20), backend(node).release(*released));
+    } else if (const auto* decoding = std::get_if<decode_configuration>(&wanted)) {
+        later(duration{},
+              configuration_decoded{decoding->m_revision, decoding->m_text, m_configuration});
     } else if (const auto* departed = std::get_if<record_departures>(&wanted)) {
         if (!store_cut)
             m_departures[node] = departed->m_lives;
