--- a/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
@@ -39,8 +39,9 @@
     std::uint64_t m_fence = 0;
     std::string m_handover;
 
-    /// Order under way; 0 while there is none.
+    /// Order under way, 0 while there is none, and the connection of the newest one.
     std::uint64_t m_order = 0;
+    std::uint64_t m_connection = 0;
     time_point m_order_sent;
 
     /// Start of the newest grant that the backend server accepted.
--- a/libs/sidecar/src/key_holds.cpp
+++ b/libs/sidecar/src/key_holds.cpp
@@ -102,6 +102,7 @@
     const backend_announcement& server = state.m_backend->m_announcement;
     hold.m_order = connection.m_order = state.m_next_order++;
     hold.m_order_sent = connection.m_order_sent = context.m_now;
+    hold.m_connection = connection.m_number;
     key_ranges::record_grant(state.m_ownership.m_grants, hold.m_order, from, hold.m_to,
                              context.m_now);
     emit(context,
@@ -192,6 +193,7 @@
                      {"to", hold.m_to},
                      {"fence", hold.m_fence},
                      {"order", ended.m_order},
+                     {"connection", hold.m_connection},
                      {"backend", known_backend_id(context.m_state)}});
         } else {
             hold.m_next_grant = context.m_now + grant_retry_pause;
@@ -200,6 +202,7 @@
                  {"to", hold.m_to},
                  {"fence", hold.m_fence},
                  {"order", ended.m_order},
+                 {"connection", hold.m_connection},
                  {"backend", known_backend_id(context.m_state)},
                  {"sent_us_ago", (context.m_now - hold.m_order_sent).count()},
                  {"result", std::string(name_in(order_result_names, ended.m_result))},
