Count a confirmation from the ping that it answers, also after a pause

A node renews its holds while its table is confirmed, and a peer's answer to a ping confirms it from the time of the ping on. After the process had stood still, the time of an open ping was set to the present, so an answer that lay unread confirmed the table for the time of the pause too long. Others may have claimed the ranges by then and have waited for the confirmation as it was.

The open ping is now replaced by another one, whose answer counts from its own time; the grace that peers get after a pause stays.

--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -61,6 +61,10 @@
         log(context, log_level::warning, "process_stood_still",
             {{"pause_ms", to_ms(context.m_now - state.m_last_tick)}});
         for (auto& [node, peer] : state.m_peers) {
+            // A ping whose answer may lie unread is replaced, since a confirmation counts from the
+            // ping that it answers.
+            if (peer.m_ping_open)
+                ping(context, peer);
             peer.m_ping_sent = context.m_now;
             peer.m_heard = context.m_now;
         }
--- /dev/null
+++ b/libs/sidecar/tests/table_confirmation_test.cpp
@@ -0,0 +1,131 @@
+#include <azureladder/key_ranges/range_table_json.hpp>
+#include <azureladder/sidecar/step.hpp>
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+namespace azureladder::sidecar {
+
+namespace {
+
+constexpr std::uint64_t link_of_b = 1;
+constexpr std::uint64_t known_revision = 5;
+const std::string document = "keys/shelf";
+
+/// Node "a" beside a server of the keyed service "shelf", connected to node "b".
+class table_confirmation : public testing::Test
+{
+protected:
+    table_confirmation() : m_state(make_node(options_of_a(), m_now, 1))
+    {
+        auto configuration = std::make_shared<routing::routing_configuration>();
+        configuration->m_services["shelf"].m_name = "shelf";
+        configuration->m_services["shelf"].m_keyed = true;
+        happen(configuration_decoded{5, "text", configuration});
+        backend_announcement announced;
+        announced.m_id = "i-a";
+        announced.m_service = "shelf";
+        announced.m_address = "a:1";
+        announced.m_slots = 4;
+        announced.m_sequence = 1;
+        happen(backend_announced{announced});
+        happen(nodes_listed{{{"b", "b:0"}}});
+        tick();
+        happen(link_opened{link_of_b, "b"});
+        hello_frame hello;
+        hello.m_node = "b";
+        hello.m_incarnation = 7;
+        hello.m_address = "b:0";
+        receive(hello);
+        answer_ping(0);
+        table_read read;
+        read.m_service = "shelf";
+        read.m_succeeded = true;
+        read.m_revision = known_revision;
+        read.m_text = text_of_table();
+        read.m_sent_at = m_now;
+        happen(read);
+    }
+
+    static node_options options_of_a()
+    {
+        node_options options;
+        options.m_node = "a";
+        options.m_service = "shelf";
+        options.m_peer_address = "a:0";
+        return options;
+    }
+
+    /// Another node owns all keys, so that this one sends no orders.
+    static std::string text_of_table()
+    {
+        return key_ranges::to_json_text(key_ranges::make_table({{"b", "i-b#1"}}));
+    }
+
+    void happen(const event& happened)
+    {
+        for (const effect& done : step(m_state, happened, m_now)) {
+            const auto* sent = std::get_if<send_frame>(&done);
+            if (sent == nullptr)
+                continue;
+            if (const auto* ping = std::get_if<ping_frame>(&sent->m_frame)) {
+                m_ping = ping->m_sequence;
+                m_ping_sent = m_now;
+            }
+        }
+    }
+
+    void receive(peer_frame frame) { happen(frame_received{link_of_b, std::move(frame)}); }
+
+    void tick()
+    {
+        m_now += milliseconds(25);
+        happen(timer_tick{});
+    }
+
+    /// Lets the time pass until the node has sent another ping.
+    void run_until_ping()
+    {
+        const std::uint64_t former = m_ping;
+        while (m_ping == former)
+            tick();
+    }
+
+    void answer_ping(std::uint64_t revision, duration age = {})
+    {
+        status_frame status;
+        status.m_sequence = m_ping;
+        status.m_status.m_service = "shelf";
+        if (revision != 0) {
+            status.m_documents[document] = revision;
+            status.m_confirmation_age_us[document] = age.count();
+        }
+        receive(status);
+    }
+
+    time_point confirmed_at() const { return m_state.m_tables.at("shelf").m_confirmed_at; }
+
+    time_point m_now{seconds(1000)};
+    node_state m_state;
+    std::uint64_t m_ping = 0;
+    time_point m_ping_sent;
+};
+
+} // namespace
+
+// Guards against a confirmation that counts as newer by the time for which the process stood still
+// before it read the answer to its ping: the holds are then renewed after others have taken over.
+TEST_F(table_confirmation, answer_read_after_a_pause_confirms_from_the_ping_on)
+{
+    run_until_ping();
+    const std::uint64_t sequence = m_ping;
+    const time_point ping_sent = m_ping_sent;
+    m_now += seconds(5);
+    tick();
+    m_ping = sequence;
+    answer_ping(known_revision);
+    EXPECT_LE(confirmed_at(), ping_sent);
+}
+
+} // namespace azureladder::sidecar
