Count a confirmation by a document from the first request on

A range table that a peer sends on request confirms it from the time of the request on, less the stated age. A request without an answer for 500 ms is repeated, and the answer to the first one then counted from the time of the second, which makes the confirmation, and so the holds, newer than they are.

The time of the first request is kept. An answer with an older revision than the one asked for belongs to an earlier request and confirms nothing.

--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -63,6 +63,9 @@
     std::uint64_t m_link = 0;
     time_point m_since;
     time_point m_requested_at;
+
+    /// An answer may belong to any of the requests, so a confirmation counts from the first one.
+    time_point m_first_requested_at;
 };
 
 /// Everything that one node knows. Changed by `step` only.
--- a/libs/sidecar/src/documents.cpp
+++ b/libs/sidecar/src/documents.cpp
@@ -58,6 +58,8 @@
 void request_document(step_context& context, const std::string& name, wanted_document& wanted)
 {
     wanted.m_requested_at = context.m_now;
+    if (wanted.m_first_requested_at == time_point{})
+        wanted.m_first_requested_at = context.m_now;
     send_on_link(context, wanted.m_link, document_request_frame{name});
 }
 
@@ -205,10 +207,11 @@
         return;
     const auto wanted = state.m_wanted.find(frame.m_name);
     time_point confirmed_at;
-    // The answer was made after the request was sent, so this is not too late.
-    if (wanted != state.m_wanted.end() && wanted->second.m_requested_at != time_point{} &&
-        frame.m_confirmation_age_us >= 0)
-        confirmed_at = wanted->second.m_requested_at - duration(frame.m_confirmation_age_us);
+    // The answer was made after the first request was sent, so this is not too late. An older
+    // revision answers a request before that one.
+    if (wanted != state.m_wanted.end() && wanted->second.m_first_requested_at != time_point{} &&
+        frame.m_revision >= wanted->second.m_revision && frame.m_confirmation_age_us >= 0)
+        confirmed_at = wanted->second.m_first_requested_at - duration(frame.m_confirmation_age_us);
     adopt_table(context, table_service(frame.m_name), frame.m_revision, frame.m_text, confirmed_at);
 }
 
--- a/libs/sidecar/tests/table_confirmation_test.cpp
+++ b/libs/sidecar/tests/table_confirmation_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <vector>
 
 namespace azureladder::sidecar {
 
@@ -73,6 +74,8 @@
                 m_ping = ping->m_sequence;
                 m_ping_sent = m_now;
             }
+            if (std::holds_alternative<document_request_frame>(sent->m_frame))
+                m_requests.push_back(m_now);
         }
     }
 
@@ -110,6 +113,7 @@
     node_state m_state;
     std::uint64_t m_ping = 0;
     time_point m_ping_sent;
+    std::vector<time_point> m_requests;
 };
 
 } // namespace
@@ -128,4 +132,19 @@
     EXPECT_LE(confirmed_at(), ping_sent);
 }
 
+// Guards against an answer to the first request for a table that counts as the answer to a later
+// one, and so as a newer confirmation than it is.
+TEST_F(table_confirmation, late_document_confirms_from_the_first_request_on)
+{
+    status_frame status;
+    status.m_documents[document] = known_revision + 1;
+    receive(status);
+    while (m_requests.size() < 2)
+        tick();
+    document_frame answer{document, known_revision + 1, text_of_table(), 0};
+    receive(answer);
+    EXPECT_EQ(m_state.m_tables.at("shelf").m_revision, known_revision + 1);
+    EXPECT_LE(confirmed_at(), m_requests.front());
+}
+
 } // namespace azureladder::sidecar
