Keep the moves of ranges when the server beside the node changes

A node granted keys while its own write that gives them to another node could still be carried out: an answer of another server at the address dropped the moves, and a late announcement of the former life brought the holds back. Moves now end only by the table, which shows whether a transfer was carried out or overtaken by new tokens.

--- a/libs/sidecar/src/key_holds.cpp
+++ b/libs/sidecar/src/key_holds.cpp
@@ -171,8 +171,8 @@
 
 void forget_holds(step_context& context)
 {
+    // Moves stay until the table shows their end: the store may still carry out a transfer.
     context.m_state.m_ownership.m_holds.clear();
-    context.m_state.m_ownership.m_moves.clear();
 }
 
 void on_order_ended(step_context& context, const order_ended& ended)
