Pass on the claims of a node that may not settle them

Callers were refused for good on keys that a node had claimed from a lost owner when that node was evacuated, stopped or lost its server before the claim was settled. It may not settle them then, and nobody claims ranges from a node that lives. Such a node now passes its claims to another member, which waits anew until the former holds have ended.

--- a/libs/key_ranges/include/azureladder/key_ranges/range_table.hpp
+++ b/libs/key_ranges/include/azureladder/key_ranges/range_table.hpp
@@ -42,6 +42,9 @@
 /// claimed keep their former owner.
 void claim(range_table& table, const std::string& lost_owner, const range_owner& owner);
 
+/// Passes claims that `from` has not settled on to another node, which has to wait anew.
+void pass_claims(range_table& table, const std::string& from, const range_owner& owner);
+
 /// Takes back the ranges that others have claimed from `owner` and not settled yet.
 void reclaim(range_table& table, const range_owner& owner);
 
--- a/libs/key_ranges/src/range_table.cpp
+++ b/libs/key_ranges/src/range_table.cpp
@@ -79,18 +79,34 @@
     table.m_entries.insert(after, parts.begin(), parts.end());
 }
 
+namespace {
+
+void claim_entry(range_table& table, range_entry& entry, const range_owner& owner)
+{
+    if (entry.m_state == range_state::settled)
+        entry.m_former_owner = entry.m_owner;
+    entry.m_state = range_state::claimed;
+    entry.m_owner = owner.m_node;
+    entry.m_life = owner.m_life;
+    entry.m_handover.clear();
+    entry.m_fence = table.m_next_fence++;
+}
+
+} // namespace
+
 void claim(range_table& table, const std::string& lost_owner, const range_owner& owner)
 {
     for (auto& entry : table.m_entries) {
-        if (entry.m_owner != lost_owner)
-            continue;
-        if (entry.m_state == range_state::settled)
-            entry.m_former_owner = lost_owner;
-        entry.m_state = range_state::claimed;
-        entry.m_owner = owner.m_node;
-        entry.m_life = owner.m_life;
-        entry.m_handover.clear();
-        entry.m_fence = table.m_next_fence++;
+        if (entry.m_owner == lost_owner)
+            claim_entry(table, entry, owner);
+    }
+}
+
+void pass_claims(range_table& table, const std::string& from, const range_owner& owner)
+{
+    for (auto& entry : table.m_entries) {
+        if (entry.m_owner == from && entry.m_state == range_state::claimed)
+            claim_entry(table, entry, owner);
     }
 }
 
--- a/libs/sidecar/src/key_moves.cpp
+++ b/libs/sidecar/src/key_moves.cpp
@@ -82,19 +82,6 @@
     return result;
 }
 
-/// Whether this node should own nothing at present.
-bool must_leave(const node_state& state, time_point now)
-{
-    if (state.m_stopping)
-        return true;
-    if (!state.m_backend)
-        return now - state.m_started_at > closed_patience * 4;
-    if (state.m_backend->m_unreachable)
-        return now - state.m_backend->m_unreachable_since > closed_patience;
-    return state.m_backend->m_leaving ||
-           state.m_known.m_evacuated_zones.count(state.m_options.m_zone) != 0;
-}
-
 void move_everything(step_context& context, const key_ranges::range_table& table)
 {
     const auto targets = receivers(context.m_state, context.m_now);
@@ -217,6 +204,18 @@
 
 } // namespace
 
+bool must_own_nothing(const node_state& state, time_point now)
+{
+    if (state.m_stopping)
+        return true;
+    if (!state.m_backend)
+        return now - state.m_started_at > closed_patience * 4;
+    if (state.m_backend->m_unreachable)
+        return now - state.m_backend->m_unreachable_since > closed_patience;
+    return state.m_backend->m_leaving ||
+           state.m_known.m_evacuated_zones.count(state.m_options.m_zone) != 0;
+}
+
 double key_use(const node_state& state, time_point now)
 {
     if (!state.m_backend || state.m_gate.m_limit == 0)
@@ -241,7 +240,7 @@
     const key_ranges::range_table& table = found->second.m_table;
     drop_finished_moves(context, table);
     advance_moves(context);
-    if (must_leave(state, context.m_now)) {
+    if (must_own_nothing(state, context.m_now)) {
         if (keys.m_moves.empty())
             move_everything(context, table);
         return;
--- a/libs/sidecar/src/key_tables.cpp
+++ b/libs/sidecar/src/key_tables.cpp
@@ -154,12 +154,24 @@
     }
 }
 
+/// Passes on the claims of a node that may not settle them. They can't be released like the ranges
+/// that it holds, and nobody claims them from a node that lives.
+void pass_on_claims(const node_state& state, time_point now, range_table& table)
+{
+    const auto targets = eligible_owners(state, local_keyed_service(state), now);
+    if (must_own_nothing(state, now) && !targets.empty() &&
+        targets.begin()->first != state.m_options.m_node)
+        key_ranges::pass_claims(table, state.m_options.m_node,
+                                {targets.begin()->first, targets.begin()->second});
+}
+
 /// The table as this node would have it now.
 range_table desired_table(step_context& context, const range_table& known)
 {
     node_state& state = context.m_state;
     range_table table = known;
     apply_released_moves(state, context.m_now, table);
+    pass_on_claims(state, context.m_now, table);
     const std::string life = local_life(state);
     if (life.empty() || !is_gate_open(state, context.m_now))
         return table;
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -133,6 +133,9 @@
 /// Name of the keyed service of the backend server beside this node; empty when it is not keyed.
 std::string local_keyed_service(const node_state& state);
 
+/// Whether this node should own no range at present.
+bool must_own_nothing(const node_state& state, time_point now);
+
 /// Work that arrives for the ranges of this node, as a share of what its server can do.
 double key_use(const node_state& state, time_point now);
 
