--- a/libs/sidecar/tests/fake_backend.cpp
+++ b/libs/sidecar/tests/fake_backend.cpp
@@ -4,6 +4,13 @@
 
 namespace azureladder::sidecar {
 
+namespace {
+
+/// Length of a hold on the clock of a server that runs as slow as the platform allows, 2 %.
+constexpr int clock_percent = 102;
+
+} // namespace
+
 fake_backend::fake_backend(std::string id, std::string service, std::string address)
     : m_id(std::move(id)), m_service(std::move(service)), m_address(std::move(address))
 {
@@ -36,7 +43,8 @@
     covered.m_from = order.m_from;
     covered.m_to = order.m_to;
     release(covered);
-    m_holds[order.m_from] = {order.m_to, order.m_fence, now + order.m_hold_time};
+    m_holds[order.m_from] = {order.m_to, order.m_fence,
+                             now + order.m_hold_time * clock_percent / 100};
     ended.m_result = order_result::accepted;
     return ended;
 }
@@ -71,6 +79,16 @@
     });
 }
 
+std::vector<std::pair<std::uint32_t, std::uint32_t>> fake_backend::held_ranges(time_point now) const
+{
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> result;
+    for (const auto& [from, held] : m_holds) {
+        if (m_alive && now < held.m_end)
+            result.emplace_back(from, held.m_to);
+    }
+    return result;
+}
+
 bool fake_backend::accepts(const forwarded_request& request, time_point now) const
 {
     return m_alive && (!request.m_key || holds(*request.m_key, now));
@@ -85,4 +103,10 @@
     m_alive = true;
 }
 
+void fake_backend::replace(time_point now)
+{
+    restart(now);
+    m_id += "-" + std::to_string(m_life);
+}
+
 } // namespace azureladder::sidecar
--- a/libs/sidecar/tests/fake_backend.hpp
+++ b/libs/sidecar/tests/fake_backend.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace azureladder::sidecar {
@@ -28,9 +29,17 @@
     bool accepts(const forwarded_request& request, time_point now) const;
     bool holds(std::uint32_t key, time_point now) const;
 
+    /// First and last keys of the ranges that the server holds, in order.
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> held_ranges(time_point now) const;
+
     /// Ends this life and begins another one without holds.
     void restart(time_point now);
 
+    /// The same under a new id.
+    void replace(time_point now);
+
+    const std::string& id() const { return m_id; }
+
     /// Tells the lives of this server apart.
     std::int64_t life() const { return m_life; }
 
--- a/libs/sidecar/tests/sidecar_cluster.cpp
+++ b/libs/sidecar/tests/sidecar_cluster.cpp
@@ -13,7 +13,6 @@
 constexpr duration store_delay = milliseconds(4);
 constexpr duration work_time = milliseconds(60);
 constexpr duration check_interval = milliseconds(10);
-constexpr std::uint32_t checked_key_step = 400;
 constexpr duration announcement_interval = milliseconds(870);
 
 routing::route make_route(const std::string& service, routing::request_kind kind)
@@ -46,7 +45,8 @@
 } // namespace
 
 sidecar_cluster::sidecar_cluster(const shape& wanted)
-    : m_random(wanted.m_seed), m_configuration(make_configuration())
+    : m_random(wanted.m_seed), m_max_ranges(wanted.m_max_ranges),
+      m_configuration(make_configuration())
 {
     const auto add = [&](const std::string& service, std::size_t number) {
         const std::string name = service + "-" + std::to_string(number);
@@ -127,6 +127,7 @@
     options.m_zone = wanted.m_zone;
     options.m_service = wanted.m_service;
     options.m_peer_address = node + ":0";
+    options.m_max_ranges = m_max_ranges;
     wanted.m_incarnation = options.m_incarnation;
     wanted.m_state = std::make_unique<node_state>(make_node(options, m_now, m_random()));
     const std::uint64_t incarnation = wanted.m_incarnation;
@@ -146,21 +147,25 @@
     repeat(tick, [this, node] { happen(node, timer_tick{}); });
     repeat(announcement_interval, [this, node] {
         fake_backend& server = backend(node);
-        if (server.m_alive)
+        if (server.m_alive && m_now >= m_machines.at(node).m_unannounced_until)
             happen(node, backend_announced{server.announcement(m_now)});
     });
     at(store_delay, [this, node, incarnation] {
-        if (!is_up(node, incarnation) || m_store_cuts.count(node) != 0)
-            return;
-        give_operator_documents(node);
-        happen(node, departures_read{m_departures[node]});
-        nodes_listed listed;
-        for (const auto& name : nodes())
-            listed.m_addresses[name] = name + ":0";
-        happen(node, listed);
+        if (is_up(node, incarnation) && m_store_cuts.count(node) == 0)
+            read_store(node);
     });
 }
 
+void sidecar_cluster::read_store(const std::string& node)
+{
+    give_operator_documents(node);
+    happen(node, departures_read{m_departures[node]});
+    nodes_listed listed;
+    for (const auto& name : nodes())
+        listed.m_addresses[name] = name + ":0";
+    happen(node, listed);
+}
+
 void sidecar_cluster::give_operator_documents(const std::string& node)
 {
     happen(node, configuration_decoded{5, "text", m_configuration});
@@ -223,7 +228,7 @@
     if (is_cut)
         m_store_cuts.insert(node);
     else if (m_store_cuts.erase(node) != 0)
-        at(store_delay, [this, node] { give_operator_documents(node); });
+        at(store_delay, [this, node] { read_store(node); });
 }
 
 void sidecar_cluster::reset_links(const std::string& node)
@@ -302,6 +307,12 @@
         return;
     }
     const forwarded_request& request = *wanted.m_request;
+    if (wanted.m_backend_id != server.id()) {
+        ended.m_result = execution_result::rejected;
+        ended.m_other_server = true;
+        end_with(ended, milliseconds(1));
+        return;
+    }
     if (!server.accepts(request, m_now)) {
         ended.m_result = execution_result::rejected;
         end_with(ended, milliseconds(1));
@@ -373,7 +384,7 @@
         return;
     const std::int64_t life = backend(node).life();
     bool is_known = false;
-    for (const auto& taken : m_taken) {
+    for (taken_keys& taken : m_taken) {
         if (taken.m_to < order.m_from || taken.m_from > order.m_to)
             continue;
         const bool same_life = taken.m_node == node && taken.m_life == life;
@@ -381,8 +392,10 @@
             m_violations.push_back("token not raised: " + std::to_string(order.m_from) + " at " +
                                    node + " with " + std::to_string(order.m_fence) + ", " +
                                    taken.m_node + " had it with " + std::to_string(taken.m_fence));
-        is_known = is_known || (same_life && taken.m_from == order.m_from &&
-                                taken.m_to == order.m_to && taken.m_fence == order.m_fence);
+        if (!same_life || taken.m_from != order.m_from || taken.m_to != order.m_to)
+            continue;
+        taken.m_fence = std::max(taken.m_fence, order.m_fence);
+        is_known = true;
     }
     if (!is_known)
         m_taken.push_back({node, life, order.m_from, order.m_to, order.m_fence});
@@ -394,6 +407,24 @@
     at(down, [this, node] { backend(node).restart(m_now); });
 }
 
+void sidecar_cluster::replace_backend(const std::string& node, duration down)
+{
+    backend(node).m_alive = false;
+    at(down, [this, node] { backend(node).replace(m_now); });
+}
+
+void sidecar_cluster::drop_announcements(const std::string& node, duration time)
+{
+    m_machines.at(node).m_unannounced_until = m_now + time;
+}
+
+void sidecar_cluster::delay_announcement(const std::string& node, duration delay)
+{
+    at(delay, [this, node, announced = backend(node).announcement(m_now)] {
+        happen(node, backend_announced{announced});
+    });
+}
+
 void sidecar_cluster::write(const std::string& node, const write_table& wanted)
 {
     table_written result;
@@ -418,6 +449,8 @@
 
 void sidecar_cluster::carry_out(const std::string& node, const effect& wanted)
 {
+    if (m_observer)
+        m_observer(node, wanted);
     const std::uint64_t incarnation = m_machines.at(node).m_incarnation;
     const auto later = [this, node, incarnation](duration delay, const event& happened) {
         at(delay, [this, node, incarnation, happened] {
@@ -513,19 +546,23 @@
     if (m_now < m_next_check)
         return;
     m_next_check = m_now + check_interval;
-    for (std::uint32_t key = 0; key <= key_ranges::max_key; key += checked_key_step) {
-        std::string holder;
-        for (const auto& [node, wanted] : m_machines) {
-            if (!wanted.m_backend->holds(key, m_now))
-                continue;
-            if (!holder.empty())
+    std::map<std::uint32_t, std::pair<std::uint32_t, std::string>> held;
+    for (const auto& [node, wanted] : m_machines) {
+        for (const auto& [from, to] : wanted.m_backend->held_ranges(m_now)) {
+            const auto after = held.upper_bound(from);
+            const auto other = after != held.begin() && std::prev(after)->second.first >= from
+                                   ? std::prev(after)
+                               : after != held.end() && after->first <= to ? after
+                                                                           : held.end();
+            if (other != held.end())
                 m_violations.push_back(std::string("key held twice: ")
-                                           .append(std::to_string(key))
+                                           .append(std::to_string(std::max(from, other->first)))
                                            .append(" by ")
-                                           .append(holder)
+                                           .append(other->second.second)
                                            .append(" and ")
                                            .append(node));
-            holder = node;
+            else
+                held[from] = {to, node};
         }
     }
 }
--- a/libs/sidecar/tests/sidecar_cluster.hpp
+++ b/libs/sidecar/tests/sidecar_cluster.hpp
@@ -29,6 +29,9 @@
         std::size_t m_keyed = 3;
 
         std::uint64_t m_seed = 1;
+
+        /// Ranges of a table before neighbours are joined.
+        std::size_t m_max_ranges = node_options().m_max_ranges;
     };
 
     explicit sidecar_cluster(const shape& wanted);
@@ -63,9 +66,28 @@
     /// Ends a backend server; another life starts at its address after `down`.
     void restart_backend(const std::string& node, duration down);
 
+    /// The same with a new id of the next life.
+    void replace_backend(const std::string& node, duration down);
+
+    /// Drops the announcements of the server beside a node for some time.
+    void drop_announcements(const std::string& node, duration time);
+
+    /// Lets the server beside a node announce itself now; the announcement arrives after `delay`.
+    void delay_announcement(const std::string& node, duration delay);
+
     /// Leaves a share of the table writes without an answer and carries them out 1 to 6 s later.
     void delay_writes(double share) { m_late_writes = share; }
 
+    /// Runs an action at a later time.
+    void at(duration delay, std::function<void()> action);
+
+    /// Calls an observer with each effect of a node, before it is carried out. It must not change
+    /// the cluster, other than by `at`.
+    void observe(std::function<void(const std::string&, const effect&)> observer)
+    {
+        m_observer = std::move(observer);
+    }
+
     /// Checks that each server and each life of one takes keys with tokens above those of others.
     void check_tokens() { m_checks_tokens = true; }
 
@@ -91,6 +113,7 @@
         std::string m_zone;
         std::uint64_t m_incarnation = 0;
         time_point m_frozen_until;
+        time_point m_unannounced_until;
         std::vector<std::function<void()>> m_while_frozen;
 
         /// Life of the backend server at the other end of each connection for orders, by the run
@@ -115,7 +138,6 @@
         std::uint64_t m_other = 0;
     };
 
-    void at(duration delay, std::function<void()> action);
     void happen(const std::string& node, const event& happened);
     void carry_out(const std::string& node, const effect& wanted);
     void connect(const std::string& node, const std::string& peer);
@@ -124,6 +146,7 @@
     void grant(const std::string& node, const grant_keys& order);
     void execute(const std::string& node, const start_execution& wanted);
     void give_operator_documents(const std::string& node);
+    void read_store(const std::string& node);
     bool is_up(const std::string& node, std::uint64_t incarnation) const;
     bool is_cut(const std::string& a, const std::string& b) const;
     void check_owners();
@@ -132,6 +155,8 @@
     double random_share() { return static_cast<double>(m_random() % 1000) / 1000.0; }
 
     std::mt19937_64 m_random;
+    std::size_t m_max_ranges;
+    std::function<void(const std::string&, const effect&)> m_observer;
     time_point m_now{std::chrono::seconds(1000)};
     std::multimap<time_point, std::function<void()>> m_agenda;
     std::map<std::string, machine> m_machines;
