Forget a server whose address answers for another one

Keys could stay unserved after a restart with a step of the clock: the new life seems older than the former one, so its announcements are ignored, and the refusals of its grants taught the node nothing. A grant that another server refuses now makes the node forget its server, as a request does.

A refused grant also stays in the history until its hold would have ended: the refusal may be a second copy of that to another grant.

--- a/libs/key_ranges/include/azureladder/key_ranges/grant_history.hpp
+++ b/libs/key_ranges/include/azureladder/key_ranges/grant_history.hpp
@@ -22,8 +22,9 @@
 
 void record_acceptance(grant_history& history, std::uint64_t order);
 
-/// Drops a grant that was refused or never left.
-void record_refusal(grant_history& history, std::uint64_t order);
+/// Drops a grant that never left. One that was refused stays: the answer may be a second copy of
+/// that to another grant.
+void record_not_sent(grant_history& history, std::uint64_t order);
 
 /// Notes that a release of some keys is sent now.
 void record_release(grant_history& history, std::uint32_t from, std::uint32_t to);
--- a/libs/key_ranges/src/grant_history.cpp
+++ b/libs/key_ranges/src/grant_history.cpp
@@ -34,7 +34,7 @@
     }
 }
 
-void record_refusal(grant_history& history, std::uint64_t order)
+void record_not_sent(grant_history& history, std::uint64_t order)
 {
     history.erase(std::remove_if(history.begin(), history.end(),
                                  [&](const auto& grant) { return grant.m_order == order; }),
--- a/libs/sidecar/include/azureladder/sidecar/events.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/events.hpp
@@ -127,6 +127,9 @@
 
     /// For logs: why there is no answer, or the status that refused the order.
     std::string m_cause;
+
+    /// The address belongs to another server now.
+    bool m_other_server = false;
 };
 
 struct backend_announced
--- a/libs/sidecar/src/gate_node.cpp
+++ b/libs/sidecar/src/gate_node.cpp
@@ -381,17 +381,24 @@
     // A frame of this node to itself can't be lost.
     if (own)
         forget_execution(context, ended.m_execution);
-    if (ended.m_other_server && state.m_backend) {
-        log(context, log_level::warning, "backend_replaced",
-            {{"backend", state.m_backend->m_announcement.m_id}});
-        state.m_backend.reset();
-        forget_holds(context);
-        refuse_all_waiting(context, refusal_reason::no_server);
-        broadcast_status(context);
-    }
+    if (ended.m_other_server)
+        note_other_server(context);
     start_waiting(context);
 }
 
+void note_other_server(step_context& context)
+{
+    node_state& state = context.m_state;
+    if (!state.m_backend)
+        return;
+    log(context, log_level::warning, "backend_replaced",
+        {{"backend", state.m_backend->m_announcement.m_id}});
+    state.m_backend.reset();
+    forget_holds(context);
+    refuse_all_waiting(context, refusal_reason::no_server);
+    broadcast_status(context);
+}
+
 void on_origin_link_lost(step_context& context, std::uint64_t link)
 {
     for (auto& [id, execution] : context.m_state.m_executions) {
--- a/libs/sidecar/src/key_holds.cpp
+++ b/libs/sidecar/src/key_holds.cpp
@@ -145,13 +145,14 @@
     key_ownership& keys = context.m_state.m_ownership;
     if (ended.m_result == order_result::accepted)
         key_ranges::record_acceptance(keys.m_grants, ended.m_order);
-    else if (ended.m_result != order_result::unanswered)
-        key_ranges::record_refusal(keys.m_grants, ended.m_order);
+    else if (ended.m_result == order_result::not_sent)
+        key_ranges::record_not_sent(keys.m_grants, ended.m_order);
     if (keys.m_connection.m_order != ended.m_order)
         return;
     keys.m_connection.m_order = 0;
-    if (ended.m_result == order_result::accepted || ended.m_result == order_result::refused)
+    if (ended.m_result == order_result::accepted || ended.m_result == order_result::refused) {
         return;
+    }
     open_next_connection(keys.m_connection);
     keys.m_connection.m_next_order = context.m_now + grant_retry_pause;
 }
@@ -208,7 +209,10 @@
                  {"result", std::string(name_in(order_result_names, ended.m_result))},
                  {"cause", ended.m_cause}});
         }
-        renew_holds(context);
+        if (ended.m_other_server)
+            note_other_server(context);
+        else
+            renew_holds(context);
         return;
     }
     for (auto& move : keys.m_moves) {
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -63,6 +63,9 @@
 void on_resume(step_context& context, std::uint64_t link, const std::string& origin,
                std::uint64_t frame);
 void on_execution_ended(step_context& context, const execution_ended& ended);
+
+/// Forgets the backend server, at whose address another one has answered.
+void note_other_server(step_context& context);
 void on_origin_link_lost(step_context& context, std::uint64_t link);
 void on_backend_announced(step_context& context, const backend_announcement& announced);
 void on_backend_removed(step_context& context, const backend_removed& removed);
--- a/libs/sidecar/tests/key_ownership_test.cpp
+++ b/libs/sidecar/tests/key_ownership_test.cpp
@@ -95,4 +95,30 @@
     }
 }
 
+// Guards against an answer to a ping from before a pause of the process that confirms the table as
+// of the time after it.
+TEST(key_ownership, answer_from_before_a_pause_confirms_no_table)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        sidecar_cluster cluster({1, 4, seed});
+        cluster.run_for(settling);
+        const auto awaits_answer = [&] {
+            for (const auto& [node, peer] : cluster.state("shelf-1").m_peers) {
+                if (peer.m_ping_open && peer.m_status.m_service == "shelf")
+                    return true;
+            }
+            return false;
+        };
+        while (!awaits_answer())
+            cluster.run_for(milliseconds(1));
+        // The answers arrive after the first tick that notices the pause.
+        for (const char* peer : {"shelf-0", "shelf-2", "shelf-3"})
+            cluster.freeze_node(peer, milliseconds(40));
+        // Longer than the takeover of the ranges of a lost owner.
+        cluster.freeze_node("shelf-1", seconds(16));
+        cluster.run_for(seconds(20));
+        EXPECT_TRUE(cluster.violations().empty()) << seed << ": " << cluster.violations().front();
+    }
+}
+
 } // namespace azureladder::sidecar
--- /dev/null
+++ b/libs/sidecar/tests/order_records_test.cpp
@@ -0,0 +1,129 @@
+#include "fake_store.hpp"
+#include "step_context.hpp"
+
+#include <azureladder/key_ranges/range_table_json.hpp>
+#include <azureladder/sidecar/step.hpp>
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <random>
+#include <vector>
+
+namespace azureladder::sidecar {
+
+namespace {
+
+constexpr duration tick = milliseconds(25);
+
+struct sent_order
+{
+    time_point m_at;
+    grant_keys m_grant;
+};
+
+/// One node with the store, that owns all keys. Orders are answered by `m_reply`.
+struct single_node
+{
+    time_point m_now{std::chrono::seconds(1000)};
+    node_state m_state;
+    fake_store m_store;
+    std::vector<sent_order> m_grants;
+    std::vector<release_keys> m_releases;
+    std::function<std::optional<order_result>(const grant_keys&)> m_reply = [](const grant_keys&) {
+        return order_result::accepted;
+    };
+
+    explicit single_node(std::size_t ranges = 1)
+    {
+        node_options options;
+        options.m_node = "shelf-0";
+        options.m_incarnation = 7;
+        options.m_service = "shelf";
+        options.m_peer_address = "shelf-0:0";
+        m_state = make_node(options, m_now, 1);
+        auto configuration = std::make_shared<routing::routing_configuration>();
+        configuration->m_version = 1;
+        configuration->m_services["shelf"].m_name = "shelf";
+        configuration->m_services["shelf"].m_keyed = true;
+        routing::index_routes(*configuration);
+        happen(configuration_decoded{5, "text", configuration});
+        operator_documents documents;
+        documents.m_revision = 10;
+        happen(documents);
+        announce("i-1", 1, "10.0.0.1:1");
+        write_table first;
+        first.m_service = "shelf";
+        first.m_text = key_ranges::to_json_text(key_ranges::make_table(
+            std::vector<key_ranges::range_owner>(ranges, {"shelf-0", local_life_text()})));
+        m_store.write(first, m_now);
+    }
+
+    static std::string local_life_text() { return "i-1#1@7.0"; }
+
+    void announce(const std::string& id, std::int64_t born, const std::string& address)
+    {
+        backend_announced announced;
+        announced.m_announcement.m_id = id;
+        announced.m_announcement.m_born_ms = born;
+        announced.m_announcement.m_sequence = ++m_sequence;
+        announced.m_announcement.m_address = address;
+        announced.m_announcement.m_service = "shelf";
+        announced.m_announcement.m_slots = 4;
+        happen(announced);
+    }
+
+    void happen(const event& happened)
+    {
+        std::vector<event> answers;
+        for (const auto& wanted : step(m_state, happened, m_now)) {
+            if (const auto* reading = std::get_if<read_table>(&wanted)) {
+                answers.emplace_back(m_store.read(reading->m_service, m_now));
+            } else if (const auto* writing = std::get_if<write_table>(&wanted)) {
+                answers.emplace_back(m_store.write(*writing, m_now));
+            } else if (const auto* granted = std::get_if<grant_keys>(&wanted)) {
+                m_grants.push_back({m_now, *granted});
+                if (const auto result = m_reply(*granted))
+                    answers.emplace_back(
+                        order_ended{granted->m_order, *result, "", "", m_other_server});
+            } else if (const auto* released = std::get_if<release_keys>(&wanted)) {
+                m_releases.push_back(*released);
+                answers.emplace_back(
+                    order_ended{released->m_order, order_result::accepted, "", ""});
+            }
+        }
+        for (const auto& answer : answers)
+            happen(answer);
+    }
+
+    void run_for(duration time)
+    {
+        for (const time_point end = m_now + time; m_now < end; m_now += tick)
+            happen(timer_tick{});
+    }
+
+    std::int64_t m_sequence = 0;
+
+    /// Answers to grants come from another server.
+    bool m_other_server = false;
+};
+
+} // namespace
+
+// Guards against keys that stay unserved because a restarted server seems older than its former
+// life, after a step of the VM's clock: all its announcements would be ignored.
+TEST(order_records, refusal_by_another_server_makes_its_announcement_count)
+{
+    single_node node;
+    node.run_for(seconds(2));
+    node.m_other_server = true;
+    node.m_reply = [](const grant_keys&) { return order_result::refused; };
+    node.run_for(seconds(1));
+    node.m_other_server = false;
+    node.m_reply = [](const grant_keys&) { return order_result::accepted; };
+    node.announce("i-2", 0, "10.0.0.1:1");
+    node.run_for(seconds(1));
+    EXPECT_TRUE(holds_key(node.m_state, 0, node.m_now));
+}
+
+} // namespace azureladder::sidecar
