Grant at a new address when the former holds have ended

A server that announces itself at another address while its predecessor still serves was granted the ranges at once, over the connection to the predecessor. Grants now wait until those to the former address have ended, take a connection of their own, and releases go where the keys were granted.

A new process does not know a former address; that remains.

--- a/libs/sidecar/include/azureladder/sidecar/order_connection.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/order_connection.hpp
@@ -3,6 +3,7 @@
 #include <azureladder/base/time.hpp>
 
 #include <cstdint>
+#include <string>
 
 namespace azureladder::sidecar {
 
@@ -12,6 +13,9 @@
     /// Never used for a second connection by one process.
     std::uint64_t m_number = 1;
 
+    /// Address of the server at its other end; empty before the first grant.
+    std::string m_address;
+
     /// The server has answered on it.
     bool m_is_proven = false;
 
--- a/libs/sidecar/src/key_holds.cpp
+++ b/libs/sidecar/src/key_holds.cpp
@@ -100,6 +100,23 @@
     return connection.m_order == 0;
 }
 
+/// Whether keys may be granted at the server's address. A server at a former address may hold them
+/// until its grants have ended.
+bool is_address_usable(step_context& context)
+{
+    key_ownership& keys = context.m_state.m_ownership;
+    const std::string& address = context.m_state.m_backend->m_announcement.m_address;
+    if (keys.m_connection.m_address == address)
+        return true;
+    if (!keys.m_connection.m_address.empty() &&
+        key_ranges::may_be_held(keys.m_grants, 0, key_ranges::max_key, context.m_now,
+                                context.m_state.m_options.m_holds))
+        return false;
+    keys.m_connection.m_address = address;
+    open_next_connection(keys.m_connection);
+    return true;
+}
+
 void send_grant(step_context& context, std::uint32_t from, range_hold& hold)
 {
     node_state& state = context.m_state;
@@ -144,7 +161,8 @@
         if (urgent == keys.m_holds.end() || hold->second.m_granted_at < urgent->second.m_granted_at)
             urgent = hold;
     }
-    if (waiting == 0 || !is_connection_free(keys.m_connection, waiting, context.m_now))
+    if (waiting == 0 || !is_address_usable(context) ||
+        !is_connection_free(keys.m_connection, waiting, context.m_now))
         return;
     send_grant(context, urgent->first, urgent->second);
 }
--- a/libs/sidecar/src/key_moves.cpp
+++ b/libs/sidecar/src/key_moves.cpp
@@ -62,10 +62,12 @@
     move.m_order = state.m_next_order++;
     move.m_order_sent = context.m_now;
     key_ranges::record_release(state.m_ownership.m_grants, move.m_from, move.m_to);
-    emit(context,
-         release_keys{
-             move.m_order, state.m_backend->m_announcement.m_address, move.m_from, move.m_to,
-             key_ranges::fencing_token(move.m_fence, state.m_ownership.m_connection.m_number)});
+    const order_connection& grants = state.m_ownership.m_connection;
+    emit(context, release_keys{move.m_order,
+                               grants.m_address.empty() ? state.m_backend->m_announcement.m_address
+                                                        : grants.m_address,
+                               move.m_from, move.m_to,
+                               key_ranges::fencing_token(move.m_fence, grants.m_number)});
 }
 
 /// Members that may take ranges, those with the least work first.
--- a/libs/sidecar/tests/order_records_test.cpp
+++ b/libs/sidecar/tests/order_records_test.cpp
@@ -110,6 +110,39 @@
 
 } // namespace
 
+// Guards against a range that is granted to a new server while an earlier one, which still lives at
+// another address, holds it.
+TEST(order_records, server_at_another_address_is_granted_nothing_that_the_former_one_holds)
+{
+    single_node node;
+    node.run_for(seconds(2));
+    ASSERT_FALSE(node.m_grants.empty());
+    const time_point last = node.m_grants.back().m_at;
+    node.announce("i-2", 2, "10.0.0.2:1");
+    node.run_for(seconds(4));
+    ASSERT_EQ(node.m_grants.back().m_grant.m_backend_address, "10.0.0.2:1");
+    for (const auto& sent : node.m_grants) {
+        if (sent.m_grant.m_backend_address != "10.0.0.2:1")
+            continue;
+        EXPECT_TRUE(!node.m_releases.empty() || sent.m_at - last >= milliseconds(2550))
+            << "granted " << to_ms(sent.m_at - last) << " ms after the former server's grant";
+        break;
+    }
+}
+
+// Guards against grants for one server that travel on the connection to another one.
+TEST(order_records, server_at_another_address_has_a_connection_of_its_own)
+{
+    single_node node;
+    node.run_for(seconds(2));
+    ASSERT_FALSE(node.m_grants.empty());
+    const std::uint64_t former = node.m_grants.back().m_grant.m_connection;
+    node.announce("i-2", 2, "10.0.0.2:1");
+    node.run_for(seconds(4));
+    ASSERT_EQ(node.m_grants.back().m_grant.m_backend_address, "10.0.0.2:1");
+    EXPECT_NE(node.m_grants.back().m_grant.m_connection, former);
+}
+
 // Guards against holds of many ranges that end because each grant without an answer keeps the
 // others waiting. A hold allows four grants, of which half are lost; a tenth leaves room for the
 // pauses.
