Raise the tokens of the table before connection numbers start anew

With the 65,536th connection of a process the low part of the fencing token starts anew. The grant in the same step still had the former token of its range, so that tokens fell (65536 after 131071). Grants now wait until the holds have tokens for the epoch of the connection.

order_records.tokens_rise_when_connection_numbers_start_anew failed before and passes.

--- a/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
@@ -73,6 +73,9 @@
     /// Holds by first key.
     std::map<std::uint32_t, range_hold> m_holds;
 
+    /// Epoch of the connection number for which the holds have tokens.
+    std::uint64_t m_holds_epoch = 0;
+
     /// Grants to any life of the server at the address, of this process and of its predecessor.
     key_ranges::grant_history m_grants;
 
--- a/libs/sidecar/src/key_holds.cpp
+++ b/libs/sidecar/src/key_holds.cpp
@@ -164,7 +164,9 @@
     if (waiting == 0 || !is_address_usable(context) ||
         !is_connection_free(keys.m_connection, waiting, context.m_now))
         return;
-    send_grant(context, urgent->first, urgent->second);
+    // With a new epoch the tokens of the table have to be raised first.
+    if (keys.m_holds_epoch == key_ranges::connection_epoch(keys.m_connection.m_number))
+        send_grant(context, urgent->first, urgent->second);
 }
 
 void note_grant_ended(step_context& context, const order_ended& ended)
@@ -307,6 +309,7 @@
         holds[part.m_from] = hold;
     }
     keys.m_holds = std::move(holds);
+    keys.m_holds_epoch = key_ranges::connection_epoch(keys.m_connection.m_number);
     renew_holds(context);
 }
 
--- a/libs/sidecar/tests/order_records_test.cpp
+++ b/libs/sidecar/tests/order_records_test.cpp
@@ -183,4 +183,22 @@
     EXPECT_TRUE(holds_key(node.m_state, 0, node.m_now));
 }
 
+// Guards against a lower fencing token when the numbers of connections start anew.
+TEST(order_records, tokens_rise_when_connection_numbers_start_anew)
+{
+    single_node node;
+    node.run_for(seconds(2));
+    ASSERT_FALSE(node.m_grants.empty());
+    node.m_state.m_ownership.m_connection.m_number = 65534;
+    node.m_reply = [](const grant_keys&) { return std::nullopt; };
+    node.run_for(seconds(5));
+    std::uint64_t highest = 0;
+    for (const auto& sent : node.m_grants) {
+        if (sent.m_grant.m_connection >= 65534) {
+            EXPECT_GE(sent.m_grant.m_fence, highest) << sent.m_grant.m_connection;
+        }
+        highest = std::max(highest, sent.m_grant.m_fence);
+    }
+}
+
 } // namespace azureladder::sidecar
