Bound the bytes that are read in one exchange

Callers saw the requests of a node fail when its backend server or the store wrote bytes without end: the node read them into memory until the process was ended, or read on for ever past the time limit.

Cause: only heads had a limit. Bodies, chunk sizes, chunk extensions and trailers had none, and neither had a series of interim heads or of answers to other requests. Bytes that are always readable also keep the stream from reporting its expiry, since each read ends before the timer does. The length of a body was reserved as the head stated it, and the parser, being eager, went on behind a head whose length is over the limit.

Now one exchange reads at most 4 MiB and keeps at most 128 KiB unparsed; beyond, or past its time, it ends as broken and the connection is closed. The connection parses what it reads itself, as a read of the library returns only when the parser needs no more bytes.

--- a/libs/sidecar_runtime/src/client_connection.cpp
+++ b/libs/sidecar_runtime/src/client_connection.cpp
@@ -1,6 +1,6 @@
 #include "client_connection.hpp"
 
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -12,9 +12,19 @@
 
 namespace {
 
-/// Longest response head that is read.
+/// Longest response head that is read, in bytes.
 constexpr std::uint32_t max_response_head = 64 * 1024;
 
+/// Bytes that are kept unparsed: a head, a line of the chunked coding or its trailers.
+constexpr std::size_t max_unparsed_bytes = 2 * std::size_t{max_response_head};
+
+/// Largest single read, in bytes.
+constexpr std::size_t max_read_bytes = 64 * 1024;
+
+/// Bytes that are read in one exchange, whatever they are. A page of the store has about 1.5 MB,
+/// and a dozen exchanges at once take less than a third of the 160 MB of the smallest VM.
+constexpr std::size_t max_exchange_bytes = 4 * 1024 * 1024;
+
 /// Idle time after which a connection is not used again when its server states no time.
 constexpr std::chrono::milliseconds default_idle_time{4000};
 
@@ -40,7 +50,8 @@
 
 client_connection::client_connection(asio::io_context& io, const endpoint& address,
                                      milliseconds connect_timeout)
-    : m_io(io), m_stream(io), m_address(to_tcp(address)), m_connect_timeout(connect_timeout)
+    : m_io(io), m_stream(io), m_address(to_tcp(address)), m_connect_timeout(connect_timeout),
+      m_buffer(max_unparsed_bytes)
 {
 }
 
@@ -87,43 +98,91 @@
 void client_connection::send()
 {
     m_stream.expires_after(m_timeout);
+    m_deadline = std::chrono::steady_clock::now() + m_timeout;
+    m_bytes_read = 0;
     http::async_write(m_stream, m_request,
                       [self = shared_from_this()](error_code error, std::size_t sent) {
                           self->m_write_done = !error;
                           if (sent > 0)
                               self->m_nothing_sent = false;
                       });
-    receive();
+    expect_answer();
+    read_some();
 }
 
-void client_connection::receive()
+void client_connection::expect_answer()
 {
     m_parser.emplace();
     m_parser->header_limit(max_response_head);
-    m_parser->body_limit(boost::none);
+    m_parser->body_limit(max_exchange_bytes);
     if (m_request.method() == http::verb::head)
         m_parser->skip(true);
-    http::async_read(m_stream, m_buffer, *m_parser,
-                     [self = shared_from_this()](error_code error, std::size_t /*size*/) {
-                         self->on_received(error);
-                     });
 }
 
-void client_connection::on_received(error_code error)
+void client_connection::read_some()
 {
-    if (!m_done)
-        return;
-    if (error) {
-        finish(m_nothing_sent && !m_write_done ? exchange_result::not_sent
-                                               : exchange_result::broken,
-               error.message());
+    const std::size_t size = boost::beast::read_size(m_buffer, max_read_bytes);
+    if (size == 0 || m_bytes_read > max_exchange_bytes) {
+        finish(exchange_result::broken, "answer too long");
         return;
     }
-    auto& message = m_parser->get();
-    if (message.result_int() < 200) {
-        receive();
+    // Bytes that never stop coming keep the stream from reporting its expiry.
+    if (std::chrono::steady_clock::now() > m_deadline) {
+        finish(exchange_result::broken, "timeout");
         return;
     }
+    m_stream.async_read_some(m_buffer.prepare(size),
+                             [self = shared_from_this()](error_code error, std::size_t read) {
+                                 if (!self->m_done)
+                                     return;
+                                 self->m_buffer.commit(read);
+                                 self->m_bytes_read += read;
+                                 self->on_read(error);
+                             });
+}
+
+void client_connection::on_read(error_code error)
+{
+    for (;;) {
+        if (!error)
+            error = parse();
+        else if (error == asio::error::eof && m_parser->got_some())
+            m_parser->put_eof(error);
+        if (error) {
+            finish(m_nothing_sent && !m_write_done ? exchange_result::not_sent
+                                                   : exchange_result::broken,
+                   error.message());
+            return;
+        }
+        if (!m_parser->is_done()) {
+            read_some();
+            return;
+        }
+        if (take_answer())
+            return;
+        expect_answer();
+    }
+}
+
+error_code client_connection::parse()
+{
+    error_code error;
+    while (m_buffer.size() > 0 && !m_parser->is_done()) {
+        // An eager parser goes on behind a head whose length is over the limit.
+        m_parser->eager(m_parser->is_header_done());
+        const std::size_t used = m_parser->put(m_buffer.data(), error);
+        m_buffer.consume(used);
+        if (error)
+            break;
+    }
+    return error == http::error::need_more ? error_code() : error;
+}
+
+bool client_connection::take_answer()
+{
+    auto& message = m_parser->get();
+    if (message.result_int() < 200)
+        return false;
     exchange_outcome outcome;
     outcome.m_result = exchange_result::answered;
     outcome.m_response.m_status = static_cast<int>(message.result_int());
@@ -134,10 +193,8 @@
             {std::string(name.data(), name.size()), std::string(value.data(), value.size())});
     }
     outcome.m_response.m_body = std::move(message.body());
-    if (m_accept && !m_accept(outcome.m_response)) {
-        receive();
-        return;
-    }
+    if (m_accept && !m_accept(outcome.m_response))
+        return false;
     m_stream.expires_never();
     // Bytes after a complete answer belong to no request.
     m_reusable = message.keep_alive() && m_write_done && m_buffer.size() == 0;
@@ -147,6 +204,7 @@
     if (!m_reusable)
         close();
     done(std::move(outcome));
+    return true;
 }
 
 void client_connection::finish(exchange_result result, const std::string& cause)
--- a/libs/sidecar_runtime/src/client_connection.hpp
+++ b/libs/sidecar_runtime/src/client_connection.hpp
@@ -65,8 +65,11 @@
 private:
     void connect();
     void send();
-    void receive();
-    void on_received(error_code error);
+    void expect_answer();
+    void read_some();
+    void on_read(error_code error);
+    error_code parse();
+    bool take_answer();
     void finish(exchange_result result, const std::string& cause);
 
     asio::io_context& m_io;
@@ -79,6 +82,10 @@
 
     boost::beast::http::request<boost::beast::http::string_body> m_request;
     boost::beast::flat_buffer m_buffer;
+
+    /// Bytes read in this exchange, those that are no answer to its request included.
+    std::size_t m_bytes_read = 0;
+    std::chrono::steady_clock::time_point m_deadline;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     milliseconds m_timeout{};
     accept_function m_accept;
