Send no request on a connection with bytes to read

An idle connection is closed when its server closes it or sends bytes unasked, but only once the event loop has come round to it. A request that was sent before took a second copy of an earlier refusal or answer for its own, and a request on a connection that its server had closed ended without an answer: callers got a 503 for a request that was running, or a 502. The store's idle connections weren't watched at all, and its answers bear no id.

Before a request is sent on a kept connection, the socket is looked at; one that has bytes or an end to read is replaced by a new one. Nothing has been sent by then, so no request is repeated.

--- a/libs/sidecar_runtime/src/client_connection.cpp
+++ b/libs/sidecar_runtime/src/client_connection.cpp
@@ -3,6 +3,8 @@
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <charconv>
 
@@ -59,6 +61,8 @@
                                  accept_function accept, done_function done)
 {
     ++m_idle_watch;
+    if (m_connected && !is_quiet())
+        close();
     m_request = {};
     m_request.version(11);
     m_request.method_string(request.m_method);
@@ -79,6 +83,13 @@
         connect();
 }
 
+bool client_connection::is_quiet()
+{
+    char byte = 0;
+    const auto seen = recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void client_connection::connect()
 {
     m_stream.expires_after(m_connect_timeout);
--- a/libs/sidecar_runtime/src/client_connection.hpp
+++ b/libs/sidecar_runtime/src/client_connection.hpp
@@ -46,7 +46,9 @@
 
     client_connection(asio::io_context& io, const endpoint& address, milliseconds connect_timeout);
 
-    /// Connects first when needed. `done` is called once, unless the connection is closed.
+    /// Connects first when needed, also when the other end has closed the idle connection or has
+    /// sent bytes on it, which would be taken for the answer. `done` is called once, unless the
+    /// connection is closed.
     void exchange(const http_request& request, milliseconds timeout, accept_function accept,
                   done_function done);
 
@@ -63,6 +65,7 @@
     void watch_idle(std::function<void()> closed);
 
 private:
+    bool is_quiet();
     void connect();
     void send();
     void expect_answer();
--- a/libs/sidecar_runtime/tests/client_connection_test.cpp
+++ b/libs/sidecar_runtime/tests/client_connection_test.cpp
@@ -169,6 +169,37 @@
     }
 }
 
+// Guards against a request that is lost on a connection that its server has closed, and against
+// unasked bytes that are taken for the next answer, also of the store, whose answers bear no id.
+TEST(client_connection, replaces_an_idle_connection_that_is_closed_or_readable)
+{
+    for (const bool is_closed : {true, false}) {
+        asio::io_context io;
+        int requests = 0;
+        loopback_server server(io, [&](loopback_server::connection& connection, const auto&) {
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" +
+                            std::to_string(++requests));
+        });
+        const auto connection =
+            std::make_shared<client_connection>(io, server.address(), milliseconds(500));
+        exchange_record first;
+        begin_exchange(*connection, first, milliseconds(500));
+        while (!first.m_outcome)
+            io.run_one_for(milliseconds(100));
+        ASSERT_TRUE(connection->is_reusable());
+        if (is_closed)
+            server.connections().front()->close();
+        else
+            server.connections().front()->send(sound_answer);
+        exchange_record second;
+        begin_exchange(*connection, second, milliseconds(500));
+        while (!second.m_outcome)
+            io.run_one_for(milliseconds(100));
+        EXPECT_EQ(second.m_outcome->m_result, exchange_result::answered);
+        EXPECT_EQ(second.m_outcome->m_response.m_body, "2");
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(client_connection, endless_server, testing::ValuesIn(endless_cases()),
                          [](const auto& info) { return info.param.m_name; });
 
