Send a refused request with a key again on another connection only

A request with a key goes to the owner of the key once more after a refusal, under the same id. Where its server wrote the refusal a second time on the kept connection, the request ended as rejected while the server ran it: callers got a 503 for it, or it was sent again. The id can't tell the two answers apart.

The connection on which a request with a key was refused is now closed. Others are kept, as no other request goes to one server twice under one id.

--- a/libs/sidecar_runtime/src/backend_pool.cpp
+++ b/libs/sidecar_runtime/src/backend_pool.cpp
@@ -61,9 +61,13 @@
             *reply = m_formats.read_backend_reply(execution, response);
             return reply->m_is_for_request;
         },
-        [this, reply, id, connection,
+        [this, reply, id, connection, has_key = execution.m_request->m_key.has_value(),
          address = execution.m_backend_address](const exchange_outcome& outcome) {
             m_running.erase(id);
+            // A refused request with a key comes again under its id, for which a second copy of
+            // the refusal would be taken.
+            if (has_key && reply->m_ended.m_result == sidecar::execution_result::rejected)
+                connection->close();
             give_back(address, connection);
             if (outcome.m_result != exchange_result::answered) {
                 m_report(failed_execution(id, outcome));
