Call a request sent while its writing is under way

A request whose connection broke, or brought bytes that are no answer, while the request was still being written ended as "not sent": callers got a 503 for it, or it went to a second server, though the first may have run it. The mark that nothing was sent was taken back only when the whole writing had ended, which a long body delays.

It is now set only when the writing has ended with an error before its first byte.

--- a/libs/sidecar_runtime/src/client_connection.cpp
+++ b/libs/sidecar_runtime/src/client_connection.cpp
@@ -75,7 +75,7 @@
     m_accept = std::move(accept);
     m_done = std::move(done);
     m_write_done = false;
-    m_nothing_sent = true;
+    m_nothing_sent = false;
     m_reusable = false;
     if (m_connected)
         send();
@@ -114,8 +114,7 @@
     http::async_write(m_stream, m_request,
                       [self = shared_from_this()](error_code error, std::size_t sent) {
                           self->m_write_done = !error;
-                          if (sent > 0)
-                              self->m_nothing_sent = false;
+                          self->m_nothing_sent = error && sent == 0;
                       });
     expect_answer();
     read_some();
@@ -160,8 +159,7 @@
         else if (error == asio::error::eof && m_parser->got_some())
             m_parser->put_eof(error);
         if (error) {
-            finish(m_nothing_sent && !m_write_done ? exchange_result::not_sent
-                                                   : exchange_result::broken,
+            finish(m_nothing_sent ? exchange_result::not_sent : exchange_result::broken,
                    error.message());
             return;
         }
--- a/libs/sidecar_runtime/src/client_connection.hpp
+++ b/libs/sidecar_runtime/src/client_connection.hpp
@@ -94,7 +94,9 @@
     accept_function m_accept;
     done_function m_done;
     bool m_write_done = false;
-    bool m_nothing_sent = true;
+
+    /// The writing failed before its first byte. Unknown, and so false, while it is under way.
+    bool m_nothing_sent = false;
     std::uint64_t m_idle_watch = 0;
 };
 
--- a/libs/sidecar_runtime/tests/client_connection_test.cpp
+++ b/libs/sidecar_runtime/tests/client_connection_test.cpp
@@ -200,6 +200,31 @@
     }
 }
 
+// Guards against a request that is called unsent, and sent to a second server, while it was being
+// written when its connection broke.
+TEST(client_connection, calls_a_partly_written_request_sent)
+{
+    for (const bool is_reset : {true, false}) {
+        asio::io_context io;
+        loopback_server server(io, [&](loopback_server::connection& connection, const auto&) {
+            if (is_reset)
+                connection.reset();
+            else
+                connection.send("no answer\r\n\r\n");
+        });
+        const auto connection =
+            std::make_shared<client_connection>(io, server.address(), milliseconds(500));
+        http_request request = make_request();
+        request.m_body = std::string(32 * megabyte, 'x');
+        std::optional<exchange_outcome> result;
+        connection->exchange(request, milliseconds(2000), nullptr,
+                             [&](const exchange_outcome& outcome) { result = outcome; });
+        while (!result)
+            io.run_one_for(milliseconds(100));
+        EXPECT_EQ(result->m_result, exchange_result::broken) << result->m_cause;
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(client_connection, endless_server, testing::ValuesIn(endless_cases()),
                          [](const auto& info) { return info.param.m_name; });
 
