Test answers that end early at every byte

Other operators reported that a backend server stopped in the middle of its answer's head, and that callers got a 200 with an empty or short body, framed as whole. It can't happen here: the parser calls an end of the connection inside a head, or before the end that a length or the chunked coding states, a partial message, and the exchange ends as broken.

Evidence: takes_no_answer_that_is_cut_at_any_byte cuts answers with a length, in chunks (with an extension and a trailer) and behind an interim head at every byte, by a close and by a reset, and one without a length at every byte by a reset and inside its head by a close. On the way to the caller, frames_an_answer_so_that_a_cut_shows ends the node in the middle of an answer of 8 MiB and finds its length stated and its body short.

--- a/libs/sidecar_runtime/tests/client_connection_test.cpp
+++ b/libs/sidecar_runtime/tests/client_connection_test.cpp
@@ -225,6 +225,55 @@
     }
 }
 
+namespace {
+
+/// Exchange with a server that sends `bytes` and ends the connection.
+exchange_result result_of(const std::string& bytes, bool is_reset)
+{
+    asio::io_context io;
+    loopback_server server(io, [&](loopback_server::connection& connection, const auto&) {
+        connection.send(bytes);
+        if (is_reset)
+            connection.reset();
+        else
+            connection.close();
+    });
+    const auto connection =
+        std::make_shared<client_connection>(io, server.address(), milliseconds(500));
+    exchange_record record;
+    begin_exchange(*connection, record, milliseconds(2000));
+    while (!record.m_outcome)
+        io.run_one_for(milliseconds(100));
+    return record.m_outcome->m_result;
+}
+
+} // namespace
+
+// Guards against an answer that ends early and is framed as whole.
+TEST(client_connection, takes_no_answer_that_is_cut_at_any_byte)
+{
+    const std::string start = "HTTP/1.1 200 OK\r\nAzureladder-Response-Seal: s\r\n";
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    for (const std::string& whole :
+         {start + "Content-Length: 4\r\n\r\nbody",
+          start + "Transfer-Encoding: chunked\r\n\r\n4;a=b\r\nbody\r\n0\r\nT: u\r\n\r\n",
+          interim + start + "Content-Length: 0\r\n\r\n"}) {
+        EXPECT_EQ(result_of(whole, false), exchange_result::answered);
+        for (std::size_t size = 0; size < whole.size(); ++size)
+            for (const bool is_reset : {false, true})
+                EXPECT_EQ(result_of(whole.substr(0, size), is_reset), exchange_result::broken)
+                    << whole.substr(0, size);
+    }
+    // Without a length the head must be whole, and only a clean close ends the body.
+    const std::string unframed = start + "\r\nbody";
+    for (std::size_t size = 0; size <= unframed.size(); ++size) {
+        EXPECT_EQ(result_of(unframed.substr(0, size), true), exchange_result::broken);
+        if (size < start.size() + 2) {
+            EXPECT_EQ(result_of(unframed.substr(0, size), false), exchange_result::broken);
+        }
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(client_connection, endless_server, testing::ValuesIn(endless_cases()),
                          [](const auto& info) { return info.param.m_name; });
 
--- a/libs/sidecar_runtime/tests/http_test.cpp
+++ b/libs/sidecar_runtime/tests/http_test.cpp
@@ -1,6 +1,7 @@
 #include "client_connection.hpp"
 #include "http_listener.hpp"
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
@@ -193,6 +194,40 @@
               std::string::npos);
 }
 
+// Guards against an answer that the node can't send whole and that looks whole to its caller.
+TEST(http_session, frames_an_answer_so_that_a_cut_shows)
+{
+    const std::string body(8 * 1024 * 1024, 'x');
+    const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    std::string received;
+    {
+        asio::io_context outside;
+        tcp::socket client(outside);
+        {
+            asio::io_context io;
+            const std::uint16_t port = free_port(io);
+            http_session::callbacks callbacks;
+            callbacks.m_on_request = [&](const auto& session, const http_request& /*request*/) {
+                session->answer({200, {}, body});
+            };
+            callbacks.m_on_left = [](const http_session& /*session*/) {};
+            callbacks.m_limits = [] { return routing::client_limits{}; };
+            callbacks.m_is_closing = [] { return false; };
+            http_listener listener(io, {"127.0.0.1", port}, callbacks);
+            client.connect({asio::ip::make_address("127.0.0.1"), port});
+            asio::write(client, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+            io.run_for(std::chrono::milliseconds(100));
+        }
+        // The node has ended in the middle of its answer.
+        error_code error;
+        asio::read(client, asio::dynamic_buffer(received), error);
+    }
+    const auto head_end = received.find("\r\n\r\n");
+    ASSERT_NE(head_end, std::string::npos);
+    EXPECT_NE(received.find(length), std::string::npos);
+    EXPECT_LT(received.size() - head_end - 4, body.size());
+}
+
 // Guards against work that goes on for a caller that has left.
 TEST(http_session, notices_a_caller_that_leaves)
 {
