--- a/libs/sidecar_runtime/src/client_connection.hpp
+++ b/libs/sidecar_runtime/src/client_connection.hpp
@@ -46,7 +46,9 @@
 
     client_connection(asio::io_context& io, const endpoint& address, milliseconds connect_timeout);
 
-    /// Connects first when needed. `done` is called once, unless the connection is closed.
+    /// Connects first when needed, also when the other end has closed the idle connection or has
+    /// sent bytes on it, which would be taken for the answer. `done` is called once, unless the
+    /// connection is closed.
     void exchange(const http_request& request, milliseconds timeout, accept_function accept,
                   done_function done);
 
@@ -63,10 +65,14 @@
     void watch_idle(std::function<void()> closed);
 
 private:
+    bool is_quiet();
     void connect();
     void send();
-    void receive();
-    void on_received(error_code error);
+    void expect_answer();
+    void read_some();
+    void on_read(error_code error);
+    error_code parse();
+    bool take_answer();
     void finish(exchange_result result, const std::string& cause);
 
     asio::io_context& m_io;
@@ -79,12 +85,18 @@
 
     boost::beast::http::request<boost::beast::http::string_body> m_request;
     boost::beast::flat_buffer m_buffer;
+
+    /// Bytes read in this exchange, those that are no answer to its request included.
+    std::size_t m_bytes_read = 0;
+    std::chrono::steady_clock::time_point m_deadline;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     milliseconds m_timeout{};
     accept_function m_accept;
     done_function m_done;
     bool m_write_done = false;
-    bool m_nothing_sent = true;
+
+    /// The writing failed before its first byte. Unknown, and so false, while it is under way.
+    bool m_nothing_sent = false;
     std::uint64_t m_idle_watch = 0;
 };
 
