Send no grant late, and none over another connection than it names

A grant whose connection had to be opened, or whose process was busy, could leave later than its record says; the time that a hold allows for the way was used up by the connect timeout alone. A kept connection that had ended was also replaced without the reducer knowing, which would give the next life of a server a token of its former one.

A grant now leaves within 150 ms after the decision and over the connection whose number it carries, or is reported as not sent.

--- a/libs/sidecar_runtime/src/client_connection.cpp
+++ b/libs/sidecar_runtime/src/client_connection.cpp
@@ -79,10 +79,17 @@
     m_reusable = false;
     if (m_connected)
         send();
+    else if (m_may_send && m_was_connected)
+        finish(exchange_result::not_sent, "the connection has ended");
     else
         connect();
 }
 
+void client_connection::bind_to_connection(may_send_function may_send)
+{
+    m_may_send = std::move(may_send);
+}
+
 bool client_connection::is_quiet()
 {
     char byte = 0;
@@ -100,7 +107,7 @@
             self->finish(exchange_result::not_sent, "connect: " + error.message());
             return;
         }
-        self->m_connected = true;
+        self->m_connected = self->m_was_connected = true;
         set_connection_options(self->m_stream.socket());
         self->send();
     });
@@ -108,6 +115,10 @@
 
 void client_connection::send()
 {
+    if (m_may_send && !m_may_send()) {
+        finish(exchange_result::not_sent, "too late to be sent");
+        return;
+    }
     m_stream.expires_after(m_timeout);
     m_deadline = std::chrono::steady_clock::now() + m_timeout;
     m_bytes_read = 0;
--- a/libs/sidecar_runtime/src/client_connection.hpp
+++ b/libs/sidecar_runtime/src/client_connection.hpp
@@ -44,8 +44,15 @@
     using accept_function = std::function<bool(const http_response&)>;
     using done_function = std::function<void(exchange_outcome)>;
 
+    /// Asked just before the first byte; false ends the exchange as not sent.
+    using may_send_function = std::function<bool()>;
+
     client_connection(asio::io_context& io, const endpoint& address, milliseconds connect_timeout);
 
+    /// Keeps exchanges to the first connection that is established: none is replaced, and no
+    /// request is sent for which `may_send` is false.
+    void bind_to_connection(may_send_function may_send);
+
     /// Connects first when needed, also when the other end has closed the idle connection or has
     /// sent bytes on it, which would be taken for the answer. `done` is called once, unless the
     /// connection is closed.
@@ -80,6 +87,8 @@
     tcp::endpoint m_address;
     milliseconds m_connect_timeout;
     bool m_connected = false;
+    bool m_was_connected = false;
+    may_send_function m_may_send;
     bool m_reusable = false;
     std::chrono::steady_clock::time_point m_idle_end;
 
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -67,7 +67,8 @@
       m_state(sidecar::make_node(m_options, time.now(), random_number())),
       m_backend(m_io, formats, {},
                 [this](sidecar::event happened) { happen(std::move(happened)); }),
-      m_orders(m_io, formats, {}, [this](sidecar::event happened) { happen(std::move(happened)); }),
+      m_orders(m_io, time, formats, {},
+               [this](sidecar::event happened) { happen(std::move(happened)); }),
       m_store(
           m_io, time, formats, make_store_options(settings),
           [this](sidecar::event happened) { happen(std::move(happened)); },
--- a/libs/sidecar_runtime/src/order_sender.cpp
+++ b/libs/sidecar_runtime/src/order_sender.cpp
@@ -4,9 +4,9 @@
 
 namespace azureladder::sidecar_runtime {
 
-order_sender::order_sender(asio::io_context& io, const translation& formats,
+order_sender::order_sender(asio::io_context& io, const clock& time, const translation& formats,
                            order_sender_options options, report_function report)
-    : m_io(io), m_formats(formats), m_options(options), m_report(std::move(report))
+    : m_io(io), m_clock(time), m_formats(formats), m_options(options), m_report(std::move(report))
 {
 }
 
@@ -14,7 +14,7 @@
 {
     const auto parsed = parse_endpoint(address);
     return std::make_shared<client_connection>(m_io, parsed.value_or(endpoint{"127.0.0.1", 9}),
-                                               m_options.m_connect_timeout);
+                                               m_options.m_departure_limit);
 }
 
 void order_sender::close_idle()
@@ -71,6 +71,10 @@
                                       "the connection has ended"});
         return;
     }
+    connection->bind_to_connection(
+        [this, number = order.m_connection, latest = m_clock.now() + m_options.m_departure_limit] {
+            return number == m_newest_number && m_clock.now() <= latest;
+        });
     connection->exchange(m_formats.write_grant(order), m_options.m_order_timeout, nullptr,
                          [this, connection, id = order.m_order,
                           number = order.m_connection](const exchange_outcome& outcome) {
--- a/libs/sidecar_runtime/src/order_sender.hpp
+++ b/libs/sidecar_runtime/src/order_sender.hpp
@@ -2,6 +2,7 @@
 
 #include "client_connection.hpp"
 
+#include <azureladder/base/clock.hpp>
 #include <azureladder/sidecar/effects.hpp>
 #include <azureladder/sidecar/events.hpp>
 #include <azureladder/sidecar_runtime/translation.hpp>
@@ -13,8 +14,10 @@
 
 struct order_sender_options
 {
-    /// The server is on the same VM, so that a connection takes milliseconds.
-    milliseconds m_connect_timeout{300};
+    /// Time from the decision to the first byte, the new connection included. A grant that leaves
+    /// later would outlast the hold that the node has recorded; half of the time that a hold allows
+    /// for the way (`hold_slack` without 2 % of the hold).
+    milliseconds m_departure_limit{150};
 
     /// Longest time for a grant or a release, which waits for the work on its keys.
     milliseconds m_order_timeout{3000};
@@ -27,8 +30,8 @@
 public:
     using report_function = std::function<void(sidecar::event)>;
 
-    order_sender(asio::io_context& io, const translation& formats, order_sender_options options,
-                 report_function report);
+    order_sender(asio::io_context& io, const clock& time, const translation& formats,
+                 order_sender_options options, report_function report);
 
     void grant(const sidecar::grant_keys& order);
     void release(const sidecar::release_keys& order);
@@ -45,6 +48,7 @@
     void report_end(std::uint64_t order, const exchange_outcome& outcome);
 
     asio::io_context& m_io;
+    const clock& m_clock;
     const translation& m_formats;
     order_sender_options m_options;
     report_function m_report;
