--- a/libs/sidecar/tests/fake_store.hpp
+++ b/libs/sidecar/tests/fake_store.hpp
@@ -16,6 +16,9 @@
     table_read read(const std::string& service, time_point sent_at);
     table_written write(const write_table& wanted, time_point sent_at);
 
+    /// Revision of the newest write that was carried out.
+    std::uint64_t revision() const { return m_revision; }
+
     std::size_t m_reads = 0;
 
 private:
--- a/libs/sidecar/tests/key_ownership_test.cpp
+++ b/libs/sidecar/tests/key_ownership_test.cpp
@@ -121,4 +121,25 @@
     }
 }
 
+// Guards against a new process that learns a table from a peer which is older than the one that its
+// predecessor wrote, and grants what that one gave away. Seen on a grown site.
+TEST(key_ownership, older_table_of_a_peer_gives_no_key_two_holders)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        sidecar_cluster cluster({1, 4, seed});
+        cluster.run_for(settling);
+        const std::uint64_t revision = cluster.store().revision();
+        cluster.stop_node("shelf-1");
+        for (int i = 0; i < 200 && cluster.store().revision() == revision; ++i)
+            cluster.run_for(milliseconds(1));
+        ASSERT_GT(cluster.store().revision(), revision);
+        // Killed before the answer to the write: only the store knows the new table.
+        cluster.kill_node("shelf-1");
+        cluster.cut_store("shelf-1", true);
+        cluster.start_node("shelf-1");
+        send_keyed(cluster, seconds(6));
+        ASSERT_TRUE(cluster.violations().empty()) << seed << ": " << cluster.violations().front();
+    }
+}
+
 } // namespace azureladder::sidecar
