--- a/libs/key_ranges/include/azureladder/key_ranges/range_entry.hpp
+++ b/libs/key_ranges/include/azureladder/key_ranges/range_entry.hpp
@@ -33,8 +33,8 @@
     /// Node that may grant the range.
     std::string m_owner;
 
-    /// Life of the owner's backend server for which the fencing token was taken; empty until the
-    /// owner has taken one.
+    /// Life of the owner's backend server and process for which the fencing token was taken; empty
+    /// until the owner has taken one.
     std::string m_life;
 
     /// Raised at each change of owner or life.
--- a/libs/sidecar/include/azureladder/sidecar/effects.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/effects.hpp
@@ -80,7 +80,9 @@
     std::string m_backend_address;
     std::uint32_t m_from = 0;
     std::uint32_t m_to = 0;
-    std::uint64_t m_fence = 0;
+
+    /// Fencing token: that of the range in the table, then the number of the connection.
+    std::uint64_t m_token = 0;
     duration m_hold_time{};
     std::string m_handover;
 };
@@ -92,7 +94,7 @@
     std::string m_backend_address;
     std::uint32_t m_from = 0;
     std::uint32_t m_to = 0;
-    std::uint64_t m_fence = 0;
+    std::uint64_t m_token = 0;
 };
 
 struct decode_configuration
--- a/libs/sidecar/src/key_tables.cpp
+++ b/libs/sidecar/src/key_tables.cpp
@@ -312,7 +312,7 @@
 }
 
 void adopt_table(step_context& context, const std::string& service, std::uint64_t revision,
-                 const std::string& text, time_point confirmed_at)
+                 const std::string& text, time_point confirmed_at, const std::string& source)
 {
     node_state& state = context.m_state;
     const auto known = state.m_tables.find(service);
@@ -333,7 +333,10 @@
     adopted.m_text = text;
     adopted.m_confirmed_at = std::max(adopted.m_confirmed_at, confirmed_at);
     log(context, log_level::info, "table_in_force",
-        {{"service", service}, {"revision", revision}, {"ranges", table->m_entries.size()}});
+        {{"service", service},
+         {"revision", revision},
+         {"ranges", table->m_entries.size()},
+         {"source", source}});
     if (service == local_keyed_service(state)) {
         note_claims(context, *table);
         check_moves(context);
@@ -354,7 +357,7 @@
     keys.m_next_read = context.m_now + with_jitter(context, options.m_store_retry / 2);
     keys.m_absent = read.m_revision == 0;
     if (!keys.m_absent) {
-        adopt_table(context, read.m_service, read.m_revision, read.m_text, read.m_sent_at);
+        adopt_table(context, read.m_service, read.m_revision, read.m_text, read.m_sent_at, "store");
         return;
     }
     // The member that creates the table gives it to the others.
@@ -377,14 +380,14 @@
         keys.m_absent = false;
         give_to_new_owners(context, written);
         adopt_table(context, written.m_service, written.m_revision, keys.m_proposed_text,
-                    written.m_sent_at);
+                    written.m_sent_at, "own write");
         // The writer tells the other owners; nodes of other services learn from refusals.
         tell_owners(context, written.m_service);
         return;
     }
     if (written.m_result == write_result::conflict && !written.m_text.empty()) {
         adopt_table(context, written.m_service, written.m_revision, written.m_text,
-                    written.m_sent_at);
+                    written.m_sent_at, "conflict");
         keys.m_next_write = context.m_now + with_jitter(context, conflict_pause);
         return;
     }
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -124,7 +124,7 @@
 void on_table_written(step_context& context, const table_written& written);
 void on_order_ended(step_context& context, const order_ended& ended);
 void adopt_table(step_context& context, const std::string& service, std::uint64_t revision,
-                 const std::string& text, time_point confirmed_at);
+                 const std::string& text, time_point confirmed_at, const std::string& source);
 void check_tables(step_context& context);
 void check_holds(step_context& context);
 void check_moves(step_context& context);
--- a/libs/sidecar/tests/fake_backend.cpp
+++ b/libs/sidecar/tests/fake_backend.cpp
@@ -34,7 +34,7 @@
     order_ended ended;
     ended.m_order = order.m_order;
     for (const auto& [from, held] : m_holds) {
-        if (held.m_to >= order.m_from && from <= order.m_to && held.m_fence > order.m_fence) {
+        if (held.m_to >= order.m_from && from <= order.m_to && held.m_fence > order.m_token) {
             ended.m_result = order_result::refused;
             return ended;
         }
@@ -43,7 +43,7 @@
     covered.m_from = order.m_from;
     covered.m_to = order.m_to;
     release(covered);
-    m_holds[order.m_from] = {order.m_to, order.m_fence,
+    m_holds[order.m_from] = {order.m_to, order.m_token,
                              now + order.m_hold_time * clock_percent / 100};
     ended.m_result = order_result::accepted;
     return ended;
--- a/libs/sidecar/tests/order_records_test.cpp
+++ b/libs/sidecar/tests/order_records_test.cpp
@@ -195,9 +195,9 @@
     std::uint64_t highest = 0;
     for (const auto& sent : node.m_grants) {
         if (sent.m_grant.m_connection >= 65534) {
-            EXPECT_GE(sent.m_grant.m_fence, highest) << sent.m_grant.m_connection;
+            EXPECT_GE(sent.m_grant.m_token, highest) << sent.m_grant.m_connection;
         }
-        highest = std::max(highest, sent.m_grant.m_fence);
+        highest = std::max(highest, sent.m_grant.m_token);
     }
 }
 
--- a/libs/sidecar/tests/sidecar_cluster.cpp
+++ b/libs/sidecar/tests/sidecar_cluster.cpp
@@ -388,17 +388,17 @@
         if (taken.m_to < order.m_from || taken.m_from > order.m_to)
             continue;
         const bool same_life = taken.m_node == node && taken.m_life == life;
-        if (!same_life && taken.m_fence >= order.m_fence)
+        if (!same_life && taken.m_fence >= order.m_token)
             m_violations.push_back("token not raised: " + std::to_string(order.m_from) + " at " +
-                                   node + " with " + std::to_string(order.m_fence) + ", " +
+                                   node + " with " + std::to_string(order.m_token) + ", " +
                                    taken.m_node + " had it with " + std::to_string(taken.m_fence));
         if (!same_life || taken.m_from != order.m_from || taken.m_to != order.m_to)
             continue;
-        taken.m_fence = std::max(taken.m_fence, order.m_fence);
+        taken.m_fence = std::max(taken.m_fence, order.m_token);
         is_known = true;
     }
     if (!is_known)
-        m_taken.push_back({node, life, order.m_from, order.m_to, order.m_fence});
+        m_taken.push_back({node, life, order.m_from, order.m_to, order.m_token});
 }
 
 void sidecar_cluster::restart_backend(const std::string& node, duration down)
