Wait in tests until a process that gets SIGSTOP has stopped

The logs show the cause: bookings-a started the order 1.6 ms after its dispatch and answered it, within 5 ms after the signal. kill() returns before the threads of the process have stopped, and on a busy machine one of them went on working.

send_signal now returns after SIGSTOP when the process has stopped. The test's expectations are unchanged.

--- a/testbench/deployment/include/azureladder/deployment/process.hpp
+++ b/testbench/deployment/include/azureladder/deployment/process.hpp
@@ -23,7 +23,8 @@
 
     pid_t id() const { return m_id; }
 
-    /// Sends a signal; does nothing after the end of the process.
+    /// Sends a signal; does nothing after the end of the process. Returns after SIGSTOP when all
+    /// threads have stopped.
     void send_signal(int number);
 
     bool running();
--- a/testbench/deployment/src/process.cpp
+++ b/testbench/deployment/src/process.cpp
@@ -42,8 +42,16 @@
 
 void process::send_signal(int number)
 {
-    if (running())
-        ::kill(m_id, number);
+    if (!running())
+        return;
+    ::kill(m_id, number);
+    if (number != SIGSTOP)
+        return;
+    // The threads stop one after the other. On a busy machine some still work for a while.
+    siginfo_t ignored;
+    while (waitid(P_PID, static_cast<id_t>(m_id), &ignored, WSTOPPED | WEXITED | WNOWAIT) != 0 &&
+           errno == EINTR) {
+    }
 }
 
 bool process::running()
