Open and reuse connections to servers by one piece of code

The sender of orders had a second copy of opening a connection to an address text, and three places compared the idle time of a kept connection. Behaviour is unchanged; the tests of the runtime and the adapter pass (45 and 35).

--- a/libs/sidecar_runtime/src/backend_pool.cpp
+++ b/libs/sidecar_runtime/src/backend_pool.cpp
@@ -29,9 +29,7 @@
 {
     if (auto connection = take_idle(m_idle[address]))
         return connection;
-    const auto parsed = parse_endpoint(address);
-    return std::make_shared<client_connection>(m_io, parsed.value_or(endpoint{"127.0.0.1", 9}),
-                                               m_options.m_connect_timeout);
+    return make_connection(m_io, address, m_options.m_connect_timeout);
 }
 
 void backend_pool::give_back(const std::string& address, const connection_ptr& connection)
--- a/libs/sidecar_runtime/src/client_connection.cpp
+++ b/libs/sidecar_runtime/src/client_connection.cpp
@@ -258,13 +258,20 @@
         });
 }
 
+std::shared_ptr<client_connection> make_connection(asio::io_context& io, const std::string& address,
+                                                   milliseconds connect_timeout)
+{
+    const auto parsed = parse_endpoint(address);
+    return std::make_shared<client_connection>(io, parsed.value_or(endpoint{"127.0.0.1", 9}),
+                                               connect_timeout);
+}
+
 std::shared_ptr<client_connection> take_idle(std::vector<std::shared_ptr<client_connection>>& idle)
 {
-    const auto now = std::chrono::steady_clock::now();
     while (!idle.empty()) {
         auto connection = idle.back();
         idle.pop_back();
-        if (connection->is_reusable() && now < connection->idle_end())
+        if (connection->is_kept_open())
             return connection;
         connection->close();
     }
--- a/libs/sidecar_runtime/src/client_connection.hpp
+++ b/libs/sidecar_runtime/src/client_connection.hpp
@@ -65,8 +65,11 @@
     /// Whether another exchange may follow on this connection.
     bool is_reusable() const { return m_reusable; }
 
-    /// When the other end may close the idle connection.
-    std::chrono::steady_clock::time_point idle_end() const { return m_idle_end; }
+    /// Whether the other end keeps the idle connection open for another exchange now.
+    bool is_kept_open() const
+    {
+        return m_reusable && std::chrono::steady_clock::now() < m_idle_end;
+    }
 
     /// Calls `closed` when the other end closes the idle connection or sends bytes unasked.
     void watch_idle(std::function<void()> closed);
@@ -109,6 +112,10 @@
     std::uint64_t m_idle_watch = 0;
 };
 
+/// A connection to "IP:PORT", which is opened by its first exchange.
+std::shared_ptr<client_connection> make_connection(asio::io_context& io, const std::string& address,
+                                                   milliseconds connect_timeout);
+
 /// Takes the connection that was used last, the least likely to be closed, and closes those that
 /// can't be used any more. Null when none is left.
 std::shared_ptr<client_connection> take_idle(std::vector<std::shared_ptr<client_connection>>& idle);
--- a/libs/sidecar_runtime/src/order_sender.cpp
+++ b/libs/sidecar_runtime/src/order_sender.cpp
@@ -12,9 +12,7 @@
 
 order_sender::connection_ptr order_sender::open_connection(const std::string& address)
 {
-    const auto parsed = parse_endpoint(address);
-    return std::make_shared<client_connection>(m_io, parsed.value_or(endpoint{"127.0.0.1", 9}),
-                                               m_options.m_departure_limit);
+    return make_connection(m_io, address, m_options.m_departure_limit);
 }
 
 void order_sender::close_idle()
@@ -33,7 +31,7 @@
     }
     if (order.m_connection != m_newest_number || !m_idle)
         return nullptr;
-    if (!m_idle->is_reusable() || std::chrono::steady_clock::now() >= m_idle->idle_end()) {
+    if (!m_idle->is_kept_open()) {
         close_idle();
         return nullptr;
     }
--- a/libs/sidecar_runtime/src/store_session.cpp
+++ b/libs/sidecar_runtime/src/store_session.cpp
@@ -170,9 +170,7 @@
 void store_session::watch()
 {
     ++m_calls;
-    const auto now = std::chrono::steady_clock::now();
-    if (!m_watch_connection || !m_watch_connection->is_reusable() ||
-        now >= m_watch_connection->idle_end())
+    if (!m_watch_connection || !m_watch_connection->is_kept_open())
         m_watch_connection = std::make_shared<client_connection>(m_io, m_options.m_address,
                                                                  m_options.m_connect_timeout);
     m_watch_connection->exchange(
