List the members that may own ranges once for a proposed table

Each tick of an owner walked all peers up to three times more since claims are passed on and tokens are taken for others.

--- a/libs/sidecar/src/key_tables.cpp
+++ b/libs/sidecar/src/key_tables.cpp
@@ -68,24 +68,26 @@
     return peer != state.m_peers.end() && is_usable(state, peer->second, now);
 }
 
+/// Members that may own ranges, with their lives, in order of name.
+using eligible_members = std::map<std::string, std::string>;
+
 /// Owners that need help since some time, for which it is this node's turn to give it. Members take
 /// turns, so that their writes don't contend.
-std::vector<std::string> owners_in_turn(const step_context& context, owner_times& needing_since,
+std::vector<std::string> owners_in_turn(const step_context& context,
+                                        const eligible_members& members, owner_times& needing_since,
                                         const std::set<std::string>& needing,
                                         const help_pauses& pauses)
 {
-    const node_state& state = context.m_state;
     owner_times present;
     for (const auto& owner : needing) {
         const auto known = needing_since.find(owner);
         present[owner] = known == needing_since.end() ? context.m_now : known->second;
     }
     needing_since = std::move(present);
-    const auto eligible = eligible_owners(state, local_keyed_service(state), context.m_now);
-    const auto self = eligible.find(state.m_options.m_node);
-    if (self == eligible.end())
+    const auto self = members.find(context.m_state.m_options.m_node);
+    if (self == members.end())
         return {};
-    const auto turn = std::distance(eligible.begin(), self);
+    const auto turn = std::distance(members.begin(), self);
     std::vector<std::string> result;
     for (const auto& [owner, since] : needing_since) {
         if (context.m_now - since >= pauses.m_first + pauses.m_turn * turn)
@@ -95,7 +97,8 @@
 }
 
 /// Owners without a sign of life whose ranges this node has to claim now.
-std::vector<std::string> owners_to_claim(step_context& context, const range_table& table)
+std::vector<std::string> owners_to_claim(step_context& context, const eligible_members& members,
+                                         const range_table& table)
 {
     node_state& state = context.m_state;
     std::set<std::string> lost;
@@ -103,31 +106,32 @@
         if (!is_alive(state, entry.m_owner, context.m_now))
             lost.insert(entry.m_owner);
     }
-    return owners_in_turn(context, state.m_ownership.m_owner_lost_at, lost,
+    return owners_in_turn(context, members, state.m_ownership.m_owner_lost_at, lost,
                           state.m_options.m_claim_pauses);
 }
 
 /// Other owners, with their present lives, for which this node has to take new tokens now: the
 /// store turns them away.
-std::vector<key_ranges::range_owner> owners_to_bind(step_context& context, const range_table& table)
+std::vector<key_ranges::range_owner>
+owners_to_bind(step_context& context, const eligible_members& members, const range_table& table)
 {
     node_state& state = context.m_state;
-    const auto owners = eligible_owners(state, local_keyed_service(state), context.m_now);
     std::set<std::string> unbound;
     for (const auto& entry : table.m_entries) {
-        const auto owner = owners.find(entry.m_owner);
-        if (owner != owners.end() && entry.m_owner != state.m_options.m_node &&
+        const auto owner = members.find(entry.m_owner);
+        if (owner != members.end() && entry.m_owner != state.m_options.m_node &&
             entry.m_state == range_state::settled && entry.m_life != owner->second)
             unbound.insert(entry.m_owner);
     }
     std::vector<key_ranges::range_owner> result;
-    for (const auto& node : owners_in_turn(context, state.m_ownership.m_owner_unbound_at, unbound,
-                                           state.m_options.m_bind_pauses))
-        result.push_back({node, owners.at(node)});
+    for (const auto& node : owners_in_turn(context, members, state.m_ownership.m_owner_unbound_at,
+                                           unbound, state.m_options.m_bind_pauses))
+        result.push_back({node, members.at(node)});
     return result;
 }
 
-void apply_released_moves(const node_state& state, time_point now, range_table& table)
+void apply_released_moves(const node_state& state, time_point now, const eligible_members& members,
+                          range_table& table)
 {
     for (const auto& move : state.m_ownership.m_moves) {
         if (!move.m_released ||
@@ -138,17 +142,16 @@
         if (entry == nullptr || entry->m_fence != move.m_fence ||
             entry->m_owner != state.m_options.m_node)
             continue;
-        const auto targets = eligible_owners(state, local_keyed_service(state), now);
         const auto is_other = [&](const auto& candidate) {
             return candidate.first != state.m_options.m_node;
         };
-        auto target = targets.find(move.m_target);
-        if (target == targets.end())
-            target = std::find_if(targets.begin(), targets.end(), is_other);
+        auto target = members.find(move.m_target);
+        if (target == members.end())
+            target = std::find_if(members.begin(), members.end(), is_other);
         // Released keys whose receivers are all gone come back under a new fencing token.
-        if (target == targets.end())
-            target = targets.find(state.m_options.m_node);
-        if (target != targets.end())
+        if (target == members.end())
+            target = members.find(state.m_options.m_node);
+        if (target != members.end())
             key_ranges::transfer(table, move.m_from, move.m_to, {target->first, target->second},
                                  move.m_handover);
     }
@@ -156,32 +159,33 @@
 
 /// Passes on the claims of a node that may not settle them. They can't be released like the ranges
 /// that it holds, and nobody claims them from a node that lives.
-void pass_on_claims(const node_state& state, time_point now, range_table& table)
+void pass_on_claims(const node_state& state, time_point now, const eligible_members& members,
+                    range_table& table)
 {
-    const auto targets = eligible_owners(state, local_keyed_service(state), now);
-    if (must_own_nothing(state, now) && !targets.empty() &&
-        targets.begin()->first != state.m_options.m_node)
+    if (must_own_nothing(state, now) && !members.empty() &&
+        members.begin()->first != state.m_options.m_node)
         key_ranges::pass_claims(table, state.m_options.m_node,
-                                {targets.begin()->first, targets.begin()->second});
+                                {members.begin()->first, members.begin()->second});
 }
 
 /// The table as this node would have it now.
 range_table desired_table(step_context& context, const range_table& known)
 {
     node_state& state = context.m_state;
+    const auto members = eligible_owners(state, local_keyed_service(state), context.m_now);
     range_table table = known;
-    apply_released_moves(state, context.m_now, table);
-    pass_on_claims(state, context.m_now, table);
+    apply_released_moves(state, context.m_now, members, table);
+    pass_on_claims(state, context.m_now, members, table);
     const std::string life = local_life(state);
     if (life.empty() || !is_gate_open(state, context.m_now))
         return table;
     const auto self = self_owner(state);
     key_ranges::reclaim(table, self);
-    for (const auto& owner : owners_to_claim(context, table))
+    for (const auto& owner : owners_to_claim(context, members, table))
         key_ranges::claim(table, owner, self);
     key_ranges::settle(table, self.m_node, finished_claims(context));
     key_ranges::bind_life(table, self);
-    for (const auto& owner : owners_to_bind(context, table))
+    for (const auto& owner : owners_to_bind(context, members, table))
         key_ranges::bind_life(table, owner);
     return table;
 }
