--- a/libs/key_ranges/include/azureladder/key_ranges/grant_history.hpp
+++ b/libs/key_ranges/include/azureladder/key_ranges/grant_history.hpp
@@ -3,7 +3,6 @@
 #include <azureladder/key_ranges/hold_rules.hpp>
 #include <azureladder/key_ranges/sent_grant.hpp>
 
-#include <cstddef>
 #include <cstdint>
 #include <vector>
 
--- a/libs/sidecar/src/key_holds.cpp
+++ b/libs/sidecar/src/key_holds.cpp
@@ -88,8 +88,9 @@
     connection.m_is_proven = false;
 }
 
-/// Whether a grant may be sent now; one that keeps others waiting for too long is left behind.
-bool is_connection_free(order_connection& connection, std::size_t waiting, time_point now)
+/// Readies the connection for a grant, unless one is under way that may still be waited for. One
+/// that keeps others waiting for too long is left behind with its connection.
+bool take_connection(order_connection& connection, std::size_t waiting, time_point now)
 {
     if (now < connection.m_next_order)
         return false;
@@ -100,9 +101,9 @@
     return connection.m_order == 0;
 }
 
-/// Whether keys may be granted at the server's address. A server at a former address may hold them
-/// until its grants have ended.
-bool is_address_usable(step_context& context)
+/// Readies the connection for the server's address, unless a server at a former address may still
+/// hold keys.
+bool take_address(step_context& context)
 {
     key_ownership& keys = context.m_state.m_ownership;
     const std::string& address = context.m_state.m_backend->m_announcement.m_address;
@@ -161,8 +162,8 @@
         if (urgent == keys.m_holds.end() || hold->second.m_granted_at < urgent->second.m_granted_at)
             urgent = hold;
     }
-    if (waiting == 0 || !is_address_usable(context) ||
-        !is_connection_free(keys.m_connection, waiting, context.m_now))
+    if (waiting == 0 || !take_address(context) ||
+        !take_connection(keys.m_connection, waiting, context.m_now))
         return;
     // With a new epoch the tokens of the table have to be raised first.
     if (keys.m_holds_epoch == key_ranges::connection_epoch(keys.m_connection.m_number))
