--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -345,7 +345,12 @@
     } else {
         routing::remove_waiting_request(state.m_admission_controller, id);
     }
-    log(context, log_level::info, "request_cancelled", execution_fields(execution));
+    json fields = execution_fields(execution);
+    fields["origin_lost"] = execution.m_link_lost_at != time_point{};
+    fields["started"] = execution.m_started;
+    if (execution.m_started)
+        fields["elapsed_us"] = (context.m_now - execution.m_started_at).count();
+    log(context, log_level::info, "request_cancelled", std::move(fields));
     remove_execution(context, id);
     start_waiting(context);
 }
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -164,8 +164,10 @@
     const auto found = context.m_state.m_requests.find(left.m_caller);
     if (found == context.m_state.m_requests.end())
         return;
-    log_end(context, found->second, "caller_left", 0);
-    cancel_attempt(context, found->second);
+    open_request& request = found->second;
+    const std::string gate = request.m_node;
+    const bool is_cancel_sent = cancel_attempt(context, request);
+    log_end(context, request, "caller_left", 0, {{"gate", gate}, {"cancel_sent", is_cancel_sent}});
     context.m_state.m_requests.erase(found);
 }
 
--- a/libs/sidecar/src/ingress_completion.cpp
+++ b/libs/sidecar/src/ingress_completion.cpp
@@ -42,17 +42,20 @@
     request.m_link_lost_at = {};
 }
 
-void cancel_attempt(step_context& context, open_request& request)
+bool cancel_attempt(step_context& context, open_request& request)
 {
     if (request.m_frame == 0)
-        return;
-    send_to_node(context, request.m_node, cancel_frame{request.m_frame});
+        return false;
+    const bool is_sent = send_to_node(context, request.m_node, cancel_frame{request.m_frame});
     end_attempt(context, request);
+    return is_sent;
 }
 
-void log_end(step_context& context, const open_request& request, const char* outcome, int status)
+void log_end(step_context& context, const open_request& request, const char* outcome, int status,
+             const json& further_fields)
 {
     json fields = request_fields(request);
+    fields.update(further_fields);
     fields["outcome"] = outcome;
     fields["status"] = status;
     fields["executions"] = request.m_executions;
--- a/libs/sidecar/src/ingress_internal.hpp
+++ b/libs/sidecar/src/ingress_internal.hpp
@@ -20,10 +20,12 @@
 /// Ends the current attempt of a request.
 void end_attempt(step_context& context, open_request& request);
 
-/// Ends the current attempt and sends a cancel frame to its node.
-void cancel_attempt(step_context& context, open_request& request);
+/// Ends the current attempt and sends a cancel frame to its node. Returns false when there is no
+/// attempt or no connection to its node.
+bool cancel_attempt(step_context& context, open_request& request);
 
-void log_end(step_context& context, const open_request& request, const char* outcome, int status);
+void log_end(step_context& context, const open_request& request, const char* outcome, int status,
+             const json& further_fields = json::object());
 
 // The functions below end the request and invalidate references to it.
 void finish_with_response(step_context& context, open_request& request,
--- a/libs/sidecar/src/peers.cpp
+++ b/libs/sidecar/src/peers.cpp
@@ -135,15 +135,17 @@
         emit(context, send_frame{link, std::move(frame)});
 }
 
-void send_to_node(step_context& context, const std::string& node, peer_frame frame)
+bool send_to_node(step_context& context, const std::string& node, peer_frame frame)
 {
     if (node == context.m_state.m_options.m_node) {
         send_on_link(context, loopback_link, std::move(frame));
-        return;
+        return true;
     }
     const auto peer = context.m_state.m_peers.find(node);
-    if (peer != context.m_state.m_peers.end() && peer->second.m_link != 0)
-        send_on_link(context, peer->second.m_link, std::move(frame));
+    if (peer == context.m_state.m_peers.end() || peer->second.m_link == 0)
+        return false;
+    send_on_link(context, peer->second.m_link, std::move(frame));
+    return true;
 }
 
 void send_status(step_context& context, std::uint64_t link)
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -96,7 +96,9 @@
 void on_hello(step_context& context, std::uint64_t link, const hello_frame& frame);
 void on_ping(step_context& context, std::uint64_t link, const ping_frame& frame);
 void on_status(step_context& context, std::uint64_t link, const status_frame& frame);
-void send_to_node(step_context& context, const std::string& node, peer_frame frame);
+
+/// Returns false, and drops the frame, when there is no connection to the node.
+bool send_to_node(step_context& context, const std::string& node, peer_frame frame);
 void send_on_link(step_context& context, std::uint64_t link, peer_frame frame);
 void broadcast_status(step_context& context);
 void send_status(step_context& context, std::uint64_t link);
--- a/libs/sidecar/tests/ingress_test.cpp
+++ b/libs/sidecar/tests/ingress_test.cpp
@@ -174,4 +174,21 @@
     EXPECT_EQ(second.first, responsive_link);
 }
 
+// Guards against a log line of a disconnect that doesn't say whether the gate was told.
+TEST(ingress, log_line_of_a_disconnect_states_the_gate_and_whether_it_was_told)
+{
+    node_state state = make_connected_node({"a"});
+    step(state, make_request(), start_time);
+    for (const auto& effect : step(state, caller_disconnected{1}, start_time)) {
+        const auto* line = std::get_if<log_line>(&effect);
+        if (line == nullptr || line->m_event != "request_finished")
+            continue;
+        EXPECT_EQ(line->m_fields.value("outcome", ""), "caller_left");
+        EXPECT_EQ(line->m_fields.value("gate", ""), "a");
+        EXPECT_TRUE(line->m_fields.value("cancel_sent", false));
+        return;
+    }
+    FAIL() << "no line about the end of the request";
+}
+
 } // namespace azureladder::sidecar
