Reproduce work for callers that have disconnected in failing tests

detects_a_caller_that_disconnects closed the connection before the request was read, and expected one request and one disconnect. It closes it after the request has been dispatched now; the former order is a case of its own, which expects that the request is not dispatched at all.

--- a/libs/sidecar/tests/ingress_test.cpp
+++ b/libs/sidecar/tests/ingress_test.cpp
@@ -68,6 +68,28 @@
     return {0, 0};
 }
 
+/// Ids of the requests that a step cancels over a link.
+std::vector<std::uint64_t> cancelled_requests(const effects& done, std::uint64_t link)
+{
+    std::vector<std::uint64_t> result;
+    for (const auto& effect : done) {
+        const auto* sent = std::get_if<send_frame>(&effect);
+        if (sent == nullptr || sent->m_link != link)
+            continue;
+        if (const auto* cancelled = std::get_if<cancel_frame>(&sent->m_frame))
+            result.push_back(cancelled->m_id);
+    }
+    return result;
+}
+
+/// Opens a new connection to the peer "a" and returns the effects of its handshake.
+effects reconnect(node_state& state, std::uint64_t link, std::uint64_t incarnation, time_point now)
+{
+    step(state, timer_tick{}, now);
+    step(state, link_opened{link, "a"}, now);
+    return step(state, frame_received{link, hello_frame{"a", incarnation, "a:0", "", {}, {}}}, now);
+}
+
 caller_request make_request()
 {
     caller_request request;
@@ -174,6 +196,31 @@
     EXPECT_EQ(second.first, responsive_link);
 }
 
+// Guards against work that continues for a caller that disconnected while the connection to the
+// gate was down.
+TEST(ingress, cancel_is_sent_once_a_lost_connection_is_open_again)
+{
+    node_state state = make_connected_node({"a"});
+    const auto sent = sent_request(step(state, make_request(), start_time));
+    ASSERT_EQ(sent.first, 1U);
+    step(state, link_closed{1}, start_time + milliseconds(50));
+    step(state, caller_disconnected{1}, start_time + milliseconds(100));
+    const auto done = reconnect(state, 7, 1, start_time + milliseconds(150));
+    EXPECT_EQ(cancelled_requests(done, 7), std::vector<std::uint64_t>{sent.second});
+}
+
+// Guards against a cancel that is lost with the connection on which it was sent.
+TEST(ingress, unconfirmed_cancel_is_sent_again_over_a_new_connection)
+{
+    node_state state = make_connected_node({"a"});
+    const auto sent = sent_request(step(state, make_request(), start_time));
+    const auto first = step(state, caller_disconnected{1}, start_time + milliseconds(50));
+    EXPECT_EQ(cancelled_requests(first, 1), std::vector<std::uint64_t>{sent.second});
+    step(state, link_closed{1}, start_time + milliseconds(100));
+    const auto done = reconnect(state, 7, 1, start_time + milliseconds(150));
+    EXPECT_EQ(cancelled_requests(done, 7), std::vector<std::uint64_t>{sent.second});
+}
+
 // Guards against a log line of a disconnect that doesn't say whether the gate was told.
 TEST(ingress, log_line_of_a_disconnect_states_the_gate_and_whether_it_was_told)
 {
--- a/libs/sidecar_runtime/tests/http_test.cpp
+++ b/libs/sidecar_runtime/tests/http_test.cpp
@@ -85,36 +85,25 @@
 
 /// Sends bytes to a listener that echoes the method, target and body of each request, and returns
 /// all received bytes.
-std::string exchange_bytes(const std::string& bytes, const routing::client_limits& limits = {},
-                           int* disconnects = nullptr, bool responds = true)
+std::string exchange_bytes(const std::string& bytes, const routing::client_limits& limits = {})
 {
     asio::io_context io;
     const std::uint16_t port = free_port(io);
     http_session::callbacks callbacks;
     callbacks.m_on_request = [&](const auto& session, const http_request& request) {
-        if (responds)
-            session->respond({200, {}, request.m_method + request.m_target + request.m_body});
-    };
-    callbacks.m_on_disconnect = [&](const http_session& /*session*/) {
-        if (disconnects != nullptr)
-            ++*disconnects;
+        session->respond({200, {}, request.m_method + request.m_target + request.m_body});
     };
+    callbacks.m_on_disconnect = [](const http_session& /*session*/) {};
     callbacks.m_limits = [&] { return limits; };
     callbacks.m_is_draining = [] { return false; };
     http_listener listener(io, {"127.0.0.1", port}, callbacks);
     tcp::socket client(io);
     client.connect({asio::ip::make_address("127.0.0.1"), port});
     asio::write(client, asio::buffer(bytes));
-    if (!responds)
-        client.close();
     io.run_for(std::chrono::milliseconds(150));
-    std::string received;
-    if (responds) {
-        char chunk[4096];
-        const auto size = recv(client.native_handle(), chunk, sizeof chunk, MSG_DONTWAIT);
-        received.assign(chunk, size > 0 ? static_cast<std::size_t>(size) : 0);
-    }
-    return received;
+    char chunk[4096];
+    const auto size = recv(client.native_handle(), chunk, sizeof chunk, MSG_DONTWAIT);
+    return std::string(chunk, size > 0 ? static_cast<std::size_t>(size) : 0);
 }
 
 } // namespace
@@ -234,12 +223,72 @@
     EXPECT_LT(received.size() - head_end - 4, body.size());
 }
 
+namespace {
+
+/// A listener that does not respond, and a connected client.
+struct unanswered_session
+{
+    asio::io_context m_io;
+    int m_requests = 0;
+    int m_disconnects = 0;
+    std::unique_ptr<http_listener> m_listener;
+    tcp::socket m_client{m_io};
+
+    unanswered_session()
+    {
+        const std::uint16_t port = free_port(m_io);
+        http_session::callbacks callbacks;
+        callbacks.m_on_request = [this](const auto&, const http_request&) { ++m_requests; };
+        callbacks.m_on_disconnect = [this](const http_session&) { ++m_disconnects; };
+        callbacks.m_limits = [] { return routing::client_limits{}; };
+        callbacks.m_is_draining = [] { return false; };
+        m_listener = std::make_unique<http_listener>(m_io, endpoint{"127.0.0.1", port}, callbacks);
+        m_client.connect({asio::ip::make_address("127.0.0.1"), port});
+    }
+
+    void send(std::string_view bytes) { asio::write(m_client, asio::buffer(bytes)); }
+    void run() { m_io.run_for(std::chrono::milliseconds(100)); }
+};
+
+constexpr std::string_view plain_request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
 // Guards against work that continues for a caller that has disconnected.
 TEST(http_session, detects_a_caller_that_disconnects)
 {
-    int disconnects = 0;
-    exchange_bytes("GET / HTTP/1.1\r\nHost: h\r\n\r\n", {}, &disconnects, false);
-    EXPECT_EQ(disconnects, 1);
+    unanswered_session session;
+    session.send(plain_request);
+    session.run();
+    ASSERT_EQ(session.m_requests, 1);
+    EXPECT_EQ(session.m_disconnects, 0);
+    session.m_client.close();
+    session.run();
+    EXPECT_EQ(session.m_disconnects, 1);
+}
+
+// Guards against work that begins for a caller that disconnected before its request was read.
+TEST(http_session, request_of_a_disconnected_caller_is_not_dispatched)
+{
+    unanswered_session session;
+    session.send(plain_request);
+    session.m_client.close();
+    session.run();
+    EXPECT_EQ(session.m_requests, 0);
+}
+
+// Guards against a disconnect that remains undetected behind a pipelined request.
+TEST(http_session, detects_a_caller_that_disconnects_after_a_pipelined_request)
+{
+    unanswered_session session;
+    session.send(plain_request);
+    session.run();
+    session.send(plain_request);
+    session.run();
+    session.m_client.close();
+    session.run();
+    EXPECT_EQ(session.m_requests, 1);
+    EXPECT_EQ(session.m_disconnects, 1);
 }
 
 } // namespace azureladder::sidecar_runtime
--- /dev/null
+++ b/libs/sidecar_runtime/tests/peer_link_test.cpp
@@ -0,0 +1,108 @@
+#include "peer_link.hpp"
+
+#include <azureladder/sidecar/peer_frame_codec.hpp>
+
+#include <gtest/gtest.h>
+
+namespace azureladder::sidecar_runtime {
+
+namespace {
+
+/// Two links over one connection. The receiving one does not read before start_receiver().
+struct link_pair
+{
+    asio::io_context m_io;
+    peer_link::callbacks m_sender_callbacks;
+    peer_link::callbacks m_receiver_callbacks;
+    std::vector<sidecar::peer_frame> m_received;
+    std::shared_ptr<peer_link> m_sender;
+    std::shared_ptr<peer_link> m_receiver;
+
+    link_pair()
+    {
+        tcp::acceptor acceptor(m_io, {asio::ip::make_address("127.0.0.1"), 0});
+        tcp::socket client(m_io);
+        client.connect(acceptor.local_endpoint());
+        m_sender_callbacks.m_on_frame = [](std::uint64_t, sidecar::peer_frame) {};
+        m_sender_callbacks.m_on_closed = [](std::uint64_t) {};
+        m_receiver_callbacks.m_on_frame = [this](std::uint64_t, sidecar::peer_frame frame) {
+            m_received.push_back(std::move(frame));
+        };
+        m_receiver_callbacks.m_on_closed = [](std::uint64_t) {};
+        m_sender = std::make_shared<peer_link>(std::move(client), 1, m_sender_callbacks);
+        m_receiver = std::make_shared<peer_link>(acceptor.accept(), 2, m_receiver_callbacks);
+        m_sender->start();
+    }
+
+    ~link_pair()
+    {
+        m_sender->close();
+        m_receiver->close();
+        run();
+    }
+
+    void run() { m_io.run_for(std::chrono::milliseconds(200)); }
+
+    template <class Frame>
+    std::size_t received_count() const
+    {
+        std::size_t count = 0;
+        for (const auto& frame : m_received)
+            count += std::holds_alternative<Frame>(frame) ? 1 : 0;
+        return count;
+    }
+};
+
+sidecar::request_frame make_request(std::uint64_t id)
+{
+    sidecar::request_frame frame;
+    frame.m_id = id;
+    frame.m_request = std::make_shared<sidecar::forwarded_request>();
+    return frame;
+}
+
+/// More bytes than the socket buffers of a connection hold.
+sidecar::document_frame make_large_document()
+{
+    sidecar::document_frame frame;
+    frame.m_name = "configuration";
+    frame.m_text = std::string(16U * 1024 * 1024, 'x');
+    return frame;
+}
+
+} // namespace
+
+TEST(peer_link, delivers_frames_in_order)
+{
+    link_pair links;
+    links.m_sender->send(make_large_document());
+    links.m_sender->send(make_request(1));
+    links.m_sender->send(sidecar::cancel_frame{2});
+    links.m_sender->send(make_request(3));
+    links.m_receiver->start();
+    links.run();
+    ASSERT_EQ(links.m_received.size(), 4U);
+    EXPECT_TRUE(std::holds_alternative<sidecar::document_frame>(links.m_received[0]));
+    EXPECT_EQ(std::get<sidecar::request_frame>(links.m_received[1]).m_id, 1U);
+    EXPECT_EQ(std::get<sidecar::cancel_frame>(links.m_received[2]).m_id, 2U);
+    EXPECT_EQ(std::get<sidecar::request_frame>(links.m_received[3]).m_id, 3U);
+}
+
+// Guards against sending a request whose caller disconnected while the request was queued for a
+// slow connection.
+TEST(peer_link, queued_request_is_dropped_when_it_is_cancelled)
+{
+    link_pair links;
+    links.m_sender->send(make_large_document());
+    links.run();
+    links.m_sender->send(make_request(1));
+    links.m_sender->send(make_request(2));
+    links.m_sender->send(sidecar::cancel_frame{1});
+    links.m_receiver->start();
+    links.run();
+    ASSERT_EQ(links.received_count<sidecar::request_frame>(), 1U);
+    EXPECT_EQ(links.received_count<sidecar::cancel_frame>(), 0U);
+    EXPECT_EQ(std::get<sidecar::request_frame>(links.m_received.back()).m_id, 2U);
+}
+
+} // namespace azureladder::sidecar_runtime
