Don't dispatch a request whose caller closed the connection before it was read

What callers saw: backend servers received requests over half a second after their callers had closed the connection.

Cause: the HTTP session dispatched each request that it read, and only then began to watch for a close.

Change: the session reads on until the socket has no more bytes, and drops the request at the end of the stream.

--- a/libs/sidecar_runtime/src/http_session.cpp
+++ b/libs/sidecar_runtime/src/http_session.cpp
@@ -5,8 +5,6 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include <sys/socket.h>
-
 namespace azureladder::sidecar_runtime {
 
 namespace http = boost::beast::http;
@@ -15,6 +13,10 @@
 
 constexpr std::size_t initial_read_bytes = 4096;
 
+/// Limit of bytes that are read after a request and before its response. A disconnect behind more
+/// bytes is not detected.
+constexpr std::size_t max_read_ahead_bytes = 16 * 1024;
+
 /// Longest time to read the body of a request, and to write a response.
 constexpr std::chrono::seconds transfer_timeout{30};
 
@@ -43,7 +45,12 @@
 void http_session::start()
 {
     set_connection_options(m_stream.socket());
-    wait_for_request();
+    error_code error;
+    m_stream.socket().non_blocking(true, error);
+    if (error)
+        end();
+    else
+        wait_for_request();
 }
 
 void http_session::wait_for_request()
@@ -112,6 +119,10 @@
         return;
     }
     m_stream.expires_never();
+    if (!is_caller_connected()) {
+        end();
+        return;
+    }
     auto& message = m_parser->get();
     http_request request;
     request.m_method = std::string(message.method_string());
@@ -127,22 +138,27 @@
     m_is_head_request = message.method() == http::verb::head;
     m_awaits_response = true;
     ++m_request_count;
-    watch_for_close();
+    watch_for_disconnect();
     m_handlers.m_on_request(shared_from_this(), std::move(request));
 }
 
-void http_session::watch_for_close()
+bool http_session::is_caller_connected()
+{
+    error_code error;
+    while (!error && m_buffer.size() < max_read_ahead_bytes)
+        m_buffer.commit(m_stream.socket().read_some(m_buffer.prepare(initial_read_bytes), error));
+    return !error || error == asio::error::would_block;
+}
+
+void http_session::watch_for_disconnect()
 {
     m_stream.socket().async_wait(
         tcp::socket::wait_read,
         [self = shared_from_this(), request = m_request_count](error_code error) {
             if (error || !self->m_awaits_response || self->m_request_count != request)
                 return;
-            char byte = 0;
-            const auto peeked =
-                recv(self->m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
             // A pipelined request keeps the socket readable, so a later close can't be detected.
-            if (peeked > 0 || (peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)))
+            if (self->is_caller_connected())
                 return;
             self->m_awaits_response = false;
             self->m_handlers.m_on_disconnect(*self);
--- a/libs/sidecar_runtime/src/http_session.hpp
+++ b/libs/sidecar_runtime/src/http_session.hpp
@@ -45,13 +45,17 @@
     void start();
     void respond(const http_response& response);
 
+    /// Whether the caller has not closed the connection. Reads bytes that it has sent after its
+    /// request, because a close is visible behind them only.
+    bool is_caller_connected();
+
 private:
     void wait_for_request();
     void read_head();
     void read_body();
     void on_read(error_code error);
     void reject(int status);
-    void watch_for_close();
+    void watch_for_disconnect();
     void write(const http_response& response, bool keep_alive);
     void end();
 
