Detect a disconnect behind pipelined bytes

What callers saw: work went on to its end for callers that had disconnected.

Cause: the watch for a close ended when the socket was readable and not at its end. Bytes of a next request stay unread until the response is written, so the close behind them was not seen until then.

Change: the session reads up to 16 KiB ahead while a request is open and watches on. The bytes are parsed after the response, as before.

The bound leaves a disconnect behind more than 16 KiB undetected.

--- a/libs/sidecar_runtime/src/http_session.cpp
+++ b/libs/sidecar_runtime/src/http_session.cpp
@@ -157,9 +157,11 @@
         [self = shared_from_this(), request = m_request_count](error_code error) {
             if (error || !self->m_awaits_response || self->m_request_count != request)
                 return;
-            // A pipelined request keeps the socket readable, so a later close can't be detected.
-            if (self->is_caller_connected())
+            if (self->is_caller_connected()) {
+                if (self->m_buffer.size() < max_read_ahead_bytes)
+                    self->watch_for_disconnect();
                 return;
+            }
             self->m_awaits_response = false;
             self->m_handlers.m_on_disconnect(*self);
             self->end();
