Send a cancel again when its peer connection is lost

What callers saw: work went on for callers that had disconnected while the ingress had no connection to the gate, or just before that connection ended.

Cause: the ingress dropped the cancel frame when it had no connection, and forgot one that was sent on a connection that then failed. The gate ends such a request 0.8 s after it has noticed the loss, and runs it to its end if it does not notice. The request itself survives a lost connection: it is resumed. Its cancel did not.

Change: the ingress retains each cancel until the gate has responded to a ping sent after it, and sends the retained ones over the next connection. A cancel past the deadline of its request is dropped.

--- a/libs/sidecar/include/azureladder/sidecar/peer_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_state.hpp
@@ -2,8 +2,10 @@
 
 #include <azureladder/base/time.hpp>
 #include <azureladder/sidecar/peer_frame.hpp>
+#include <azureladder/sidecar/sent_cancel.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <string>
 
 namespace azureladder::sidecar {
@@ -32,6 +34,10 @@
     /// Departures that the current and previous processes of the peer have reported.
     departed_servers m_departed_servers;
 
+    /// Cancels that the peer may not have received, oldest first. A response to a later ping
+    /// confirms them, because frames of a connection arrive in order.
+    std::deque<sent_cancel> m_unconfirmed_cancels;
+
     std::uint64_t m_ping_sequence = 0;
     time_point m_ping_sent_at;
     bool m_ping_pending = false;
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -245,6 +245,12 @@
 void on_peer_connected(step_context& context, const std::string& node)
 {
     const auto peer = context.m_state.m_peers.find(node);
+    for (auto& cancel : peer->second.m_unconfirmed_cancels) {
+        if (context.m_now >= cancel.m_deadline)
+            continue;
+        cancel.m_sent_at = context.m_now;
+        send_to_node(context, node, cancel_frame{cancel.m_frame});
+    }
     std::vector<std::uint64_t> failed;
     for (auto& [caller, request] : context.m_state.m_requests) {
         if (request.m_frame == 0 || request.m_node != node ||
@@ -302,7 +308,7 @@
     }
     for (const std::uint64_t caller : lost) {
         open_request& request = state.m_requests.at(caller);
-        send_to_node(context, request.m_node, cancel_frame{request.m_frame});
+        send_cancel(context, request);
         after_failed_execution(context, request, "node unreachable");
     }
 }
--- a/libs/sidecar/src/ingress_completion.cpp
+++ b/libs/sidecar/src/ingress_completion.cpp
@@ -42,11 +42,23 @@
     request.m_link_lost_at = {};
 }
 
+bool send_cancel(step_context& context, const open_request& request)
+{
+    const auto peer = context.m_state.m_peers.find(request.m_node);
+    if (peer != context.m_state.m_peers.end()) {
+        auto& cancels = peer->second.m_unconfirmed_cancels;
+        while (!cancels.empty() && cancels.front().m_deadline <= context.m_now)
+            cancels.pop_front();
+        cancels.push_back({request.m_frame, context.m_now, request.m_deadline});
+    }
+    return send_to_node(context, request.m_node, cancel_frame{request.m_frame});
+}
+
 bool cancel_attempt(step_context& context, open_request& request)
 {
     if (request.m_frame == 0)
         return false;
-    const bool is_sent = send_to_node(context, request.m_node, cancel_frame{request.m_frame});
+    const bool is_sent = send_cancel(context, request);
     end_attempt(context, request);
     return is_sent;
 }
--- a/libs/sidecar/src/ingress_internal.hpp
+++ b/libs/sidecar/src/ingress_internal.hpp
@@ -20,8 +20,13 @@
 /// Ends the current attempt of a request.
 void end_attempt(step_context& context, open_request& request);
 
-/// Ends the current attempt and sends a cancel frame to its node. Returns false when there is no
-/// attempt or no connection to its node.
+/// Sends a cancel frame for the current attempt to its node. The cancel is sent again if its
+/// connection is replaced before the node has confirmed it. Returns false when there is no
+/// connection to the node.
+bool send_cancel(step_context& context, const open_request& request);
+
+/// Sends a cancel frame for the current attempt, if any, and ends the attempt. Returns false when
+/// there is no attempt or no connection to its node.
 bool cancel_attempt(step_context& context, open_request& request);
 
 void log_end(step_context& context, const open_request& request, const char* outcome, int status,
--- a/libs/sidecar/src/peers.cpp
+++ b/libs/sidecar/src/peers.cpp
@@ -286,6 +286,9 @@
     const bool answers_ping = peer.m_ping_pending && frame.m_sequence == peer.m_ping_sequence;
     if (answers_ping) {
         peer.m_ping_pending = false;
+        auto& cancels = peer.m_unconfirmed_cancels;
+        while (!cancels.empty() && cancels.front().m_sent_at < peer.m_ping_sent_at)
+            cancels.pop_front();
         peer.m_round_trip = (peer.m_round_trip * 3 + (context.m_now - peer.m_ping_sent_at)) / 4;
         for (const auto& [name, age] : frame.m_confirmation_age_us) {
             for (auto& [service, table] : state.m_tables) {
