Don't execute a request that arrives after its cancel

What callers saw: a request could be executed although its caller had disconnected before it arrived at the gate.

Cause: a gate ignored a cancel for a request that it did not know. After a new connection the cancel can be ahead of its request, whose bytes are still on the way on the former connection.

--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -104,9 +104,9 @@
     /// Set while the server counts as cold until its next announcement.
     time_point m_cold_until_announced;
 
-    /// Requests that this node reported to their origin as unknown, with the time of the report.
-    /// They are dropped if they arrive later.
-    std::map<std::pair<std::string, std::uint64_t>, time_point> m_reported_unknown;
+    /// Requests that were cancelled, or reported to their origin as unknown, before they arrived,
+    /// with the time of this. They are dropped if they arrive later.
+    std::map<std::pair<std::string, std::uint64_t>, time_point> m_requests_to_drop;
 
     /// Range tables by service, and the key ranges of the local backend server.
     std::map<std::string, received_table> m_tables;
--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -264,7 +264,7 @@
 {
     node_state& state = context.m_state;
     const std::pair<std::string, std::uint64_t> frame_key{origin, frame.m_id};
-    if (state.m_reported_unknown.count(frame_key) != 0 ||
+    if (state.m_requests_to_drop.count(frame_key) != 0 ||
         state.m_execution_of_frame.count(frame_key) != 0)
         return;
     const forwarded_request& request = *frame.m_request;
@@ -325,8 +325,10 @@
 {
     node_state& state = context.m_state;
     const auto found = state.m_execution_of_frame.find({origin, frame});
-    if (found == state.m_execution_of_frame.end())
+    if (found == state.m_execution_of_frame.end()) {
+        state.m_requests_to_drop[{origin, frame}] = context.m_now;
         return;
+    }
     const std::uint64_t id = found->second;
     backend_execution& execution = state.m_executions.at(id);
     if (execution.m_result)
@@ -361,7 +363,7 @@
     node_state& state = context.m_state;
     const auto found = state.m_execution_of_frame.find({origin, frame});
     if (found == state.m_execution_of_frame.end()) {
-        state.m_reported_unknown[{origin, frame}] = context.m_now;
+        state.m_requests_to_drop[{origin, frame}] = context.m_now;
         send_on_link(
             context, link,
             refusal_frame{frame, refusal_reason::unknown_request, 0, own_load_report(context), {}});
@@ -502,8 +504,8 @@
         const backend_execution execution = state.m_executions.at(id);
         on_cancel(context, execution.m_origin, execution.m_frame);
     }
-    for (auto it = state.m_reported_unknown.begin(); it != state.m_reported_unknown.end();)
-        it = context.m_now - it->second > result_retention ? state.m_reported_unknown.erase(it)
+    for (auto it = state.m_requests_to_drop.begin(); it != state.m_requests_to_drop.end();)
+        it = context.m_now - it->second > result_retention ? state.m_requests_to_drop.erase(it)
                                                            : std::next(it);
 }
 
