Handle disconnects and cancels before the other input of an event loop pass

What callers saw: backend servers received requests over half a second after their callers had disconnected, first or as a second attempt.

Cause: each input was handled where it stood in the order of readiness. On a node that lacks processor time one pass of the event loop takes hundreds of milliseconds. A retry, or the start of a queued request, could be handled although the close or the cancel frame was already readable on another socket of the same pass.

Change: the handlers of a pass only queue their input. It is processed after them: disconnects and cancels first, a timer tick last, so that no timeout expires while the awaited response is queued. Whether a caller is still connected is checked again when its request is dispatched.

The new counter azureladder_disconnects_before_dispatch_total shows how often a caller was gone before its request was read.

--- a/libs/sidecar_runtime/src/http_session.cpp
+++ b/libs/sidecar_runtime/src/http_session.cpp
@@ -120,6 +120,7 @@
     }
     m_stream.expires_never();
     if (!is_caller_connected()) {
+        m_handlers.m_on_disconnect(*this);
         end();
         return;
     }
--- a/libs/sidecar_runtime/src/http_session.hpp
+++ b/libs/sidecar_runtime/src/http_session.hpp
@@ -27,7 +27,8 @@
         /// A complete request was read. The handler calls respond() once, now or later.
         std::function<void(const std::shared_ptr<http_session>&, http_request)> m_on_request;
 
-        /// The caller closed the connection before the response to its request.
+        /// The caller closed the connection before the response to its request. Called without
+        /// m_on_request if it closed the connection before the request was read.
         std::function<void(const http_session&)> m_on_disconnect;
 
         /// The connection is closed.
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -1,5 +1,7 @@
 #include "node_runtime_impl.hpp"
 
+#include <boost/asio/post.hpp>
+
 #include <unistd.h>
 
 #include <algorithm>
@@ -67,13 +69,12 @@
       m_log(time, {m_options.m_node, m_options.m_incarnation}, STDOUT_FILENO),
       m_state(sidecar::make_node(m_options, time.now(), random_u64())),
       m_backend_connections(
-          m_io, codec, {},
-          [this](sidecar::event input_event) { process_event(std::move(input_event)); }),
+          m_io, codec, {}, [this](sidecar::event input_event) { enqueue(std::move(input_event)); }),
       m_key_commands(m_io, time, codec, {},
-                     [this](sidecar::event input_event) { process_event(std::move(input_event)); }),
+                     [this](sidecar::event input_event) { enqueue(std::move(input_event)); }),
       m_store_client(
           m_io, time, codec, make_store_options(settings),
-          [this](sidecar::event input_event) { process_event(std::move(input_event)); },
+          [this](sidecar::event input_event) { enqueue(std::move(input_event)); },
           [this](log_level level, std::string_view event, const json& fields) {
               m_log.write(level, event, fields);
           }),
@@ -81,11 +82,11 @@
 {
     std::signal(SIGPIPE, SIG_IGN);
     m_link_callbacks.m_on_frame = [this](std::uint64_t link, sidecar::peer_frame frame) {
-        process_event(sidecar::frame_received{link, std::move(frame)});
+        enqueue(sidecar::frame_received{link, std::move(frame)});
     };
     m_link_callbacks.m_on_closed = [this](std::uint64_t link) {
         m_links.erase(link);
-        process_event(sidecar::link_closed{link});
+        enqueue(sidecar::link_closed{link});
     };
     const tcp::endpoint peer_address = to_tcp_endpoint(m_settings.m_peer_address);
     m_peer_acceptor.open(peer_address.protocol());
@@ -154,21 +155,41 @@
     m_io.run();
 }
 
-void node_runtime::impl::process_event(sidecar::event input_event)
+void node_runtime::impl::enqueue(sidecar::event input_event)
+{
+    m_events.push(std::move(input_event));
+    if (m_is_processing || m_is_processing_scheduled)
+        return;
+    m_is_processing_scheduled = true;
+    asio::post(m_io, [this] {
+        m_is_processing_scheduled = false;
+        process_events();
+    });
+}
+
+void node_runtime::impl::process_events()
 {
-    m_events.push_back(std::move(input_event));
     if (m_is_processing)
         return;
     m_is_processing = true;
-    while (!m_events.empty()) {
-        const sidecar::event next = std::move(m_events.front());
-        m_events.pop_front();
-        for (const auto& command : sidecar::step(m_state, next, m_clock.now()))
+    while (const auto next = m_events.pop()) {
+        if (is_request_of_disconnected_caller(*next))
+            continue;
+        for (const auto& command : sidecar::step(m_state, *next, m_clock.now()))
             execute_effect(command);
     }
     m_is_processing = false;
 }
 
+bool node_runtime::impl::is_request_of_disconnected_caller(const sidecar::event& input_event) const
+{
+    const auto* arrived = std::get_if<sidecar::caller_request>(&input_event);
+    if (arrived == nullptr)
+        return false;
+    const auto session = m_session_of_caller.find(arrived->m_caller);
+    return session == m_session_of_caller.end() || !session->second->is_caller_connected();
+}
+
 void node_runtime::impl::execute_effect(const sidecar::effect& command)
 {
     std::visit([this](const auto& value) { execute(value); }, command);
@@ -212,7 +233,7 @@
 {
     const auto address = parse_endpoint(command.m_address);
     if (!address) {
-        process_event(sidecar::connect_failed{command.m_node});
+        enqueue(sidecar::connect_failed{command.m_node});
         return;
     }
     const auto socket = std::make_shared<tcp::socket>(m_io);
@@ -226,11 +247,11 @@
                           [this, socket, timer, node = command.m_node](error_code error) {
                               timer->cancel();
                               if (error || !socket->is_open()) {
-                                  process_event(sidecar::connect_failed{node});
+                                  enqueue(sidecar::connect_failed{node});
                                   return;
                               }
                               const std::uint64_t link = add_link(std::move(*socket));
-                              process_event(sidecar::link_opened{link, node});
+                              enqueue(sidecar::link_opened{link, node});
                           });
 }
 
@@ -247,7 +268,8 @@
     const auto link_to_close = found->second;
     m_links.erase(found);
     link_to_close->close();
-    process_event(sidecar::link_closed{link});
+    m_events.remove_frames(link);
+    enqueue(sidecar::link_closed{link});
 }
 
 void node_runtime::impl::execute(const sidecar::send_frame& command)
@@ -268,8 +290,8 @@
     auto configuration = std::make_shared<routing::routing_configuration>(
         std::get<routing::routing_configuration>(std::move(decoded)));
     routing::index_routes(*configuration);
-    process_event(sidecar::configuration_decoded{command.m_revision, command.m_text,
-                                                 std::move(configuration)});
+    enqueue(sidecar::configuration_decoded{command.m_revision, command.m_text,
+                                           std::move(configuration)});
 }
 
 void node_runtime::impl::execute(const sidecar::record_request& command)
@@ -307,18 +329,20 @@
     arrived.m_caller = m_next_caller_id++;
     m_session_of_caller[arrived.m_caller] = session;
     m_caller_of_session[session.get()] = arrived.m_caller;
-    process_event(std::move(arrived));
+    enqueue(std::move(arrived));
 }
 
 void node_runtime::impl::on_caller_disconnected(const http_session& session)
 {
     const auto found = m_caller_of_session.find(&session);
-    if (found == m_caller_of_session.end())
+    if (found == m_caller_of_session.end()) {
+        m_metrics.add_counter("disconnects_before_dispatch_total", 1, {});
         return;
+    }
     const std::uint64_t caller = found->second;
     m_caller_of_session.erase(found);
     m_session_of_caller.erase(caller);
-    process_event(sidecar::caller_disconnected{caller});
+    enqueue(sidecar::caller_disconnected{caller});
 }
 
 void node_runtime::impl::on_registry_request(const std::shared_ptr<http_session>& session,
@@ -331,12 +355,13 @@
         return;
     }
     if (auto* announced = std::get_if<sidecar::backend_announced>(&message)) {
-        process_event(std::move(*announced));
+        enqueue(std::move(*announced));
     } else {
         auto& removed = std::get<sidecar::backend_removed>(message);
         removed.m_received_ms = m_clock.wall_time_us() / 1000;
-        process_event(removed);
+        enqueue(removed);
     }
+    process_events();
     // The response acknowledges the removal of a server, which must be stored first so that a
     // restarted process can read it.
     m_store_client.call_after_departures_written([session] {
@@ -375,7 +400,7 @@
 {
     m_peer_acceptor.async_accept([this](error_code error, tcp::socket socket) {
         if (!error)
-            process_event(sidecar::link_opened{add_link(std::move(socket)), ""});
+            enqueue(sidecar::link_opened{add_link(std::move(socket)), ""});
         accept_peers();
     });
 }
@@ -391,7 +416,7 @@
 
 void node_runtime::impl::tick()
 {
-    process_event(sidecar::timer_tick{});
+    enqueue(sidecar::timer_tick{});
     m_log.flush();
     m_tick_timer.expires_after(tick_interval);
     m_tick_timer.async_wait([this](error_code error) {
@@ -408,7 +433,7 @@
         if (signal == SIGHUP)
             reload_settings();
         else
-            process_event(sidecar::stop_requested{});
+            enqueue(sidecar::stop_requested{});
         wait_for_signal();
     });
 }
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backend_connection_pool.hpp"
+#include "event_queue.hpp"
 #include "http_listener.hpp"
 #include "key_command_sender.hpp"
 #include "peer_link.hpp"
@@ -13,7 +14,6 @@
 
 #include <boost/asio/signal_set.hpp>
 
-#include <deque>
 #include <map>
 #include <memory>
 
@@ -28,7 +28,15 @@
     void run();
 
 private:
-    void process_event(sidecar::event input_event);
+    /// Adds an event and has it processed after the handlers that are ready now, so that the
+    /// queue can order all events of one pass of the event loop.
+    void enqueue(sidecar::event input_event);
+
+    void process_events();
+
+    /// Whether an event is a request whose caller has disconnected since it was read.
+    bool is_request_of_disconnected_caller(const sidecar::event& input_event) const;
+
     void execute_effect(const sidecar::effect& command);
 
     /// Removes and returns the session of a caller. Null when the caller has disconnected.
@@ -86,7 +94,8 @@
     const sidecar::node_options m_options;
     json_line_log m_log;
     sidecar::node_state m_state;
-    std::deque<sidecar::event> m_events;
+    event_queue m_events;
+    bool m_is_processing_scheduled = false;
     bool m_is_processing = false;
 
     backend_connection_pool m_backend_connections;
