Drop a cancelled request from the send queue of its peer connection

What callers saw: requests reached backend servers long after their callers had disconnected when the connection between two nodes was slow.

Cause: a peer connection sends its queue first in, first out. A request that waited there for a slow link or a slow reader was still sent after its cancel had been queued behind it, and its gate started it.

Change: the queue keeps frames apart, at most 64 KiB and one frame are given to one write, and a cancel removes its request from the queue. Nothing is sent then: the gate never knew the request.

--- a/libs/sidecar_runtime/src/peer_link.cpp
+++ b/libs/sidecar_runtime/src/peer_link.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+
 namespace azureladder::sidecar_runtime {
 
 namespace {
@@ -12,6 +14,9 @@
 /// requests are resumed or fail, so that memory stays bounded.
 constexpr std::size_t max_send_queue_bytes = 32U * 1024 * 1024;
 
+/// Bytes above which no further frame is added to a write. Frames in a write can't be removed.
+constexpr std::size_t write_bytes = 64U * 1024;
+
 } // namespace
 
 peer_link::peer_link(tcp::socket socket, std::uint64_t id, const callbacks& handlers)
@@ -62,17 +67,40 @@
 {
     if (m_is_closed)
         return;
-    m_send_queue += sidecar::encode_frame(frame);
-    if (m_send_queue.size() > max_send_queue_bytes)
+    const auto* cancel = std::get_if<sidecar::cancel_frame>(&frame);
+    if (cancel != nullptr && remove_queued_request(cancel->m_id))
+        return;
+    queued_frame queued;
+    if (const auto* request = std::get_if<sidecar::request_frame>(&frame))
+        queued.m_request = request->m_id;
+    queued.m_bytes = sidecar::encode_frame(frame);
+    m_send_queue_bytes += queued.m_bytes.size();
+    m_send_queue.push_back(std::move(queued));
+    if (m_send_queue_bytes > max_send_queue_bytes)
         close_and_report();
     else if (m_write_buffer.empty())
         write();
 }
 
+bool peer_link::remove_queued_request(std::uint64_t request)
+{
+    const auto found =
+        std::find_if(m_send_queue.begin(), m_send_queue.end(),
+                     [&](const queued_frame& queued) { return queued.m_request == request; });
+    if (found == m_send_queue.end())
+        return false;
+    m_send_queue_bytes -= found->m_bytes.size();
+    m_send_queue.erase(found);
+    return true;
+}
+
 void peer_link::write()
 {
-    m_write_buffer = std::move(m_send_queue);
-    m_send_queue.clear();
+    while (!m_send_queue.empty() && m_write_buffer.size() < write_bytes) {
+        m_write_buffer += m_send_queue.front().m_bytes;
+        m_send_queue_bytes -= m_send_queue.front().m_bytes.size();
+        m_send_queue.pop_front();
+    }
     asio::async_write(m_socket, asio::buffer(m_write_buffer),
                       [self = shared_from_this()](error_code error, std::size_t /*size*/) {
                           self->m_write_buffer.clear();
