Read records of the store without copying nested values

What callers saw, at other operators: the processes that read the list of nodes ended again and again after another writer had left a deeply nested record there. Reproduced here: one record {"node":[[...]],"address":...} with 300,000 levels under the prefix of the nodes' records ends each process that lists it, at each of its starts.

Cause: a member was copied before its type was checked, and the JSON library copies a value by recursion, until the stack overflows. Parsing and destroying do not recurse.

The other ten odd records (numbers too large, ports out of range, host names, bytes that are no JSON) passed before: they are logged as node_record_unreadable and skipped.

--- a/libs/sidecar_runtime/src/store_client.cpp
+++ b/libs/sidecar_runtime/src/store_client.cpp
@@ -32,6 +32,13 @@
     return outcome.m_result == exchange_result::answered && outcome.m_response.m_status == 200;
 }
 
+/// Text member of an object; null if it is missing or not a text.
+const std::string* text_member(const json& object, const char* name)
+{
+    const auto found = object.find(name);
+    return found == object.end() ? nullptr : found->get_ptr<const std::string*>();
+}
+
 std::string failure_cause(const exchange_outcome& outcome)
 {
     return outcome.m_result == exchange_result::answered
@@ -288,15 +295,14 @@
                      continue;
                  }
                  const json record = json::parse(item.m_value, nullptr, false);
-                 if (!record.is_object() || !record.value("node", json()).is_string() ||
-                     !record.value("address", json()).is_string() ||
-                     !parse_endpoint(record["address"].get<std::string>())) {
+                 const std::string* node = text_member(record, "node");
+                 const std::string* address = text_member(record, "address");
+                 if (node == nullptr || address == nullptr || !parse_endpoint(*address)) {
                      m_on_log_line(log_level::warning, "node_record_unreadable",
                                    {{"key", item.m_key}});
                      continue;
                  }
-                 m_loading_nodes[record["node"].get<std::string>()] =
-                     record["address"].get<std::string>();
+                 m_loading_nodes[*node] = *address;
              }
              if (page->m_has_more && !page->m_items.empty()) {
                  list_nodes(stale, page->m_items.back().m_key);
