Fit the stop of a node into short grace periods and refuse requests that outlast it

What callers saw, at other operators: requests that came late in the grace period of a planned stop were accepted, and cut without an answer at its end.

Cause, from reading: the time in which a stopping node accepts requests (2.9 s) and its shortest stop time (3.3 s) did not depend on the grace period. With 3 s of grace a request is accepted up to the end, and the process is killed before it exits by itself. With any grace period, a request whose latency objective lies beyond the end of the process was accepted.

Change: both times are shortened to fit, and a request whose latency objective ends after the process is refused with 503, a proof that it was not executed. With 6 s of grace and objectives up to 2.6 s nothing changes.

Evidence: request_late_in_a_short_grace_period_is_refused, idle_node_stops_within_a_short_grace_period and long_request_is_refused_by_a_stopping_node failed with the former times and pass.

--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -103,4 +103,8 @@
     duration m_max_stop_time = milliseconds(5500);
 };
 
+/// Sets the longest stop time, and shortens the other stop times to fit into it: the process ends
+/// in time, and requests accepted last have time to complete.
+void set_max_stop_time(node_options& options, duration max_stop_time);
+
 } // namespace azureladder::sidecar
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -88,6 +88,15 @@
     peer->second.m_sent_since_status = 0;
 }
 
+/// Whether a stopping node accepts a new request: it is not too late, and the process does not end
+/// before the latency objective of the request.
+bool accepts_while_stopping(const node_state& state, duration latency_objective, time_point now)
+{
+    const duration elapsed = now - state.m_stop_requested_at;
+    return elapsed <= state.m_options.m_stop_admission_window &&
+           elapsed + latency_objective <= state.m_options.m_max_stop_time;
+}
+
 void refuse_new_request(step_context& context, const caller_request& arrived, int status,
                         const std::string& reason, duration retry_after)
 {
@@ -111,13 +120,14 @@
                            default_retry_after);
         return;
     }
+    const routing::route* route =
+        routing::find_route(*configuration, arrived.m_request.m_host, arrived.m_request.m_target);
     if (state.m_stopping &&
-        context.m_now - state.m_stop_requested_at > state.m_options.m_stop_admission_window) {
+        !accepts_while_stopping(state, route != nullptr ? route->m_latency_objective : duration{},
+                                context.m_now)) {
         refuse_new_request(context, arrived, 503, "node is stopping", default_retry_after);
         return;
     }
-    const routing::route* route =
-        routing::find_route(*configuration, arrived.m_request.m_host, arrived.m_request.m_target);
     if (route == nullptr) {
         refuse_new_request(context, arrived, 404, "no route matches the host and path", {});
         return;
--- a/libs/sidecar/tests/ingress_test.cpp
+++ b/libs/sidecar/tests/ingress_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace azureladder::sidecar {
 
 namespace {
@@ -238,4 +240,64 @@
     FAIL() << "no line about the end of the request";
 }
 
+namespace {
+
+/// Status of the response that a step sends to a caller; 0 without one.
+int response_status(const effects& done)
+{
+    for (const auto& effect : done) {
+        if (const auto* response = std::get_if<respond_to_caller>(&effect))
+            return response->m_status;
+    }
+    return 0;
+}
+
+bool ends_process(const effects& done)
+{
+    return std::any_of(done.begin(), done.end(), [](const auto& effect) {
+        return std::holds_alternative<stop_process>(effect);
+    });
+}
+
+} // namespace
+
+// Guards against accepting a request that the end of the process interrupts, when the grace period
+// is shorter than the usual stop times.
+TEST(ingress, request_late_in_a_short_grace_period_is_refused)
+{
+    node_state state = make_connected_node({"a"});
+    set_max_stop_time(state.m_options, milliseconds(2500));
+    step(state, stop_requested{}, start_time);
+    EXPECT_EQ(response_status(step(state, make_request(), start_time + milliseconds(1600))), 503);
+}
+
+// Guards against a process that is killed because its shortest stop time exceeds the grace period.
+TEST(ingress, idle_node_stops_within_a_short_grace_period)
+{
+    node_state state = make_connected_node({"a"});
+    set_max_stop_time(state.m_options, milliseconds(2500));
+    step(state, stop_requested{}, start_time);
+    EXPECT_FALSE(ends_process(step(state, timer_tick{}, start_time + milliseconds(2400))));
+    EXPECT_TRUE(ends_process(step(state, timer_tick{}, start_time + milliseconds(2500))));
+}
+
+// Guards against accepting a request that takes longer than the rest of the grace period.
+TEST(ingress, long_request_is_refused_by_a_stopping_node)
+{
+    node_state state = make_connected_node({"a"});
+    auto configuration = *make_configuration();
+    configuration.m_version = 2;
+    configuration.m_routes.front().m_latency_objective = milliseconds(4000);
+    routing::index_routes(configuration);
+    step(state,
+         configuration_decoded{
+             6, "text", std::make_shared<routing::routing_configuration>(std::move(configuration))},
+         start_time);
+    step(state, stop_requested{}, start_time);
+    caller_request early = make_request();
+    EXPECT_EQ(response_status(step(state, early, start_time + milliseconds(1400))), 0);
+    early.m_caller = 2;
+    EXPECT_EQ(response_status(step(state, early, start_time + milliseconds(1600))), 503);
+}
+
 } // namespace azureladder::sidecar
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -40,7 +40,7 @@
     options.m_peer_address = to_string(settings.m_peer_address);
     options.m_retry.m_tokens_per_request = settings.m_retry_ratio * retry_ratio_share;
     options.m_drain_start_window = milliseconds(settings.m_drain_ms) / 2;
-    options.m_max_stop_time = milliseconds(settings.m_stop_grace_ms) - stop_margin;
+    sidecar::set_max_stop_time(options, milliseconds(settings.m_stop_grace_ms) - stop_margin);
     return options;
 }
 
@@ -453,7 +453,7 @@
     const sidecar::node_options reloaded_options = make_node_options(m_settings);
     m_state.m_options.m_retry = reloaded_options.m_retry;
     m_state.m_options.m_drain_start_window = reloaded_options.m_drain_start_window;
-    m_state.m_options.m_max_stop_time = reloaded_options.m_max_stop_time;
+    sidecar::set_max_stop_time(m_state.m_options, reloaded_options.m_max_stop_time);
     m_log.write(log_level::info, "settings_reloaded", {{"path", m_settings_path}});
 }
 
