Read all arrived frames of a peer connection in one pass

What callers saw: a gate could start a request whose caller had disconnected, although the cancel had arrived with it.

Cause: one pass of the event loop read 16 KiB of a connection. A request with a larger body, or several requests, filled it, and the cancel behind them was seen in the next pass, after the request had been started.

Change: a pass reads what has arrived on a connection, up to 256 KiB beyond the first chunk. The queue then handles the cancel first.

Evidence: peer_link.frames_that_have_arrived_are_read_in_one_pass failed before (no cancel received in the pass) and passes.

--- a/libs/sidecar_runtime/src/peer_link.cpp
+++ b/libs/sidecar_runtime/src/peer_link.cpp
@@ -14,6 +14,10 @@
 /// requests are resumed or fail, so that memory stays bounded.
 constexpr std::size_t max_send_queue_bytes = 32U * 1024 * 1024;
 
+/// Limit of bytes that are read from a connection in one pass of the event loop, beyond the first
+/// chunk. A pass reads what has arrived, so that a cancel is seen together with its request.
+constexpr std::size_t max_pass_bytes = 256U * 1024;
+
 /// Bytes above which no further frame is added to a write. Frames in a write can't be removed.
 constexpr std::size_t write_bytes = 64U * 1024;
 
@@ -27,40 +31,67 @@
 void peer_link::start()
 {
     set_connection_options(m_socket);
-    read();
+    error_code error;
+    m_socket.non_blocking(true, error);
+    if (error)
+        close_and_report();
+    else
+        read();
 }
 
 void peer_link::read()
 {
-    m_socket.async_read_some(asio::buffer(m_read_chunk), [self = shared_from_this()](
-                                                             error_code error, std::size_t size) {
-        if (self->m_is_closed)
-            return;
-        if (error) {
-            self->close_and_report();
+    m_socket.async_read_some(asio::buffer(m_read_chunk),
+                             [self = shared_from_this()](error_code error, std::size_t size) {
+                                 if (self->m_is_closed)
+                                     return;
+                                 self->m_read_buffer.append(self->m_read_chunk.data(), size);
+                                 if (!error && size == self->m_read_chunk.size())
+                                     error = self->read_available();
+                                 self->decode_frames();
+                                 if (self->m_is_closed)
+                                     return;
+                                 if (error)
+                                     self->close_and_report();
+                                 else
+                                     self->read();
+                             });
+}
+
+error_code peer_link::read_available()
+{
+    std::size_t total = 0;
+    while (total < max_pass_bytes) {
+        error_code error;
+        const std::size_t size = m_socket.read_some(asio::buffer(m_read_chunk), error);
+        if (error)
+            return error == asio::error::would_block ? error_code() : error;
+        m_read_buffer.append(m_read_chunk.data(), size);
+        total += size;
+        if (size < m_read_chunk.size())
+            break;
+    }
+    return {};
+}
+
+void peer_link::decode_frames()
+{
+    std::size_t offset = 0;
+    while (!m_is_closed) {
+        sidecar::peer_frame frame;
+        std::size_t frame_bytes = 0;
+        const auto state = sidecar::decode_frame(std::string_view(m_read_buffer).substr(offset),
+                                                 frame, frame_bytes);
+        if (state == sidecar::frame_state::invalid) {
+            close_and_report();
             return;
         }
-        self->m_read_buffer.append(self->m_read_chunk.data(), size);
-        std::size_t offset = 0;
-        while (!self->m_is_closed) {
-            sidecar::peer_frame frame;
-            std::size_t frame_bytes = 0;
-            const auto state = sidecar::decode_frame(
-                std::string_view(self->m_read_buffer).substr(offset), frame, frame_bytes);
-            if (state == sidecar::frame_state::invalid) {
-                self->close_and_report();
-                return;
-            }
-            if (state == sidecar::frame_state::incomplete)
-                break;
-            offset += frame_bytes;
-            self->m_handlers.m_on_frame(self->m_id, std::move(frame));
-        }
-        if (self->m_is_closed)
-            return;
-        self->m_read_buffer.erase(0, offset);
-        self->read();
-    });
+        if (state == sidecar::frame_state::incomplete)
+            break;
+        offset += frame_bytes;
+        m_handlers.m_on_frame(m_id, std::move(frame));
+    }
+    m_read_buffer.erase(0, offset);
 }
 
 void peer_link::send(const sidecar::peer_frame& frame)
--- a/libs/sidecar_runtime/src/peer_link.hpp
+++ b/libs/sidecar_runtime/src/peer_link.hpp
@@ -43,6 +43,11 @@
 
     bool remove_queued_request(std::uint64_t request);
     void read();
+
+    /// Reads bytes that have already arrived, up to a limit.
+    error_code read_available();
+
+    void decode_frames();
     void write();
     void close_and_report();
 
--- a/libs/sidecar_runtime/tests/peer_link_test.cpp
+++ b/libs/sidecar_runtime/tests/peer_link_test.cpp
@@ -105,4 +105,23 @@
     EXPECT_EQ(std::get<sidecar::request_frame>(links.m_received.back()).m_id, 2U);
 }
 
+// Guards against starting a request although its cancel has arrived behind it.
+TEST(peer_link, frames_that_have_arrived_are_read_in_one_pass)
+{
+    link_pair links;
+    sidecar::request_frame large = make_request(1);
+    auto request = std::make_shared<sidecar::forwarded_request>();
+    request->m_body = std::string(24 * 1024, 'x');
+    large.m_request = request;
+    links.m_sender->send(large);
+    links.run();
+    links.m_sender->send(sidecar::cancel_frame{1});
+    links.run();
+    links.m_receiver->start();
+    links.m_io.restart();
+    links.m_io.run_one();
+    EXPECT_EQ(links.received_count<sidecar::request_frame>(), 1U);
+    EXPECT_EQ(links.received_count<sidecar::cancel_frame>(), 1U);
+}
+
 } // namespace azureladder::sidecar_runtime
