Reset a peer connection that is given up

What callers saw: a request could reach a backend server seconds after its caller had disconnected, when a cut between two nodes ended.

Cause: a node gives up an unresponsive connection after 1.5 s and closes it. The system still delivers what is in its send buffer when the cut ends. A request in there is executed; the cancel of a caller that disconnected meanwhile waits for the next connection, up to 1.6 s later.

Change: the connection is reset, which discards what was not delivered. Open requests are resumed or sent to another node, as before.

Evidence: peer_link.unsent_request_is_discarded_when_the_connection_is_closed failed before (1 request received after the close) and passes.

--- a/libs/sidecar_runtime/src/peer_link.cpp
+++ b/libs/sidecar_runtime/src/peer_link.cpp
@@ -149,6 +149,9 @@
     m_is_closed = true;
     // The connection is discarded, so an error while closing has no effect.
     error_code ignored;
+    // Frames that were not delivered are resumed, sent again or dropped elsewhere. A reset keeps
+    // the system from delivering them later.
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
     m_socket.close(ignored);
 }
 
--- a/libs/sidecar_runtime/tests/peer_link_test.cpp
+++ b/libs/sidecar_runtime/tests/peer_link_test.cpp
@@ -21,6 +21,8 @@
     link_pair()
     {
         tcp::acceptor acceptor(m_io, {asio::ip::make_address("127.0.0.1"), 0});
+        // Small, so that large frames stay in the send buffer.
+        acceptor.set_option(asio::socket_base::receive_buffer_size(64 * 1024));
         tcp::socket client(m_io);
         client.connect(acceptor.local_endpoint());
         m_sender_callbacks.m_on_frame = [](std::uint64_t, sidecar::peer_frame) {};
@@ -124,4 +126,20 @@
     EXPECT_EQ(links.received_count<sidecar::cancel_frame>(), 1U);
 }
 
+// Guards against a request that is delivered long after its connection was given up, when a cut
+// between the two nodes ends.
+TEST(peer_link, unsent_request_is_discarded_when_the_connection_is_closed)
+{
+    link_pair links;
+    sidecar::document_frame document;
+    document.m_text = std::string(1024 * 1024, 'x');
+    links.m_sender->send(document);
+    links.m_sender->send(make_request(1));
+    links.run();
+    links.m_sender->close();
+    links.m_receiver->start();
+    links.run();
+    EXPECT_EQ(links.received_count<sidecar::request_frame>(), 0U);
+}
+
 } // namespace azureladder::sidecar_runtime
