Dispatch announcements of backend servers whose sender has disconnected

A backend server gives up after a second and may leave then; its departure has to be applied although nobody waits for the response.

Change: only the listener for callers drops abandoned requests.

Evidence: http_session.request_of_a_disconnected_sender_is_dispatched_where_it_is_still_of_use.

--- a/libs/sidecar_runtime/src/event_queue.cpp
+++ b/libs/sidecar_runtime/src/event_queue.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/// Frames of a connection before its hello frame are a protocol error, so a hello frame must not
-/// stay behind a cancel frame that follows it.
 bool precedes_other_events(const sidecar::event& input_event)
 {
     if (std::holds_alternative<sidecar::caller_disconnected>(input_event))
@@ -45,15 +43,15 @@
     if (std::holds_alternative<sidecar::timer_tick>(input_event))
         m_is_tick_due = true;
     else if (precedes_other_events(input_event))
-        m_ends_of_requests.push_back(std::move(input_event));
+        m_preceding_events.push_back(std::move(input_event));
     else
         m_events.push_back(std::move(input_event));
 }
 
 std::optional<sidecar::event> event_queue::pop()
 {
-    if (!m_ends_of_requests.empty())
-        return pop_front(m_ends_of_requests);
+    if (!m_preceding_events.empty())
+        return pop_front(m_preceding_events);
     if (!m_events.empty())
         return pop_front(m_events);
     if (!m_is_tick_due)
@@ -64,7 +62,7 @@
 
 void event_queue::remove_frames(std::uint64_t link)
 {
-    remove_frames_of(m_ends_of_requests, link);
+    remove_frames_of(m_preceding_events, link);
     remove_frames_of(m_events, link);
 }
 
--- a/libs/sidecar_runtime/src/event_queue.hpp
+++ b/libs/sidecar_runtime/src/event_queue.hpp
@@ -11,7 +11,8 @@
 ///
 /// Events that end requests precede those that may start or resend one, so that no work is started
 /// for a caller whose disconnect has already been read. A timer tick comes last, so that no timeout
-/// expires while the awaited input is queued. Otherwise events keep their order.
+/// expires while the awaited input is queued. Otherwise events keep their order, but for the hello
+/// frame of a connection, which must not stay behind a cancel frame that follows it.
 class event_queue
 {
 public:
@@ -24,7 +25,7 @@
     void remove_frames(std::uint64_t link);
 
 private:
-    std::deque<sidecar::event> m_ends_of_requests;
+    std::deque<sidecar::event> m_preceding_events;
     std::deque<sidecar::event> m_events;
     bool m_is_tick_due = false;
 };
--- a/libs/sidecar_runtime/src/http_session.cpp
+++ b/libs/sidecar_runtime/src/http_session.cpp
@@ -119,7 +119,7 @@
         return;
     }
     m_stream.expires_never();
-    if (!is_caller_connected()) {
+    if (m_handlers.m_drops_abandoned_requests && !is_caller_connected()) {
         m_handlers.m_on_disconnect(*this);
         end();
         return;
--- a/libs/sidecar_runtime/src/http_session.hpp
+++ b/libs/sidecar_runtime/src/http_session.hpp
@@ -28,7 +28,7 @@
         std::function<void(const std::shared_ptr<http_session>&, http_request)> m_on_request;
 
         /// The caller closed the connection before the response to its request. Called without
-        /// m_on_request if it closed the connection before the request was read.
+        /// m_on_request for a dropped request.
         std::function<void(const http_session&)> m_on_disconnect;
 
         /// The connection is closed.
@@ -39,6 +39,10 @@
 
         /// Whether connections are closed after their next response.
         std::function<bool()> m_is_draining;
+
+        /// Drops a request without m_on_request if its caller has closed the connection before it
+        /// was read. For requests that have no use without their response.
+        bool m_drops_abandoned_requests = true;
     };
 
     http_session(tcp::socket socket, const callbacks& handlers);
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -138,6 +138,8 @@
     callbacks.m_on_disconnect = [](const http_session& /*session*/) {};
     callbacks.m_limits = [] { return routing::client_limits{}; };
     callbacks.m_is_draining = [] { return false; };
+    // An announcement of a backend server is valid although its sender does not wait any longer.
+    callbacks.m_drops_abandoned_requests = false;
     return callbacks;
 }
 
--- a/libs/sidecar_runtime/tests/http_test.cpp
+++ b/libs/sidecar_runtime/tests/http_test.cpp
@@ -234,7 +234,7 @@
     std::unique_ptr<http_listener> m_listener;
     tcp::socket m_client{m_io};
 
-    unanswered_session()
+    explicit unanswered_session(bool drops_abandoned_requests = true)
     {
         const std::uint16_t port = free_port(m_io);
         http_session::callbacks callbacks;
@@ -242,6 +242,7 @@
         callbacks.m_on_disconnect = [this](const http_session&) { ++m_disconnects; };
         callbacks.m_limits = [] { return routing::client_limits{}; };
         callbacks.m_is_draining = [] { return false; };
+        callbacks.m_drops_abandoned_requests = drops_abandoned_requests;
         m_listener = std::make_unique<http_listener>(m_io, endpoint{"127.0.0.1", port}, callbacks);
         m_client.connect({asio::ip::make_address("127.0.0.1"), port});
     }
@@ -277,6 +278,17 @@
     EXPECT_EQ(session.m_requests, 0);
 }
 
+// Guards against losing the announcement of a backend server that stopped waiting for the response.
+TEST(http_session, request_of_a_disconnected_sender_is_dispatched_where_it_is_still_of_use)
+{
+    unanswered_session session(false);
+    session.send(plain_request);
+    session.m_client.close();
+    session.run();
+    EXPECT_EQ(session.m_requests, 1);
+    EXPECT_EQ(session.m_disconnects, 1);
+}
+
 // Guards against a disconnect that remains undetected behind a pipelined request.
 TEST(http_session, detects_a_caller_that_disconnects_after_a_pipelined_request)
 {
