--- a/libs/sidecar/tests/cluster_test.cpp
+++ b/libs/sidecar/tests/cluster_test.cpp
@@ -113,6 +113,30 @@
     EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
 }
 
+// Guards against work that continues for disconnected callers after connections between nodes were
+// reset.
+TEST(sidecar_cluster, requests_of_disconnected_callers_end_although_connections_are_reset)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        sidecar_cluster cluster({4, 0, seed});
+        cluster.set_execution_time(milliseconds(1200));
+        cluster.run_for(startup_time);
+        std::mt19937_64 random(seed);
+        const auto random_node = [&] { return "orders-" + std::to_string(random() % 4); };
+        for (int i = 0; i < 100; ++i) {
+            const std::string request = cluster.send(random_node(), "orders");
+            cluster.at(milliseconds(20 + random() % 300),
+                       [&cluster, request] { cluster.disconnect_caller(request); });
+            if (i % 10 == 9)
+                cluster.reset_links(random_node());
+            cluster.run_for(milliseconds(40));
+        }
+        cluster.run_for(seconds(2));
+        EXPECT_TRUE(cluster.violations().empty())
+            << "seed " << seed << ": " << cluster.violations().front();
+    }
+}
+
 // Guards against keys that stay without an owner after their node is permanently lost.
 TEST(sidecar_cluster, ranges_of_a_lost_node_are_taken_over)
 {
--- a/libs/sidecar/tests/fake_backend.hpp
+++ b/libs/sidecar/tests/fake_backend.hpp
@@ -6,7 +6,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -46,9 +45,9 @@
     /// Ids of the executed requests, in order of execution.
     std::vector<std::string> m_executed;
 
-    /// Running executions: incarnation of the node and execution id. The server cancels an
-    /// execution whose connection closes.
-    std::set<std::pair<std::uint64_t, std::uint64_t>> m_running;
+    /// Request ids of the running executions, by incarnation of the node and execution id. The
+    /// server cancels an execution whose connection closes.
+    std::map<std::pair<std::uint64_t, std::uint64_t>, std::string> m_running;
     bool m_alive = true;
     bool m_draining = false;
 
--- a/libs/sidecar/tests/sidecar_cluster.cpp
+++ b/libs/sidecar/tests/sidecar_cluster.cpp
@@ -378,6 +378,7 @@
     request.m_caller = m_next_id++;
     std::string id = "request-" + std::to_string(request.m_caller);
     m_request_of_caller[request.m_caller] = id;
+    m_caller_of_request[id] = {node, request.m_caller};
     m_is_idempotent[id] = service == "shelf";
     request.m_request.m_request_id = id;
     request.m_request.m_host = service;
@@ -388,6 +389,15 @@
     return id;
 }
 
+void sidecar_cluster::disconnect_caller(const std::string& request)
+{
+    const auto& [node, caller] = m_caller_of_request.at(request);
+    if (!m_machines.at(node).m_state || status(request) != 0)
+        return;
+    m_disconnected_at[request] = m_now;
+    handle_event(node, caller_disconnected{caller});
+}
+
 int sidecar_cluster::status(const std::string& request) const
 {
     const auto found = m_status.find(request);
--- a/libs/sidecar/tests/sidecar_cluster.hpp
+++ b/libs/sidecar/tests/sidecar_cluster.hpp
@@ -43,6 +43,9 @@
     std::string send(const std::string& node, const std::string& service,
                      std::optional<std::uint32_t> key = {});
 
+    /// Closes the connection of the caller of an open request.
+    void disconnect_caller(const std::string& request);
+
     /// Status of the response to the caller; 0 while there is none.
     int status(const std::string& request) const;
 
@@ -76,6 +79,9 @@
     /// Loses the responses of backend servers to a share of the requests.
     void lose_responses(double share) { m_lost_response_share = share; }
 
+    /// Sets the time that a backend server takes for a request.
+    void set_execution_time(duration time) { m_execution_time = time; }
+
     /// Applies a share of the grants 100 to 3100 ms late.
     void delay_grants(double share) { m_late_grant_share = share; }
 
@@ -168,6 +174,7 @@
     bool is_up(const std::string& node, std::uint64_t incarnation) const;
     bool is_partitioned(const std::string& a, const std::string& b) const;
     void check_lease_holders();
+    void check_disconnected_callers();
     void check_token(const std::string& node, const grant_keys& command);
     void write(const std::string& node, const write_table& wanted);
     double random_share() { return static_cast<double>(m_random() % 1000) / 1000.0; }
@@ -188,6 +195,11 @@
     std::set<std::string> m_evacuated;
     std::uint64_t m_operator_revision = 10;
     std::map<std::uint64_t, std::string> m_request_of_caller;
+
+    /// Node and caller id of each request, and time at which callers have disconnected.
+    std::map<std::string, std::pair<std::string, std::uint64_t>> m_caller_of_request;
+    std::map<std::string, time_point> m_disconnected_at;
+    duration m_execution_time = milliseconds(60);
     std::map<std::string, int> m_status;
     std::map<std::string, bool> m_is_idempotent;
     double m_lost_response_share = 0.0;
--- a/libs/sidecar/tests/sidecar_cluster_backends.cpp
+++ b/libs/sidecar/tests/sidecar_cluster_backends.cpp
@@ -6,9 +6,11 @@
 
 namespace {
 
-constexpr duration execution_time = milliseconds(60);
 constexpr duration check_interval = milliseconds(10);
 
+/// Time after a caller's disconnect in which the execution of its request has to end.
+constexpr duration cancel_limit = milliseconds(500);
+
 } // namespace
 
 void sidecar_cluster::execute(const std::string& node, const start_execution& wanted)
@@ -47,13 +49,13 @@
     if (!m_is_idempotent[request.m_request_id] && status == 503)
         m_violations.push_back("executed after a refusal: " + request.m_request_id);
     const std::pair<std::uint64_t, std::uint64_t> run{incarnation, wanted.m_execution};
-    server.m_running.insert(run);
+    server.m_running[run] = request.m_request_id;
     if (server.m_running.size() > fake_backend::slots)
         m_violations.push_back("more requests than slots at " + node);
-    at(execution_time, [this, node, run] { backend(node).m_running.erase(run); });
+    at(m_execution_time, [this, node, run] { backend(node).m_running.erase(run); });
     if (random_share() < m_lost_response_share) {
         ended.m_result = execution_result::unknown;
-        end_with(ended, execution_time);
+        end_with(ended, m_execution_time);
         return;
     }
     auto response = std::make_shared<server_response>();
@@ -61,7 +63,7 @@
     response->m_body = request.m_request_id;
     ended.m_result = execution_result::answered;
     ended.m_response = std::move(response);
-    end_with(ended, execution_time);
+    end_with(ended, m_execution_time);
 }
 
 void sidecar_cluster::grant(const std::string& node, const grant_keys& command)
@@ -151,11 +153,25 @@
     });
 }
 
+void sidecar_cluster::check_disconnected_callers()
+{
+    for (const auto& [node, wanted] : m_machines) {
+        for (const auto& [run, request] : wanted.m_backend->m_running) {
+            const auto disconnected = m_disconnected_at.find(request);
+            if (disconnected != m_disconnected_at.end() &&
+                m_now - disconnected->second > cancel_limit)
+                m_violations.push_back("executed for a disconnected caller: " + request + " at " +
+                                       node);
+        }
+    }
+}
+
 void sidecar_cluster::check_lease_holders()
 {
     if (m_now < m_next_check)
         return;
     m_next_check = m_now + check_interval;
+    check_disconnected_callers();
     std::map<std::uint32_t, std::pair<std::uint32_t, std::string>> leased;
     for (const auto& [node, wanted] : m_machines) {
         for (const auto& [from, to] : wanted.m_backend->leased_ranges(m_now)) {
