--- a/libs/sidecar/tests/sidecar_cluster_backends.cpp
+++ b/libs/sidecar/tests/sidecar_cluster_backends.cpp
@@ -160,8 +160,10 @@
             const auto disconnected = m_disconnected_at.find(request);
             if (disconnected != m_disconnected_at.end() &&
                 m_now - disconnected->second > cancel_limit)
-                m_violations.push_back("executed for a disconnected caller: " + request + " at " +
-                                       node);
+                m_violations.push_back(std::string("executed for a disconnected caller: ")
+                                           .append(request)
+                                           .append(" at ")
+                                           .append(node));
         }
     }
 }
