--- a/libs/sidecar_runtime/tests/peer_link_test.cpp
+++ b/libs/sidecar_runtime/tests/peer_link_test.cpp
@@ -25,7 +25,7 @@
         acceptor.set_option(asio::socket_base::receive_buffer_size(64 * 1024));
         tcp::socket client(m_io);
         client.connect(acceptor.local_endpoint());
-        m_sender_callbacks.m_on_frame = [](std::uint64_t, sidecar::peer_frame) {};
+        m_sender_callbacks.m_on_frame = [](std::uint64_t, const sidecar::peer_frame&) {};
         m_sender_callbacks.m_on_closed = [](std::uint64_t) {};
         m_receiver_callbacks.m_on_frame = [this](std::uint64_t, sidecar::peer_frame frame) {
             m_received.push_back(std::move(frame));
