Measure the traffic between nodes by kind of frame and log frames that wait

Adds counters of frames, bytes and time in the send queue by kind of frame, the line peer_traffic every 10 s and the line frame_delayed for a frame that waited over 250 ms. No change of behaviour; peer_link has a test.

--- a/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
@@ -6,10 +6,12 @@
 #include <azureladder/sidecar/forwarded_request.hpp>
 #include <azureladder/sidecar/server_response.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -174,4 +176,12 @@
                                 resume_frame, response_frame, refusal_frame, failure_frame,
                                 document_request_frame, document_frame>;
 
+/// Names of the frame kinds in the order of the variant, for logs and metrics.
+inline constexpr std::string_view frame_kind_names[] = {
+    "hello",    "ping",    "status",  "request",          "cancel",  "resume",
+    "response", "refusal", "failure", "document_request", "document"};
+
+inline constexpr std::size_t frame_kind_count = std::variant_size_v<peer_frame>;
+static_assert(std::size(frame_kind_names) == frame_kind_count);
+
 } // namespace azureladder::sidecar
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -17,6 +17,12 @@
 
 constexpr milliseconds peer_connect_timeout{500};
 
+/// Time in the send queue of a peer connection above which a frame is logged. Callers notice a
+/// delay of half a second.
+constexpr milliseconds logged_frame_wait{250};
+
+constexpr seconds traffic_report_interval{10};
+
 /// The node exits this long before the stop grace period ends.
 constexpr milliseconds stop_margin{500};
 
@@ -88,6 +94,9 @@
         m_links.erase(link);
         enqueue(sidecar::link_closed{link});
     };
+    m_link_callbacks.m_on_sent = [this](std::uint64_t link, const peer_link::sent_frame& frame) {
+        on_frame_sent(link, frame);
+    };
     const tcp::endpoint peer_address = to_tcp_endpoint(m_settings.m_peer_address);
     m_peer_acceptor.open(peer_address.protocol());
     m_peer_acceptor.set_option(asio::socket_base::reuse_address(true));
@@ -395,6 +404,15 @@
     m_metrics.set_gauge("peers", static_cast<double>(m_state.m_peers.size()));
     m_metrics.set_counter("store_calls_total", m_store_client.call_count());
     m_metrics.set_counter("log_lines_dropped_total", m_log.dropped_lines());
+    for (std::size_t kind = 0; kind < m_peer_traffic.size(); ++kind) {
+        const frame_traffic& traffic = m_peer_traffic[kind];
+        const telemetry::metric_labels labels{
+            {"kind", std::string(sidecar::frame_kind_names[kind])}};
+        m_metrics.set_counter("peer_frames_sent_total", traffic.m_frames, labels);
+        m_metrics.set_counter("peer_bytes_sent_total", traffic.m_bytes, labels);
+        m_metrics.set_counter("peer_send_queue_wait_us_total",
+                              static_cast<std::uint64_t>(traffic.m_total_wait.count()), labels);
+    }
     return m_metrics.prometheus_text();
 }
 
@@ -410,15 +428,56 @@
 std::uint64_t node_runtime::impl::add_link(tcp::socket socket)
 {
     const std::uint64_t id = m_next_link_id++;
-    const auto link = std::make_shared<peer_link>(std::move(socket), id, m_link_callbacks);
+    const auto link = std::make_shared<peer_link>(std::move(socket), id, m_clock, m_link_callbacks);
     m_links[id] = link;
     link->start();
     return id;
 }
 
+void node_runtime::impl::on_frame_sent(std::uint64_t link, const peer_link::sent_frame& frame)
+{
+    frame_traffic& traffic = m_peer_traffic[frame.m_kind];
+    ++traffic.m_frames;
+    traffic.m_bytes += frame.m_bytes;
+    traffic.m_total_wait += frame.m_waited;
+    traffic.m_max_wait = std::max(traffic.m_max_wait, frame.m_waited);
+    if (frame.m_waited < logged_frame_wait)
+        return;
+    const auto peer = m_state.m_node_of_link.find(link);
+    m_log.write(log_level::warning, "frame_delayed",
+                {{"kind", std::string(sidecar::frame_kind_names[frame.m_kind])},
+                 {"peer", peer == m_state.m_node_of_link.end() ? std::string() : peer->second},
+                 {"bytes", frame.m_bytes},
+                 {"waited_ms", to_ms(frame.m_waited)},
+                 {"queued_bytes", frame.m_queued_bytes}});
+}
+
+void node_runtime::impl::log_peer_traffic()
+{
+    json kinds = json::object();
+    for (std::size_t kind = 0; kind < m_peer_traffic.size(); ++kind) {
+        frame_traffic& traffic = m_peer_traffic[kind];
+        const std::uint64_t frames = traffic.m_frames - m_reported_traffic[kind].m_frames;
+        if (frames == 0)
+            continue;
+        kinds[std::string(sidecar::frame_kind_names[kind])] = {
+            {"frames", frames},
+            {"bytes", traffic.m_bytes - m_reported_traffic[kind].m_bytes},
+            {"max_wait_ms", to_ms(traffic.m_max_wait)}};
+        traffic.m_max_wait = {};
+    }
+    m_reported_traffic = m_peer_traffic;
+    m_log.write(log_level::info, "peer_traffic", {{"peers", m_links.size()}, {"sent", kinds}});
+}
+
 void node_runtime::impl::tick()
 {
     enqueue(sidecar::timer_tick{});
+    if (m_clock.now() >= m_next_traffic_report) {
+        if (m_next_traffic_report != time_point{})
+            log_peer_traffic();
+        m_next_traffic_report = m_clock.now() + traffic_report_interval;
+    }
     m_log.flush();
     m_tick_timer.expires_after(tick_interval);
     m_tick_timer.async_wait([this](error_code error) {
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -5,6 +5,7 @@
 #include "http_listener.hpp"
 #include "key_command_sender.hpp"
 #include "peer_link.hpp"
+#include "peer_traffic.hpp"
 #include "store_client.hpp"
 
 #include <azureladder/sidecar/step.hpp>
@@ -81,6 +82,11 @@
     void accept_peers();
     std::uint64_t add_link(tcp::socket socket);
     void close_link(std::uint64_t link);
+    void on_frame_sent(std::uint64_t link, const peer_link::sent_frame& frame);
+
+    /// Logs the traffic to peers since the previous report.
+    void log_peer_traffic();
+
     void tick();
     void wait_for_signal();
     void reload_settings();
@@ -113,6 +119,12 @@
     std::unique_ptr<http_listener> m_registry_listener;
     std::unique_ptr<http_listener> m_ready_listener;
     std::unique_ptr<http_listener> m_metrics_listener;
+    peer_traffic m_peer_traffic{};
+
+    /// Traffic at the previous report, and the longest waits since then.
+    peer_traffic m_reported_traffic{};
+    time_point m_next_traffic_report;
+
     asio::steady_timer m_tick_timer;
     asio::signal_set m_signals;
     telemetry::metrics m_metrics;
--- a/libs/sidecar_runtime/src/peer_link.cpp
+++ b/libs/sidecar_runtime/src/peer_link.cpp
@@ -23,8 +23,9 @@
 
 } // namespace
 
-peer_link::peer_link(tcp::socket socket, std::uint64_t id, const callbacks& handlers)
-    : m_socket(std::move(socket)), m_id(id), m_handlers(handlers)
+peer_link::peer_link(tcp::socket socket, std::uint64_t id, const clock& time,
+                     const callbacks& handlers)
+    : m_socket(std::move(socket)), m_id(id), m_clock(time), m_handlers(handlers)
 {
 }
 
@@ -104,6 +105,8 @@
     queued_frame queued;
     if (const auto* request = std::get_if<sidecar::request_frame>(&frame))
         queued.m_request = request->m_id;
+    queued.m_kind = frame.index();
+    queued.m_queued_at = m_clock.now();
     queued.m_bytes = sidecar::encode_frame(frame);
     m_send_queue_bytes += queued.m_bytes.size();
     m_send_queue.push_back(std::move(queued));
@@ -130,20 +133,34 @@
     while (!m_send_queue.empty() && m_write_buffer.size() < write_bytes) {
         m_write_buffer += m_send_queue.front().m_bytes;
         m_send_queue_bytes -= m_send_queue.front().m_bytes.size();
+        m_frames_in_write.push_back(std::move(m_send_queue.front()));
         m_send_queue.pop_front();
     }
     asio::async_write(m_socket, asio::buffer(m_write_buffer),
                       [self = shared_from_this()](error_code error, std::size_t /*size*/) {
                           self->m_write_buffer.clear();
+                          const auto written = std::move(self->m_frames_in_write);
+                          self->m_frames_in_write.clear();
                           if (self->m_is_closed)
                               return;
-                          if (error)
+                          if (error) {
                               self->close_and_report();
-                          else if (!self->m_send_queue.empty())
+                              return;
+                          }
+                          self->report_sent(written);
+                          if (!self->m_send_queue.empty())
                               self->write();
                       });
 }
 
+void peer_link::report_sent(const std::vector<queued_frame>& frames)
+{
+    const time_point now = m_clock.now();
+    for (const auto& frame : frames)
+        m_handlers.m_on_sent(m_id, {frame.m_kind, frame.m_bytes.size(), now - frame.m_queued_at,
+                                    m_send_queue_bytes});
+}
+
 void peer_link::close()
 {
     m_is_closed = true;
--- a/libs/sidecar_runtime/src/peer_link.hpp
+++ b/libs/sidecar_runtime/src/peer_link.hpp
@@ -2,6 +2,7 @@
 
 #include "asio_types.hpp"
 
+#include <azureladder/base/clock.hpp>
 #include <azureladder/sidecar/peer_frame.hpp>
 
 #include <array>
@@ -10,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace azureladder::sidecar_runtime {
 
@@ -17,13 +19,30 @@
 class peer_link : public std::enable_shared_from_this<peer_link>
 {
 public:
+    struct sent_frame
+    {
+        /// Index of the frame's kind in `peer_frame`.
+        std::size_t m_kind = 0;
+        std::size_t m_bytes = 0;
+
+        /// Time from the queueing of the frame until the system has taken its last byte.
+        duration m_waited{};
+
+        /// Bytes that are still queued behind the frame.
+        std::size_t m_queued_bytes = 0;
+    };
+
     struct callbacks
     {
         std::function<void(std::uint64_t link, sidecar::peer_frame)> m_on_frame;
         std::function<void(std::uint64_t link)> m_on_closed;
+
+        /// The system has taken the last byte of a frame.
+        std::function<void(std::uint64_t link, const sent_frame& frame)> m_on_sent;
     };
 
-    peer_link(tcp::socket socket, std::uint64_t id, const callbacks& handlers);
+    /// The clock and the callbacks must outlive the link.
+    peer_link(tcp::socket socket, std::uint64_t id, const clock& time, const callbacks& handlers);
 
     void start();
 
@@ -38,6 +57,8 @@
     {
         /// Id of the request that the frame carries; empty for other frames.
         std::optional<std::uint64_t> m_request;
+        std::size_t m_kind = 0;
+        time_point m_queued_at;
         std::string m_bytes;
     };
 
@@ -49,16 +70,21 @@
 
     void decode_frames();
     void write();
+    void report_sent(const std::vector<queued_frame>& frames);
     void close_and_report();
 
     tcp::socket m_socket;
     std::uint64_t m_id;
+    const clock& m_clock;
     const callbacks& m_handlers;
     std::string m_read_buffer;
     std::array<char, 16 * 1024> m_read_chunk{};
     std::deque<queued_frame> m_send_queue;
     std::size_t m_send_queue_bytes = 0;
     std::string m_write_buffer;
+
+    /// Frames in the write buffer, without their bytes.
+    std::vector<queued_frame> m_frames_in_write;
     bool m_is_closed = false;
 };
 
--- a/libs/sidecar_runtime/tests/peer_link_test.cpp
+++ b/libs/sidecar_runtime/tests/peer_link_test.cpp
@@ -1,5 +1,6 @@
 #include "peer_link.hpp"
 
+#include <azureladder/base/steady_clock.hpp>
 #include <azureladder/sidecar/peer_frame_codec.hpp>
 
 #include <gtest/gtest.h>
@@ -12,6 +13,8 @@
 struct link_pair
 {
     asio::io_context m_io;
+    steady_clock m_clock;
+    std::vector<peer_link::sent_frame> m_sent;
     peer_link::callbacks m_sender_callbacks;
     peer_link::callbacks m_receiver_callbacks;
     std::vector<sidecar::peer_frame> m_received;
@@ -31,8 +34,13 @@
             m_received.push_back(std::move(frame));
         };
         m_receiver_callbacks.m_on_closed = [](std::uint64_t) {};
-        m_sender = std::make_shared<peer_link>(std::move(client), 1, m_sender_callbacks);
-        m_receiver = std::make_shared<peer_link>(acceptor.accept(), 2, m_receiver_callbacks);
+        m_sender_callbacks.m_on_sent = [this](std::uint64_t, const peer_link::sent_frame& frame) {
+            m_sent.push_back(frame);
+        };
+        m_receiver_callbacks.m_on_sent = [](std::uint64_t, const peer_link::sent_frame&) {};
+        m_sender = std::make_shared<peer_link>(std::move(client), 1, m_clock, m_sender_callbacks);
+        m_receiver =
+            std::make_shared<peer_link>(acceptor.accept(), 2, m_clock, m_receiver_callbacks);
         m_sender->start();
     }
 
@@ -126,6 +134,25 @@
     EXPECT_EQ(links.received_count<sidecar::cancel_frame>(), 1U);
 }
 
+// Guards against delays in the send queue that no metric or log line shows.
+TEST(peer_link, reports_the_time_that_frames_wait_in_the_send_queue)
+{
+    link_pair links;
+    links.m_sender->send(make_large_document());
+    links.m_sender->send(sidecar::ping_frame{1});
+    links.run();
+    EXPECT_TRUE(links.m_sent.empty());
+    links.m_receiver->start();
+    links.run();
+    ASSERT_EQ(links.m_sent.size(), 2U);
+    for (const auto& sent : links.m_sent) {
+        EXPECT_GE(sent.m_waited, milliseconds(150));
+        EXPECT_GT(sent.m_bytes, 0U);
+    }
+    EXPECT_EQ(sidecar::frame_kind_names[links.m_sent[0].m_kind], "document");
+    EXPECT_EQ(sidecar::frame_kind_names[links.m_sent[1].m_kind], "ping");
+}
+
 // Guards against a request that is delivered long after its connection was given up, when a cut
 // between the two nodes ends.
 TEST(peer_link, unsent_request_is_discarded_when_the_connection_is_closed)
