Serialize frames between nodes with MessagePack instead of a JSON document tree

Cause: each frame was built and parsed as a tree of JSON values, for every request, response, refusal and status. Change: fields are listed once for each type and packed directly; MessagePack C++ (libmsgpack-cxx-dev) replaces CBOR. A refusal reason outside the name table is rejected now; it was cast unchecked before. The tests of the codec are unchanged and pass.

--- a/libs/sidecar/include/azureladder/sidecar/peer_frame_codec.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame_codec.hpp
@@ -8,14 +8,14 @@
 
 namespace azureladder::sidecar {
 
-/// Serializes a frame: length of the remaining bytes (4 bytes, big endian), length of the head (4
-/// bytes, big endian), head (CBOR), body.
+/// Serializes a frame: length of the remaining bytes (4 bytes, big endian), then a MessagePack array
+/// of the frame's kind (index in `peer_frame`) and its fields.
 std::string encode_frame(const peer_frame& frame);
 
-/// Size of the two length fields before the head.
-inline constexpr std::size_t frame_prefix_bytes = 8;
+/// Size of the length field.
+inline constexpr std::size_t frame_prefix_bytes = 4;
 
-/// Maximum frame size: a body of the largest configurable size and its head.
+/// Maximum frame size: a body of the largest configurable size and the other fields.
 inline constexpr std::size_t max_frame_bytes = 80U * 1024 * 1024;
 
 enum class frame_state
--- a/libs/sidecar/src/peer_frame_codec.cpp
+++ b/libs/sidecar/src/peer_frame_codec.cpp
@@ -1,328 +1,236 @@
 #include <azureladder/sidecar/peer_frame_codec.hpp>
 
-#include <azureladder/base/json.hpp>
+#include "peer_frame_fields.hpp"
+
+#include <msgpack.hpp>
+
+#include <array>
+#include <limits>
+#include <type_traits>
 
 namespace azureladder::sidecar {
 
 namespace {
 
-enum class frame_type
-{
-    hello,
-    ping,
-    status,
-    request,
-    cancel,
-    resume,
-    response,
-    refusal,
-    failure,
-    document_request,
-    document,
-    count
-};
+/// Limit of elements in an array or map of a frame, which bounds the memory that malformed lengths
+/// can allocate.
+constexpr std::size_t max_elements = 64U * 1024;
 
-void append_length(std::string& bytes, std::size_t length)
-{
-    for (const int shift : {24, 16, 8, 0})
-        bytes.push_back(static_cast<char>((length >> shift) & 0xFF));
-}
+/// Deepest nesting of arrays and maps in a frame.
+constexpr std::size_t max_depth = 12;
 
-std::size_t read_length(std::string_view bytes)
+/// Output of the packer: appends to a string.
+struct string_output
 {
-    std::size_t length = 0;
-    for (const char byte : bytes.substr(0, 4))
-        length = length << 8 | static_cast<unsigned char>(byte);
-    return length;
-}
+    std::string& m_bytes;
 
-json headers_json(const header_fields& fields)
-{
-    json rows = json::array();
-    for (const auto& field : fields) {
-        rows.push_back(field.m_name);
-        // Header values may hold bytes that are not UTF-8.
-        rows.push_back(json::binary({field.m_value.begin(), field.m_value.end()}));
-    }
-    return rows;
-}
+    void write(const char* data, std::size_t size) { m_bytes.append(data, size); }
+};
 
-header_fields read_headers(const json& rows)
-{
-    header_fields fields;
-    for (std::size_t i = 0; i + 1 < rows.size(); i += 2) {
-        const auto& value = rows[i + 1].get_binary();
-        fields.push_back({rows[i].get<std::string>(), {value.begin(), value.end()}});
-    }
-    return fields;
-}
+using packer = msgpack::packer<string_output>;
 
-json route_times_json(const std::vector<routing::route_service_time>& times)
-{
-    json row = json::array();
-    for (const auto& time : times) {
-        row.push_back(time.m_route);
-        row.push_back(time.m_mean.count());
-    }
-    return row;
-}
+template <class Value>
+void pack(packer& out, const Value& value);
 
-json report_json(const routing::load_report& report)
+template <class Value>
+struct is_plain : std::bool_constant<std::is_arithmetic_v<Value>>
 {
-    return {report.m_open,
-            report.m_running,
-            report.m_waiting,
-            report.m_limit,
-            report.m_service_time.count(),
-            report.m_failure_share,
-            report.m_cold_rate_per_s,
-            report.m_predicted_wait.count(),
-            route_times_json(report.m_route_times)};
-}
+};
 
-routing::load_report read_report(const json& row)
+template <>
+struct is_plain<std::string> : std::true_type
 {
-    routing::load_report report;
-    report.m_open = row.at(0).get<bool>();
-    report.m_running = row.at(1).get<std::uint32_t>();
-    report.m_waiting = row.at(2).get<std::uint32_t>();
-    report.m_limit = row.at(3).get<std::uint32_t>();
-    report.m_service_time = duration(row.at(4).get<std::int64_t>());
-    report.m_failure_share = row.at(5).get<double>();
-    report.m_cold_rate_per_s = row.at(6).get<double>();
-    report.m_predicted_wait = duration(row.at(7).get<std::int64_t>());
-    const json& times = row.at(8);
-    for (std::size_t i = 0; i + 1 < times.size(); i += 2)
-        report.m_route_times.push_back(
-            {times[i].get<std::uint32_t>(), duration(times[i + 1].get<std::int64_t>())});
-    return report;
-}
+};
 
-json status_json(const node_status& status)
+void pack_value(packer& out, duration value)
 {
-    return {status.m_service,         status.m_server_incarnation, report_json(status.m_report),
-            status.m_leaving,         status.m_key_utilization,    status.m_owns_keys,
-            status.m_departed_servers};
+    out.pack(static_cast<std::int64_t>(value.count()));
 }
 
-node_status read_status(const json& row)
+template <class Value>
+void pack_value(packer& out, const std::vector<Value>& values)
 {
-    node_status status;
-    status.m_service = row.at(0).get<std::string>();
-    status.m_server_incarnation = row.at(1).get<std::string>();
-    status.m_report = read_report(row.at(2));
-    status.m_leaving = row.at(3).get<bool>();
-    status.m_key_utilization = row.at(4).get<double>();
-    status.m_owns_keys = row.at(5).get<bool>();
-    status.m_departed_servers = row.at(6).get<departed_servers>();
-    return status;
+    out.pack_array(static_cast<std::uint32_t>(values.size()));
+    for (const auto& value : values)
+        pack(out, value);
 }
 
-/// Head of each frame type; the body, if any, is returned by `body_of`.
-json head_of(const hello_frame& frame)
+template <class Value>
+void pack_value(packer& out, const std::map<std::string, Value>& values)
 {
-    return {frame.m_node, frame.m_incarnation, frame.m_address,
-            frame.m_zone, frame.m_known_nodes, frame.m_departed_servers};
+    out.pack_map(static_cast<std::uint32_t>(values.size()));
+    for (const auto& [name, value] : values) {
+        out.pack(name);
+        pack(out, value);
+    }
 }
 
-json head_of(const ping_frame& frame)
+template <class Value>
+void pack_value(packer& out, const std::optional<Value>& value)
 {
-    return json::array({frame.m_sequence});
+    if (value)
+        pack(out, *value);
+    else
+        out.pack_nil();
 }
 
-json head_of(const status_frame& frame)
+template <class Value>
+void pack_value(packer& out, const std::shared_ptr<const Value>& value)
 {
-    return {frame.m_sequence, status_json(frame.m_status), frame.m_documents,
-            frame.m_confirmation_age_us};
+    pack(out, *value);
 }
 
-json head_of(const request_frame& frame)
+template <class Value>
+auto pack_value(packer& out, const Value& value)
+    -> decltype(fields_of(value, static_cast<const Value*>(nullptr)), void())
 {
-    const forwarded_request& request = *frame.m_request;
-    return {frame.m_id,
-            frame.m_remaining_us,
-            frame.m_target_us,
-            request.m_request_id,
-            request.m_method,
-            json::binary({request.m_target.begin(), request.m_target.end()}),
-            request.m_host,
-            headers_json(request.m_headers),
-            request.m_caller_service,
-            request.m_key ? json(*request.m_key) : json(nullptr),
-            request.m_service,
-            request.m_route,
-            request.m_priority,
-            static_cast<int>(request.m_kind),
-            frame.m_is_retry};
+    std::apply(
+        [&](const auto&... fields) {
+            out.pack_array(sizeof...(fields));
+            (pack(out, fields), ...);
+        },
+        fields_of(value, static_cast<const Value*>(nullptr)));
 }
 
-json head_of(const cancel_frame& frame)
+template <class Value>
+void pack(packer& out, const Value& value)
 {
-    return json::array({frame.m_id});
+    if constexpr (std::is_enum_v<Value>)
+        out.pack(static_cast<int>(value));
+    else if constexpr (is_plain<Value>::value)
+        out.pack(value);
+    else
+        pack_value(out, value);
 }
 
-json head_of(const resume_frame& frame)
-{
-    return json::array({frame.m_id});
-}
+template <class Value>
+void read(const msgpack::object& row, Value& value);
 
-json head_of(const response_frame& frame)
+void read_value(const msgpack::object& row, duration& value)
 {
-    return {frame.m_id, frame.m_response->m_status, headers_json(frame.m_response->m_headers),
-            report_json(frame.m_report)};
+    value = duration(row.as<std::int64_t>());
 }
 
-json hint_json(const std::optional<owner_hint>& hint)
+template <class Value>
+void read_value(const msgpack::object& row, std::vector<Value>& values)
 {
-    if (!hint)
-        return nullptr;
-    return {hint->m_from, hint->m_to, hint->m_owner, hint->m_fencing_token};
+    if (row.type != msgpack::type::ARRAY)
+        throw msgpack::type_error();
+    values.resize(row.via.array.size);
+    for (std::uint32_t i = 0; i < row.via.array.size; ++i)
+        read(row.via.array.ptr[i], values[i]);
 }
 
-std::optional<owner_hint> read_hint(const json& row)
+template <class Value>
+void read_value(const msgpack::object& row, std::map<std::string, Value>& values)
 {
-    if (row.is_null())
-        return std::nullopt;
-    return owner_hint{row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint32_t>(),
-                      row.at(2).get<std::string>(), row.at(3).get<std::uint64_t>()};
+    if (row.type != msgpack::type::MAP)
+        throw msgpack::type_error();
+    for (std::uint32_t i = 0; i < row.via.map.size; ++i)
+        read(row.via.map.ptr[i].val, values[row.via.map.ptr[i].key.as<std::string>()]);
 }
 
-json head_of(const refusal_frame& frame)
+template <class Value>
+void read_value(const msgpack::object& row, std::optional<Value>& value)
 {
-    return {frame.m_id, static_cast<int>(frame.m_reason), frame.m_retry_after_us,
-            report_json(frame.m_report), hint_json(frame.m_owner)};
+    if (row.is_nil())
+        value.reset();
+    else
+        read(row, value.emplace());
 }
 
-json head_of(const failure_frame& frame)
+template <class Value>
+void read_value(const msgpack::object& row, std::shared_ptr<const Value>& value)
 {
-    return {frame.m_id, frame.m_cause, report_json(frame.m_report)};
+    auto decoded = std::make_shared<Value>();
+    read(row, *decoded);
+    value = std::move(decoded);
 }
 
-json head_of(const document_request_frame& frame)
+template <class Value>
+auto read_value(const msgpack::object& row, Value& value)
+    -> decltype(fields_of(value, static_cast<const Value*>(nullptr)), void())
 {
-    return json::array({frame.m_name});
+    std::apply(
+        [&](auto&... fields) {
+            if (row.type != msgpack::type::ARRAY || row.via.array.size < sizeof...(fields))
+                throw msgpack::type_error();
+            const msgpack::object* next = row.via.array.ptr;
+            (read(*next++, fields), ...);
+        },
+        fields_of(value, static_cast<const Value*>(nullptr)));
 }
 
-json head_of(const document_frame& frame)
+/// Reads the position of an enumerator in a name table that lists all of them in order.
+template <class Enum, std::size_t Size>
+void read_enumerator(const msgpack::object& row, Enum& value, const enum_name<Enum> (&names)[Size])
 {
-    return {frame.m_name, frame.m_revision, frame.m_confirmation_age_us};
+    const auto number = row.as<std::uint32_t>();
+    if (number >= Size)
+        throw msgpack::type_error();
+    value = names[number].m_value;
 }
 
-template <class Frame>
-std::string_view body_of(const Frame& /*frame*/)
+void read_value(const msgpack::object& row, refusal_reason& value)
 {
-    return {};
+    read_enumerator(row, value, refusal_reason_names);
 }
 
-std::string_view body_of(const request_frame& frame)
+void read_value(const msgpack::object& row, routing::request_kind& value)
 {
-    return frame.m_request->m_body;
+    value = row.as<int>() == 0 ? routing::request_kind::idempotent
+                               : routing::request_kind::non_idempotent;
 }
 
-std::string_view body_of(const response_frame& frame)
+template <class Value>
+void read(const msgpack::object& row, Value& value)
 {
-    return frame.m_response->m_body;
+    if constexpr (is_plain<Value>::value)
+        value = row.as<Value>();
+    else
+        read_value(row, value);
 }
 
-std::string_view body_of(const document_frame& frame)
-{
-    return frame.m_text;
-}
+using frame_reader = void (*)(const msgpack::object&, peer_frame&);
 
-request_frame read_request(const json& head, std::string_view body)
+template <std::size_t... Kinds>
+constexpr std::array<frame_reader, sizeof...(Kinds)>
+make_frame_readers(std::index_sequence<Kinds...> /*kinds*/)
 {
-    auto request = std::make_shared<forwarded_request>();
-    request_frame frame;
-    frame.m_id = head.at(0).get<std::uint64_t>();
-    frame.m_remaining_us = head.at(1).get<std::int64_t>();
-    frame.m_target_us = head.at(2).get<std::int64_t>();
-    request->m_request_id = head.at(3).get<std::string>();
-    request->m_method = head.at(4).get<std::string>();
-    const auto& target = head.at(5).get_binary();
-    request->m_target.assign(target.begin(), target.end());
-    request->m_host = head.at(6).get<std::string>();
-    request->m_headers = read_headers(head.at(7));
-    request->m_caller_service = head.at(8).get<std::string>();
-    if (head.at(9).is_number_unsigned())
-        request->m_key = head.at(9).get<std::uint32_t>();
-    request->m_service = head.at(10).get<std::string>();
-    request->m_route = head.at(11).get<std::string>();
-    request->m_priority = head.at(12).get<std::uint32_t>();
-    request->m_kind = head.at(13).get<int>() == 0 ? routing::request_kind::idempotent
-                                                  : routing::request_kind::non_idempotent;
-    frame.m_is_retry = head.at(14).get<bool>();
-    request->m_body = body;
-    frame.m_request = std::move(request);
-    return frame;
+    return {[](const msgpack::object& row, peer_frame& frame) {
+        read(row, frame.emplace<Kinds>());
+    }...};
 }
 
-response_frame read_response(const json& head, std::string_view body)
+constexpr auto frame_readers = make_frame_readers(std::make_index_sequence<frame_kind_count>());
+
+void append_length(std::string& bytes, std::size_t length)
 {
-    auto response = std::make_shared<server_response>();
-    response->m_status = head.at(1).get<int>();
-    response->m_headers = read_headers(head.at(2));
-    response->m_body = body;
-    return {head.at(0).get<std::uint64_t>(), std::move(response), read_report(head.at(3))};
+    for (const int shift : {24, 16, 8, 0})
+        bytes.push_back(static_cast<char>((length >> shift) & 0xFF));
 }
 
-peer_frame read_frame(frame_type type, const json& head, std::string_view body)
+std::size_t read_length(std::string_view bytes)
 {
-    switch (type) {
-    case frame_type::hello:
-        return hello_frame{head.at(0).get<std::string>(),
-                           head.at(1).get<std::uint64_t>(),
-                           head.at(2).get<std::string>(),
-                           head.at(3).get<std::string>(),
-                           head.at(4).get<std::map<std::string, std::string>>(),
-                           head.at(5).get<departed_servers>()};
-    case frame_type::ping:
-        return ping_frame{head.at(0).get<std::uint64_t>()};
-    case frame_type::status:
-        return status_frame{head.at(0).get<std::uint64_t>(), read_status(head.at(1)),
-                            head.at(2).get<document_revisions>(),
-                            head.at(3).get<std::map<std::string, std::int64_t>>()};
-    case frame_type::request:
-        return read_request(head, body);
-    case frame_type::cancel:
-        return cancel_frame{head.at(0).get<std::uint64_t>()};
-    case frame_type::resume:
-        return resume_frame{head.at(0).get<std::uint64_t>()};
-    case frame_type::response:
-        return read_response(head, body);
-    case frame_type::refusal:
-        return refusal_frame{
-            head.at(0).get<std::uint64_t>(), static_cast<refusal_reason>(head.at(1).get<int>()),
-            head.at(2).get<std::int64_t>(), read_report(head.at(3)), read_hint(head.at(4))};
-    case frame_type::failure:
-        return failure_frame{head.at(0).get<std::uint64_t>(), head.at(1).get<std::string>(),
-                             read_report(head.at(2))};
-    case frame_type::document_request:
-        return document_request_frame{head.at(0).get<std::string>()};
-    default:
-        return document_frame{head.at(0).get<std::string>(), head.at(1).get<std::uint64_t>(),
-                              std::string(body), head.at(2).get<std::int64_t>()};
-    }
+    std::size_t length = 0;
+    for (const char byte : bytes.substr(0, frame_prefix_bytes))
+        length = length << 8 | static_cast<unsigned char>(byte);
+    return length;
 }
 
 } // namespace
 
 std::string encode_frame(const peer_frame& frame)
 {
-    json head;
-    std::string_view body;
-    std::visit(
-        [&](const auto& value) {
-            head = head_of(value);
-            body = body_of(value);
-        },
-        frame);
-    const auto head_bytes = json::to_cbor(json::array({frame.index(), std::move(head)}));
-    std::string bytes;
-    bytes.reserve(frame_prefix_bytes + head_bytes.size() + body.size());
-    append_length(bytes, 4 + head_bytes.size() + body.size());
-    append_length(bytes, head_bytes.size());
-    bytes.append(head_bytes.begin(), head_bytes.end());
-    bytes.append(body);
+    std::string bytes(frame_prefix_bytes, '\0');
+    string_output output{bytes};
+    packer out(output);
+    out.pack_array(2);
+    out.pack(static_cast<std::uint32_t>(frame.index()));
+    std::visit([&](const auto& value) { pack(out, value); }, frame);
+    std::string prefix;
+    append_length(prefix, bytes.size() - frame_prefix_bytes);
+    bytes.replace(0, frame_prefix_bytes, prefix);
     return bytes;
 }
 
@@ -331,22 +239,28 @@
     if (buffer.size() < frame_prefix_bytes)
         return frame_state::incomplete;
     const std::size_t length = read_length(buffer);
-    const std::size_t head_length = read_length(buffer.substr(4));
-    if (length > max_frame_bytes || head_length + 4 > length)
+    if (length > max_frame_bytes)
         return frame_state::invalid;
-    if (buffer.size() < length + 4)
+    if (buffer.size() < length + frame_prefix_bytes)
         return frame_state::incomplete;
-    used = length + 4;
-    const std::string_view head_bytes = buffer.substr(frame_prefix_bytes, head_length);
-    const std::string_view body =
-        buffer.substr(frame_prefix_bytes + head_length, length - 4 - head_length);
+    used = length + frame_prefix_bytes;
     try {
-        const json head = json::from_cbor(head_bytes.begin(), head_bytes.end());
-        const auto type = head.at(0).get<std::size_t>();
-        if (type >= static_cast<std::size_t>(frame_type::count))
+        // Strings refer to the buffer until they are copied into the frame.
+        const auto refer = [](msgpack::type::object_type, std::size_t, void*) { return true; };
+        const msgpack::object_handle handle = msgpack::unpack(
+            buffer.data() + frame_prefix_bytes, length, refer, nullptr,
+            msgpack::unpack_limit(max_elements, max_elements, max_frame_bytes, max_frame_bytes,
+                                  max_frame_bytes, max_depth));
+        const msgpack::object& row = handle.get();
+        if (row.type != msgpack::type::ARRAY || row.via.array.size < 2)
             return frame_state::invalid;
-        frame = read_frame(static_cast<frame_type>(type), head.at(1), body);
-    } catch (const json::exception&) {
+        const auto kind = row.via.array.ptr[0].as<std::size_t>();
+        if (kind >= frame_kind_count)
+            return frame_state::invalid;
+        frame_readers[kind](row.via.array.ptr[1], frame);
+    } catch (const msgpack::unpack_error&) {
+        return frame_state::invalid;
+    } catch (const msgpack::type_error&) {
         return frame_state::invalid;
     }
     return frame_state::complete;
