Send the changes of a range table instead of the whole table

Cause: each write of a table sent the whole table to its new owners and, on request, to every other owner. Change: a node remembers in which revision each entry changed and sends the entries that are newer than the receiver's revision; the writer sends its change to all owners at once instead of a status that makes each of them ask. The stored text names each owner once. The whole table goes only to nodes without a known revision.

--- a/libs/key_ranges/include/azureladder/key_ranges/range_table_json.hpp
+++ b/libs/key_ranges/include/azureladder/key_ranges/range_table_json.hpp
@@ -8,8 +8,9 @@
 
 namespace azureladder::key_ranges {
 
-/// Serializes a table as a JSON object with `next_fence` and `ranges`; each range is an array of
-/// [from, to, owner, incarnation, fencing token, state, previous owner, handover token].
+/// Serializes a table as a JSON object with `next_fence`, `owners` and `ranges`. Each owner is an
+/// array of [node, incarnation], and each range one of [from, to, index of the owner, fencing
+/// token], followed by [state, previous owner, handover token] unless all have their defaults.
 std::string to_json_text(const range_table& table);
 
 /// Parses a serialized table. Returns no value if the text is malformed or the table inconsistent.
--- a/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
@@ -3,7 +3,7 @@
 #include <azureladder/base/time.hpp>
 #include <azureladder/key_ranges/grant_history.hpp>
 #include <azureladder/key_ranges/key_load.hpp>
-#include <azureladder/key_ranges/range_table.hpp>
+#include <azureladder/key_ranges/range_table_change.hpp>
 #include <azureladder/sidecar/grant_connection.hpp>
 #include <azureladder/sidecar/peer_frame.hpp>
 
@@ -23,7 +23,7 @@
 {
     std::uint64_t m_revision = 0;
     key_ranges::range_table m_table;
-    std::string m_text;
+    key_ranges::range_table_history m_history;
 
     /// Owners named by refusals. A hint is used only if its fencing token is newer than that of the
     /// table.
@@ -103,7 +103,6 @@
     time_point m_next_write_at;
     time_point m_next_balance_at;
     key_ranges::range_table m_proposed;
-    std::string m_proposed_text;
 
     /// The newest read found no table in the store.
     bool m_table_absent = false;
--- a/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
@@ -159,6 +159,9 @@
 struct document_request_frame
 {
     std::string m_name;
+
+    /// Revision that the sender has, 0 for none. The receiver may respond with the changes since.
+    std::uint64_t m_known_revision = 0;
 };
 
 struct document_frame
@@ -170,6 +173,10 @@
     /// Age in microseconds of the sender's newest confirmation that the store has this revision;
     /// negative without a confirmation.
     std::int64_t m_confirmation_age_us = -1;
+
+    /// Not 0 if the text contains only what has changed since this revision, for a receiver that
+    /// has this revision or a later one.
+    std::uint64_t m_base_revision = 0;
 };
 
 using peer_frame = std::variant<hello_frame, ping_frame, status_frame, request_frame, cancel_frame,
--- a/libs/sidecar/include/azureladder/sidecar/peer_frame_codec.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame_codec.hpp
@@ -8,8 +8,8 @@
 
 namespace azureladder::sidecar {
 
-/// Serializes a frame: length of the remaining bytes (4 bytes, big endian), then a MessagePack array
-/// of the frame's kind (index in `peer_frame`) and its fields.
+/// Serializes a frame: length of the remaining bytes (4 bytes, big endian), then a MessagePack
+/// array of the frame's kind (index in `peer_frame`) and its fields.
 std::string encode_frame(const peer_frame& frame);
 
 /// Size of the length field.
--- a/libs/sidecar/src/documents.cpp
+++ b/libs/sidecar/src/documents.cpp
@@ -62,7 +62,12 @@
     outdated.m_requested_at = context.m_now;
     if (outdated.m_first_requested_at == time_point{})
         outdated.m_first_requested_at = context.m_now;
-    send_on_link(context, outdated.m_link, document_request_frame{name});
+    document_request_frame request{name};
+    const document_revisions known = received_revisions(context.m_state);
+    const auto revision = known.find(name);
+    if (revision != known.end())
+        request.m_known_revision = revision->second;
+    send_on_link(context, outdated.m_link, std::move(request));
 }
 
 } // namespace
@@ -158,9 +163,11 @@
     }
 }
 
-void on_document_request(step_context& context, std::uint64_t link, const std::string& name)
+void on_document_request(step_context& context, std::uint64_t link,
+                         const document_request_frame& request)
 {
     const node_state& state = context.m_state;
+    const std::string& name = request.m_name;
     document_frame frame;
     frame.m_name = name;
     if (name == configuration_document) {
@@ -173,8 +180,7 @@
         const auto found = state.m_tables.find(table_service(name));
         if (found == state.m_tables.end())
             return;
-        frame.m_revision = found->second.m_revision;
-        frame.m_text = found->second.m_text;
+        frame = make_table_frame(found->first, found->second, request.m_known_revision);
         if (found->second.m_confirmed_at != time_point{})
             frame.m_confirmation_age_us = (context.m_now - found->second.m_confirmed_at).count();
     }
@@ -182,7 +188,51 @@
         send_on_link(context, link, std::move(frame));
 }
 
-void on_document(step_context& context, const document_frame& frame)
+namespace {
+
+void on_table_document(step_context& context, std::uint64_t link, const document_frame& frame)
+{
+    node_state& state = context.m_state;
+    const std::string service = table_service(frame.m_name);
+    const auto outdated = state.m_outdated_documents.find(frame.m_name);
+    time_point confirmed_at;
+    // The peer sent this response after the first request, so the confirmation time is not later
+    // than the true one. An older revision responds to an earlier request.
+    if (outdated != state.m_outdated_documents.end() &&
+        outdated->second.m_first_requested_at != time_point{} &&
+        frame.m_revision >= outdated->second.m_revision && frame.m_confirmation_age_us >= 0)
+        confirmed_at =
+            outdated->second.m_first_requested_at - duration(frame.m_confirmation_age_us);
+    if (frame.m_base_revision == 0) {
+        install_table(context, service, frame.m_revision, frame.m_text, confirmed_at, "peer");
+        return;
+    }
+    const auto known = state.m_tables.find(service);
+    if (known == state.m_tables.end() || known->second.m_revision < frame.m_base_revision) {
+        on_peer_revisions(context, link, {{frame.m_name, frame.m_revision}});
+        return;
+    }
+    if (known->second.m_revision >= frame.m_revision) {
+        install_table(context, service, frame.m_revision, known->second.m_table, confirmed_at,
+                      "peer");
+        return;
+    }
+    const auto change = key_ranges::parse_range_table_change(frame.m_text);
+    const auto table =
+        change ? key_ranges::apply_change(known->second.m_table, *change) : std::nullopt;
+    if (table)
+        install_table(context, service, frame.m_revision, *table, confirmed_at, "peer");
+    else
+        log(context, log_level::error, "table_change_unusable",
+            {{"service", service},
+             {"revision", frame.m_revision},
+             {"base", frame.m_base_revision},
+             {"known", known->second.m_revision}});
+}
+
+} // namespace
+
+void on_document(step_context& context, std::uint64_t link, const document_frame& frame)
 {
     node_state& state = context.m_state;
     if (frame.m_name == configuration_document) {
@@ -205,19 +255,8 @@
             set_evacuations(context, frame.m_revision, std::move(names));
         return;
     }
-    if (!is_table(frame.m_name))
-        return;
-    const auto outdated = state.m_outdated_documents.find(frame.m_name);
-    time_point confirmed_at;
-    // The peer sent this response after the first request, so the confirmation time is not later
-    // than the true one. An older revision responds to an earlier request.
-    if (outdated != state.m_outdated_documents.end() &&
-        outdated->second.m_first_requested_at != time_point{} &&
-        frame.m_revision >= outdated->second.m_revision && frame.m_confirmation_age_us >= 0)
-        confirmed_at =
-            outdated->second.m_first_requested_at - duration(frame.m_confirmation_age_us);
-    install_table(context, table_service(frame.m_name), frame.m_revision, frame.m_text,
-                  confirmed_at, "peer");
+    if (is_table(frame.m_name))
+        on_table_document(context, link, frame);
 }
 
 } // namespace azureladder::sidecar
--- a/libs/sidecar/src/peer_frame_codec.cpp
+++ b/libs/sidecar/src/peer_frame_codec.cpp
@@ -247,10 +247,10 @@
     try {
         // Strings refer to the buffer until they are copied into the frame.
         const auto refer = [](msgpack::type::object_type, std::size_t, void*) { return true; };
-        const msgpack::object_handle handle = msgpack::unpack(
-            buffer.data() + frame_prefix_bytes, length, refer, nullptr,
-            msgpack::unpack_limit(max_elements, max_elements, max_frame_bytes, max_frame_bytes,
-                                  max_frame_bytes, max_depth));
+        const msgpack::object_handle handle =
+            msgpack::unpack(buffer.data() + frame_prefix_bytes, length, refer, nullptr,
+                            msgpack::unpack_limit(max_elements, max_elements, max_frame_bytes,
+                                                  max_frame_bytes, max_frame_bytes, max_depth));
         const msgpack::object& row = handle.get();
         if (row.type != msgpack::type::ARRAY || row.via.array.size < 2)
             return frame_state::invalid;
--- a/libs/sidecar/src/peer_frame_fields.hpp
+++ b/libs/sidecar/src/peer_frame_fields.hpp
@@ -117,13 +117,14 @@
 template <class Value>
 auto fields_of(Value& value, const document_request_frame* /*type*/)
 {
-    return std::tie(value.m_name);
+    return std::tie(value.m_name, value.m_known_revision);
 }
 
 template <class Value>
 auto fields_of(Value& value, const document_frame* /*type*/)
 {
-    return std::tie(value.m_name, value.m_revision, value.m_text, value.m_confirmation_age_us);
+    return std::tie(value.m_name, value.m_revision, value.m_text, value.m_confirmation_age_us,
+                    value.m_base_revision);
 }
 
 } // namespace azureladder::sidecar
--- a/libs/sidecar/src/range_tables.cpp
+++ b/libs/sidecar/src/range_tables.cpp
@@ -22,6 +22,10 @@
 /// Time for which a member waits for a new table from its creator before it reads the store.
 constexpr duration created_table_timeout = milliseconds(1000);
 
+/// Revisions whose changes are sent to the other owners after a write. With more than one, an owner
+/// that has not received the previous writer's changes yet can use them.
+constexpr std::size_t pushed_revisions = 2;
+
 received_table* local_table(node_state& state)
 {
     const auto found = state.m_tables.find(local_keyed_service(state));
@@ -200,10 +204,10 @@
     key_ownership& keys = context.m_state.m_ownership;
     keys.m_writing = true;
     keys.m_proposed = std::move(table);
-    keys.m_proposed_text = key_ranges::to_json_text(keys.m_proposed);
     log(context, log_level::info, "table_proposed",
         {{"service", service}, {"expected_revision", expected_revision}, {"reason", reason}});
-    emit(context, write_table{service, expected_revision, keys.m_proposed_text});
+    emit(context,
+         write_table{service, expected_revision, key_ranges::to_json_text(keys.m_proposed)});
 }
 
 /// Creates the first table, divided among the members connected by then. Only the first member by
@@ -258,35 +262,20 @@
     emit(context, read_table{service});
 }
 
-/// Sends a written table to the nodes that gained ranges by it. Nobody serves these keys until
-/// those nodes have received it.
-void send_table_to_new_owners(step_context& context, const table_written& written)
+/// Sends the changes of a written table to the peers that may own ranges. Nobody serves transferred
+/// keys until their new owners have received them.
+void send_table_to_owners(step_context& context, const std::string& service)
 {
-    const key_ownership& keys = context.m_state.m_ownership;
-    const received_table* known = local_table(context.m_state);
-    std::set<std::string> gained;
-    for (const auto& entry : keys.m_proposed.m_entries) {
-        const bool is_new =
-            known == nullptr || entry.m_fencing_token >= known->m_table.m_next_fencing_token;
-        if (is_new && entry.m_owner != context.m_state.m_options.m_node)
-            gained.insert(entry.m_owner);
-    }
-    for (const auto& node : gained)
-        send_to_node(context, node,
-                     document_frame{table_document(written.m_service), written.m_revision,
-                                    keys.m_proposed_text, -1});
-}
-
-/// Reports the new revision to the peers that may own ranges.
-void send_status_to_owners(step_context& context, const std::string& service)
-{
-    for (const std::uint64_t link : context.m_state.m_accepted_links) {
-        const auto node = context.m_state.m_node_of_link.find(link);
-        if (node == context.m_state.m_node_of_link.end())
-            continue;
-        const auto peer = context.m_state.m_peers.find(node->second);
-        if (peer != context.m_state.m_peers.end() && peer->second.m_status.m_service == service)
-            send_status(context, link);
+    node_state& state = context.m_state;
+    const received_table& table = state.m_tables.at(service);
+    const auto& revisions = table.m_history.m_revisions;
+    const std::uint64_t base = revisions.size() > pushed_revisions
+                                   ? revisions[revisions.size() - 1 - pushed_revisions]
+                                   : revisions.front();
+    const document_frame frame = make_table_frame(service, table, base);
+    for (const auto& [node, peer] : state.m_peers) {
+        if (peer.m_link != 0 && peer.m_handshake_complete && peer.m_status.m_service == service)
+            send_on_link(context, peer.m_link, frame);
     }
 }
 
@@ -323,39 +312,64 @@
 }
 
 void install_table(step_context& context, const std::string& service, std::uint64_t revision,
-                   const std::string& text, time_point confirmed_at, const std::string& source)
+                   const key_ranges::range_table& table, time_point confirmed_at,
+                   const char* source)
 {
     node_state& state = context.m_state;
-    const auto known = state.m_tables.find(service);
-    if (known != state.m_tables.end() && revision <= known->second.m_revision) {
-        if (revision == known->second.m_revision)
-            known->second.m_confirmed_at = std::max(known->second.m_confirmed_at, confirmed_at);
-        return;
-    }
-    const auto table = key_ranges::parse_range_table(text);
-    if (!table) {
-        log(context, log_level::error, "table_unreadable",
-            {{"service", service}, {"revision", revision}});
+    received_table& installed = state.m_tables[service];
+    if (revision <= installed.m_revision) {
+        if (revision == installed.m_revision)
+            installed.m_confirmed_at = std::max(installed.m_confirmed_at, confirmed_at);
         return;
     }
-    received_table& installed = state.m_tables[service];
+    key_ranges::record_revision(installed.m_history, installed.m_table, table, revision);
     installed.m_revision = revision;
-    installed.m_table = *table;
-    installed.m_text = text;
+    installed.m_table = table;
     installed.m_confirmed_at = std::max(installed.m_confirmed_at, confirmed_at);
     log(context, log_level::info, "table_in_force",
         {{"service", service},
          {"revision", revision},
-         {"ranges", table->m_entries.size()},
+         {"ranges", table.m_entries.size()},
          {"source", source}});
     if (service == local_keyed_service(state)) {
-        update_takeovers(context, *table);
+        update_takeovers(context, installed.m_table);
         check_range_transfers(context);
         check_range_leases(context);
     }
     retry_waiting_requests(context);
 }
 
+void install_table(step_context& context, const std::string& service, std::uint64_t revision,
+                   const std::string& text, time_point confirmed_at, const char* source)
+{
+    const auto known = context.m_state.m_tables.find(service);
+    if (known != context.m_state.m_tables.end() && revision <= known->second.m_revision) {
+        install_table(context, service, revision, known->second.m_table, confirmed_at, source);
+        return;
+    }
+    if (const auto table = key_ranges::parse_range_table(text))
+        install_table(context, service, revision, *table, confirmed_at, source);
+    else
+        log(context, log_level::error, "table_unreadable",
+            {{"service", service}, {"revision", revision}});
+}
+
+document_frame make_table_frame(const std::string& service, const received_table& table,
+                                std::uint64_t known_revision)
+{
+    document_frame frame;
+    frame.m_name = table_document(service);
+    frame.m_revision = table.m_revision;
+    const auto change = key_ranges::change_since(table.m_history, table.m_table, known_revision);
+    if (change) {
+        frame.m_base_revision = known_revision;
+        frame.m_text = key_ranges::to_json_text(*change);
+    } else {
+        frame.m_text = key_ranges::to_json_text(table.m_table);
+    }
+    return frame;
+}
+
 void on_table_read(step_context& context, const table_read& read)
 {
     key_ownership& keys = context.m_state.m_ownership;
@@ -390,12 +404,10 @@
          {"revision", written.m_revision}});
     if (written.m_result == write_result::written) {
         keys.m_table_absent = false;
-        send_table_to_new_owners(context, written);
-        install_table(context, written.m_service, written.m_revision, keys.m_proposed_text,
+        install_table(context, written.m_service, written.m_revision, keys.m_proposed,
                       written.m_sent_at, "own write");
-        // The writer reports to the other owners. Nodes of other services are redirected by
-        // refusals.
-        send_status_to_owners(context, written.m_service);
+        // Nodes of other services are redirected by refusals.
+        send_table_to_owners(context, written.m_service);
         return;
     }
     if (written.m_result == write_result::conflict && !written.m_text.empty()) {
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -30,9 +30,9 @@
         void operator()(const failure_frame& f) { on_failure(m_context, f); }
         void operator()(const document_request_frame& f)
         {
-            on_document_request(m_context, m_link, f.m_name);
+            on_document_request(m_context, m_link, f);
         }
-        void operator()(const document_frame& f) { on_document(m_context, f); }
+        void operator()(const document_frame& f) { on_document(m_context, m_link, f); }
     };
     std::visit(visitor{context, link, node}, frame);
 }
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -118,16 +118,29 @@
 void on_configuration_decoded(step_context& context, const configuration_decoded& decoded);
 void on_peer_revisions(step_context& context, std::uint64_t link,
                        const document_revisions& revisions);
-void on_document_request(step_context& context, std::uint64_t link, const std::string& name);
-void on_document(step_context& context, const document_frame& frame);
+void on_document_request(step_context& context, std::uint64_t link,
+                         const document_request_frame& frame);
+void on_document(step_context& context, std::uint64_t link, const document_frame& frame);
 void check_outdated_documents(step_context& context);
 
 // Key ranges: tables, leases and transfers.
 void on_table_read(step_context& context, const table_read& read);
 void on_table_written(step_context& context, const table_written& written);
 void on_key_command_ended(step_context& context, const key_command_ended& ended);
+
+/// Puts a revision of a range table in force unless a newer one is. `confirmed_at` is the time at
+/// which the store had this revision, unset if unknown; `source` is for the log.
+void install_table(step_context& context, const std::string& service, std::uint64_t revision,
+                   const key_ranges::range_table& table, time_point confirmed_at,
+                   const char* source);
+
+/// Parses and installs a whole table.
 void install_table(step_context& context, const std::string& service, std::uint64_t revision,
-                   const std::string& text, time_point confirmed_at, const std::string& source);
+                   const std::string& text, time_point confirmed_at, const char* source);
+
+/// Frame with a table, or with its changes since `known_revision` if this node can name them.
+document_frame make_table_frame(const std::string& service, const received_table& table,
+                                std::uint64_t known_revision);
 void check_tables(step_context& context);
 void check_range_leases(step_context& context);
 void check_range_transfers(step_context& context);
