Send requests and cancels before documents, and documents at a share of the link

A request or cancel waits behind every document that was queued before it, whichever peer it is for. Change: a connection carries three streams (control frames, requests, bulk data) in pieces of 8 KiB, the most urgent first; long bodies are bulk data. All connections together send bulk data at 0.6 of the link at most (new setting link_mbps). The system holds at most 16 KiB unsent for a connection. All links share one read buffer instead of 16 KiB each. Weighed: a second connection for bulk data doubles the connections and does not spare the common link; ordering alone does not help across connections. Tests: frame_queue.* (a table of 1 MiB and tables for 64 peers on a link of 10 Mbit/s: request, cancel and ping leave within 50 ms), piece_reader.*. peer_link.delivers_frames_in_order expected a request behind a document; it checks the order within each stream now. Two tests of peer_link fill the connection before they queue the frame that has to wait.

--- a/libs/sidecar_runtime/include/azureladder/sidecar_runtime/sidecar_settings.hpp
+++ b/libs/sidecar_runtime/include/azureladder/sidecar_runtime/sidecar_settings.hpp
@@ -46,6 +46,10 @@
 
     /// Retry budget of all nodes together: repeated executions per request.
     double m_retry_ratio = 0.2;
+
+    /// Bandwidth of the VM's link in Mbit/s, of which documents and long bodies between nodes use a
+    /// part only; 0 if unknown, for no limit.
+    double m_link_mbps = 0.0;
 };
 
 /// Parses and validates settings. Appends errors to `errors`; the result is then incomplete.
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -97,6 +97,10 @@
     m_link_callbacks.m_on_sent = [this](std::uint64_t link, const peer_link::sent_frame& frame) {
         on_frame_sent(link, frame);
     };
+    m_link_callbacks.m_on_held_back = [this](std::uint64_t link) {
+        m_held_back_links.push_back(link);
+    };
+    m_bulk_pacer = make_bulk_pacer(m_settings.m_link_mbps);
     const tcp::endpoint peer_address = to_tcp_endpoint(m_settings.m_peer_address);
     m_peer_acceptor.open(peer_address.protocol());
     m_peer_acceptor.set_option(asio::socket_base::reuse_address(true));
@@ -428,7 +432,8 @@
 std::uint64_t node_runtime::impl::add_link(tcp::socket socket)
 {
     const std::uint64_t id = m_next_link_id++;
-    const auto link = std::make_shared<peer_link>(std::move(socket), id, m_clock, m_link_callbacks);
+    const auto link =
+        std::make_shared<peer_link>(std::move(socket), id, m_clock, m_bulk_pacer, m_link_callbacks);
     m_links[id] = link;
     link->start();
     return id;
@@ -452,6 +457,17 @@
                  {"queued_bytes", frame.m_queued_bytes}});
 }
 
+void node_runtime::impl::resume_held_back_links()
+{
+    const auto links = std::move(m_held_back_links);
+    m_held_back_links.clear();
+    for (const std::uint64_t id : links) {
+        const auto link = m_links.find(id);
+        if (link != m_links.end())
+            link->second->resume();
+    }
+}
+
 void node_runtime::impl::log_peer_traffic()
 {
     json kinds = json::object();
@@ -473,6 +489,7 @@
 void node_runtime::impl::tick()
 {
     enqueue(sidecar::timer_tick{});
+    resume_held_back_links();
     if (m_clock.now() >= m_next_traffic_report) {
         if (m_next_traffic_report != time_point{})
             log_peer_traffic();
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -84,6 +84,8 @@
     void close_link(std::uint64_t link);
     void on_frame_sent(std::uint64_t link, const peer_link::sent_frame& frame);
 
+    void resume_held_back_links();
+
     /// Logs the traffic to peers since the previous report.
     void log_peer_traffic();
 
@@ -119,6 +121,11 @@
     std::unique_ptr<http_listener> m_registry_listener;
     std::unique_ptr<http_listener> m_ready_listener;
     std::unique_ptr<http_listener> m_metrics_listener;
+    bulk_pacer m_bulk_pacer;
+
+    /// Links whose bulk data the pacer has held back since the previous tick.
+    std::vector<std::uint64_t> m_held_back_links;
+
     peer_traffic m_peer_traffic{};
 
     /// Traffic at the previous report, and the longest waits since then.
--- a/libs/sidecar_runtime/src/peer_link.cpp
+++ b/libs/sidecar_runtime/src/peer_link.cpp
@@ -1,10 +1,12 @@
 #include "peer_link.hpp"
 
-#include <azureladder/sidecar/peer_frame_codec.hpp>
-
 #include <boost/asio/write.hpp>
 
-#include <algorithm>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
 
 namespace azureladder::sidecar_runtime {
 
@@ -12,26 +14,38 @@
 
 /// Limit of bytes queued for a peer that does not read. Beyond it the link is closed, and its
 /// requests are resumed or fail, so that memory stays bounded.
-constexpr std::size_t max_send_queue_bytes = 32U * 1024 * 1024;
+constexpr std::size_t max_queued_bytes = 32U * 1024 * 1024;
 
-/// Limit of bytes that are read from a connection in one pass of the event loop, beyond the first
-/// chunk. A pass reads what has arrived, so that a cancel is seen together with its request.
+/// Limit of bytes that are read from a connection in one pass of the event loop. A pass reads what
+/// has arrived, so that a cancel is seen together with its request.
 constexpr std::size_t max_pass_bytes = 256U * 1024;
 
-/// Bytes above which no further frame is added to a write. Frames in a write can't be removed.
-constexpr std::size_t write_bytes = 64U * 1024;
+/// Limit of bytes that the system holds before they are on the wire, because nothing overtakes
+/// them.
+constexpr int max_unsent_bytes = 16 * 1024;
+
+/// Read buffer of all links. A buffer for each would take more memory than the rest of a node with
+/// hundreds of peers.
+std::array<char, 32U * 1024>& read_buffer()
+{
+    static thread_local std::array<char, 32U * 1024> buffer;
+    return buffer;
+}
 
 } // namespace
 
-peer_link::peer_link(tcp::socket socket, std::uint64_t id, const clock& time,
+peer_link::peer_link(tcp::socket socket, std::uint64_t id, const clock& time, bulk_pacer& pacer,
                      const callbacks& handlers)
-    : m_socket(std::move(socket)), m_id(id), m_clock(time), m_handlers(handlers)
+    : m_socket(std::move(socket)), m_id(id), m_clock(time), m_pacer(pacer), m_handlers(handlers)
 {
 }
 
 void peer_link::start()
 {
     set_connection_options(m_socket);
+    // Without the option, long frames delay later ones by the size of the send buffer.
+    setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &max_unsent_bytes,
+               sizeof max_unsent_bytes);
     error_code error;
     m_socket.non_blocking(true, error);
     if (error)
@@ -42,123 +56,92 @@
 
 void peer_link::read()
 {
-    m_socket.async_read_some(asio::buffer(m_read_chunk),
-                             [self = shared_from_this()](error_code error, std::size_t size) {
-                                 if (self->m_is_closed)
-                                     return;
-                                 self->m_read_buffer.append(self->m_read_chunk.data(), size);
-                                 if (!error && size == self->m_read_chunk.size())
-                                     error = self->read_available();
-                                 self->decode_frames();
-                                 if (self->m_is_closed)
-                                     return;
-                                 if (error)
-                                     self->close_and_report();
-                                 else
-                                     self->read();
-                             });
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+        if (self->m_is_closed)
+            return;
+        if (!error)
+            error = self->read_available();
+        if (self->m_is_closed)
+            return;
+        if (error)
+            self->close_and_report();
+        else
+            self->read();
+    });
 }
 
 error_code peer_link::read_available()
 {
+    auto& buffer = read_buffer();
     std::size_t total = 0;
-    while (total < max_pass_bytes) {
+    while (total < max_pass_bytes && !m_is_closed) {
         error_code error;
-        const std::size_t size = m_socket.read_some(asio::buffer(m_read_chunk), error);
+        const std::size_t size = m_socket.read_some(asio::buffer(buffer), error);
         if (error)
             return error == asio::error::would_block ? error_code() : error;
-        m_read_buffer.append(m_read_chunk.data(), size);
+        const bool is_valid =
+            read_pieces(m_reader, {buffer.data(), size}, [this](sidecar::peer_frame frame) {
+                m_handlers.m_on_frame(m_id, std::move(frame));
+                return !m_is_closed;
+            });
+        if (!is_valid)
+            return asio::error::invalid_argument;
         total += size;
-        if (size < m_read_chunk.size())
+        if (size < buffer.size())
             break;
     }
     return {};
 }
 
-void peer_link::decode_frames()
-{
-    std::size_t offset = 0;
-    while (!m_is_closed) {
-        sidecar::peer_frame frame;
-        std::size_t frame_bytes = 0;
-        const auto state = sidecar::decode_frame(std::string_view(m_read_buffer).substr(offset),
-                                                 frame, frame_bytes);
-        if (state == sidecar::frame_state::invalid) {
-            close_and_report();
-            return;
-        }
-        if (state == sidecar::frame_state::incomplete)
-            break;
-        offset += frame_bytes;
-        m_handlers.m_on_frame(m_id, std::move(frame));
-    }
-    m_read_buffer.erase(0, offset);
-}
-
 void peer_link::send(const sidecar::peer_frame& frame)
 {
     if (m_is_closed)
         return;
     const auto* cancel = std::get_if<sidecar::cancel_frame>(&frame);
-    if (cancel != nullptr && remove_queued_request(cancel->m_id))
+    if (cancel != nullptr && remove_queued_request(m_queue, cancel->m_id))
         return;
-    queued_frame queued;
-    if (const auto* request = std::get_if<sidecar::request_frame>(&frame))
-        queued.m_request = request->m_id;
-    queued.m_kind = frame.index();
-    queued.m_queued_at = m_clock.now();
-    queued.m_bytes = sidecar::encode_frame(frame);
-    m_send_queue_bytes += queued.m_bytes.size();
-    m_send_queue.push_back(std::move(queued));
-    if (m_send_queue_bytes > max_send_queue_bytes)
+    push_frame(m_queue, frame, m_clock.now());
+    if (m_queue.m_bytes > max_queued_bytes)
         close_and_report();
-    else if (m_write_buffer.empty())
-        write();
+    else
+        resume();
 }
 
-bool peer_link::remove_queued_request(std::uint64_t request)
+void peer_link::resume()
 {
-    const auto found =
-        std::find_if(m_send_queue.begin(), m_send_queue.end(),
-                     [&](const queued_frame& queued) { return queued.m_request == request; });
-    if (found == m_send_queue.end())
-        return false;
-    m_send_queue_bytes -= found->m_bytes.size();
-    m_send_queue.erase(found);
-    return true;
+    if (!m_is_closed && m_write.m_bytes.empty() && m_queue.m_bytes > 0)
+        write();
 }
 
 void peer_link::write()
 {
-    while (!m_send_queue.empty() && m_write_buffer.size() < write_bytes) {
-        m_write_buffer += m_send_queue.front().m_bytes;
-        m_send_queue_bytes -= m_send_queue.front().m_bytes.size();
-        m_frames_in_write.push_back(std::move(m_send_queue.front()));
-        m_send_queue.pop_front();
+    m_write = take_write(m_queue, m_pacer, m_clock.now());
+    if (m_write.m_bytes.empty()) {
+        m_handlers.m_on_held_back(m_id);
+        return;
     }
-    asio::async_write(m_socket, asio::buffer(m_write_buffer),
+    asio::async_write(m_socket, asio::buffer(m_write.m_bytes),
                       [self = shared_from_this()](error_code error, std::size_t /*size*/) {
-                          self->m_write_buffer.clear();
-                          const auto written = std::move(self->m_frames_in_write);
-                          self->m_frames_in_write.clear();
-                          if (self->m_is_closed)
-                              return;
-                          if (error) {
-                              self->close_and_report();
-                              return;
-                          }
-                          self->report_sent(written);
-                          if (!self->m_send_queue.empty())
-                              self->write();
+                          const frame_write written = std::move(self->m_write);
+                          self->m_write = {};
+                          if (!self->m_is_closed)
+                              self->on_written(written, error);
                       });
 }
 
-void peer_link::report_sent(const std::vector<queued_frame>& frames)
+void peer_link::on_written(const frame_write& written, error_code error)
 {
+    if (error) {
+        close_and_report();
+        return;
+    }
     const time_point now = m_clock.now();
-    for (const auto& frame : frames)
-        m_handlers.m_on_sent(m_id, {frame.m_kind, frame.m_bytes.size(), now - frame.m_queued_at,
-                                    m_send_queue_bytes});
+    for (std::size_t i = 0; i < written.m_completed.size(); ++i) {
+        const queued_frame& frame = written.m_completed[i];
+        m_handlers.m_on_sent(m_id, {frame.m_kind, written.m_completed_bytes[i],
+                                    now - frame.m_queued_at, m_queue.m_bytes});
+    }
+    resume();
 }
 
 void peer_link::close()
