Compare the range table with its owners by owner, and not at each tick

Cause of processor time that grows with the ranges and members: every 25 ms each owner copied the whole table (500 ranges with four texts each at 111 owners), listed all members and compared. Change: the distinct owners and their incarnations are indexed when a table is installed; they are compared every 100 ms, after each new table, and after a change of the local server; the table is copied only when a change may be due. Takeovers and bindings of other nodes may start up to 75 ms later; their delays are 0.6 s and more.

--- a/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,6 +26,12 @@
     key_ranges::range_table m_table;
     key_ranges::range_table_history m_history;
 
+    /// Incarnations that the active ranges of each owner are bound to, by node.
+    std::map<std::string, std::set<std::string>> m_owners;
+
+    /// Some ranges are being taken over.
+    bool m_has_takeovers = false;
+
     /// Owners named by refusals. A hint is used only if its fencing token is newer than that of the
     /// table.
     std::vector<owner_hint> m_hints;
@@ -101,6 +108,9 @@
     bool m_writing = false;
     time_point m_next_read_at;
     time_point m_next_write_at;
+
+    /// Time of the next comparison of the table with the state of the owners.
+    time_point m_next_table_check_at;
     time_point m_next_balance_at;
     key_ranges::range_table m_proposed;
 
--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -460,6 +460,7 @@
         if (state.m_backend)
             clear_range_leases(context);
         state.m_backend.emplace();
+        state.m_ownership.m_next_table_check_at = context.m_now;
         state.m_admission_controller.m_failure_share = 0.0;
     }
     local_backend& backend = *state.m_backend;
--- a/libs/sidecar/src/range_tables.cpp
+++ b/libs/sidecar/src/range_tables.cpp
@@ -26,6 +26,10 @@
 /// that has not received the previous writer's changes yet can use them.
 constexpr std::size_t pushed_revisions = 2;
 
+/// Interval between comparisons of the table with the state of its owners, which cost time in
+/// proportion to their number. Changes of this node itself and of the table are checked at once.
+constexpr duration table_check_interval = milliseconds(100);
+
 received_table* local_table(node_state& state)
 {
     const auto found = state.m_tables.find(local_keyed_service(state));
@@ -109,7 +113,11 @@
 {
     node_state& state = context.m_state;
     std::set<std::string> lost;
+    const std::string* previous = nullptr;
     for (const auto& entry : table.m_entries) {
+        if (previous != nullptr && *previous == entry.m_owner)
+            continue;
+        previous = &entry.m_owner;
         if (!is_reachable(state, entry.m_owner, context.m_now))
             lost.insert(entry.m_owner);
     }
@@ -177,10 +185,10 @@
 }
 
 /// The known table with all changes that this node has to make now.
-range_table desired_table(step_context& context, const range_table& known)
+range_table desired_table(step_context& context, const eligible_members& members,
+                          const range_table& known)
 {
     node_state& state = context.m_state;
-    const auto members = eligible_owners(state, local_keyed_service(state), context.m_now);
     range_table table = known;
     apply_released_transfers(state, context.m_now, members, table);
     transfer_takeovers(state, context.m_now, members, table);
@@ -198,6 +206,40 @@
     return table;
 }
 
+/// Whether this node may have to change the table: a change of its own is due, or some owner is
+/// unreachable, has no tokens for its incarnation or is being replaced.
+bool may_need_change(const node_state& state, const eligible_members& members,
+                     const received_table& table, time_point now)
+{
+    const auto& transfers = state.m_ownership.m_transfers;
+    if (table.m_has_takeovers ||
+        std::any_of(transfers.begin(), transfers.end(),
+                    [](const range_transfer& transfer) { return transfer.m_released; }))
+        return true;
+    return std::any_of(table.m_owners.begin(), table.m_owners.end(), [&](const auto& owner) {
+        const auto& [node, incarnations] = owner;
+        if (!is_reachable(state, node, now))
+            return true;
+        const auto member = members.find(node);
+        return member != members.end() &&
+               (incarnations.size() != 1 || *incarnations.begin() != member->second);
+    });
+}
+
+/// Fills the fields that follow from the table.
+void index_owners(received_table& table)
+{
+    table.m_owners.clear();
+    table.m_has_takeovers = false;
+    for (const auto& entry : table.m_table.m_entries) {
+        auto& incarnations = table.m_owners[entry.m_owner];
+        if (entry.m_state == range_state::active)
+            incarnations.insert(entry.m_server_incarnation);
+        else
+            table.m_has_takeovers = true;
+    }
+}
+
 void write_proposed_table(step_context& context, const std::string& service,
                           std::uint64_t expected_revision, range_table table, const char* reason)
 {
@@ -228,14 +270,13 @@
 }
 
 /// The reachable owner that comes first by name. It reads the store on behalf of all owners.
-std::string confirming_owner(const node_state& state, const range_table& table, time_point now)
+std::string confirming_owner(const node_state& state, const received_table& table, time_point now)
 {
-    std::string first;
-    for (const auto& entry : table.m_entries) {
-        if (is_reachable(state, entry.m_owner, now) && (first.empty() || entry.m_owner < first))
-            first = entry.m_owner;
+    for (const auto& [owner, incarnations] : table.m_owners) {
+        if (is_reachable(state, owner, now))
+            return owner;
     }
-    return first;
+    return {};
 }
 
 void read_if_due(step_context& context, const std::string& service, const received_table* table)
@@ -249,7 +290,7 @@
         const duration age = context.m_now - table->m_confirmed_at;
         if (age <= validity / 3)
             return;
-        const std::string confirming = confirming_owner(state, table->m_table, context.m_now);
+        const std::string confirming = confirming_owner(state, *table, context.m_now);
         const auto peer = state.m_peers.find(confirming);
         if (peer != state.m_peers.end() && age <= validity / 2) {
             if (!peer->second.m_ping_pending &&
@@ -325,6 +366,7 @@
     key_ranges::record_revision(installed.m_history, installed.m_table, table, revision);
     installed.m_revision = revision;
     installed.m_table = table;
+    index_owners(installed);
     installed.m_confirmed_at = std::max(installed.m_confirmed_at, confirmed_at);
     log(context, log_level::info, "table_in_force",
         {{"service", service},
@@ -332,6 +374,7 @@
          {"ranges", table.m_entries.size()},
          {"source", source}});
     if (service == local_keyed_service(state)) {
+        state.m_ownership.m_next_table_check_at = context.m_now;
         update_takeovers(context, installed.m_table);
         check_range_transfers(context);
         check_range_leases(context);
@@ -441,7 +484,19 @@
             create_table(context, service);
         return;
     }
-    range_table wanted = desired_table(context, table->m_table);
+    const bool has_own_change =
+        std::any_of(keys.m_transfers.begin(), keys.m_transfers.end(),
+                    [](const range_transfer& transfer) { return transfer.m_released; });
+    if (!has_own_change && context.m_now < keys.m_next_table_check_at)
+        return;
+    keys.m_next_table_check_at = context.m_now + table_check_interval;
+    const auto members = eligible_owners(state, service, context.m_now);
+    if (!may_need_change(state, members, *table, context.m_now)) {
+        keys.m_owner_unreachable_since.clear();
+        keys.m_owner_unbound_since.clear();
+        return;
+    }
+    range_table wanted = desired_table(context, members, table->m_table);
     if (wanted.m_entries == table->m_table.m_entries)
         return;
     key_ranges::merge_adjacent_ranges(wanted, state.m_options.m_node, state.m_options.m_max_ranges);
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -46,6 +46,7 @@
         emit(context, close_link{received.m_link});
         return;
     }
+    // A copy, because handling the frame may erase the connection.
     const std::string node =
         found == context.m_state.m_node_of_link.end() ? std::string() : found->second;
     const auto peer = context.m_state.m_peers.find(node);
