Keep the merging of ranges in the fault tests as it was

The limit of four ranges for each owner raised the limit of 8 ranges that the random fault tests set, so they merged less often.

--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -83,8 +83,11 @@
     /// Factor of the decaying request counts at each balance interval.
     float m_load_decay = 0.7F;
 
-    /// Number of ranges of one service above which adjacent ranges are merged.
+    /// Number of ranges of one service above which adjacent ranges are merged, or that number for
+    /// each owner if this is more. Merging replaces the fencing tokens and so ends transfers in
+    /// progress.
     std::size_t m_max_ranges = 64;
+    std::size_t m_max_ranges_per_owner = 4;
 
     /// Shortest delay before a failed store call is retried.
     duration m_store_retry = milliseconds(400);
--- a/libs/sidecar/src/range_tables.cpp
+++ b/libs/sidecar/src/range_tables.cpp
@@ -36,10 +36,6 @@
 /// Time for which requests of other owners to write a transfer are retained.
 constexpr duration delegated_transfer_retention = seconds(2);
 
-/// Number of ranges for each owner above which adjacent ranges are merged. Merging replaces the
-/// fencing tokens and so ends transfers in progress.
-constexpr std::size_t max_ranges_per_owner = 4;
-
 received_table* local_table(node_state& state)
 {
     const auto found = state.m_tables.find(local_keyed_service(state));
@@ -592,7 +588,8 @@
         return;
     key_ranges::merge_adjacent_ranges(
         wanted, state.m_options.m_node,
-        std::max(state.m_options.m_max_ranges, max_ranges_per_owner * table->m_owners.size()));
+        std::max(state.m_options.m_max_ranges,
+                 state.m_options.m_max_ranges_per_owner * table->m_owners.size()));
     write_proposed_table(context, service, table->m_revision, std::move(wanted), "changed");
 }
 
--- a/libs/sidecar/tests/sidecar_cluster.cpp
+++ b/libs/sidecar/tests/sidecar_cluster.cpp
@@ -126,6 +126,7 @@
     options.m_service = wanted.m_service;
     options.m_peer_address = node + ":0";
     options.m_max_ranges = m_max_ranges;
+    options.m_max_ranges_per_owner = 0;
     wanted.m_incarnation = options.m_incarnation;
     wanted.m_state = std::make_unique<node_state>(make_node(options, m_now, m_random()));
     const std::uint64_t incarnation = wanted.m_incarnation;
