Earn repeats from the requests of clients only, and pay for the calls of repeats

Causes: a node's budget earned from every request to a service, calls of backend servers included (1,947 calls beside 820 requests of clients in the traced window), while the limit counts requests of clients only; a repeated execution makes its calls again, which count as repeats at the called service and were paid by nobody; each process started with a token and could save four, whatever the number of nodes. Change: routes of priority 0 (calls of backend servers) earn nothing; a node learns how many calls its server makes per execution and reports it, and a repeat takes that share from the budgets of the called services too; saved tokens of all nodes together stay below 0.7 of the slack (new setting retry_slack); a new process has none. Routes of the tests have priority 1 now, like those of clients.

--- a/libs/routing/tests/load_balancing_test.cpp
+++ b/libs/routing/tests/load_balancing_test.cpp
@@ -120,18 +120,75 @@
 // Guards against retries that multiply the load: they are limited to a fraction of the requests.
 TEST(retry_budget, limits_the_share_of_retries)
 {
-    retry_budget budget;
+    retry_budgets budgets;
     const retry_budget_options options;
+    const double max = max_tokens(options, 3);
     int taken = 0;
     for (int i = 0; i < 1000; ++i) {
-        record_request(budget, options);
-        while (take_retry(budget))
+        record_request(budgets["s"], options, max);
+        while (take_retry(budgets, "s", {}))
             ++taken;
     }
     EXPECT_LE(taken, 1000 * options.m_tokens_per_request + options.m_max_tokens);
     EXPECT_GE(taken, 140);
 }
 
+// Guards against repeats beyond the operator's slack when many nodes spend saved tokens at once, or
+// when many processes have just started.
+TEST(retry_budget, saved_tokens_of_all_nodes_stay_below_the_slack)
+{
+    const retry_budget_options options;
+    for (const std::size_t nodes : {1U, 13U, 28U, 40U}) {
+        int taken = 0;
+        for (std::size_t node = 0; node < nodes; ++node) {
+            retry_budgets budgets;
+            EXPECT_FALSE(take_retry(budgets, "s", {}));
+            for (int i = 0; i < 1000; ++i)
+                record_request(budgets["s"], options, max_tokens(options, nodes));
+            while (take_retry(budgets, "s", {}))
+                ++taken;
+        }
+        EXPECT_LE(taken, options.m_max_total_tokens) << nodes << " nodes";
+    }
+}
+
+// Guards against repeats that exceed the budget of a called service: the calls of a repeated
+// execution count as repeats there.
+TEST(retry_budget, repeat_needs_tokens_for_its_calls)
+{
+    retry_budgets budgets;
+    budgets["orders"].m_tokens = 3.0;
+    EXPECT_FALSE(take_retry(budgets, "orders", {{"catalogue", 0.7}}));
+    EXPECT_EQ(budgets["orders"].m_tokens, 3.0);
+    budgets["catalogue"].m_tokens = 1.5;
+    EXPECT_TRUE(take_retry(budgets, "orders", {{"catalogue", 0.7}}));
+    EXPECT_TRUE(may_retry(budgets, "orders", {{"catalogue", 0.7}}));
+    EXPECT_TRUE(take_retry(budgets, "orders", {{"catalogue", 0.7}}));
+    EXPECT_FALSE(take_retry(budgets, "orders", {{"catalogue", 0.7}}));
+    EXPECT_NEAR(budgets["catalogue"].m_tokens, 0.1, 1e-9);
+    EXPECT_TRUE(take_retry(budgets, "orders", {}));
+}
+
+TEST(nested_calls, counts_the_calls_of_recent_executions)
+{
+    nested_calls counts;
+    for (int i = 0; i < 9; ++i)
+        record_execution(counts);
+    record_call(counts, "a");
+    EXPECT_TRUE(calls_per_execution(counts).empty());
+    for (int i = 0; i < 2000; ++i) {
+        record_execution(counts);
+        record_call(counts, "a");
+        if (i % 4 == 0)
+            record_call(counts, "b");
+    }
+    EXPECT_NEAR(calls_per_execution(counts).at("a"), 1.0, 0.05);
+    EXPECT_NEAR(calls_per_execution(counts).at("b"), 0.25, 0.05);
+    for (int i = 0; i < 4000; ++i)
+        record_execution(counts);
+    EXPECT_TRUE(calls_per_execution(counts).empty());
+}
+
 // Guards against routing a request by a shorter prefix or by the prefix of another host.
 TEST(find_route, selects_the_longest_prefix_of_the_host)
 {
--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -83,7 +83,7 @@
     std::map<std::uint64_t, std::uint64_t> m_caller_of_frame;
     std::uint64_t m_next_frame = 1;
     std::map<std::string, routing::weighted_round_robin> m_service_selections;
-    std::map<std::string, routing::retry_budget> m_retry_budgets;
+    routing::retry_budgets m_retry_budgets;
 
     /// By route.
     std::map<std::string, routing::deadline_history> m_deadline_histories;
@@ -101,6 +101,10 @@
     std::map<std::uint64_t, backend_execution> m_executions;
     std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> m_execution_of_frame;
     std::uint64_t m_next_execution = 1;
+
+    /// Calls that the local backend server makes during its executions.
+    routing::nested_calls m_nested_calls;
+
     /// Set while the server counts as cold until its next announcement.
     time_point m_cold_until_announced;
 
--- a/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
@@ -2,6 +2,7 @@
 
 #include <azureladder/base/enum_names.hpp>
 #include <azureladder/routing/load_report.hpp>
+#include <azureladder/routing/nested_calls.hpp>
 #include <azureladder/sidecar/departed_servers.hpp>
 #include <azureladder/sidecar/forwarded_request.hpp>
 #include <azureladder/sidecar/server_response.hpp>
@@ -55,6 +56,9 @@
     /// Departures that the node has acknowledged. Peers store them for its next process, which
     /// cannot read them while the store is unavailable.
     departed_servers m_departed_servers;
+
+    /// Calls that the backend server makes per execution, by called service.
+    routing::calls_by_service m_calls_per_execution;
 };
 
 struct ping_frame
--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -144,6 +144,8 @@
     const local_backend& backend = *context.m_state.m_backend;
     execution.m_started = true;
     execution.m_started_at = context.m_now;
+    if (execution.m_request->m_priority != routing::call_priority)
+        routing::record_execution(context.m_state.m_nested_calls);
     json fields = execution_fields(execution);
     fields["backend"] = backend.m_announcement.m_id;
     fields["running"] = context.m_state.m_admission_controller.m_running.size();
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -16,14 +16,35 @@
 /// timeout after which the node receives no new requests, because the first execution is wasted.
 constexpr duration resend_timeout = milliseconds(600);
 
+/// Calls that the execution of a request makes, as its node reports. Calls make no further ones.
+routing::calls_by_service calls_of(const node_state& state, const open_request& request,
+                                   const std::string& node)
+{
+    if (request.m_request->m_priority == routing::call_priority)
+        return {};
+    if (node == state.m_options.m_node)
+        return routing::calls_per_execution(state.m_nested_calls);
+    const auto peer = state.m_peers.find(node);
+    return peer == state.m_peers.end() ? routing::calls_by_service()
+                                       : peer->second.m_status.m_calls_per_execution;
+}
+
+/// Takes a repeat of a request from the retry budgets. `node` is the one that had it last.
+bool take_retry(step_context& context, const open_request& request, const std::string& node)
+{
+    node_state& state = context.m_state;
+    return routing::take_retry(state.m_retry_budgets, request.m_request->m_service,
+                               calls_of(state, request, node));
+}
+
 /// Whether a request is idempotent and its attempts, deadline and retry budget allow a retry. Takes
-/// the retry from the budget.
-bool consume_retry(step_context& context, const open_request& request)
+/// the retry from the budget. `node` is the one that had the request last.
+bool consume_retry(step_context& context, const open_request& request, const std::string& node)
 {
     if (request.m_request->m_kind != routing::request_kind::idempotent ||
         request.m_executions >= request.m_max_attempts || context.m_now >= request.m_deadline)
         return false;
-    return routing::take_retry(context.m_state.m_retry_budgets[request.m_request->m_service]);
+    return take_retry(context, request, node);
 }
 
 /// Retries or ends a request after an execution that failed or whose outcome is unknown.
@@ -33,7 +54,7 @@
     end_attempt(context, request);
     ++request.m_executions;
     request.m_last_cause = cause;
-    if (!consume_retry(context, request)) {
+    if (!consume_retry(context, request, node)) {
         finish_with_status(context, request, 502, "failed", {});
         return;
     }
@@ -66,8 +87,8 @@
     if (request.m_request->m_kind != routing::request_kind::idempotent ||
         is_bound_to_owner(state, request) || request.m_executions + 1 >= request.m_max_attempts)
         return false;
-    const auto budget = state.m_retry_budgets.find(request.m_request->m_service);
-    if (budget == state.m_retry_budgets.end() || budget->second.m_tokens < 1.0)
+    if (!routing::may_retry(state.m_retry_budgets, request.m_request->m_service,
+                            calls_of(state, request, request.m_node)))
         return false;
     return std::any_of(state.m_peers.begin(), state.m_peers.end(), [&](const auto& entry) {
         const auto& [node, peer] = entry;
@@ -163,7 +184,12 @@
     request.m_is_retry = age > duration::zero();
     request.m_target = context.m_now + std::min(remaining, route->m_latency_objective - age);
     auto& budget = state.m_retry_budgets[request.m_request->m_service];
-    routing::record_request(budget, state.m_options.m_retry);
+    if (route->m_priority == routing::call_priority)
+        routing::record_call(state.m_nested_calls, request.m_request->m_service);
+    else
+        routing::record_request(
+            budget, state.m_options.m_retry,
+            routing::max_tokens(state.m_options.m_retry, state.m_peers.size() + 1));
     const auto [place, added] = state.m_requests.emplace(arrived.m_caller, std::move(request));
     if (added)
         dispatch(context, place->second);
@@ -226,8 +252,7 @@
     // The request reached a server, which rejected it, so another attempt counts against the retry
     // budget.
     const bool may_retry =
-        frame.m_reason != refusal_reason::rejected_by_server ||
-        routing::take_retry(context.m_state.m_retry_budgets[request->m_request->m_service]);
+        frame.m_reason != refusal_reason::rejected_by_server || take_retry(context, *request, node);
     const bool only_owner_serves = keyed && frame.m_reason == refusal_reason::overloaded;
     if (request->m_refusals >= max_refusals || !may_retry || only_owner_serves)
         finish_unserved(context, *request);
--- a/libs/sidecar/src/peer_frame_fields.hpp
+++ b/libs/sidecar/src/peer_frame_fields.hpp
@@ -33,7 +33,8 @@
 auto fields_of(Value& value, const node_status* /*type*/)
 {
     return std::tie(value.m_service, value.m_server_incarnation, value.m_report, value.m_leaving,
-                    value.m_key_utilization, value.m_owns_keys, value.m_departed_servers);
+                    value.m_key_utilization, value.m_owns_keys, value.m_departed_servers,
+                    value.m_calls_per_execution);
 }
 
 template <class Value>
--- a/libs/sidecar/tests/cluster_test.cpp
+++ b/libs/sidecar/tests/cluster_test.cpp
@@ -137,6 +137,33 @@
     }
 }
 
+// Guards against repeats beyond the operator's budget while a service rejects requests and backend
+// servers call it: the budget counts the requests of clients only.
+TEST(sidecar_cluster, repeats_stay_within_the_budget_beside_a_flood_of_calls)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        sidecar_cluster cluster({8, 0, seed});
+        cluster.run_for(startup_time);
+        cluster.reject_requests(0.55);
+        std::mt19937_64 random(seed);
+        const auto random_node = [&] { return "orders-" + std::to_string(random() % 8); };
+        std::size_t requests = 0;
+        for (int i = 0; i < 800; ++i, ++requests) {
+            cluster.send(random_node(), "orders");
+            for (int call = 0; call < 3; ++call)
+                cluster.send_call(random_node());
+            cluster.run_for(milliseconds(10));
+        }
+        cluster.run_for(seconds(2));
+        constexpr double budget_ratio = 0.2;
+        constexpr double budget_slack = 60;
+        EXPECT_LE(static_cast<double>(cluster.repeated_arrivals()),
+                  budget_ratio * static_cast<double>(requests) + budget_slack)
+            << "seed " << seed;
+        EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
+    }
+}
+
 // Guards against writes of the range table that fail because several owners write at once: each
 // costs a store call, and the keys have no owner until a later write.
 TEST(sidecar_cluster, owners_that_leave_together_do_not_conflict)
--- a/libs/sidecar/tests/ingress_test.cpp
+++ b/libs/sidecar/tests/ingress_test.cpp
@@ -21,6 +21,7 @@
     plain.m_kind = routing::request_kind::idempotent;
     plain.m_timeout = milliseconds(2000);
     plain.m_latency_objective = milliseconds(1000);
+    plain.m_priority = 1;
     plain.m_attempt_limit = 2;
     plain.m_services = {{"orders", 1}};
     result->m_routes = {plain};
--- a/libs/sidecar/tests/sidecar_cluster.cpp
+++ b/libs/sidecar/tests/sidecar_cluster.cpp
@@ -22,6 +22,7 @@
     result.m_kind = kind;
     result.m_timeout = milliseconds(2000);
     result.m_latency_objective = milliseconds(1000);
+    result.m_priority = 1;
     result.m_attempt_limit = 2;
     result.m_services = {{service, 1}};
     return result;
@@ -33,6 +34,11 @@
     result->m_version = 1;
     result->m_routes = {make_route("orders", routing::request_kind::non_idempotent),
                         make_route("shelf", routing::request_kind::idempotent)};
+    routing::route calls = make_route("orders", routing::request_kind::idempotent);
+    calls.m_name = "calls";
+    calls.m_host = "orders-calls";
+    calls.m_priority = routing::call_priority;
+    result->m_routes.push_back(calls);
     result->m_services["orders"].m_name = "orders";
     result->m_services["shelf"].m_name = "shelf";
     result->m_services["shelf"].m_is_sharded = true;
@@ -374,15 +380,26 @@
 
 std::string sidecar_cluster::send(const std::string& node, const std::string& service,
                                   std::optional<std::uint32_t> key)
+{
+    return send_to_host(node, service, service == "shelf", key);
+}
+
+std::string sidecar_cluster::send_call(const std::string& node)
+{
+    return send_to_host(node, "orders-calls", true, {});
+}
+
+std::string sidecar_cluster::send_to_host(const std::string& node, const std::string& host,
+                                          bool is_idempotent, std::optional<std::uint32_t> key)
 {
     caller_request request;
     request.m_caller = m_next_id++;
     std::string id = "request-" + std::to_string(request.m_caller);
     m_request_of_caller[request.m_caller] = id;
     m_caller_of_request[id] = {node, request.m_caller};
-    m_is_idempotent[id] = service == "shelf";
+    m_is_idempotent[id] = is_idempotent;
     request.m_request.m_request_id = id;
-    request.m_request.m_host = service;
+    request.m_request.m_host = host;
     request.m_request.m_target = "/x";
     request.m_request.m_key = key;
     request.m_remaining = milliseconds(1500);
@@ -405,6 +422,14 @@
     return found == m_status.end() ? 0 : found->second;
 }
 
+std::size_t sidecar_cluster::repeated_arrivals() const
+{
+    std::size_t count = 0;
+    for (const auto& [request, arrivals] : m_arrivals)
+        count += arrivals - 1;
+    return count;
+}
+
 std::size_t sidecar_cluster::executions(const std::string& request) const
 {
     std::size_t count = 0;
--- a/libs/sidecar/tests/sidecar_cluster.hpp
+++ b/libs/sidecar/tests/sidecar_cluster.hpp
@@ -43,6 +43,16 @@
     std::string send(const std::string& node, const std::string& service,
                      std::optional<std::uint32_t> key = {});
 
+    /// Sends a call of the backend server beside a node to the service "orders".
+    std::string send_call(const std::string& node);
+
+    /// Number of arrivals at backend servers beyond the first of each request, rejected ones
+    /// included.
+    std::size_t repeated_arrivals() const;
+
+    /// Lets backend servers reject a share of the requests.
+    void reject_requests(double share) { m_rejected_share = share; }
+
     /// Closes the connection of the caller of an open request.
     void disconnect_caller(const std::string& request);
 
@@ -162,6 +172,8 @@
         std::uint64_t m_other = 0;
     };
 
+    std::string send_to_host(const std::string& node, const std::string& host, bool is_idempotent,
+                             std::optional<std::uint32_t> key);
     void handle_event(const std::string& node, const event& next_event);
     void execute_effect(const std::string& node, const effect& wanted);
     void connect(const std::string& node, const std::string& peer);
@@ -203,6 +215,8 @@
     std::map<std::string, int> m_status;
     std::map<std::string, bool> m_is_idempotent;
     double m_lost_response_share = 0.0;
+    double m_rejected_share = 0.0;
+    std::map<std::string, std::size_t> m_arrivals;
     double m_late_grant_share = 0.0;
     double m_late_write_share = 0.0;
     bool m_checks_tokens = false;
--- a/libs/sidecar/tests/sidecar_cluster_backends.cpp
+++ b/libs/sidecar/tests/sidecar_cluster_backends.cpp
@@ -31,13 +31,16 @@
         return;
     }
     const forwarded_request& request = *wanted.m_request;
+    ++m_arrivals[request.m_request_id];
     if (wanted.m_backend_id != server.id()) {
         ended.m_result = execution_result::rejected;
         ended.m_backend_replaced = true;
         end_with(ended, milliseconds(1));
         return;
     }
-    if (!server.accepts(request, m_now)) {
+    // No random number is drawn without rejections, so that seeds keep their sequence.
+    const bool is_rejected = m_rejected_share > 0.0 && random_share() < m_rejected_share;
+    if (is_rejected || !server.accepts(request, m_now)) {
         ended.m_result = execution_result::rejected;
         end_with(ended, milliseconds(1));
         return;
--- a/libs/sidecar_runtime/include/azureladder/sidecar_runtime/sidecar_settings.hpp
+++ b/libs/sidecar_runtime/include/azureladder/sidecar_runtime/sidecar_settings.hpp
@@ -47,6 +47,10 @@
     /// Retry budget of all nodes together: repeated executions per request.
     double m_retry_ratio = 0.2;
 
+    /// Repeated executions of each service that all nodes together may add in one window, beside
+    /// the ratio.
+    double m_retry_slack = 60.0;
+
     /// Bandwidth of the VM's link in Mbit/s, of which documents and long bodies between nodes use a
     /// part only; 0 if unknown, for no limit.
     double m_link_mbps = 0.0;
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -30,6 +30,10 @@
 /// executions at the backend servers, counted in sliding windows.
 constexpr double retry_ratio_share = 0.7;
 
+/// Fraction of the configured retry slack that all nodes together use. The rest covers calls of
+/// repeated executions beyond their mean.
+constexpr double retry_slack_share = 0.7;
+
 std::uint64_t random_u64()
 {
     std::random_device device;
@@ -45,6 +49,7 @@
     options.m_service = settings.m_service;
     options.m_peer_address = to_string(settings.m_peer_address);
     options.m_retry.m_tokens_per_request = settings.m_retry_ratio * retry_ratio_share;
+    options.m_retry.m_max_total_tokens = settings.m_retry_slack * retry_slack_share;
     options.m_drain_start_window = milliseconds(settings.m_drain_ms) / 2;
     sidecar::set_max_stop_time(options, milliseconds(settings.m_stop_grace_ms) - stop_margin);
     return options;
--- a/libs/sidecar_runtime/src/sidecar_settings.cpp
+++ b/libs/sidecar_runtime/src/sidecar_settings.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::int64_t max_time_ms = 600'000;
 constexpr double max_retry_ratio = 10.0;
+constexpr double max_retry_slack = 1e6;
 constexpr double max_link_mbps = 1e6;
 constexpr std::size_t max_name_bytes = 200;
 
@@ -77,6 +78,7 @@
     read_time(reader, "stop_grace", settings.m_stop_grace_ms);
     read_time(reader, "drain", settings.m_drain_ms);
     read_number(document, reader, "retry_ratio", max_retry_ratio, settings.m_retry_ratio);
+    read_number(document, reader, "retry_slack", max_retry_slack, settings.m_retry_slack);
     read_number(document, reader, "link_mbps", max_link_mbps, settings.m_link_mbps);
     return settings;
 }
--- a/libs/sidecar_runtime/tests/sidecar_settings_test.cpp
+++ b/libs/sidecar_runtime/tests/sidecar_settings_test.cpp
@@ -14,7 +14,7 @@
     "caller_address": "10.0.0.1:1", "registry_address": "10.0.0.1:2",
     "ready_address": "10.0.0.1:3", "peer_address": "10.0.0.1:4",
     "metrics_address": "10.0.0.1:5", "store_address": "10.0.0.2:6",
-    "stop_grace": "6s", "drain": "2000ms", "retry_ratio": 0.2, "link_mbps": 10.5
+    "stop_grace": "6s", "drain": "2000ms", "retry_ratio": 0.2, "retry_slack": 630, "link_mbps": 10.5
 })";
 
 } // namespace
@@ -28,6 +28,7 @@
     EXPECT_EQ(settings.m_stop_grace_ms, 6000);
     EXPECT_EQ(settings.m_drain_ms, 2000);
     EXPECT_EQ(settings.m_link_mbps, 10.5);
+    EXPECT_EQ(settings.m_retry_slack, 630.0);
 }
 
 // Guards against a node that starts with invalid settings.
@@ -39,6 +40,7 @@
              {"\"6s\"", "6", "stop_grace"},
              {"\"n1\"", "\"\"", "node"},
              {"\"retry_ratio\": 0.2", "\"retry_ratio\": -1", "retry_ratio"},
+             {"630", "-1", "retry_slack"},
              {"10.5", "\"fast\"", "link_mbps"},
              {"10.5", "-1", "link_mbps"}}) {
         std::string text = valid_settings;
