Handle pipelined idempotent requests at the same time and answer in order

The node read the next request only after the response to the one before, so each waited for the execution of all earlier ones. Change: the HTTP session reads ahead and starts idempotent requests (by their route) beside earlier ones; responses leave in the order of the requests, whatever their outcome. Another request starts when all earlier responses are sent, since requests behind a response that closes the connection are sent again by their caller. A stopping node answers what it has started and reads no more. At most 16 requests and 256 KiB of a connection are open. After a closing response input is discarded for up to 500 ms, because closing with unread bytes could destroy the response. The session reads with its own loop instead of the composed reads of the library, so a disconnect behind read-ahead bytes is seen while a request is open.

--- a/libs/sidecar_runtime/src/http_session.cpp
+++ b/libs/sidecar_runtime/src/http_session.cpp
@@ -1,25 +1,41 @@
 #include "http_session.hpp"
 
+#include <azureladder/base/scope_guard.hpp>
+
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
+
 namespace azureladder::sidecar_runtime {
 
 namespace http = boost::beast::http;
 
 namespace {
 
-constexpr std::size_t initial_read_bytes = 4096;
+constexpr std::size_t read_bytes = 4096;
 
-/// Limit of bytes that are read after a request and before its response. A disconnect behind more
+/// Limit of bytes that are read ahead while no further request is read. A disconnect behind more
 /// bytes is not detected.
-constexpr std::size_t max_read_ahead_bytes = 16 * 1024;
+constexpr std::size_t max_read_ahead_bytes = 16U * 1024;
+
+/// Limit of buffered bytes of a request in progress, above the largest header. The body is moved
+/// from the buffer as it arrives.
+constexpr std::size_t max_buffer_bytes = 128U * 1024;
+
+/// Limits of the requests of one connection that wait for their responses. Beyond them no further
+/// request is read, so that a caller can't bind more memory and servers.
+constexpr std::size_t max_exchanges = 16;
+constexpr std::size_t max_exchange_bytes = 256U * 1024;
 
 /// Longest time to read the body of a request, and to write a response.
 constexpr std::chrono::seconds transfer_timeout{30};
 
+/// Longest time for which input is discarded after the last response.
+constexpr std::chrono::milliseconds closing_timeout{500};
+
 int status_for_error(error_code error)
 {
     if (error == http::error::header_limit)
@@ -29,16 +45,25 @@
     return 400;
 }
 
-bool is_parse_error(error_code error)
+http_request to_request(http::request<http::string_body>& message)
 {
-    return error.category() == http::make_error_code(http::error::bad_method).category() &&
-           error != http::error::end_of_stream && error != http::error::partial_message;
+    http_request request;
+    request.m_method = std::string(message.method_string());
+    request.m_target = std::string(message.target());
+    for (const auto& field : message) {
+        const auto name = field.name_string();
+        const auto value = field.value();
+        request.m_headers.push_back(
+            {std::string(name.data(), name.size()), std::string(value.data(), value.size())});
+    }
+    request.m_body = std::move(message.body());
+    return request;
 }
 
 } // namespace
 
 http_session::http_session(tcp::socket socket, const callbacks& handlers)
-    : m_stream(std::move(socket)), m_handlers(handlers)
+    : m_stream(std::move(socket)), m_timer(m_stream.get_executor()), m_handlers(handlers)
 {
 }
 
@@ -47,175 +72,349 @@
     set_connection_options(m_stream.socket());
     error_code error;
     m_stream.socket().non_blocking(true, error);
-    if (error)
+    if (error) {
         end();
-    else
-        wait_for_request();
+        return;
+    }
+    m_phase = phase::response;
+    update_timeout();
+    wait_for_input();
 }
 
-void http_session::wait_for_request()
+bool http_session::may_read_request() const
 {
-    if (m_buffer.size() > 0) {
-        read_head();
+    if (m_is_last_request_read || m_is_closing || m_exchanges.size() >= max_exchanges)
+        return false;
+    std::size_t bytes = 0;
+    for (const auto& pending : m_exchanges)
+        bytes += pending.m_bytes;
+    return bytes < max_exchange_bytes;
+}
+
+void http_session::wait_for_input()
+{
+    const std::size_t limit = may_read_request() ? max_buffer_bytes : max_read_ahead_bytes;
+    if (m_is_waiting || m_is_closed || m_is_input_ended || m_buffer.size() >= limit)
         return;
+    m_is_waiting = true;
+    m_stream.socket().async_wait(tcp::socket::wait_read,
+                                 [self = shared_from_this()](error_code error) {
+                                     self->m_is_waiting = false;
+                                     if (self->m_is_closed)
+                                         return;
+                                     if (error)
+                                         self->m_is_input_ended = true;
+                                     self->process_input();
+                                 });
+}
+
+void http_session::read_available()
+{
+    const std::size_t limit = may_read_request() ? max_buffer_bytes : max_read_ahead_bytes;
+    while (!m_is_input_ended && m_buffer.size() < limit) {
+        error_code error;
+        const std::size_t size = m_stream.socket().read_some(m_buffer.prepare(read_bytes), error);
+        m_buffer.commit(size);
+        if (error == asio::error::would_block)
+            return;
+        if (error)
+            m_is_input_ended = true;
+        else if (size < read_bytes && !m_handlers.m_drops_abandoned_requests)
+            return;
     }
-    m_stream.expires_after(
-        std::chrono::duration_cast<milliseconds>(m_handlers.m_limits().m_idle_timeout));
-    m_stream.async_read_some(m_buffer.prepare(initial_read_bytes),
-                             [self = shared_from_this()](error_code error, std::size_t size) {
-                                 if (error) {
-                                     self->end();
-                                     return;
-                                 }
-                                 self->m_buffer.commit(size);
-                                 self->read_head();
-                             });
 }
 
-void http_session::read_head()
+bool http_session::is_caller_connected()
 {
-    const auto limits = m_handlers.m_limits();
-    m_parser.emplace();
-    m_parser->header_limit(limits.m_max_header_bytes);
-    m_parser->body_limit(limits.m_max_body_bytes);
-    m_stream.expires_after(std::chrono::duration_cast<milliseconds>(limits.m_header_timeout));
-    http::async_read_header(m_stream, m_buffer, *m_parser,
-                            [self = shared_from_this()](error_code error, std::size_t /*size*/) {
-                                if (error)
-                                    self->on_read(error);
-                                else
-                                    self->read_body();
-                            });
+    if (m_is_closed)
+        return false;
+    const std::size_t former_size = m_buffer.size();
+    read_available();
+    // The bytes that were read here are reported by no later event of the socket.
+    if (!m_is_processing && m_buffer.size() > former_size)
+        asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->process_input(); });
+    return !m_is_input_ended;
 }
 
-void http_session::read_body()
+void http_session::process_input()
 {
-    m_stream.expires_after(transfer_timeout);
-    const auto read = [self = shared_from_this()] {
-        http::async_read(self->m_stream, self->m_buffer, *self->m_parser,
-                         [self](error_code error, std::size_t /*size*/) { self->on_read(error); });
-    };
-    if (!boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
-        read();
+    // Responses that are sent while a request is handled may resume reading.
+    if (m_is_processing || m_is_closed)
+        return;
+    m_is_processing = true;
+    const auto self = shared_from_this();
+    const scope_guard done([this] { m_is_processing = false; });
+    if (m_is_closing) {
+        m_buffer.clear();
+        read_available();
+        if (m_is_input_ended)
+            end();
+        else
+            wait_for_input();
+        return;
+    }
+    if (m_parser && m_parser->is_header_done())
+        continue_if_expected();
+    do {
+        read_available();
+        while (!m_is_closed && may_read_request() && m_buffer.size() > 0 && parse_request())
+            continue;
+    } while (!m_is_closed && !m_is_input_ended && may_read_request() &&
+             m_buffer.size() >= max_buffer_bytes);
+    if (m_is_closed)
+        return;
+    if (m_is_input_ended) {
+        on_end_of_input();
         return;
     }
+    update_timeout();
+    wait_for_input();
+}
+
+bool http_session::parse_request()
+{
+    if (!m_parser) {
+        const auto limits = m_handlers.m_limits();
+        m_parser.emplace();
+        m_parser->header_limit(limits.m_max_header_bytes);
+        m_parser->body_limit(limits.m_max_body_bytes);
+        m_is_continue_sent = false;
+    }
+    if (m_parser->is_header_done()) {
+        if (!continue_if_expected())
+            return false;
+        m_parser->eager(true);
+    }
+    error_code error;
+    const std::size_t used = m_parser->put(m_buffer.data(), error);
+    m_buffer.consume(used);
+    if (error && error != http::error::need_more) {
+        reject(status_for_error(error));
+        return false;
+    }
+    if (m_parser->is_done()) {
+        add_request();
+        return true;
+    }
+    if (m_parser->is_header_done())
+        continue_if_expected();
+    return used > 0;
+}
+
+bool http_session::continue_if_expected()
+{
+    if (m_is_continue_sent ||
+        !boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue"))
+        return true;
+    if (!m_exchanges.empty() || m_is_writing)
+        return false;
     static constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
+    m_is_continue_sent = true;
+    m_is_writing = true;
+    m_stream.expires_after(transfer_timeout);
     asio::async_write(m_stream, asio::buffer(continue_response),
-                      [self = shared_from_this(), read](error_code error, std::size_t /*size*/) {
+                      [self = shared_from_this()](error_code error, std::size_t /*size*/) {
+                          self->m_is_writing = false;
                           if (error)
                               self->end();
                           else
-                              read();
+                              self->write_ready();
                       });
+    return true;
 }
 
-void http_session::on_read(error_code error)
+void http_session::add_request()
 {
-    if (error) {
-        if (is_parse_error(error))
-            reject(status_for_error(error));
-        else
-            end();
-        return;
-    }
-    m_stream.expires_never();
+    auto& message = m_parser->get();
+    exchange added;
+    added.m_number = m_next_number++;
+    added.m_keep_alive = message.keep_alive();
+    added.m_is_head_request = message.method() == http::verb::head;
+    added.m_request = to_request(message);
+    added.m_bytes = added.m_request.m_body.size();
+    for (const auto& field : added.m_request.m_headers)
+        added.m_bytes += field.m_name.size() + field.m_value.size();
+    added.m_may_overlap = m_handlers.m_may_overlap && m_handlers.m_may_overlap(added.m_request);
+    m_parser.reset();
+    m_is_last_request_read = !added.m_keep_alive;
+    const std::uint64_t number = added.m_number;
+    m_exchanges.push_back(std::move(added));
     if (m_handlers.m_drops_abandoned_requests && !is_caller_connected()) {
-        m_handlers.m_on_disconnect(*this);
-        end();
+        m_exchanges.pop_back();
+        m_handlers.m_on_disconnect(*this, number);
         return;
     }
-    auto& message = m_parser->get();
-    http_request request;
-    request.m_method = std::string(message.method_string());
-    request.m_target = std::string(message.target());
-    for (const auto& field : message) {
-        const auto name = field.name_string();
-        const auto value = field.value();
-        request.m_headers.push_back(
-            {std::string(name.data(), name.size()), std::string(value.data(), value.size())});
-    }
-    request.m_body = std::move(message.body());
-    m_keep_alive = message.keep_alive();
-    m_is_head_request = message.method() == http::verb::head;
-    m_awaits_response = true;
-    ++m_request_count;
-    watch_for_disconnect();
-    m_handlers.m_on_request(shared_from_this(), std::move(request));
+    dispatch_ready();
 }
 
-bool http_session::is_caller_connected()
+void http_session::reject(int status)
 {
-    error_code error;
-    while (!error && m_buffer.size() < max_read_ahead_bytes)
-        m_buffer.commit(m_stream.socket().read_some(m_buffer.prepare(initial_read_bytes), error));
-    return !error || error == asio::error::would_block;
-}
-
-void http_session::watch_for_disconnect()
-{
-    m_stream.socket().async_wait(
-        tcp::socket::wait_read,
-        [self = shared_from_this(), request = m_request_count](error_code error) {
-            if (error || !self->m_awaits_response || self->m_request_count != request)
-                return;
-            if (self->is_caller_connected()) {
-                if (self->m_buffer.size() < max_read_ahead_bytes)
-                    self->watch_for_disconnect();
-                return;
-            }
-            self->m_awaits_response = false;
-            self->m_handlers.m_on_disconnect(*self);
-            self->end();
-        });
+    exchange rejected;
+    rejected.m_number = m_next_number++;
+    rejected.m_keep_alive = false;
+    rejected.m_is_dispatched = true;
+    rejected.m_response.emplace();
+    rejected.m_response->m_status = status;
+    rejected.m_response->m_body = "request is malformed or exceeds a size limit\n";
+    m_parser.reset();
+    m_is_last_request_read = true;
+    m_exchanges.push_back(std::move(rejected));
+    write_ready();
 }
 
-void http_session::respond(const http_response& response)
+void http_session::on_end_of_input()
 {
-    if (!m_awaits_response)
-        return;
-    m_awaits_response = false;
-    write(response, m_keep_alive && !m_handlers.m_is_draining());
+    // A response to a malformed request may still be read by the caller.
+    const bool awaits_response =
+        std::any_of(m_exchanges.begin(), m_exchanges.end(),
+                    [](const exchange& pending) { return !pending.m_response; });
+    if (awaits_response || m_exchanges.empty())
+        end();
 }
 
-void http_session::reject(int status)
+void http_session::dispatch_ready()
 {
-    http_response response;
-    response.m_status = status;
-    response.m_body = "request is malformed or exceeds a size limit\n";
-    write(response, false);
+    bool may_overlap = !m_handlers.m_is_draining();
+    for (std::size_t i = 0; i < m_exchanges.size() && !m_is_closed; ++i) {
+        exchange& pending = m_exchanges[i];
+        may_overlap = may_overlap && pending.m_may_overlap;
+        if (pending.m_is_dispatched)
+            continue;
+        if (i > 0 && !may_overlap)
+            return;
+        pending.m_is_dispatched = true;
+        const std::uint64_t number = pending.m_number;
+        m_handlers.m_on_request(shared_from_this(), number, std::move(pending.m_request));
+    }
 }
 
-void http_session::write(const http_response& response, bool keep_alive)
+void http_session::respond(std::uint64_t number, const http_response& response)
 {
+    const auto found =
+        std::find_if(m_exchanges.begin(), m_exchanges.end(),
+                     [&](const exchange& pending) { return pending.m_number == number; });
+    if (m_is_closed || found == m_exchanges.end() || found->m_response)
+        return;
+    found->m_response = response;
+    write_ready();
+}
+
+void http_session::write_ready()
+{
+    if (m_is_writing || m_is_closing || m_is_closed || m_exchanges.empty() ||
+        !m_exchanges.front().m_response)
+        return;
+    m_is_writing = true;
+    const exchange& answered = m_exchanges.front();
+    const bool has_successor = m_exchanges.size() > 1 && m_exchanges[1].m_is_dispatched;
+    const bool keep_alive = answered.m_keep_alive && (has_successor || !m_handlers.m_is_draining());
+    const http_response& response = *answered.m_response;
     m_response = {};
     m_response.version(11);
     m_response.result(static_cast<unsigned>(response.m_status));
     for (const auto& field : response.m_headers)
         m_response.insert(field.m_name, field.m_value);
-    m_response.body() = m_is_head_request ? std::string() : response.m_body;
+    m_response.body() = answered.m_is_head_request ? std::string() : response.m_body;
     m_response.prepare_payload();
     m_response.keep_alive(keep_alive);
     m_stream.expires_after(transfer_timeout);
     http::async_write(m_stream, m_response,
                       [self = shared_from_this(), keep_alive](error_code error, std::size_t) {
-                          if (error || !keep_alive) {
-                              error_code ignored;
-                              self->m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-                              self->end();
+                          self->m_is_writing = false;
+                          if (self->m_is_closed)
                               return;
-                          }
-                          self->wait_for_request();
+                          if (error)
+                              self->end();
+                          else
+                              self->on_written(keep_alive);
                       });
 }
 
+void http_session::on_written(bool keep_alive)
+{
+    m_exchanges.pop_front();
+    if (!keep_alive || (m_exchanges.empty() && m_is_last_request_read)) {
+        close_gracefully();
+        return;
+    }
+    dispatch_ready();
+    write_ready();
+    process_input();
+}
+
+void http_session::update_timeout()
+{
+    const phase current = m_parser && m_parser->is_header_done() ? phase::body
+                          : m_parser || m_buffer.size() > 0
+                              ? phase::header
+                              : (m_exchanges.empty() ? phase::idle : phase::response);
+    // Bytes that are read ahead are no request in progress.
+    const phase next = !may_read_request() ? phase::response : current;
+    if (next == m_phase && next != phase::idle)
+        return;
+    m_phase = next;
+    if (next == phase::response) {
+        m_timer.cancel();
+        return;
+    }
+    const auto limits = m_handlers.m_limits();
+    m_timer.expires_after(std::chrono::duration_cast<std::chrono::microseconds>(
+        next == phase::idle     ? limits.m_idle_timeout
+        : next == phase::header ? limits.m_header_timeout
+                                : duration(transfer_timeout)));
+    m_timer.async_wait([self = shared_from_this()](error_code error) {
+        if (!error && !self->m_is_closed)
+            self->on_timeout();
+    });
+}
+
+void http_session::on_timeout()
+{
+    // The handler may have been queued before the timer was set again.
+    if (m_timer.expiry() > asio::steady_timer::clock_type::now())
+        return;
+    m_is_last_request_read = true;
+    m_parser.reset();
+    if (m_exchanges.empty() || m_is_closing)
+        end();
+    else
+        m_exchanges.back().m_keep_alive = false;
+}
+
+void http_session::close_gracefully()
+{
+    m_is_closing = true;
+    error_code ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    const auto unanswered = std::move(m_exchanges);
+    m_exchanges.clear();
+    for (const auto& pending : unanswered) {
+        if (pending.m_is_dispatched && !pending.m_response)
+            m_handlers.m_on_disconnect(*this, pending.m_number);
+    }
+    m_timer.expires_after(closing_timeout);
+    m_timer.async_wait([self = shared_from_this()](error_code error) {
+        if (!error)
+            self->end();
+    });
+    process_input();
+}
+
 void http_session::end()
 {
     if (m_is_closed)
         return;
     m_is_closed = true;
+    m_timer.cancel();
     // The connection is discarded, so an error while closing has no effect.
     error_code ignored;
     m_stream.socket().close(ignored);
+    const auto unanswered = std::move(m_exchanges);
+    m_exchanges.clear();
+    for (const auto& pending : unanswered) {
+        if (pending.m_is_dispatched && !pending.m_response)
+            m_handlers.m_on_disconnect(*this, pending.m_number);
+    }
     m_handlers.m_on_closed(*this);
 }
 
--- a/libs/sidecar_runtime/src/http_session.hpp
+++ b/libs/sidecar_runtime/src/http_session.hpp
@@ -11,25 +11,31 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 
 namespace azureladder::sidecar_runtime {
 
-/// One accepted HTTP connection. Reads one request at a time and writes its response before it
-/// reads the next.
+/// One accepted HTTP connection. Requests that are sent before earlier ones have been answered
+/// (pipelined) may be handled at the same time; responses leave in the order of the requests.
+/// Requests behind a response that closes the connection are not handled, so their caller may send
+/// them again.
 class http_session : public std::enable_shared_from_this<http_session>
 {
 public:
     struct callbacks
     {
-        /// A complete request was read. The handler calls respond() once, now or later.
-        std::function<void(const std::shared_ptr<http_session>&, http_request)> m_on_request;
+        /// A complete request was read. The handler calls respond() once with its number, now or
+        /// later.
+        std::function<void(const std::shared_ptr<http_session>&, std::uint64_t number,
+                           http_request)>
+            m_on_request;
 
-        /// The caller closed the connection before the response to its request. Called without
-        /// m_on_request for a dropped request.
-        std::function<void(const http_session&)> m_on_disconnect;
+        /// The response to a request is of no use any more: its caller has closed the connection,
+        /// or an earlier response closes it. Called without m_on_request for a dropped request.
+        std::function<void(const http_session&, std::uint64_t number)> m_on_disconnect;
 
         /// The connection is closed.
         std::function<void(const http_session&)> m_on_closed;
@@ -40,6 +46,10 @@
         /// Whether connections are closed after their next response.
         std::function<bool()> m_is_draining;
 
+        /// Whether a request may be handled before the earlier ones on its connection have been
+        /// answered. Null for none.
+        std::function<bool(const http_request&)> m_may_overlap;
+
         /// Drops a request without m_on_request if its caller has closed the connection before it
         /// was read. For requests that have no use without their response.
         bool m_drops_abandoned_requests = true;
@@ -48,32 +58,89 @@
     http_session(tcp::socket socket, const callbacks& handlers);
 
     void start();
-    void respond(const http_response& response);
+
+    /// Sends the response to the request with this number, or keeps it until the earlier requests
+    /// have been answered.
+    void respond(std::uint64_t number, const http_response& response);
 
     /// Whether the caller has not closed the connection. Reads bytes that it has sent after its
     /// request, because a close is visible behind them only.
     bool is_caller_connected();
 
 private:
-    void wait_for_request();
-    void read_head();
-    void read_body();
-    void on_read(error_code error);
+    using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    /// A request that was read and whose response has not been sent completely.
+    struct exchange
+    {
+        std::uint64_t m_number = 0;
+        http_request m_request;
+        std::size_t m_bytes = 0;
+        bool m_is_head_request = false;
+        bool m_keep_alive = true;
+
+        /// It may be handled at the same time as other such requests.
+        bool m_may_overlap = false;
+        bool m_is_dispatched = false;
+        std::optional<http_response> m_response;
+    };
+
+    /// What the connection waits for, which determines its timeout.
+    enum class phase
+    {
+        idle,
+        header,
+        body,
+        response
+    };
+
+    bool may_read_request() const;
+    void wait_for_input();
+    void read_available();
+    void process_input();
+
+    /// Parses buffered bytes. Returns false when more bytes are needed.
+    bool parse_request();
+
+    /// Sends the interim response if the caller waits for it. Returns false while it has to wait
+    /// for earlier responses or for the end of its sending.
+    bool continue_if_expected();
+
+    void add_request();
     void reject(int status);
-    void watch_for_disconnect();
-    void write(const http_response& response, bool keep_alive);
+    void on_end_of_input();
+    void dispatch_ready();
+    void write_ready();
+    void on_written(bool keep_alive);
+    void update_timeout();
+    void on_timeout();
+
+    /// Discards input until the caller closes the connection, because closing with unread bytes
+    /// could destroy the last response on its way.
+    void close_gracefully();
     void end();
 
     boost::beast::tcp_stream m_stream;
+    asio::steady_timer m_timer;
     const callbacks& m_handlers;
     boost::beast::flat_buffer m_buffer;
-    std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
+    std::optional<request_parser> m_parser;
+    std::deque<exchange> m_exchanges;
+    std::uint64_t m_next_number = 1;
     boost::beast::http::response<boost::beast::http::string_body> m_response;
-    bool m_awaits_response = false;
-    bool m_is_head_request = false;
-    bool m_keep_alive = true;
+    phase m_phase = phase::idle;
+
+    /// The caller has closed the connection, or reading has failed.
+    bool m_is_input_ended = false;
+
+    /// No further request is read: the last one closes the connection or was malformed.
+    bool m_is_last_request_read = false;
+    bool m_is_waiting = false;
+    bool m_is_processing = false;
+    bool m_is_writing = false;
+    bool m_is_continue_sent = false;
+    bool m_is_closing = false;
     bool m_is_closed = false;
-    std::uint64_t m_request_count = 0;
 };
 
 } // namespace azureladder::sidecar_runtime
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -115,29 +115,33 @@
         std::make_unique<http_listener>(m_io, m_settings.m_caller_address, caller_callbacks());
     m_registry_listener = std::make_unique<http_listener>(
         m_io, m_settings.m_registry_address,
-        default_callbacks([this](const auto& session, const http_request& request) {
-            on_registry_request(session, request);
+        default_callbacks([this](const auto& exchange, const http_request& request) {
+            on_registry_request(exchange, request);
         }));
     m_ready_listener = std::make_unique<http_listener>(
         m_io, m_settings.m_ready_address,
-        default_callbacks([this](const auto& session, const http_request& request) {
-            on_readiness_probe(session, request);
+        default_callbacks([this](const auto& exchange, const http_request& request) {
+            on_readiness_probe(exchange, request);
         }));
     m_metrics_listener = std::make_unique<http_listener>(
         m_io, m_settings.m_metrics_address,
-        default_callbacks([this](const auto& session, const http_request& /*request*/) {
-            on_metrics_request(session);
+        default_callbacks([this](const auto& exchange, const http_request& /*request*/) {
+            on_metrics_request(exchange);
         }));
 }
 
 http_session::callbacks node_runtime::impl::caller_callbacks()
 {
     http_session::callbacks callbacks;
-    callbacks.m_on_request = [this](const auto& session, const http_request& request) {
-        on_caller_request(session, request);
+    callbacks.m_on_request = [this](const auto& session, std::uint64_t number,
+                                    const http_request& request) {
+        on_caller_request({session, number}, request);
     };
-    callbacks.m_on_disconnect = [this](const http_session& session) {
-        on_caller_disconnected(session);
+    callbacks.m_on_disconnect = [this](const http_session& session, std::uint64_t number) {
+        on_caller_disconnected(session, number);
+    };
+    callbacks.m_may_overlap = [this](const http_request& request) {
+        return is_idempotent(request);
     };
     callbacks.m_limits = [this] {
         return m_state.m_active_configuration.m_configuration
@@ -149,11 +153,15 @@
 }
 
 http_session::callbacks node_runtime::impl::default_callbacks(
-    std::function<void(const std::shared_ptr<http_session>&, http_request)> on_request)
+    std::function<void(const caller_exchange&, const http_request&)> on_request)
 {
     http_session::callbacks callbacks;
-    callbacks.m_on_request = std::move(on_request);
-    callbacks.m_on_disconnect = [](const http_session& /*session*/) {};
+    callbacks.m_on_request = [handle = std::move(on_request)](const auto& session,
+                                                              std::uint64_t number,
+                                                              const http_request& request) {
+        handle({session, number}, request);
+    };
+    callbacks.m_on_disconnect = [](const http_session& /*session*/, std::uint64_t /*number*/) {};
     callbacks.m_limits = [] { return routing::client_limits{}; };
     callbacks.m_is_draining = [] { return false; };
     // An announcement of a backend server is valid although its sender does not wait any longer.
@@ -206,8 +214,9 @@
     const auto* arrived = std::get_if<sidecar::caller_request>(&input_event);
     if (arrived == nullptr)
         return false;
-    const auto session = m_session_of_caller.find(arrived->m_caller);
-    return session == m_session_of_caller.end() || !session->second->is_caller_connected();
+    const auto exchange = m_exchange_of_caller.find(arrived->m_caller);
+    return exchange == m_exchange_of_caller.end() ||
+           !exchange->second.m_session->is_caller_connected();
 }
 
 void node_runtime::impl::execute_effect(const sidecar::effect& command)
@@ -215,38 +224,32 @@
     std::visit([this](const auto& value) { execute(value); }, command);
 }
 
-std::shared_ptr<http_session> node_runtime::impl::extract_session(std::uint64_t caller)
+void node_runtime::impl::respond(std::uint64_t caller, const http_response& response)
 {
-    const auto found = m_session_of_caller.find(caller);
-    if (found == m_session_of_caller.end())
-        return nullptr;
-    auto session = found->second;
-    m_caller_of_session.erase(session.get());
-    m_session_of_caller.erase(found);
-    return session;
+    const auto found = m_exchange_of_caller.find(caller);
+    if (found == m_exchange_of_caller.end())
+        return;
+    const caller_exchange exchange = std::move(found->second);
+    m_caller_of_exchange.erase({exchange.m_session.get(), exchange.m_number});
+    m_exchange_of_caller.erase(found);
+    exchange.m_session->respond(exchange.m_number, response);
 }
 
 void node_runtime::impl::execute(const sidecar::forward_response& command)
 {
-    const auto session = extract_session(command.m_caller);
-    if (!session)
-        return;
-    session->respond(
-        {command.m_response->m_status, command.m_response->m_headers, command.m_response->m_body});
+    const sidecar::server_response& response = *command.m_response;
+    respond(command.m_caller, {response.m_status, response.m_headers, response.m_body});
 }
 
 void node_runtime::impl::execute(const sidecar::respond_to_caller& command)
 {
-    const auto session = extract_session(command.m_caller);
-    if (!session)
-        return;
     http_response response;
     response.m_status = command.m_status;
     response.m_headers = {{"Content-Type", "text/plain"}};
     if (command.m_retry_after > duration::zero())
         response.m_headers.push_back({"Retry-After", retry_after_value(command.m_retry_after)});
     response.m_body = command.m_reason + "\n";
-    session->respond(response);
+    respond(command.m_caller, response);
 }
 
 void node_runtime::impl::execute(const sidecar::connect_node& command)
@@ -336,42 +339,58 @@
     m_io.stop();
 }
 
-void node_runtime::impl::on_caller_request(const std::shared_ptr<http_session>& session,
+void node_runtime::impl::on_caller_request(const caller_exchange& exchange,
                                            const http_request& request)
 {
     auto read = m_codec.decode_caller_request(request);
     if (const auto* error = std::get_if<decode_error>(&read)) {
         m_log.write(log_level::info, "request_malformed", {{"cause", error->m_reason}});
-        session->respond({400, {{"Content-Type", "text/plain"}}, error->m_reason + "\n"});
+        exchange.m_session->respond(
+            exchange.m_number, {400, {{"Content-Type", "text/plain"}}, error->m_reason + "\n"});
         return;
     }
     auto& arrived = std::get<sidecar::caller_request>(read);
     arrived.m_caller = m_next_caller_id++;
-    m_session_of_caller[arrived.m_caller] = session;
-    m_caller_of_session[session.get()] = arrived.m_caller;
+    m_exchange_of_caller[arrived.m_caller] = exchange;
+    m_caller_of_exchange[{exchange.m_session.get(), exchange.m_number}] = arrived.m_caller;
     enqueue(std::move(arrived));
 }
 
-void node_runtime::impl::on_caller_disconnected(const http_session& session)
+void node_runtime::impl::on_caller_disconnected(const http_session& session, std::uint64_t number)
 {
-    const auto found = m_caller_of_session.find(&session);
-    if (found == m_caller_of_session.end()) {
+    const auto found = m_caller_of_exchange.find({&session, number});
+    if (found == m_caller_of_exchange.end()) {
         m_metrics.add_counter("disconnects_before_dispatch_total", 1, {});
         return;
     }
     const std::uint64_t caller = found->second;
-    m_caller_of_session.erase(found);
-    m_session_of_caller.erase(caller);
+    m_caller_of_exchange.erase(found);
+    m_exchange_of_caller.erase(caller);
     enqueue(sidecar::caller_disconnected{caller});
 }
 
-void node_runtime::impl::on_registry_request(const std::shared_ptr<http_session>& session,
+bool node_runtime::impl::is_idempotent(const http_request& request) const
+{
+    const auto configuration = m_state.m_active_configuration.m_configuration;
+    if (!configuration)
+        return false;
+    const auto read = m_codec.decode_caller_request(request);
+    const auto* arrived = std::get_if<sidecar::caller_request>(&read);
+    if (arrived == nullptr)
+        return false;
+    const routing::route* route =
+        routing::find_route(*configuration, arrived->m_request.m_host, arrived->m_request.m_target);
+    return route != nullptr && route->m_kind == routing::request_kind::idempotent;
+}
+
+void node_runtime::impl::on_registry_request(const caller_exchange& exchange,
                                              const http_request& request)
 {
     auto message = m_codec.decode_registry_message(request);
     if (const auto* error = std::get_if<decode_error>(&message)) {
         m_log.write(log_level::warning, "announcement_unreadable", {{"cause", error->m_reason}});
-        session->respond({400, {{"Content-Type", "text/plain"}}, error->m_reason + "\n"});
+        exchange.m_session->respond(
+            exchange.m_number, {400, {{"Content-Type", "text/plain"}}, error->m_reason + "\n"});
         return;
     }
     if (auto* announced = std::get_if<sidecar::backend_announced>(&message)) {
@@ -384,22 +403,25 @@
     process_events();
     // The response acknowledges the removal of a server, which must be stored first so that a
     // restarted process can read it.
-    m_store_client.call_after_departures_written([session] {
-        session->respond({200, {{"Content-Type", "application/json"}}, "{}"});
+    m_store_client.call_after_departures_written([exchange] {
+        exchange.m_session->respond(exchange.m_number,
+                                    {200, {{"Content-Type", "application/json"}}, "{}"});
     });
 }
 
-void node_runtime::impl::on_readiness_probe(const std::shared_ptr<http_session>& session,
+void node_runtime::impl::on_readiness_probe(const caller_exchange& exchange,
                                             const http_request& request)
 {
     const int status =
         !m_codec.is_readiness_probe(request) ? 404 : (sidecar::is_ready(m_state) ? 200 : 503);
-    session->respond({status, {{"Content-Type", "text/plain"}}, "\n"});
+    exchange.m_session->respond(exchange.m_number,
+                                {status, {{"Content-Type", "text/plain"}}, "\n"});
 }
 
-void node_runtime::impl::on_metrics_request(const std::shared_ptr<http_session>& session)
+void node_runtime::impl::on_metrics_request(const caller_exchange& exchange)
 {
-    session->respond({200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_text()});
+    exchange.m_session->respond(
+        exchange.m_number, {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_text()});
 }
 
 std::string node_runtime::impl::metrics_text()
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -40,8 +40,15 @@
 
     void execute_effect(const sidecar::effect& command);
 
-    /// Removes and returns the session of a caller. Null when the caller has disconnected.
-    std::shared_ptr<http_session> extract_session(std::uint64_t caller);
+    /// Connection of a caller, and the number of its request there.
+    struct caller_exchange
+    {
+        std::shared_ptr<http_session> m_session;
+        std::uint64_t m_number = 0;
+    };
+
+    /// Removes a caller and sends the response to its request, unless it has disconnected.
+    void respond(std::uint64_t caller, const http_response& response);
 
     void execute(const sidecar::forward_response& command);
     void execute(const sidecar::respond_to_caller& command);
@@ -66,18 +73,18 @@
     void execute(const sidecar::log_line& command);
     void execute(const sidecar::stop_process& command);
 
-    void on_caller_request(const std::shared_ptr<http_session>& session,
-                           const http_request& request);
-    void on_caller_disconnected(const http_session& session);
-    void on_registry_request(const std::shared_ptr<http_session>& session,
-                             const http_request& request);
-    void on_readiness_probe(const std::shared_ptr<http_session>& session,
-                            const http_request& request);
-    void on_metrics_request(const std::shared_ptr<http_session>& session);
+    void on_caller_request(const caller_exchange& exchange, const http_request& request);
+    void on_caller_disconnected(const http_session& session, std::uint64_t number);
+    void on_registry_request(const caller_exchange& exchange, const http_request& request);
+    void on_readiness_probe(const caller_exchange& exchange, const http_request& request);
+    void on_metrics_request(const caller_exchange& exchange);
+
+    /// Whether a request of a caller is idempotent, by its route.
+    bool is_idempotent(const http_request& request) const;
 
     http_session::callbacks caller_callbacks();
-    http_session::callbacks default_callbacks(
-        std::function<void(const std::shared_ptr<http_session>&, http_request)> on_request);
+    http_session::callbacks
+    default_callbacks(std::function<void(const caller_exchange&, const http_request&)> on_request);
 
     void accept_peers();
     std::uint64_t add_link(tcp::socket socket);
@@ -112,8 +119,8 @@
     peer_link::callbacks m_link_callbacks;
     std::map<std::uint64_t, std::shared_ptr<peer_link>> m_links;
     std::uint64_t m_next_link_id = 1;
-    std::map<std::uint64_t, std::shared_ptr<http_session>> m_session_of_caller;
-    std::map<const http_session*, std::uint64_t> m_caller_of_session;
+    std::map<std::uint64_t, caller_exchange> m_exchange_of_caller;
+    std::map<std::pair<const http_session*, std::uint64_t>, std::uint64_t> m_caller_of_exchange;
     std::uint64_t m_next_caller_id = 1;
 
     tcp::acceptor m_peer_acceptor;
--- a/libs/sidecar_runtime/tests/http_test.cpp
+++ b/libs/sidecar_runtime/tests/http_test.cpp
@@ -90,10 +90,11 @@
     asio::io_context io;
     const std::uint16_t port = free_port(io);
     http_session::callbacks callbacks;
-    callbacks.m_on_request = [&](const auto& session, const http_request& request) {
-        session->respond({200, {}, request.m_method + request.m_target + request.m_body});
+    callbacks.m_on_request = [&](const auto& session, std::uint64_t number,
+                                 const http_request& request) {
+        session->respond(number, {200, {}, request.m_method + request.m_target + request.m_body});
     };
-    callbacks.m_on_disconnect = [](const http_session& /*session*/) {};
+    callbacks.m_on_disconnect = [](const http_session&, std::uint64_t) {};
     callbacks.m_limits = [&] { return limits; };
     callbacks.m_is_draining = [] { return false; };
     http_listener listener(io, {"127.0.0.1", port}, callbacks);
@@ -202,10 +203,11 @@
             asio::io_context io;
             const std::uint16_t port = free_port(io);
             http_session::callbacks callbacks;
-            callbacks.m_on_request = [&](const auto& session, const http_request& /*request*/) {
-                session->respond({200, {}, body});
+            callbacks.m_on_request = [&](const auto& session, std::uint64_t number,
+                                         const http_request& /*request*/) {
+                session->respond(number, {200, {}, body});
             };
-            callbacks.m_on_disconnect = [](const http_session& /*session*/) {};
+            callbacks.m_on_disconnect = [](const http_session&, std::uint64_t) {};
             callbacks.m_limits = [] { return routing::client_limits{}; };
             callbacks.m_is_draining = [] { return false; };
             http_listener listener(io, {"127.0.0.1", port}, callbacks);
@@ -238,8 +240,10 @@
     {
         const std::uint16_t port = free_port(m_io);
         http_session::callbacks callbacks;
-        callbacks.m_on_request = [this](const auto&, const http_request&) { ++m_requests; };
-        callbacks.m_on_disconnect = [this](const http_session&) { ++m_disconnects; };
+        callbacks.m_on_request = [this](const auto&, std::uint64_t, const http_request&) {
+            ++m_requests;
+        };
+        callbacks.m_on_disconnect = [this](const http_session&, std::uint64_t) { ++m_disconnects; };
         callbacks.m_limits = [] { return routing::client_limits{}; };
         callbacks.m_is_draining = [] { return false; };
         callbacks.m_drops_abandoned_requests = drops_abandoned_requests;
