Don't execute requests that were held up on their way

Callers saw requests executed half a second after they had disconnected. Change: pings and requests carry the time of sending by the ingress's clock; the gate takes the delay relative to the fastest frame of the last 10 to 20 s. A request that was held up for over 400 ms is refused as not executed (arrived_late), and another node can have it at once; a shorter delay is taken off its deadline and target. Waiting requests of an ingress that has been silent for 800 ms (it pings every 250 ms while it has requests there) are refused too (origin_silent). Tests: backend_executions.request_that_was_held_up_on_its_way_is_not_executed (also a node that stands still for 600 ms), time_on_the_way_counts_against_the_deadline, waiting_request_of_a_silent_ingress_is_not_started, pause_of_the_node_does_not_count_as_silence_of_an_ingress, frame_delay.forgets_the_offset_of_the_clocks.

--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -6,6 +6,7 @@
 #include <azureladder/routing/retry_budget.hpp>
 #include <azureladder/routing/routing_configuration.hpp>
 #include <azureladder/routing/weighted_round_robin.hpp>
+#include <azureladder/sidecar/accepted_link.hpp>
 #include <azureladder/sidecar/backend_announcement.hpp>
 #include <azureladder/sidecar/backend_execution.hpp>
 #include <azureladder/sidecar/key_ownership.hpp>
@@ -91,7 +92,7 @@
     /// Peers and connections.
     std::map<std::string, peer_state> m_peers;
     std::map<std::uint64_t, std::string> m_node_of_link;
-    std::set<std::uint64_t> m_accepted_links;
+    std::map<std::uint64_t, accepted_link> m_accepted_links;
     std::deque<peer_frame> m_loopback_frames;
 
     /// Local backend server: admission and executions.
--- a/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
@@ -64,6 +64,9 @@
 struct ping_frame
 {
     std::uint64_t m_sequence = 0;
+
+    /// Time of sending by the sender's clock in microseconds; 0 if unknown.
+    std::int64_t m_sent_us = 0;
 };
 
 /// Response to a ping, or an unsolicited report of a change (sequence 0).
@@ -89,6 +92,9 @@
 
     /// The caller has made an earlier attempt at this request.
     bool m_is_retry = false;
+
+    /// Time of sending by the sender's clock in microseconds; 0 if unknown.
+    std::int64_t m_sent_us = 0;
 };
 
 struct cancel_frame
@@ -118,7 +124,9 @@
     not_owner,
     rejected_by_server,
     unknown_request,
-    cancelled
+    cancelled,
+    arrived_late,
+    origin_silent
 };
 
 inline constexpr enum_name<refusal_reason> refusal_reason_names[] = {
@@ -129,6 +137,8 @@
     {refusal_reason::rejected_by_server, "rejected_by_server"},
     {refusal_reason::unknown_request, "unknown_request"},
     {refusal_reason::cancelled, "cancelled"},
+    {refusal_reason::arrived_late, "arrived_late"},
+    {refusal_reason::origin_silent, "origin_silent"},
 };
 
 /// Current owner of a key range, in case the table of the receiver is older.
--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -19,6 +19,14 @@
 /// zones.
 constexpr duration deadline_tolerance = milliseconds(30);
 
+/// Delay on the way from its ingress above which a request is not executed. Its caller may have
+/// disconnected, and the cancel has the same delay; another node can execute the request sooner.
+constexpr duration max_request_delay = milliseconds(400);
+
+/// Silence of an ingress after which its waiting requests are not started: it can't tell that their
+/// callers have disconnected. It pings every 250 ms while it has requests here.
+constexpr duration max_origin_silence = milliseconds(800);
+
 void record_unanswered_execution(const step_context& context, local_backend& backend)
 {
     ++backend.m_unanswered_executions;
@@ -196,6 +204,26 @@
     }
 }
 
+/// Refuses the waiting requests of ingresses from which nothing has been heard for a while.
+void refuse_requests_of_silent_origins(step_context& context)
+{
+    const node_state& state = context.m_state;
+    std::vector<std::uint64_t> silent;
+    for (const auto& waiting : state.m_admission_controller.m_waiting) {
+        const auto execution = state.m_executions.find(waiting.m_id);
+        if (execution == state.m_executions.end())
+            continue;
+        const auto link = state.m_accepted_links.find(execution->second.m_link);
+        if (link != state.m_accepted_links.end() &&
+            context.m_now - link->second.m_last_frame_at > max_origin_silence)
+            silent.push_back(waiting.m_id);
+    }
+    for (const std::uint64_t id : silent) {
+        routing::remove_waiting_request(context.m_state.m_admission_controller, id);
+        refuse_waiting(context, id, refusal_reason::origin_silent, {});
+    }
+}
+
 void refuse_all_waiting(step_context& context, refusal_reason reason)
 {
     const auto waiting = context.m_state.m_admission_controller.m_waiting;
@@ -269,7 +297,12 @@
     if (state.m_requests_to_drop.count(frame_key) != 0 ||
         state.m_execution_of_frame.count(frame_key) != 0)
         return;
+    const duration delay = record_frame_delay(context, link, frame.m_sent_us);
     const forwarded_request& request = *frame.m_request;
+    if (delay > max_request_delay) {
+        refuse(context, link, frame.m_id, request, refusal_reason::arrived_late, {});
+        return;
+    }
     const bool may_accept_while_stopping =
         state.m_stopping && context.m_now - state.m_stop_requested_at < stop_propagation_time &&
         state.m_backend && !is_draining_or_evacuated(state);
@@ -298,10 +331,10 @@
     execution.m_origin = origin;
     execution.m_frame = frame.m_id;
     execution.m_request = frame.m_request;
-    execution.m_deadline = context.m_now + duration(frame.m_remaining_us);
+    execution.m_deadline = context.m_now + duration(frame.m_remaining_us) - delay;
     const routing::admission_request wanted{
         execution.m_id,       request.m_route,
-        request.m_priority,   context.m_now + duration(frame.m_target_us),
+        request.m_priority,   context.m_now + duration(frame.m_target_us) - delay,
         execution.m_deadline, frame.m_is_retry};
     const auto decision = routing::admit(state.m_admission_controller, wanted, context.m_now,
                                          state.m_options.m_admission_options);
@@ -489,6 +522,7 @@
         context.m_now - state.m_backend->m_leaving_since > state.m_options.m_drain_start_window;
     if (evacuated || left)
         refuse_all_waiting(context, refusal_reason::closed);
+    refuse_requests_of_silent_origins(context);
     start_waiting(context);
     std::vector<std::uint64_t> ended;
     std::vector<std::uint64_t> orphaned;
--- a/libs/sidecar/src/ingress_dispatch.cpp
+++ b/libs/sidecar/src/ingress_dispatch.cpp
@@ -45,6 +45,7 @@
     frame.m_remaining_us = (request.m_deadline - context.m_now).count();
     frame.m_target_us = (request.m_target - context.m_now).count();
     frame.m_is_retry = request.m_is_retry;
+    frame.m_sent_us = to_us(context.m_now);
     send_to_node(context, node, std::move(frame));
 }
 
--- a/libs/sidecar/src/peer_frame_fields.hpp
+++ b/libs/sidecar/src/peer_frame_fields.hpp
@@ -67,7 +67,7 @@
 template <class Value>
 auto fields_of(Value& value, const ping_frame* /*type*/)
 {
-    return std::tie(value.m_sequence);
+    return std::tie(value.m_sequence, value.m_sent_us);
 }
 
 template <class Value>
@@ -81,7 +81,7 @@
 auto fields_of(Value& value, const request_frame* /*type*/)
 {
     return std::tie(value.m_id, value.m_request, value.m_remaining_us, value.m_target_us,
-                    value.m_is_retry);
+                    value.m_is_retry, value.m_sent_us);
 }
 
 template <class Value>
--- a/libs/sidecar/src/peers.cpp
+++ b/libs/sidecar/src/peers.cpp
@@ -102,7 +102,7 @@
 {
     peer.m_ping_sent_at = context.m_now;
     peer.m_ping_pending = true;
-    send_on_link(context, peer.m_link, ping_frame{++peer.m_ping_sequence});
+    send_on_link(context, peer.m_link, ping_frame{++peer.m_ping_sequence, to_us(context.m_now)});
 }
 
 node_status status_of(const node_state& state, time_point now)
@@ -149,6 +149,14 @@
     return true;
 }
 
+duration record_frame_delay(step_context& context, std::uint64_t link, std::int64_t sent_us)
+{
+    const auto accepted = context.m_state.m_accepted_links.find(link);
+    if (accepted == context.m_state.m_accepted_links.end() || sent_us == 0)
+        return duration::zero();
+    return record_frame(accepted->second.m_delay, duration(sent_us), context.m_now);
+}
+
 void send_status(step_context& context, std::uint64_t link)
 {
     send_on_link(context, link, make_status(context.m_state, 0, context.m_now));
@@ -159,7 +167,7 @@
     node_state& state = context.m_state;
     state.m_last_broadcast_status = significant_status(state, context.m_now);
     const status_frame frame = make_status(state, 0, context.m_now);
-    for (const std::uint64_t link : state.m_accepted_links)
+    for (const auto& [link, accepted] : state.m_accepted_links)
         emit(context, send_frame{link, frame});
 }
 
@@ -247,7 +255,7 @@
     acknowledge_departures(context, frame.m_departed_servers);
     if (accepted) {
         state.m_node_of_link[link] = frame.m_node;
-        state.m_accepted_links.insert(link);
+        state.m_accepted_links[link].m_last_frame_at = context.m_now;
         // The peer is reachable, so the connect backoff ends.
         if (peer.m_link == 0)
             peer.m_next_connect_at = context.m_now;
@@ -266,6 +274,7 @@
 
 void on_ping(step_context& context, std::uint64_t link, const ping_frame& frame)
 {
+    record_frame_delay(context, link, frame.m_sent_us);
     send_on_link(context, link, make_status(context.m_state, frame.m_sequence, context.m_now));
 }
 
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-/// Time between two ticks above which the process counts as paused. Responses may then have arrived
-/// that were not read yet.
-constexpr duration max_tick_interval = milliseconds(300);
-
 void dispatch_frame(step_context& context, std::uint64_t link, const std::string& node,
                     const peer_frame& frame)
 {
@@ -50,6 +46,9 @@
     // A copy, because handling the frame may erase the connection.
     const std::string node =
         found == context.m_state.m_node_of_link.end() ? std::string() : found->second;
+    const auto accepted = context.m_state.m_accepted_links.find(received.m_link);
+    if (accepted != context.m_state.m_accepted_links.end())
+        accepted->second.m_last_frame_at = context.m_now;
     const auto peer = context.m_state.m_peers.find(node);
     // Frames on a connection that the peer opened do not prove that the outgoing one works.
     if (peer != context.m_state.m_peers.end() && peer->second.m_link == received.m_link)
@@ -71,6 +70,8 @@
             peer.m_ping_sent_at = context.m_now;
             peer.m_last_activity_at = context.m_now;
         }
+        for (auto& [link, accepted] : state.m_accepted_links)
+            accepted.m_last_frame_at = context.m_now;
     }
     state.m_last_tick = context.m_now;
     check_peers(context);
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -80,6 +80,10 @@
 void check_backend_executions(step_context& context);
 bool accepts_requests(const node_state& state, time_point now);
 
+/// Time between two ticks above which the process counts as paused. Frames may then have arrived
+/// that were not read yet.
+inline constexpr duration max_tick_interval = milliseconds(300);
+
 /// Identifier of one incarnation of a backend server: id and start time.
 std::string incarnation_of(const backend_announcement& announcement);
 
@@ -102,6 +106,10 @@
 void send_on_link(step_context& context, std::uint64_t link, peer_frame frame);
 void broadcast_status(step_context& context);
 void send_status(step_context& context, std::uint64_t link);
+
+/// Records when a frame was sent by its sender's clock. Returns how much longer it was on its way
+/// than the fastest recent frame of the connection.
+duration record_frame_delay(step_context& context, std::uint64_t link, std::int64_t sent_us);
 void ping(step_context& context, peer_state& peer);
 void check_peers(step_context& context);
 
--- a/libs/sidecar/tests/backend_executions_test.cpp
+++ b/libs/sidecar/tests/backend_executions_test.cpp
@@ -46,6 +46,29 @@
     return frame;
 }
 
+request_frame make_request(std::uint64_t id, time_point sent_at)
+{
+    request_frame frame = make_request(id);
+    frame.m_sent_us = to_us(sent_at);
+    return frame;
+}
+
+/// Reasons of the refusals that a step sends.
+std::vector<refusal_reason> refusals(const effects& done)
+{
+    std::vector<refusal_reason> result;
+    for (const auto& effect : done) {
+        const auto* sent = std::get_if<send_frame>(&effect);
+        if (sent == nullptr)
+            continue;
+        if (const auto* refusal = std::get_if<refusal_frame>(&sent->m_frame))
+            result.push_back(refusal->m_reason);
+    }
+    return result;
+}
+
+using reasons = std::vector<refusal_reason>;
+
 std::size_t started_executions(const effects& done)
 {
     std::size_t count = 0;
@@ -72,4 +95,82 @@
     EXPECT_EQ(started_executions(step(state, frame_received{1, make_request(9)}, start_time)), 1U);
 }
 
+// Guards against the execution of requests that were held up on their way for so long that their
+// callers have left: by a link full of documents, or because this node or the ingress stood still
+// for 600 ms. The clock of the ingress differs by an unknown offset.
+TEST(backend_executions, request_that_was_held_up_on_its_way_is_not_executed)
+{
+    node_state state = make_gate();
+    const duration offset = seconds(500);
+    const duration way = milliseconds(4);
+    const auto arrive = [&](const peer_frame& frame, duration at) {
+        return step(state, frame_received{1, frame}, start_time + at);
+    };
+    arrive(ping_frame{1, to_us(start_time - offset)}, way);
+    EXPECT_EQ(started_executions(arrive(make_request(8, start_time - offset), way)), 1U);
+    step(state, execution_ended{1, execution_result::not_sent, {}, "", false}, start_time + way);
+    const effects late = arrive(make_request(9, start_time - offset), milliseconds(600));
+    EXPECT_EQ(started_executions(late), 0U);
+    EXPECT_EQ(refusals(late), (reasons{refusal_reason::arrived_late}));
+    const effects in_time =
+        arrive(make_request(10, start_time - offset + milliseconds(600)), milliseconds(605));
+    EXPECT_EQ(started_executions(in_time), 1U);
+}
+
+// Guards against a deadline at the backend server that is later than the caller's by the time that
+// the request was on its way.
+TEST(backend_executions, time_on_the_way_counts_against_the_deadline)
+{
+    node_state state = make_gate();
+    step(state, frame_received{1, ping_frame{1, to_us(start_time)}}, start_time);
+    const effects done =
+        step(state, frame_received{1, make_request(8, start_time)}, start_time + milliseconds(300));
+    ASSERT_EQ(started_executions(done), 1U);
+    for (const auto& effect : done) {
+        const auto* started = std::get_if<start_execution>(&effect);
+        if (started != nullptr) {
+            EXPECT_LE(started->m_remaining, duration(milliseconds(1700)));
+        }
+    }
+}
+
+// Guards against the start of waiting requests whose ingress is cut off and can't cancel them.
+TEST(backend_executions, waiting_request_of_a_silent_ingress_is_not_started)
+{
+    node_state state = make_gate();
+    step(state, frame_received{1, make_request(8)}, start_time);
+    step(state, frame_received{1, make_request(9)}, start_time);
+    reasons refused;
+    for (duration at{}; at <= seconds(1); at += milliseconds(25)) {
+        for (const auto reason : refusals(step(state, timer_tick{}, start_time + at)))
+            refused.push_back(reason);
+    }
+    EXPECT_EQ(refused, (reasons{refusal_reason::origin_silent}));
+    const effects ended = step(state, execution_ended{1, execution_result::not_sent, {}, "", false},
+                               start_time + milliseconds(1100));
+    EXPECT_EQ(started_executions(ended), 0U);
+}
+
+// Guards against giving up waiting requests because this node itself stood still.
+TEST(backend_executions, pause_of_the_node_does_not_count_as_silence_of_an_ingress)
+{
+    node_state state = make_gate();
+    step(state, frame_received{1, make_request(8)}, start_time);
+    step(state, frame_received{1, make_request(9)}, start_time);
+    step(state, timer_tick{}, start_time);
+    EXPECT_TRUE(refusals(step(state, timer_tick{}, start_time + milliseconds(1000))).empty());
+}
+
+// Guards against an estimate that keeps the offset of the clocks from before a suspension.
+TEST(frame_delay, forgets_the_offset_of_the_clocks)
+{
+    frame_delay_estimate estimate;
+    EXPECT_EQ(record_frame(estimate, seconds(5), start_time), duration::zero());
+    EXPECT_EQ(record_frame(estimate, seconds(6), start_time + seconds(3)), duration(seconds(2)));
+    duration last{};
+    for (int i = 4; i < 40; ++i)
+        last = record_frame(estimate, seconds(3 + i), start_time + seconds(i));
+    EXPECT_EQ(last, duration::zero());
+}
+
 } // namespace azureladder::sidecar
