Send the last responses and frames before a stopped process ends

The process ended in the same pass of the event loop in which its last request was answered, without waiting for the sockets and for the send queues of peer connections, and closed connections with unread input, which resets them. Change: a stopping process waits until all responses and frames are taken by the system (until the stop time, and 0.3 s at least), ends the sending direction of its peer connections, and ends 50 ms later. Tests: peer_link.frames_queued_before_the_end_of_sending_are_delivered, pipelining.response_counts_as_being_sent_until_the_caller_has_read_it.

--- a/libs/sidecar_runtime/src/http_session.cpp
+++ b/libs/sidecar_runtime/src/http_session.cpp
@@ -210,11 +210,11 @@
         return false;
     static constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
     m_is_continue_sent = true;
-    m_is_writing = true;
+    set_writing(true);
     m_stream.expires_after(transfer_timeout);
     asio::async_write(m_stream, asio::buffer(continue_response),
                       [self = shared_from_this()](error_code error, std::size_t /*size*/) {
-                          self->m_is_writing = false;
+                          self->set_writing(false);
                           if (error)
                               self->end();
                           else
@@ -307,7 +307,7 @@
     if (m_is_writing || m_is_closing || m_is_closed || m_exchanges.empty() ||
         !m_exchanges.front().m_response)
         return;
-    m_is_writing = true;
+    set_writing(true);
     const exchange& answered = m_exchanges.front();
     const bool has_successor = m_exchanges.size() > 1 && m_exchanges[1].m_is_dispatched;
     const bool keep_alive = answered.m_keep_alive && (has_successor || !m_handlers.m_is_draining());
@@ -323,7 +323,7 @@
     m_stream.expires_after(transfer_timeout);
     http::async_write(m_stream, m_response,
                       [self = shared_from_this(), keep_alive](error_code error, std::size_t) {
-                          self->m_is_writing = false;
+                          self->set_writing(false);
                           if (self->m_is_closed)
                               return;
                           if (error)
@@ -333,6 +333,13 @@
                       });
 }
 
+void http_session::set_writing(bool is_writing)
+{
+    m_is_writing = is_writing;
+    if (m_handlers.m_on_write)
+        m_handlers.m_on_write(is_writing);
+}
+
 void http_session::on_written(bool keep_alive)
 {
     m_exchanges.pop_front();
--- a/libs/sidecar_runtime/src/http_session.hpp
+++ b/libs/sidecar_runtime/src/http_session.hpp
@@ -50,6 +50,9 @@
         /// answered. Null for none.
         std::function<bool(const http_request&)> m_may_overlap;
 
+        /// The sending of a response has begun (true) or ended (false). May be null.
+        std::function<void(bool)> m_on_write;
+
         /// Drops a request without m_on_request if its caller has closed the connection before it
         /// was read. For requests that have no use without their response.
         bool m_drops_abandoned_requests = true;
@@ -111,6 +114,7 @@
     void on_end_of_input();
     void dispatch_ready();
     void write_ready();
+    void set_writing(bool is_writing);
     void on_written(bool keep_alive);
     void update_timeout();
     void on_timeout();
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -23,6 +23,12 @@
 
 constexpr seconds traffic_report_interval{10};
 
+/// Shortest time for which a stopping process sends its last responses and frames.
+constexpr milliseconds min_output_time{300};
+
+/// Time between the last output and the end of the process.
+constexpr milliseconds closing_time{50};
+
 /// The node exits this long before the stop grace period ends.
 constexpr milliseconds stop_margin{500};
 
@@ -151,6 +157,12 @@
                    : routing::client_limits{};
     };
     callbacks.m_is_draining = [this] { return m_state.m_stopping; };
+    callbacks.m_on_write = [this](bool is_started) {
+        if (is_started)
+            ++m_writing_sessions;
+        else
+            --m_writing_sessions;
+    };
     return callbacks;
 }
 
@@ -338,8 +350,37 @@
 
 void node_runtime::impl::execute(const sidecar::stop_process& /*wanted*/)
 {
+    if (m_is_ending)
+        return;
+    m_is_ending = true;
+    m_end_deadline = std::max(m_clock.now() + min_output_time,
+                              m_state.m_stop_requested_at + m_state.m_options.m_max_stop_time);
+    finish_stop();
+}
+
+bool node_runtime::impl::has_unsent_output() const
+{
+    return m_writing_sessions > 0 ||
+           std::any_of(m_links.begin(), m_links.end(),
+                       [](const auto& entry) { return entry.second->has_unsent_frames(); });
+}
+
+void node_runtime::impl::finish_stop()
+{
+    if (m_is_output_sent || (has_unsent_output() && m_clock.now() < m_end_deadline))
+        return;
+    m_is_output_sent = true;
     m_log.flush();
-    m_io.stop();
+    // The connections are closed after a short time in which their input is still read. Closing
+    // with unread input resets a connection, and its peer may lose the last frames.
+    for (const auto& [id, link] : m_links)
+        link->finish();
+    m_tick_timer.cancel();
+    m_tick_timer.expires_after(closing_time);
+    m_tick_timer.async_wait([this](error_code error) {
+        if (!error)
+            m_io.stop();
+    });
 }
 
 bool node_runtime::impl::on_caller_request(const caller_exchange& exchange,
@@ -519,6 +560,10 @@
 {
     enqueue(sidecar::timer_tick{});
     resume_held_back_links();
+    if (m_is_ending)
+        finish_stop();
+    if (m_is_output_sent)
+        return;
     if (m_clock.now() >= m_next_traffic_report) {
         if (m_next_traffic_report != time_point{})
             log_peer_traffic();
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -96,6 +96,10 @@
     /// Logs the traffic to peers since the previous report.
     void log_peer_traffic();
 
+    /// Ends the event loop once all responses and frames have been sent, or at the deadline.
+    void finish_stop();
+    bool has_unsent_output() const;
+
     void tick();
     void wait_for_signal();
     void reload_settings();
@@ -128,6 +132,14 @@
     std::unique_ptr<http_listener> m_registry_listener;
     std::unique_ptr<http_listener> m_ready_listener;
     std::unique_ptr<http_listener> m_metrics_listener;
+    /// Number of connections of callers on which a response is being sent.
+    std::size_t m_writing_sessions = 0;
+
+    /// The reducer has ended its work. Output is sent until the deadline.
+    bool m_is_ending = false;
+    bool m_is_output_sent = false;
+    time_point m_end_deadline;
+
     std::map<std::string, std::uint64_t> m_event_counts;
     bulk_pacer m_bulk_pacer;
 
--- a/libs/sidecar_runtime/src/peer_link.cpp
+++ b/libs/sidecar_runtime/src/peer_link.cpp
@@ -113,6 +113,18 @@
         write();
 }
 
+bool peer_link::has_unsent_frames() const
+{
+    return !m_is_closed && (m_queue.m_bytes > 0 || !m_write.m_bytes.empty());
+}
+
+void peer_link::finish()
+{
+    // An error means that the connection is lost, which its next operation reports.
+    error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void peer_link::write()
 {
     m_write = take_write(m_queue, m_pacer, m_clock.now());
--- a/libs/sidecar_runtime/src/peer_link.hpp
+++ b/libs/sidecar_runtime/src/peer_link.hpp
@@ -54,6 +54,13 @@
     /// Sends queued frames if no write is in progress.
     void resume();
 
+    /// Whether frames are queued that the system has not taken.
+    bool has_unsent_frames() const;
+
+    /// Ends the sending direction behind the frames that were sent. They are delivered although the
+    /// process ends, unlike after close().
+    void finish();
+
     /// Closes the connection without calling m_on_closed.
     void close();
 
--- a/libs/sidecar_runtime/tests/peer_link_test.cpp
+++ b/libs/sidecar_runtime/tests/peer_link_test.cpp
@@ -179,6 +179,24 @@
     EXPECT_EQ(sidecar::frame_kind_names[links.m_sent[1].m_kind], "document");
 }
 
+// Guards against a planned stop that loses the last responses of a node in its send queues.
+TEST(peer_link, frames_queued_before_the_end_of_sending_are_delivered)
+{
+    link_pair links;
+    links.m_sender->send(make_large_document());
+    links.m_sender->send(make_request(1));
+    links.run();
+    EXPECT_TRUE(links.m_sender->has_unsent_frames());
+    links.m_receiver->start();
+    for (int i = 0; i < 20 && links.m_sender->has_unsent_frames(); ++i)
+        links.run();
+    EXPECT_FALSE(links.m_sender->has_unsent_frames());
+    links.m_sender->finish();
+    links.run();
+    EXPECT_EQ(links.received_count<sidecar::document_frame>(), 1U);
+    EXPECT_EQ(links.received_count<sidecar::request_frame>(), 1U);
+}
+
 // Guards against a request that is delivered long after its connection was given up, when a cut
 // between the two nodes ends.
 TEST(peer_link, unsent_request_is_discarded_when_the_connection_is_closed)
--- a/libs/sidecar_runtime/tests/pipelining_test.cpp
+++ b/libs/sidecar_runtime/tests/pipelining_test.cpp
@@ -20,6 +20,7 @@
 {
     asio::io_context m_io;
     bool m_is_draining = false;
+    int m_writes = 0;
     std::vector<std::string> m_started;
     std::vector<std::uint64_t> m_abandoned;
     std::map<std::string, std::uint64_t> m_numbers;
@@ -49,6 +50,7 @@
         callbacks.m_limits = [] { return routing::client_limits{}; };
         callbacks.m_is_draining = [this] { return m_is_draining; };
         callbacks.m_may_overlap = is_idempotent;
+        callbacks.m_on_write = [this](bool is_started) { m_writes += is_started ? 1 : -1; };
         m_listener = std::make_unique<http_listener>(m_io, endpoint{"127.0.0.1", port}, callbacks);
         m_client.connect({asio::ip::make_address("127.0.0.1"), port});
     }
@@ -168,6 +170,23 @@
     EXPECT_TRUE(session.is_closed_by_server());
 }
 
+// Guards against a process that ends while it sends a response.
+TEST(pipelining, response_counts_as_being_sent_until_the_caller_has_read_it)
+{
+    pipelined_session session;
+    session.send({"/read1"});
+    session.m_session->respond(session.m_numbers.at("/read1"),
+                               {200, {}, std::string(16U * 1024 * 1024, 'x')});
+    session.run();
+    EXPECT_EQ(session.m_writes, 1);
+    for (int i = 0; i < 10000 && session.m_writes > 0; ++i) {
+        while (!session.received().empty())
+            continue;
+        session.m_io.run_for(std::chrono::milliseconds(1));
+    }
+    EXPECT_EQ(session.m_writes, 0);
+}
+
 // Guards against a last response that is destroyed by the reset of a connection with unread bytes.
 TEST(pipelining, response_survives_bytes_that_arrive_after_the_close)
 {
