Bound the read buffer of a caller's connection and keep it from spinning

Found by reading the new HTTP session: a pipelined request that expects an interim response, whose body arrives nevertheless, filled the buffer, and the event loop parsed it again and again until the earlier response was sent. The buffer also kept the size of the longest body, and a header limit above it would never have been reached. Links held back by the pacer were listed once for each frame. Change: reading goes on only after progress; the limit follows the configured header limit; an empty buffer above 16 KiB is released; held-back links are a set. Test: pipelining.body_ahead_of_the_interim_response_is_read_later.

--- a/libs/sidecar_runtime/src/http_session.cpp
+++ b/libs/sidecar_runtime/src/http_session.cpp
@@ -21,9 +21,9 @@
 /// bytes is not detected.
 constexpr std::size_t max_read_ahead_bytes = 16U * 1024;
 
-/// Limit of buffered bytes of a request in progress, above the largest header. The body is moved
+/// Limit of buffered bytes of a request in progress beside the largest header. A body is moved
 /// from the buffer as it arrives.
-constexpr std::size_t max_buffer_bytes = 128U * 1024;
+constexpr std::size_t max_body_buffer_bytes = 64U * 1024;
 
 /// Limits of the requests of one connection that wait for their responses. Beyond them no further
 /// request is read, so that a caller can't bind more memory and servers.
@@ -91,11 +91,19 @@
     return bytes < max_exchange_bytes;
 }
 
+std::size_t http_session::max_buffered_bytes() const
+{
+    return may_read_request() ? max_body_buffer_bytes + m_handlers.m_limits().m_max_header_bytes
+                              : max_read_ahead_bytes;
+}
+
 void http_session::wait_for_input()
 {
-    const std::size_t limit = may_read_request() ? max_buffer_bytes : max_read_ahead_bytes;
-    if (m_is_waiting || m_is_closed || m_is_input_ended || m_buffer.size() >= limit)
+    if (m_is_waiting || m_is_closed || m_is_input_ended || m_buffer.size() >= max_buffered_bytes())
         return;
+    // Connections are many, and few of them carry long bodies.
+    if (m_buffer.size() == 0 && m_buffer.capacity() > max_read_ahead_bytes)
+        m_buffer.shrink_to_fit();
     m_is_waiting = true;
     m_stream.socket().async_wait(tcp::socket::wait_read,
                                  [self = shared_from_this()](error_code error) {
@@ -110,7 +118,7 @@
 
 void http_session::read_available()
 {
-    const std::size_t limit = may_read_request() ? max_buffer_bytes : max_read_ahead_bytes;
+    const std::size_t limit = max_buffered_bytes();
     while (!m_is_input_ended && m_buffer.size() < limit) {
         error_code error;
         const std::size_t size = m_stream.socket().read_some(m_buffer.prepare(read_bytes), error);
@@ -155,12 +163,15 @@
     }
     if (m_parser && m_parser->is_header_done())
         continue_if_expected();
-    do {
+    bool may_have_more = true;
+    while (may_have_more && !m_is_closed) {
         read_available();
+        const bool is_full = m_buffer.size() >= max_buffered_bytes();
+        bool has_progress = false;
         while (!m_is_closed && may_read_request() && m_buffer.size() > 0 && parse_request())
-            continue;
-    } while (!m_is_closed && !m_is_input_ended && may_read_request() &&
-             m_buffer.size() >= max_buffer_bytes);
+            has_progress = true;
+        may_have_more = is_full && has_progress;
+    }
     if (m_is_closed)
         return;
     if (m_is_input_ended) {
--- a/libs/sidecar_runtime/src/http_session.hpp
+++ b/libs/sidecar_runtime/src/http_session.hpp
@@ -98,6 +98,9 @@
     };
 
     bool may_read_request() const;
+
+    /// Limit of buffered bytes.
+    std::size_t max_buffered_bytes() const;
     void wait_for_input();
     void read_available();
     void process_input();
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -109,7 +109,7 @@
         on_frame_sent(link, frame);
     };
     m_link_callbacks.m_on_held_back = [this](std::uint64_t link) {
-        m_held_back_links.push_back(link);
+        m_held_back_links.insert(link);
     };
     m_bulk_pacer = make_bulk_pacer(m_settings.m_link_mbps);
     const tcp::endpoint peer_address = to_tcp_endpoint(m_settings.m_peer_address);
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -17,6 +17,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 namespace azureladder::sidecar_runtime {
 
@@ -144,7 +145,7 @@
     bulk_pacer m_bulk_pacer;
 
     /// Links whose bulk data the pacer has held back since the previous tick.
-    std::vector<std::uint64_t> m_held_back_links;
+    std::set<std::uint64_t> m_held_back_links;
 
     peer_traffic m_peer_traffic{};
 
--- a/libs/sidecar_runtime/tests/pipelining_test.cpp
+++ b/libs/sidecar_runtime/tests/pipelining_test.cpp
@@ -250,6 +250,24 @@
     EXPECT_NE(session.received().find("</order>"), std::string::npos);
 }
 
+// Guards against an event loop that spins on a body whose sender does not wait for the interim
+// response.
+TEST(pipelining, body_ahead_of_the_interim_response_is_read_later)
+{
+    pipelined_session session;
+    session.send({"/read1"});
+    asio::write(session.m_client,
+                asio::buffer("POST /order HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n"
+                             "Expect: 100-continue\r\n\r\n" +
+                             std::string(200'000, 'x')));
+    session.run();
+    EXPECT_EQ(session.m_started, (targets{"/read1"}));
+    session.answer("/read1");
+    EXPECT_EQ(session.m_started, (targets{"/read1", "/order"}));
+    session.answer("/order");
+    EXPECT_NE(session.received().find("</order>"), std::string::npos);
+}
+
 // Guards against responses that are lost because a later request is malformed.
 TEST(pipelining, malformed_request_is_rejected_after_the_earlier_responses)
 {
