--- a/libs/sidecar_runtime/tests/pipelining_test.cpp
+++ b/libs/sidecar_runtime/tests/pipelining_test.cpp
@@ -60,12 +60,14 @@
     void send(const std::vector<std::string>& targets, const std::string& headers = {},
               const std::string& body = {})
     {
+        const std::string length = body.empty()
+                                       ? std::string()
+                                       : "Content-Length: " + std::to_string(body.size()) + "\r\n";
         std::string bytes;
-        for (const auto& target : targets)
-            bytes +=
-                "GET " + target + " HTTP/1.1\r\nHost: h\r\n" + headers +
-                (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
-                "\r\n" + body;
+        for (const auto& target : targets) {
+            bytes.append("GET ").append(target).append(" HTTP/1.1\r\nHost: h\r\n");
+            bytes.append(headers).append(length).append("\r\n").append(body);
+        }
         asio::write(m_client, asio::buffer(bytes));
         run();
     }
