Queue a document for a peer once

Found by reading: a peer requests a document again after 500 ms. Since bulk data is held to a share of the link, a response may wait longer than that, and each request queued one more copy: memory and traffic grew with the length of the overload. Change: a document replaces a queued one of the same name that it covers, unless a part of that has been taken. Changes since a later revision do not replace a whole table. Tests: frame_queue.document_that_is_requested_again_is_queued_once, frame_queue.changes_do_not_replace_a_whole_document.

--- a/libs/sidecar_runtime/src/frame_queue.cpp
+++ b/libs/sidecar_runtime/src/frame_queue.cpp
@@ -66,6 +66,23 @@
     write.m_bytes += piece;
 }
 
+/// Replaces a queued document of the same name that `document` covers and of which nothing has been
+/// taken. Changes since a later revision do not cover a queued frame.
+bool replace_document(frame_queue& queue, frame_queue::stream& stream, queued_frame& document)
+{
+    for (auto& queued : stream.m_frames) {
+        const bool is_taken = &queued == &stream.m_frames.front() && stream.m_taken_bytes > 0;
+        if (is_taken || queued.m_document != document.m_document ||
+            queued.m_base_revision < document.m_base_revision)
+            continue;
+        queue.m_bytes -= queued.m_bytes.size();
+        document.m_queued_at = queued.m_queued_at;
+        queued = std::move(document);
+        return true;
+    }
+    return false;
+}
+
 } // namespace
 
 frame_stream stream_of(const sidecar::peer_frame& frame, std::size_t bytes)
@@ -87,8 +104,15 @@
     queued.m_queued_at = now;
     queued.m_bytes = sidecar::encode_frame(frame);
     queue.m_bytes += queued.m_bytes.size();
-    const auto stream = static_cast<std::size_t>(stream_of(frame, queued.m_bytes.size()));
-    queue.m_streams[stream].m_frames.push_back(std::move(queued));
+    const auto index = static_cast<std::size_t>(stream_of(frame, queued.m_bytes.size()));
+    frame_queue::stream& stream = queue.m_streams[index];
+    if (const auto* document = std::get_if<sidecar::document_frame>(&frame)) {
+        queued.m_document = document->m_name;
+        queued.m_base_revision = document->m_base_revision;
+        if (replace_document(queue, stream, queued))
+            return;
+    }
+    stream.m_frames.push_back(std::move(queued));
 }
 
 bool remove_queued_request(frame_queue& queue, std::uint64_t request)
--- a/libs/sidecar_runtime/src/frame_queue.hpp
+++ b/libs/sidecar_runtime/src/frame_queue.hpp
@@ -20,6 +20,11 @@
     /// Id of the request that the frame carries; empty for other frames.
     std::optional<std::uint64_t> m_request;
 
+    /// Name of the document that the frame carries, empty for other frames, and the revision since
+    /// which it has the changes.
+    std::string m_document;
+    std::uint64_t m_base_revision = 0;
+
     /// Index of the frame's kind in `peer_frame`.
     std::size_t m_kind = 0;
     time_point m_queued_at;
@@ -57,6 +62,8 @@
     std::vector<std::size_t> m_completed_bytes;
 };
 
+/// Queues a frame. A document replaces a queued one of the same name that it covers, unless a part
+/// of that has been taken: a peer requests a document again while an earlier response waits.
 void push_frame(frame_queue& queue, const sidecar::peer_frame& frame, time_point now);
 
 /// Removes a queued request. Returns false when it is not queued or partly taken.
--- a/libs/sidecar_runtime/tests/frame_queue_test.cpp
+++ b/libs/sidecar_runtime/tests/frame_queue_test.cpp
@@ -111,6 +111,40 @@
     EXPECT_LT(longest, duration(milliseconds(50)));
 }
 
+// Guards against memory and traffic that grow with the requests for a document while the link is
+// slower than the peer's patience.
+TEST(frame_queue, document_that_is_requested_again_is_queued_once)
+{
+    frame_queue queue;
+    bulk_pacer pacer;
+    for (int i = 0; i < 10; ++i)
+        push_frame(queue, make_document(30U * 1024 + static_cast<std::size_t>(i)), {});
+    EXPECT_LT(queue.m_bytes, 31U * 1024);
+    take_write(queue, pacer, {});
+    // The first one is partly taken, so one more is queued behind it.
+    for (int i = 0; i < 10; ++i)
+        push_frame(queue, make_document(30U * 1024), {});
+    EXPECT_LT(queue.m_bytes, 61U * 1024);
+    std::size_t documents = 0;
+    while (queue.m_bytes > 0)
+        documents += take_write(queue, pacer, {}).m_completed.size();
+    EXPECT_EQ(documents, 2U);
+}
+
+// Guards against a whole table that never arrives because newer changes replace it in the queue.
+TEST(frame_queue, changes_do_not_replace_a_whole_document)
+{
+    frame_queue queue;
+    bulk_pacer pacer;
+    push_frame(queue, make_document(30U * 1024), {});
+    sidecar::document_frame changes = make_document(100);
+    changes.m_base_revision = 7;
+    push_frame(queue, changes, {});
+    EXPECT_GT(queue.m_bytes, 30U * 1024);
+    push_frame(queue, make_document(20U * 1024), {});
+    EXPECT_LT(queue.m_bytes, 21U * 1024);
+}
+
 // Guards against documents that never arrive under permanent load.
 TEST(frame_queue, bulk_data_is_sent_beside_permanent_load)
 {
