--- a/libs/sidecar/include/azureladder/sidecar/peer_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_state.hpp
@@ -35,7 +35,7 @@
     departed_servers m_departed_servers;
 
     /// Cancels that the peer may not have received, oldest first. A response to a later ping
-    /// confirms them, because frames of a connection arrive in order.
+    /// confirms them, because cancels and pings of a connection arrive in order.
     std::deque<sent_cancel> m_unconfirmed_cancels;
 
     std::uint64_t m_ping_sequence = 0;
--- a/libs/sidecar/src/peer_frame_codec.cpp
+++ b/libs/sidecar/src/peer_frame_codec.cpp
@@ -263,7 +263,7 @@
     try {
         // Strings refer to the buffer until they are copied into the frame.
         const auto refer = [](msgpack::type::object_type, std::size_t, void*) { return true; };
-        // Reused, because a zone for each frame costs more time than the rest of the decoding.
+        // Reused, because a new zone allocates 8 KiB for each frame.
         static thread_local msgpack::zone zone;
         zone.clear();
         const msgpack::object row =
