Log why an ingress gives up an attempt

A request that ends with 502 while its backend server works on it had no log line for the decision: request_finished states the last refusal as its cause. attempt_given_up states whether the gate left a ping unanswered, and for how long, or whether the connection was lost.

The test fails without the line.

--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -98,6 +98,23 @@
     });
 }
 
+/// Logs why an attempt is given up: its connection is lost, or its node does not answer a ping.
+void log_given_up_attempt(step_context& context, const open_request& request)
+{
+    json fields = request_fields(request);
+    fields["gate"] = request.m_node;
+    fields["attempt_ms"] = to_ms(context.m_now - request.m_sent_at);
+    if (request.m_link_lost_at != time_point{})
+        fields["link_lost_ms"] = to_ms(context.m_now - request.m_link_lost_at);
+    const auto peer = context.m_state.m_peers.find(request.m_node);
+    if (peer != context.m_state.m_peers.end()) {
+        fields["connected"] = peer->second.m_link != 0;
+        if (peer->second.m_ping_pending)
+            fields["ping_pending_ms"] = to_ms(context.m_now - peer->second.m_ping_sent_at);
+    }
+    log(context, log_level::info, "attempt_given_up", std::move(fields));
+}
+
 void update_load_report(step_context& context, const std::string& node,
                         const routing::load_report& report)
 {
@@ -343,6 +360,7 @@
     }
     for (const std::uint64_t caller : lost) {
         open_request& request = state.m_requests.at(caller);
+        log_given_up_attempt(context, request);
         send_cancel(context, request);
         after_failed_execution(context, request, "node unreachable");
     }
--- a/libs/sidecar/tests/ingress_test.cpp
+++ b/libs/sidecar/tests/ingress_test.cpp
@@ -93,6 +93,23 @@
     return step(state, frame_received{link, hello_frame{"a", incarnation, "a:0", "", {}, {}}}, now);
 }
 
+/// Answers the pings that a step sends over a link, as an open peer that serves "orders".
+void answer_pings(node_state& state, const effects& done, std::uint64_t link, time_point now)
+{
+    for (const auto& effect : done) {
+        const auto* sent = std::get_if<send_frame>(&effect);
+        if (sent == nullptr || sent->m_link != link ||
+            !std::holds_alternative<ping_frame>(sent->m_frame))
+            continue;
+        status_frame status;
+        status.m_sequence = std::get<ping_frame>(sent->m_frame).m_sequence;
+        status.m_status.m_service = "orders";
+        status.m_status.m_report.m_open = true;
+        status.m_status.m_report.m_limit = 4;
+        step(state, frame_received{link, status}, now);
+    }
+}
+
 caller_request make_request()
 {
     caller_request request;
@@ -178,25 +195,37 @@
     // The other peer answers its pings.
     const std::uint64_t responsive_link = 3 - first.first;
     std::pair<std::uint64_t, std::uint64_t> second;
-    std::uint64_t sequence = 1;
     for (int i = 0; i < 40 && second.first == 0; ++i) {
         const time_point now = start_time + milliseconds(25) * i;
         const auto done = step(state, timer_tick{}, now);
         second = sent_request(done);
+        answer_pings(state, done, responsive_link, now);
+    }
+    EXPECT_EQ(second.first, responsive_link);
+}
+
+// Guards against a failed request whose log lines do not state whether its gate was unresponsive or
+// its connection was lost.
+TEST(ingress, log_line_of_a_given_up_attempt_states_the_age_of_the_unanswered_ping)
+{
+    node_state state = make_connected_node({"a", "b"});
+    state.m_retry_budgets["orders"].m_tokens = 2.0;
+    const auto first = sent_request(step(state, make_request(), start_time));
+    ASSERT_NE(first.first, 0U);
+    for (duration at{}; at <= seconds(1); at += milliseconds(25)) {
+        const auto done = step(state, timer_tick{}, start_time + at);
+        answer_pings(state, done, 3 - first.first, start_time + at);
         for (const auto& effect : done) {
-            const auto* sent = std::get_if<send_frame>(&effect);
-            if (sent == nullptr || sent->m_link != responsive_link ||
-                !std::holds_alternative<ping_frame>(sent->m_frame))
+            const auto* line = std::get_if<log_line>(&effect);
+            if (line == nullptr || line->m_event != "attempt_given_up")
                 continue;
-            status_frame status;
-            status.m_sequence = sequence = std::get<ping_frame>(sent->m_frame).m_sequence;
-            status.m_status.m_service = "orders";
-            status.m_status.m_report.m_open = true;
-            status.m_status.m_report.m_limit = 4;
-            step(state, frame_received{responsive_link, status}, now);
+            EXPECT_EQ(line->m_fields.value("gate", ""), first.first == 1 ? "a" : "b");
+            EXPECT_GT(line->m_fields.value("ping_pending_ms", 0), 600);
+            EXPECT_EQ(line->m_fields.count("link_lost_ms"), 0U);
+            return;
         }
     }
-    EXPECT_EQ(second.first, responsive_link);
+    FAIL() << "no line about the attempt";
 }
 
 // Guards against work that continues for a caller that disconnected while the connection to the
