Keep an attempt at an unresponsive gate until another one has an answer

Cause: an ingress cancelled an idempotent request at a gate that had left a ping unanswered for 600 ms, and only then looked for another gate. If the others refused it, the caller got 502, although the gate was only slow. The loss of a connection had the same result after 800 ms, also when the gate's VM had accepted the next connection and its process was late with the handshake.

Change: a request has a list of open attempts. The one at the unresponsive gate stays open while another gate is tried; the first response counts and cancels the other. A refusal or a failure ends the request only when no attempt is open. An attempt at a lost connection fails when the gate can't be connected, or has a new process. Open attempts count against the attempts of the route, and each repeat takes from the retry budget as before.

--- a/libs/sidecar/include/azureladder/sidecar/open_request.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/open_request.hpp
@@ -2,11 +2,13 @@
 
 #include <azureladder/base/time.hpp>
 #include <azureladder/sidecar/forwarded_request.hpp>
+#include <azureladder/sidecar/request_attempt.hpp>
 #include <azureladder/sidecar/server_response.hpp>
 
 #include <cstdint>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace azureladder::sidecar {
 
@@ -25,16 +27,11 @@
     /// The caller has made an earlier attempt at this request.
     bool m_is_retry = false;
 
-    /// Node and frame id of the current attempt; empty and 0 while there is none.
-    std::string m_node;
-    std::uint64_t m_node_incarnation = 0;
-    std::uint64_t m_frame = 0;
-    time_point m_sent_at;
+    /// Open attempts, oldest first. An idempotent request has several after the nodes of the older
+    /// ones became unresponsive; the first response counts.
+    std::vector<request_attempt> m_attempts;
 
-    /// Time of loss of the connection that carried the attempt; unset while it is up.
-    time_point m_link_lost_at;
-
-    /// Number of attempts that a backend server may have executed.
+    /// Number of ended attempts that a backend server may have executed.
     std::uint32_t m_executions = 0;
 
     /// Nodes that refused this request or failed to execute it.
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -12,9 +12,9 @@
 /// Refusals by nodes after which a request is refused, which bounds its delay.
 constexpr std::uint32_t max_refusals = 3;
 
-/// Ping timeout after which idempotent requests at a node are sent to another one. Longer than the
-/// timeout after which the node receives no new requests, because the first execution is wasted.
-constexpr duration resend_timeout = milliseconds(600);
+/// Ping timeout after which idempotent requests at a node are sent to another one too. Longer than
+/// the timeout after which the node receives no new requests, because one execution is wasted.
+constexpr duration repeat_timeout = milliseconds(600);
 
 /// Calls that the execution of a request makes, as its node reports. Calls make no further ones.
 routing::calls_by_service calls_of(const node_state& state, const open_request& request,
@@ -47,19 +47,21 @@
     return take_retry(context, request, node);
 }
 
-/// Retries or ends a request after an execution that failed or whose outcome is unknown.
-void after_failed_execution(step_context& context, open_request& request, const std::string& cause)
+/// Retries or ends a request after an attempt that failed or whose outcome is unknown, unless
+/// another attempt is open.
+void after_failed_attempt(step_context& context, open_request& request, std::uint64_t frame,
+                          const std::string& cause)
 {
-    const std::string node = request.m_node;
-    end_attempt(context, request);
+    const std::string node = end_attempt(context, request, frame);
     ++request.m_executions;
     request.m_last_cause = cause;
-    if (!consume_retry(context, request, node)) {
-        finish_with_status(context, request, 502, "failed", {});
-        return;
-    }
     request.m_failed_nodes.insert(node);
-    dispatch(context, request);
+    if (!request.m_attempts.empty())
+        return;
+    if (consume_retry(context, request, node))
+        dispatch(context, request);
+    else
+        finish_with_status(context, request, 502, "failed", {});
 }
 
 /// Dispatches the requests that wait for an owner and for which `is_due` returns true.
@@ -79,40 +81,86 @@
     }
 }
 
-/// Whether a request may be retried at another node. A request bound to the owner of its key may
-/// not, since no other node can execute it.
-bool may_retry_elsewhere(step_context& context, const open_request& request)
+bool has_attempt_at(const open_request& request, const std::string& node)
+{
+    return std::any_of(request.m_attempts.begin(), request.m_attempts.end(),
+                       [&](const auto& attempt) { return attempt.m_node == node; });
+}
+
+/// Whether a request with open attempts may be sent to a further node. A request bound to the owner
+/// of its key may not, since no other node can execute it.
+bool may_repeat_elsewhere(step_context& context, const open_request& request)
 {
     node_state& state = context.m_state;
     if (request.m_request->m_kind != routing::request_kind::idempotent ||
-        is_bound_to_owner(state, request) || request.m_executions + 1 >= request.m_max_attempts)
+        is_bound_to_owner(state, request) || request.m_refusals >= max_refusals ||
+        request.m_executions + request.m_attempts.size() >= request.m_max_attempts)
         return false;
     if (!routing::may_retry(state.m_retry_budgets, request.m_request->m_service,
-                            calls_of(state, request, request.m_node)))
+                            calls_of(state, request, request.m_attempts.back().m_node)))
         return false;
     const auto& peers = state.m_peer_index.peers_of(state.m_peers, request.m_request->m_service);
     return std::any_of(peers.begin(), peers.end(), [&](const auto* entry) {
         const auto& [node, peer] = *entry;
-        return node != request.m_node && request.m_failed_nodes.count(node) == 0 &&
+        return !has_attempt_at(request, node) && request.m_failed_nodes.count(node) == 0 &&
                is_usable(state, peer, context.m_now) && peer.m_status.m_report.m_open;
     });
 }
 
-/// Logs why an attempt is given up: its connection is lost, or its node does not answer a ping.
-void log_given_up_attempt(step_context& context, const open_request& request)
+/// Whether an attempt awaits its result over a connection that is lost for longer than it may take
+/// to replace it.
+bool is_link_lost(const node_state& state, const request_attempt& attempt, time_point now)
+{
+    return attempt.m_link_lost_at != time_point{} &&
+           now - attempt.m_link_lost_at > state.m_options.m_resume_window;
+}
+
+/// Whether the node of an attempt can't be reached any more. A node that has accepted a new
+/// connection and not answered on it yet is slow, and the attempt can be resumed.
+bool is_node_unreachable(const node_state& state, const request_attempt& attempt, time_point now)
+{
+    const auto peer = state.m_peers.find(attempt.m_node);
+    return is_link_lost(state, attempt, now) &&
+           (peer == state.m_peers.end() || peer->second.m_link == 0);
+}
+
+bool is_node_unresponsive(const node_state& state, const request_attempt& attempt, time_point now)
+{
+    const auto peer = state.m_peers.find(attempt.m_node);
+    return is_link_lost(state, attempt, now) ||
+           (peer != state.m_peers.end() && peer->second.m_ping_pending &&
+            now - peer->second.m_ping_sent_at > repeat_timeout);
+}
+
+/// Logs a decision about an attempt whose node does not respond, and what it was made from.
+void log_unresponsive_node(step_context& context, const char* event, const open_request& request,
+                           const request_attempt& attempt)
 {
     json fields = request_fields(request);
-    fields["gate"] = request.m_node;
-    fields["attempt_ms"] = to_ms(context.m_now - request.m_sent_at);
-    if (request.m_link_lost_at != time_point{})
-        fields["link_lost_ms"] = to_ms(context.m_now - request.m_link_lost_at);
-    const auto peer = context.m_state.m_peers.find(request.m_node);
+    fields["gate"] = attempt.m_node;
+    fields["attempt_ms"] = to_ms(context.m_now - attempt.m_sent_at);
+    if (attempt.m_link_lost_at != time_point{})
+        fields["link_lost_ms"] = to_ms(context.m_now - attempt.m_link_lost_at);
+    const auto peer = context.m_state.m_peers.find(attempt.m_node);
     if (peer != context.m_state.m_peers.end()) {
         fields["connected"] = peer->second.m_link != 0;
         if (peer->second.m_ping_pending)
             fields["ping_pending_ms"] = to_ms(context.m_now - peer->second.m_ping_sent_at);
     }
-    log(context, log_level::info, "attempt_given_up", std::move(fields));
+    log(context, log_level::info, event, std::move(fields));
+}
+
+/// Sends a request to a further node and leaves its open attempts as they are: their results may
+/// arrive first, or no other node may accept the request.
+void repeat_elsewhere(step_context& context, open_request& request)
+{
+    const std::string node = request.m_attempts.back().m_node;
+    if (!take_retry(context, request, node))
+        return;
+    for (const auto& attempt : request.m_attempts)
+        request.m_failed_nodes.insert(attempt.m_node);
+    log_unresponsive_node(context, "request_repeated", request, request.m_attempts.back());
+    dispatch(context, request);
 }
 
 void update_load_report(step_context& context, const std::string& node,
@@ -218,8 +266,9 @@
     if (found == context.m_state.m_requests.end())
         return;
     open_request& request = found->second;
-    const std::string gate = request.m_node;
-    const bool is_cancel_sent = cancel_attempt(context, request);
+    const std::string gate =
+        request.m_attempts.empty() ? std::string() : request.m_attempts.back().m_node;
+    const bool is_cancel_sent = cancel_attempts(context, request);
     log_end(context, request, "caller_left", 0, {{"gate", gate}, {"cancel_sent", is_cancel_sent}});
     context.m_state.m_requests.erase(found);
 }
@@ -229,15 +278,16 @@
     open_request* request = find_request(context, frame.m_id);
     if (request == nullptr)
         return;
-    update_load_report(context, request->m_node, frame.m_report);
+    update_load_report(context, attempt_of(*request, frame.m_id).m_node, frame.m_report);
     if (frame.m_response->m_status < 500) {
+        end_attempt(context, *request, frame.m_id);
         ++request->m_executions;
         finish_with_response(context, *request, frame.m_response);
         return;
     }
     request->m_failed_response = frame.m_response;
-    after_failed_execution(context, *request,
-                           "server answered " + std::to_string(frame.m_response->m_status));
+    after_failed_attempt(context, *request, frame.m_id,
+                         "server answered " + std::to_string(frame.m_response->m_status));
 }
 
 void on_refusal(step_context& context, const refusal_frame& frame)
@@ -245,9 +295,8 @@
     open_request* request = find_request(context, frame.m_id);
     if (request == nullptr)
         return;
-    const std::string node = request->m_node;
+    const std::string node = end_attempt(context, *request, frame.m_id);
     update_load_report(context, node, frame.m_report);
-    end_attempt(context, *request);
     request->m_last_cause = std::string(find_enum_name(refusal_reason_names, frame.m_reason));
     ++request->m_refusals;
     const duration advised_delay(frame.m_retry_after_us);
@@ -282,15 +331,17 @@
     open_request* request = find_request(context, frame.m_id);
     if (request == nullptr)
         return;
-    update_load_report(context, request->m_node, frame.m_report);
-    after_failed_execution(context, *request, frame.m_cause);
+    update_load_report(context, attempt_of(*request, frame.m_id).m_node, frame.m_report);
+    after_failed_attempt(context, *request, frame.m_id, frame.m_cause);
 }
 
 void on_peer_link_lost(step_context& context, const std::string& node)
 {
     for (auto& [caller, request] : context.m_state.m_requests) {
-        if (request.m_frame != 0 && request.m_node == node)
-            request.m_link_lost_at = context.m_now;
+        for (auto& attempt : request.m_attempts) {
+            if (attempt.m_node == node)
+                attempt.m_link_lost_at = context.m_now;
+        }
     }
 }
 
@@ -305,18 +356,21 @@
     }
     std::vector<std::uint64_t> failed;
     for (auto& [caller, request] : context.m_state.m_requests) {
-        if (request.m_frame == 0 || request.m_node != node ||
-            request.m_link_lost_at == time_point{})
-            continue;
-        if (peer->second.m_incarnation != request.m_node_incarnation) {
-            failed.push_back(caller);
-            continue;
+        for (auto& attempt : request.m_attempts) {
+            if (attempt.m_node != node || attempt.m_link_lost_at == time_point{})
+                continue;
+            if (peer->second.m_incarnation != attempt.m_node_incarnation) {
+                failed.push_back(attempt.m_frame);
+                continue;
+            }
+            attempt.m_link_lost_at = {};
+            send_to_node(context, node, resume_frame{attempt.m_frame});
         }
-        request.m_link_lost_at = {};
-        send_to_node(context, node, resume_frame{request.m_frame});
     }
-    for (const std::uint64_t caller : failed)
-        after_failed_execution(context, context.m_state.m_requests.at(caller), "node restarted");
+    for (const std::uint64_t frame : failed) {
+        if (open_request* request = find_request(context, frame))
+            after_failed_attempt(context, *request, frame, "node restarted");
+    }
     retry_waiting_requests(context);
 }
 
@@ -328,41 +382,45 @@
 void check_open_requests(step_context& context)
 {
     node_state& state = context.m_state;
-    dispatch_waiting(context, [&](const open_request& request) {
-        return context.m_now >= request.m_retry_owner_at;
-    });
+    const time_point now = context.m_now;
+    dispatch_waiting(context,
+                     [&](const open_request& request) { return now >= request.m_retry_owner_at; });
     std::vector<std::uint64_t> late;
-    std::vector<std::uint64_t> lost;
+    std::vector<std::uint64_t> lost_frames;
+    std::vector<std::uint64_t> unresponsive;
     for (const auto& [caller, request] : state.m_requests) {
-        if (context.m_now >= request.m_deadline) {
+        if (now >= request.m_deadline) {
             late.push_back(caller);
             continue;
         }
-        if (request.m_frame == 0)
-            continue;
-        const bool link_lost =
-            request.m_link_lost_at != time_point{} &&
-            context.m_now - request.m_link_lost_at > state.m_options.m_resume_window;
-        const auto peer = state.m_peers.find(request.m_node);
-        const bool silent = peer != state.m_peers.end() && peer->second.m_ping_pending &&
-                            context.m_now - peer->second.m_ping_sent_at > resend_timeout;
-        if (link_lost || (silent && may_retry_elsewhere(context, request)))
-            lost.push_back(caller);
+        bool is_any_responsive = request.m_attempts.empty();
+        for (const auto& attempt : request.m_attempts) {
+            if (is_node_unreachable(state, attempt, now))
+                lost_frames.push_back(attempt.m_frame);
+            is_any_responsive |= !is_node_unresponsive(state, attempt, now);
+        }
+        if (!is_any_responsive && may_repeat_elsewhere(context, request))
+            unresponsive.push_back(caller);
     }
     for (const std::uint64_t caller : late) {
         open_request& request = state.m_requests.at(caller);
-        const bool may_have_run = request.m_frame != 0 || request.m_executions > 0;
-        cancel_attempt(context, request);
+        const bool may_have_run = !request.m_attempts.empty() || request.m_executions > 0;
+        cancel_attempts(context, request);
         if (may_have_run)
             finish_with_status(context, request, 504, "timed_out", {});
         else
             finish_unserved(context, request);
     }
-    for (const std::uint64_t caller : lost) {
-        open_request& request = state.m_requests.at(caller);
-        log_given_up_attempt(context, request);
-        send_cancel(context, request);
-        after_failed_execution(context, request, "node unreachable");
+    for (const std::uint64_t caller : unresponsive)
+        repeat_elsewhere(context, state.m_requests.at(caller));
+    for (const std::uint64_t frame : lost_frames) {
+        open_request* request = find_request(context, frame);
+        if (request == nullptr)
+            continue;
+        const request_attempt& attempt = attempt_of(*request, frame);
+        log_unresponsive_node(context, "attempt_given_up", *request, attempt);
+        send_cancel(context, *request, attempt);
+        after_failed_attempt(context, *request, frame, "node unreachable");
     }
 }
 
--- a/libs/sidecar/src/ingress_completion.cpp
+++ b/libs/sidecar/src/ingress_completion.cpp
@@ -29,38 +29,46 @@
     return service != nullptr && service->m_is_sharded && request.m_request->m_key.has_value();
 }
 
-void end_attempt(step_context& context, open_request& request)
+request_attempt& attempt_of(open_request& request, std::uint64_t frame)
 {
-    if (request.m_frame == 0)
-        return;
-    context.m_state.m_caller_of_frame.erase(request.m_frame);
-    const auto peer = context.m_state.m_peers.find(request.m_node);
+    return *std::find_if(request.m_attempts.begin(), request.m_attempts.end(),
+                         [&](const auto& attempt) { return attempt.m_frame == frame; });
+}
+
+std::string end_attempt(step_context& context, open_request& request, std::uint64_t frame)
+{
+    const auto ended = std::find_if(request.m_attempts.begin(), request.m_attempts.end(),
+                                    [&](const auto& attempt) { return attempt.m_frame == frame; });
+    std::string node = std::move(ended->m_node);
+    request.m_attempts.erase(ended);
+    context.m_state.m_caller_of_frame.erase(frame);
+    const auto peer = context.m_state.m_peers.find(node);
     if (peer != context.m_state.m_peers.end() && peer->second.m_open_requests > 0)
         --peer->second.m_open_requests;
-    request.m_frame = 0;
-    request.m_node.clear();
-    request.m_link_lost_at = {};
+    return node;
 }
 
-bool send_cancel(step_context& context, const open_request& request)
+bool send_cancel(step_context& context, const open_request& request, const request_attempt& attempt)
 {
-    const auto peer = context.m_state.m_peers.find(request.m_node);
+    const auto peer = context.m_state.m_peers.find(attempt.m_node);
     if (peer != context.m_state.m_peers.end()) {
         auto& cancels = peer->second.m_unconfirmed_cancels;
         while (!cancels.empty() && cancels.front().m_deadline <= context.m_now)
             cancels.pop_front();
-        cancels.push_back({request.m_frame, context.m_now, request.m_deadline});
+        cancels.push_back({attempt.m_frame, context.m_now, request.m_deadline});
     }
-    return send_to_node(context, request.m_node, cancel_frame{request.m_frame});
+    return send_to_node(context, attempt.m_node, cancel_frame{attempt.m_frame});
 }
 
-bool cancel_attempt(step_context& context, open_request& request)
+bool cancel_attempts(step_context& context, open_request& request)
 {
-    if (request.m_frame == 0)
-        return false;
-    const bool is_sent = send_cancel(context, request);
-    end_attempt(context, request);
-    return is_sent;
+    bool are_sent = !request.m_attempts.empty();
+    while (!request.m_attempts.empty()) {
+        const request_attempt& attempt = request.m_attempts.back();
+        are_sent &= send_cancel(context, request, attempt);
+        end_attempt(context, request, attempt.m_frame);
+    }
+    return are_sent;
 }
 
 void log_end(step_context& context, const open_request& request, const char* outcome, int status,
@@ -89,7 +97,7 @@
 {
     log_end(context, request, "answered", response->m_status);
     emit(context, forward_response{request.m_caller, std::move(response)});
-    end_attempt(context, request);
+    cancel_attempts(context, request);
     context.m_state.m_requests.erase(request.m_caller);
 }
 
@@ -104,12 +112,14 @@
     const std::string reason =
         request.m_last_cause.empty() ? outcome : outcome + (": " + request.m_last_cause);
     emit(context, respond_to_caller{request.m_caller, status, reason, retry_after});
-    end_attempt(context, request);
+    cancel_attempts(context, request);
     context.m_state.m_requests.erase(request.m_caller);
 }
 
 void finish_unserved(step_context& context, open_request& request)
 {
+    if (!request.m_attempts.empty())
+        return;
     if (request.m_executions > 0) {
         finish_with_status(context, request, 502, "failed", {});
         return;
--- a/libs/sidecar/src/ingress_dispatch.cpp
+++ b/libs/sidecar/src/ingress_dispatch.cpp
@@ -20,16 +20,17 @@
 void send_request(step_context& context, open_request& request, const std::string& node)
 {
     node_state& state = context.m_state;
-    request.m_node = node;
-    request.m_frame = state.m_next_frame++;
-    request.m_sent_at = context.m_now;
+    request_attempt attempt;
+    attempt.m_node = node;
+    attempt.m_frame = state.m_next_frame++;
+    attempt.m_sent_at = context.m_now;
     request.m_waits_for_owner = false;
-    state.m_caller_of_frame[request.m_frame] = request.m_caller;
+    state.m_caller_of_frame[attempt.m_frame] = request.m_caller;
     const auto peer = state.m_peers.find(node);
     if (peer != state.m_peers.end()) {
         ++peer->second.m_open_requests;
         ++peer->second.m_sent_since_status;
-        request.m_node_incarnation = peer->second.m_incarnation;
+        attempt.m_node_incarnation = peer->second.m_incarnation;
     }
     json fields = request_fields(request);
     // "node" already names the node that writes the log line.
@@ -40,12 +41,13 @@
         fields["key"] = *request.m_request->m_key;
     log(context, log_level::info, "request_sent", std::move(fields));
     request_frame frame;
-    frame.m_id = request.m_frame;
+    frame.m_id = attempt.m_frame;
     frame.m_request = request.m_request;
     frame.m_remaining_us = (request.m_deadline - context.m_now).count();
     frame.m_target_us = (request.m_target - context.m_now).count();
     frame.m_is_retry = request.m_is_retry;
     frame.m_sent_us = to_us(context.m_now);
+    request.m_attempts.push_back(std::move(attempt));
     send_to_node(context, node, std::move(frame));
 }
 
--- a/libs/sidecar/src/ingress_internal.hpp
+++ b/libs/sidecar/src/ingress_internal.hpp
@@ -11,28 +11,35 @@
 
 // Completion of requests.
 json request_fields(const open_request& request);
+
+/// Request with an open attempt of this frame id; null if there is none.
 open_request* find_request(step_context& context, std::uint64_t frame);
 
+/// Open attempt of a request with this frame id.
+request_attempt& attempt_of(open_request& request, std::uint64_t frame);
+
 /// Whether only the owner of the request's key can execute it. Requests to services that are not
 /// divided by key may have a key too.
 bool is_bound_to_owner(const node_state& state, const open_request& request);
 
-/// Ends the current attempt of a request.
-void end_attempt(step_context& context, open_request& request);
+/// Ends an open attempt of a request and returns its node.
+std::string end_attempt(step_context& context, open_request& request, std::uint64_t frame);
 
-/// Sends a cancel frame for the current attempt to its node. The cancel is sent again if its
-/// connection is replaced before the node has confirmed it. Returns false when there is no
-/// connection to the node.
-bool send_cancel(step_context& context, const open_request& request);
+/// Sends a cancel frame for an attempt to its node. The cancel is sent again if its connection is
+/// replaced before the node has confirmed it. Returns false when there is no connection to the
+/// node.
+bool send_cancel(step_context& context, const open_request& request,
+                 const request_attempt& attempt);
 
-/// Sends a cancel frame for the current attempt, if any, and ends the attempt. Returns false when
-/// there is no attempt or no connection to its node.
-bool cancel_attempt(step_context& context, open_request& request);
+/// Sends cancel frames for all open attempts and ends them. Returns false when there is no attempt
+/// or no connection to the node of one.
+bool cancel_attempts(step_context& context, open_request& request);
 
 void log_end(step_context& context, const open_request& request, const char* outcome, int status,
              const json& further_fields = json::object());
 
-// The functions below end the request and invalidate references to it.
+// The functions below end the request, which cancels its open attempts, and invalidate references
+// to it.
 void finish_with_response(step_context& context, open_request& request,
                           server_response_ptr response);
 
@@ -40,8 +47,8 @@
 void finish_with_status(step_context& context, open_request& request, int status,
                         const char* outcome, duration retry_after);
 
-/// Ends a request that no node accepts. It is reported as refused only if it was certainly not
-/// executed.
+/// Ends a request that no further node accepts, unless an attempt is open, whose result is awaited.
+/// The request is reported as refused only if it was certainly not executed.
 void finish_unserved(step_context& context, open_request& request);
 
 // Selection of a node. May end the request.
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -102,7 +102,7 @@
         (!idle && elapsed < state.m_options.m_max_stop_time))
         return;
     for (const auto& [caller, request] : state.m_requests) {
-        const bool may_have_run = request.m_frame != 0 || request.m_executions > 0;
+        const bool may_have_run = !request.m_attempts.empty() || request.m_executions > 0;
         emit(context, respond_to_caller{caller, may_have_run ? 502 : 503, "node is stopping", {}});
     }
     state.m_requests.clear();
--- a/libs/sidecar/tests/ingress_test.cpp
+++ b/libs/sidecar/tests/ingress_test.cpp
@@ -86,9 +86,9 @@
     EXPECT_EQ(second.first, responsive_link);
 }
 
-// Guards against a failed request whose log lines do not state whether its gate was unresponsive or
-// its connection was lost.
-TEST(ingress, log_line_of_a_given_up_attempt_states_the_age_of_the_unanswered_ping)
+// Guards against a repeated request whose log lines do not state whether its gate was unresponsive
+// or its connection was lost.
+TEST(ingress, log_line_of_a_repeated_request_states_the_age_of_the_unanswered_ping)
 {
     node_state state = make_connected_node({"a", "b"});
     state.m_retry_budgets["orders"].m_tokens = 2.0;
@@ -99,7 +99,7 @@
         answer_pings(state, done, 3 - first.first, start_time + at);
         for (const auto& effect : done) {
             const auto* line = std::get_if<log_line>(&effect);
-            if (line == nullptr || line->m_event != "attempt_given_up")
+            if (line == nullptr || line->m_event != "request_repeated")
                 continue;
             EXPECT_EQ(line->m_fields.value("gate", ""), first.first == 1 ? "a" : "b");
             EXPECT_GT(line->m_fields.value("ping_pending_ms", 0), 600);
@@ -107,7 +107,7 @@
             return;
         }
     }
-    FAIL() << "no line about the attempt";
+    FAIL() << "no line about the repeat";
 }
 
 // Guards against work that continues for a caller that disconnected while the connection to the
--- a/libs/sidecar/tests/unresponsive_gate_test.cpp
+++ b/libs/sidecar/tests/unresponsive_gate_test.cpp
@@ -85,6 +85,60 @@
     EXPECT_EQ(response_status(done), 200);
 }
 
+// Guards against two responses to a caller, and against work that continues for an answered caller.
+TEST(unresponsive_gate, first_response_ends_the_other_attempt)
+{
+    for (const bool is_first_faster : {true, false}) {
+        repeated_request request = send_repeated_request();
+        ASSERT_NE(request.m_second.first, 0U);
+        const auto& faster = is_first_faster ? request.m_first : request.m_second;
+        const auto& slower = is_first_faster ? request.m_second : request.m_first;
+        const effects done = step(request.m_state, answered(faster, 200), request.m_now);
+        EXPECT_EQ(response_status(done), 200);
+        EXPECT_EQ(cancelled_requests(done, slower.first),
+                  std::vector<std::uint64_t>{slower.second});
+        const effects late = step(request.m_state, answered(slower, 200), request.m_now);
+        EXPECT_EQ(response_status(late), 0);
+    }
+}
+
+// Guards against a failed response to the caller while another attempt can still succeed.
+TEST(unresponsive_gate, failure_of_one_attempt_leaves_the_other_open)
+{
+    for (const bool is_first_faster : {true, false}) {
+        repeated_request request = send_repeated_request();
+        ASSERT_NE(request.m_second.first, 0U);
+        const auto& faster = is_first_faster ? request.m_first : request.m_second;
+        const auto& slower = is_first_faster ? request.m_second : request.m_first;
+        const effects failed = step(request.m_state, answered(faster, 500), request.m_now);
+        EXPECT_EQ(response_status(failed), 0);
+        const effects done = step(request.m_state, answered(slower, 200), request.m_now);
+        EXPECT_EQ(response_status(done), 200);
+    }
+}
+
+// Guards against work that continues for a caller that disconnected while two gates had its
+// request.
+TEST(unresponsive_gate, all_attempts_of_a_disconnected_caller_are_cancelled)
+{
+    repeated_request request = send_repeated_request();
+    ASSERT_NE(request.m_second.first, 0U);
+    const effects done = step(request.m_state, caller_disconnected{1}, request.m_now);
+    for (const auto& sent : {request.m_first, request.m_second})
+        EXPECT_EQ(cancelled_requests(done, sent.first), std::vector<std::uint64_t>{sent.second});
+}
+
+// Guards against more executions than the attempts of the route allow.
+TEST(unresponsive_gate, open_attempts_count_against_the_attempts_of_the_route)
+{
+    repeated_request request = send_repeated_request();
+    ASSERT_NE(request.m_second.first, 0U);
+    step_and_record(request, answered(request.m_second, 500));
+    request.m_done.clear();
+    run_for(request, milliseconds(400));
+    EXPECT_EQ(sent_request(request.m_done).first, 0U);
+}
+
 // Guards against giving up a request because its gate, which still runs, is slow to accept the new
 // connection.
 TEST(unresponsive_gate, request_is_kept_while_the_gate_has_not_answered_on_its_new_connection)
