Report an execution that was ended for a lost ingress as failed

What callers would see: a non-idempotent request is executed twice.

Cause: a gate ends the executions of an ingress 0.8 s after it lost the connection to it, and forgot them. An ingress that was paused, or slow to notice the loss, returned later and resumed its requests; the gate answered that it did not know them, which counts as not executed, and the ingress sent them to other gates.

Change: a started execution that is ended for this reason has failed, and the result is retained like that of any other. Waiting requests are removed as before, but all of a lost ingress at once: before, the end of one execution could start the next one, to be ended in the same pass.

--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -224,6 +224,46 @@
     }
 }
 
+/// Stops an execution or a waiting request, without a result for its origin.
+void stop_execution(step_context& context, const backend_execution& execution)
+{
+    node_state& state = context.m_state;
+    if (execution.m_started) {
+        emit(context, cancel_execution{execution.m_id});
+        // An execution that reached its deadline counts as failed, one cancelled by its caller does
+        // not.
+        const bool timed_out = context.m_now + deadline_tolerance >= execution.m_deadline;
+        routing::finish_execution(state.m_admission_controller, execution.m_id, {},
+                                  timed_out ? routing::execution_outcome::failed
+                                            : routing::execution_outcome::abandoned,
+                                  context.m_now, state.m_options.m_admission_options);
+        if (timed_out && state.m_backend)
+            record_unanswered_execution(context, *state.m_backend);
+    } else {
+        routing::remove_waiting_request(state.m_admission_controller, execution.m_id);
+    }
+    json fields = execution_fields(execution);
+    fields["origin_lost"] = execution.m_link_lost_at != time_point{};
+    fields["started"] = execution.m_started;
+    if (execution.m_started)
+        fields["elapsed_us"] = (context.m_now - execution.m_started_at).count();
+    log(context, log_level::info, "request_cancelled", std::move(fields));
+}
+
+/// Stops an execution whose origin has not returned after the loss of its connection. The origin
+/// may still return: a started execution has failed then, since an unknown one counts as not
+/// executed.
+void stop_orphaned_execution(step_context& context, backend_execution& execution)
+{
+    stop_execution(context, execution);
+    if (execution.m_started)
+        send_and_retain_result(
+            context, execution,
+            failure_frame{execution.m_frame, "ingress was unreachable", own_load_report(context)});
+    else
+        remove_execution(context, execution.m_id);
+}
+
 void refuse_all_waiting(step_context& context, refusal_reason reason)
 {
     const auto waiting = context.m_state.m_admission_controller.m_waiting;
@@ -365,29 +405,9 @@
         return;
     }
     const std::uint64_t id = found->second;
-    backend_execution& execution = state.m_executions.at(id);
-    if (execution.m_result)
+    if (state.m_executions.at(id).m_result)
         return;
-    if (execution.m_started) {
-        emit(context, cancel_execution{id});
-        // An execution that reached its deadline counts as failed, one cancelled by its caller does
-        // not.
-        const bool timed_out = context.m_now + deadline_tolerance >= execution.m_deadline;
-        routing::finish_execution(state.m_admission_controller, id, {},
-                                  timed_out ? routing::execution_outcome::failed
-                                            : routing::execution_outcome::abandoned,
-                                  context.m_now, state.m_options.m_admission_options);
-        if (timed_out && state.m_backend)
-            record_unanswered_execution(context, *state.m_backend);
-    } else {
-        routing::remove_waiting_request(state.m_admission_controller, id);
-    }
-    json fields = execution_fields(execution);
-    fields["origin_lost"] = execution.m_link_lost_at != time_point{};
-    fields["started"] = execution.m_started;
-    if (execution.m_started)
-        fields["elapsed_us"] = (context.m_now - execution.m_started_at).count();
-    log(context, log_level::info, "request_cancelled", std::move(fields));
+    stop_execution(context, state.m_executions.at(id));
     remove_execution(context, id);
     start_waiting(context);
 }
@@ -537,10 +557,10 @@
     }
     for (const std::uint64_t id : ended)
         remove_execution(context, id);
-    for (const std::uint64_t id : orphaned) {
-        const backend_execution execution = state.m_executions.at(id);
-        on_cancel(context, execution.m_origin, execution.m_frame);
-    }
+    for (const std::uint64_t id : orphaned)
+        stop_orphaned_execution(context, state.m_executions.at(id));
+    if (!orphaned.empty())
+        start_waiting(context);
     for (auto it = state.m_requests_to_drop.begin(); it != state.m_requests_to_drop.end();)
         it = context.m_now - it->second > result_retention ? state.m_requests_to_drop.erase(it)
                                                            : std::next(it);
--- a/libs/sidecar/tests/backend_executions_test.cpp
+++ b/libs/sidecar/tests/backend_executions_test.cpp
@@ -161,6 +161,21 @@
     EXPECT_TRUE(refusals(step(state, timer_tick{}, start_time + milliseconds(1000))).empty());
 }
 
+// Guards against the start of a waiting request in the slot of another one, when the ingress of both
+// is lost.
+TEST(backend_executions, waiting_request_of_a_lost_ingress_is_not_started)
+{
+    node_state state = make_gate();
+    step(state, frame_received{1, make_request(8)}, start_time);
+    step(state, frame_received{1, make_request(9)}, start_time);
+    step(state, link_closed{1}, start_time);
+    std::size_t started = 0;
+    for (duration at{}; at <= seconds(1); at += milliseconds(25))
+        started += started_executions(step(state, timer_tick{}, start_time + at));
+    EXPECT_EQ(started, 0U);
+    EXPECT_TRUE(state.m_admission_controller.m_running.empty());
+}
+
 // Guards against an estimate that keeps the offset of the clocks from before a suspension.
 TEST(frame_delay, forgets_the_offset_of_the_clocks)
 {
