Give an ingress that has connected again the time to resume its requests

What callers would see: 502 for a request at which a backend server was at work.

Cause: a gate ends the executions of an ingress 0.8 s after it lost the connection to it, also when the ingress has connected again and only lacks the processor time to resume them.

Change: the hello frame of the same process restarts this time.

Evidence: backend_executions.execution_is_kept_for_an_ingress_that_has_connected_again failed before.

--- a/libs/sidecar/include/azureladder/sidecar/backend_execution.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/backend_execution.hpp
@@ -17,6 +17,7 @@
     /// Connection, node and frame id that the response goes to.
     std::uint64_t m_link = 0;
     std::string m_origin;
+    std::uint64_t m_origin_incarnation = 0;
     std::uint64_t m_frame = 0;
 
     forwarded_request_ptr m_request;
--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -369,6 +369,9 @@
     execution.m_id = state.m_next_execution++;
     execution.m_link = link;
     execution.m_origin = origin;
+    const auto accepted = state.m_accepted_links.find(link);
+    if (accepted != state.m_accepted_links.end())
+        execution.m_origin_incarnation = accepted->second.m_incarnation;
     execution.m_frame = frame.m_id;
     execution.m_request = frame.m_request;
     execution.m_deadline = context.m_now + duration(frame.m_remaining_us) - delay;
@@ -489,6 +492,16 @@
     }
 }
 
+void on_origin_connected(step_context& context, const std::string& origin,
+                         std::uint64_t incarnation)
+{
+    for (auto& [id, execution] : context.m_state.m_executions) {
+        if (execution.m_origin == origin && execution.m_origin_incarnation == incarnation &&
+            execution.m_link_lost_at != time_point{})
+            execution.m_link_lost_at = context.m_now;
+    }
+}
+
 void on_backend_announced(step_context& context, const backend_announcement& announced)
 {
     node_state& state = context.m_state;
--- a/libs/sidecar/src/peers.cpp
+++ b/libs/sidecar/src/peers.cpp
@@ -264,7 +264,10 @@
     acknowledge_departures(context, frame.m_departed_servers);
     if (accepted) {
         state.m_node_of_link[link] = frame.m_node;
-        state.m_accepted_links[link].m_last_frame_at = context.m_now;
+        accepted_link& opened = state.m_accepted_links[link];
+        opened.m_incarnation = frame.m_incarnation;
+        opened.m_last_frame_at = context.m_now;
+        on_origin_connected(context, frame.m_node, frame.m_incarnation);
         // The peer is reachable, so the connect backoff ends.
         if (peer.m_link == 0)
             peer.m_next_connect_at = context.m_now;
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -68,6 +68,10 @@
 /// Removes the backend server after a different server has responded at its address.
 void on_backend_replaced(step_context& context);
 void on_origin_link_lost(step_context& context, std::uint64_t link);
+
+/// Restarts the time in which a node that has connected again can resume its requests.
+void on_origin_connected(step_context& context, const std::string& origin,
+                         std::uint64_t incarnation);
 void on_backend_announced(step_context& context, const backend_announcement& announced);
 void on_backend_removed(step_context& context, const backend_removed& removed);
 void on_departures_read(step_context& context, const departures_read& read);
--- a/libs/sidecar/tests/backend_executions_test.cpp
+++ b/libs/sidecar/tests/backend_executions_test.cpp
@@ -161,8 +161,31 @@
     EXPECT_TRUE(refusals(step(state, timer_tick{}, start_time + milliseconds(1000))).empty());
 }
 
-// Guards against the start of a waiting request in the slot of another one, when the ingress of both
-// is lost.
+// Guards against giving up an execution whose ingress has connected again and is slow to resume it.
+// An ingress with a new process has no requests to resume.
+TEST(backend_executions, execution_is_kept_for_an_ingress_that_has_connected_again)
+{
+    for (const std::uint64_t incarnation : {1U, 2U}) {
+        node_state state = make_gate();
+        step(state, frame_received{1, make_request(8)}, start_time);
+        step(state, link_closed{1}, start_time);
+        std::size_t cancelled = 0;
+        for (duration at = milliseconds(25); at <= milliseconds(1400); at += milliseconds(25)) {
+            if (at == milliseconds(700)) {
+                step(state, link_opened{2, ""}, start_time + at);
+                step(state,
+                     frame_received{2, hello_frame{"origin", incarnation, "origin:0", "", {}, {}}},
+                     start_time + at);
+            }
+            for (const auto& effect : step(state, timer_tick{}, start_time + at))
+                cancelled += std::holds_alternative<cancel_execution>(effect) ? 1 : 0;
+        }
+        EXPECT_EQ(cancelled, incarnation == 1 ? 0U : 1U);
+    }
+}
+
+// Guards against the start of a waiting request in the slot of another one, when the ingress of
+// both is lost.
 TEST(backend_executions, waiting_request_of_a_lost_ingress_is_not_started)
 {
     node_state state = make_gate();
