--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -129,6 +129,9 @@
     time_point m_next_peer_check_at;
     bool m_stopping = false;
     time_point m_stop_requested_at;
+
+    /// The end of the process was requested. Events still arrive until its output is sent.
+    bool m_has_stopped = false;
 };
 
 } // namespace azureladder::sidecar
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -92,7 +92,7 @@
 void check_stop(step_context& context)
 {
     node_state& state = context.m_state;
-    if (!state.m_stopping)
+    if (!state.m_stopping || state.m_has_stopped)
         return;
     const duration elapsed = context.m_now - state.m_stop_requested_at;
     const bool idle = state.m_requests.empty() && state.m_admission_controller.m_running.empty() &&
@@ -106,6 +106,7 @@
         emit(context, respond_to_caller{caller, may_have_run ? 502 : 503, "node is stopping", {}});
     }
     state.m_requests.clear();
+    state.m_has_stopped = true;
     log(context, log_level::info, "node_stopped", {{"elapsed_ms", to_ms(elapsed)}});
     emit(context, stop_process{});
 }
--- a/libs/sidecar/tests/ingress_test.cpp
+++ b/libs/sidecar/tests/ingress_test.cpp
@@ -183,6 +183,15 @@
     EXPECT_TRUE(ends_process(step(state, timer_tick{}, start_time + milliseconds(2500))));
 }
 
+// Guards against a log line for each event between the end of the work and the end of the process.
+TEST(ingress, end_of_the_process_is_requested_once)
+{
+    node_state state = make_connected_node({"a"});
+    step(state, stop_requested{}, start_time);
+    EXPECT_TRUE(ends_process(step(state, timer_tick{}, start_time + milliseconds(3300))));
+    EXPECT_FALSE(ends_process(step(state, timer_tick{}, start_time + milliseconds(3310))));
+}
+
 // Guards against accepting a request that takes longer than the rest of the grace period.
 TEST(ingress, long_request_is_refused_by_a_stopping_node)
 {
