Add a failing test of a result that expires before its deadline

A gate retains results for 10 s. An ingress that is away for longer and returns before the deadline of a request is told that it is unknown, which counts as not executed. Routes may have longer timeouts.

--- a/libs/sidecar/tests/backend_executions_test.cpp
+++ b/libs/sidecar/tests/backend_executions_test.cpp
@@ -199,6 +199,23 @@
     EXPECT_TRUE(state.m_admission_controller.m_running.empty());
 }
 
+// Guards against two executions of a non-idempotent request whose ingress was away for longer than
+// results are retained, but returns before its deadline: an unknown request counts as not executed.
+TEST(backend_executions, result_is_retained_until_the_deadline_of_its_request)
+{
+    node_state state = make_gate();
+    request_frame frame = make_request(8);
+    frame.m_remaining_us = frame.m_target_us = 20'000'000;
+    ASSERT_EQ(started_executions(step(state, frame_received{1, frame}, start_time)), 1U);
+    step(state, link_closed{1}, start_time);
+    time_point now = start_time;
+    for (; now < start_time + seconds(12); now += milliseconds(25))
+        step(state, timer_tick{}, now);
+    step(state, link_opened{2, ""}, now);
+    step(state, frame_received{2, hello_frame{"origin", 1, "origin:0", "", {}, {}}}, now);
+    EXPECT_EQ(refusals(step(state, frame_received{2, resume_frame{8}}, now)), reasons());
+}
+
 // Guards against an estimate that keeps the offset of the clocks from before a suspension.
 TEST(frame_delay, forgets_the_offset_of_the_clocks)
 {
