Add a failing test of an ingress that stands still after the loss of a connection

The 0.8 s in which a gate can be connected again include the pause of the ingress itself. The first tick after it gives up the request before the connection is tried.

--- a/libs/sidecar/tests/unresponsive_gate_test.cpp
+++ b/libs/sidecar/tests/unresponsive_gate_test.cpp
@@ -139,6 +139,28 @@
     EXPECT_EQ(sent_request(request.m_done).first, 0U);
 }
 
+// Guards against counting a pause of the ingress as time in which the gate could be connected again:
+// it answered 502 to a request at which a backend server was at work.
+TEST(unresponsive_gate, pause_of_the_ingress_does_not_count_as_an_unreachable_gate)
+{
+    node_state state = make_connected_node({"a"});
+    ASSERT_EQ(sent_request(step(state, make_request(), start_time)).first, 1U);
+    step(state, timer_tick{}, start_time + milliseconds(25));
+    step(state, link_closed{1}, start_time + milliseconds(50));
+    // The process stands still before its next tick, and then opens the connection.
+    EXPECT_EQ(response_status(step(state, timer_tick{}, start_time + milliseconds(1000))), 0);
+    step(state, link_opened{7, "a"}, start_time + milliseconds(1010));
+    const effects done = step(state, frame_received{7, hello_frame{"a", 1, "a:0", "", {}, {}}},
+                              start_time + milliseconds(1020));
+    EXPECT_EQ(response_status(done), 0);
+    bool is_resumed = false;
+    for (const auto& effect : done) {
+        const auto* frame = std::get_if<send_frame>(&effect);
+        is_resumed |= frame != nullptr && std::holds_alternative<resume_frame>(frame->m_frame);
+    }
+    EXPECT_TRUE(is_resumed);
+}
+
 // Guards against giving up a request because its gate, which still runs, is slow to accept the new
 // connection.
 TEST(unresponsive_gate, request_is_kept_while_the_gate_has_not_answered_on_its_new_connection)
