Add a failing test of a gate that stands still after the loss of a connection

The 0.8 s in which an ingress can connect again include the pause of the gate itself. The first tick after it ends the execution before the hello frame is read.

--- a/libs/sidecar/tests/backend_executions_test.cpp
+++ b/libs/sidecar/tests/backend_executions_test.cpp
@@ -216,6 +216,21 @@
     EXPECT_EQ(refusals(step(state, frame_received{2, resume_frame{8}}, now)), reasons());
 }
 
+// Guards against counting a pause of the gate as time in which the ingress could connect again: an
+// execution is cut although its ingress waits for it.
+TEST(backend_executions, pause_of_the_node_does_not_count_as_the_loss_of_an_ingress)
+{
+    node_state state = make_gate();
+    step(state, frame_received{1, make_request(8)}, start_time);
+    step(state, timer_tick{}, start_time);
+    step(state, link_closed{1}, start_time);
+    // The process stands still. The hello frame of the new connection is read after the tick.
+    std::size_t cancelled = 0;
+    for (const auto& effect : step(state, timer_tick{}, start_time + milliseconds(1000)))
+        cancelled += std::holds_alternative<cancel_execution>(effect) ? 1 : 0;
+    EXPECT_EQ(cancelled, 0U);
+}
+
 // Guards against an estimate that keeps the offset of the clocks from before a suspension.
 TEST(frame_delay, forgets_the_offset_of_the_clocks)
 {
