Add a failing test of a third attempt beside a responsive one

When a slow gate refuses a request that was repeated, the ingress sends it to a third gate although the second one answers its pings and still executes it.

--- a/libs/sidecar/tests/unresponsive_gate_test.cpp
+++ b/libs/sidecar/tests/unresponsive_gate_test.cpp
@@ -161,6 +161,34 @@
     EXPECT_TRUE(is_resumed);
 }
 
+// Guards against an execution that nobody needs: the slow gate refuses the request at last, while
+// the second gate, which answers its pings, still executes it.
+TEST(unresponsive_gate, late_refusal_starts_no_attempt_beside_a_responsive_one)
+{
+    repeated_request request;
+    request.m_state = make_connected_node({"a", "b", "c"});
+    request.m_state.m_retry_budgets["orders"].m_tokens = 2.0;
+    request.m_first = sent_request(step(request.m_state, make_request(), start_time));
+    ASSERT_NE(request.m_first.first, 0U);
+    while (request.m_second.first == 0 && request.m_now < start_time + milliseconds(900)) {
+        request.m_now += milliseconds(25);
+        const effects done = step(request.m_state, timer_tick{}, request.m_now);
+        for (std::uint64_t link = 1; link <= 3; ++link) {
+            if (link != request.m_first.first)
+                answer_pings(request.m_state, done, link, request.m_now);
+        }
+        request.m_second = sent_request(done);
+    }
+    ASSERT_NE(request.m_second.first, 0U);
+    refusal_frame late;
+    late.m_id = request.m_first.second;
+    late.m_reason = refusal_reason::arrived_late;
+    late.m_report.m_open = true;
+    const effects done =
+        step(request.m_state, frame_received{request.m_first.first, late}, request.m_now);
+    EXPECT_EQ(sent_request(done).first, 0U);
+}
+
 // Guards against giving up a request because its gate, which still runs, is slow to accept the new
 // connection.
 TEST(unresponsive_gate, request_is_kept_while_the_gate_has_not_answered_on_its_new_connection)
