Add a failing test of repeats that are not sent and cost budget

The check whether a request may be repeated counts leaving peers as candidates, the selection of a node does not. Each tick takes a repeat from the budget and sends nothing.

--- a/libs/sidecar/tests/unresponsive_gate_test.cpp
+++ b/libs/sidecar/tests/unresponsive_gate_test.cpp
@@ -189,6 +189,46 @@
     EXPECT_EQ(sent_request(done).first, 0U);
 }
 
+// Guards against repeats that are taken from the retry budget and not sent. A response that a peer
+// made before its stop arrives after its status, and its report states that the peer is open.
+TEST(unresponsive_gate, repeat_that_no_node_can_get_takes_nothing_from_the_budget)
+{
+    node_state state = make_connected_node({"a", "b"});
+    const auto first = sent_request(step(state, make_request(), start_time));
+    ASSERT_NE(first.first, 0U);
+    std::pair<std::uint64_t, std::uint64_t> other;
+    for (std::uint64_t caller = 2; other.first != 3 - first.first; ++caller) {
+        ASSERT_LE(caller, 50U);
+        caller_request request = make_request();
+        request.m_caller = caller;
+        other = sent_request(step(state, request, start_time));
+    }
+    state.m_retry_budgets["orders"].m_tokens = 4.0;
+    std::size_t sent = 0;
+    for (duration at = milliseconds(25); at <= milliseconds(1000); at += milliseconds(25)) {
+        const time_point now = start_time + at;
+        if (at == milliseconds(800)) {
+            status_frame leaving;
+            leaving.m_status.m_service = "orders";
+            leaving.m_status.m_leaving = true;
+            step(state, frame_received{other.first, leaving}, now);
+            auto response = std::make_shared<server_response>();
+            response->m_status = 200;
+            response_frame frame;
+            frame.m_id = other.second;
+            frame.m_response = std::move(response);
+            frame.m_report.m_open = true;
+            step(state, frame_received{other.first, frame}, now);
+        }
+        const effects done = step(state, timer_tick{}, now);
+        sent += sent_request(done).first != 0 ? 1 : 0;
+        if (at < milliseconds(800))
+            answer_pings(state, done, other.first, now);
+    }
+    EXPECT_EQ(sent, 0U);
+    EXPECT_EQ(state.m_retry_budgets["orders"].m_tokens, 4.0);
+}
+
 // Guards against giving up a request because its gate, which still runs, is slow to accept the new
 // connection.
 TEST(unresponsive_gate, request_is_kept_while_the_gate_has_not_answered_on_its_new_connection)
