Add a failing test of a request that only the local server can take over

The check whether a request may be repeated knows peers only. A request at a slow gate waits for its deadline although the backend server beside the ingress is free.

--- a/libs/sidecar/tests/unresponsive_gate_test.cpp
+++ b/libs/sidecar/tests/unresponsive_gate_test.cpp
@@ -229,6 +229,33 @@
     EXPECT_EQ(state.m_retry_budgets["orders"].m_tokens, 4.0);
 }
 
+// Guards against waiting for a slow gate until the deadline although the backend server beside the
+// ingress could execute the request.
+TEST(unresponsive_gate, request_is_repeated_at_the_local_backend_server)
+{
+    node_state state = make_connected_node({"a"});
+    backend_announcement announced;
+    announced.m_id = "server";
+    announced.m_service = "orders";
+    announced.m_address = "server:0";
+    announced.m_slots = 4;
+    announced.m_sequence = 1;
+    announced.m_started_at_ms = 1;
+    // The only request is sent to the peer, because the local server joins later.
+    ASSERT_EQ(sent_request(step(state, make_request(), start_time)).first, 1U);
+    step(state, backend_announced{announced}, start_time);
+    state.m_retry_budgets["orders"].m_tokens = 2.0;
+    step(state, link_closed{1}, start_time + milliseconds(50));
+    step(state, timer_tick{}, start_time + milliseconds(50));
+    step(state, link_opened{7, "a"}, start_time + milliseconds(60));
+    std::size_t started = 0;
+    for (duration at = milliseconds(75); at <= milliseconds(1100); at += milliseconds(25)) {
+        for (const auto& effect : step(state, timer_tick{}, start_time + at))
+            started += std::holds_alternative<start_execution>(effect) ? 1 : 0;
+    }
+    EXPECT_EQ(started, 1U);
+}
+
 // Guards against giving up a request because its gate, which still runs, is slow to accept the new
 // connection.
 TEST(unresponsive_gate, request_is_kept_while_the_gate_has_not_answered_on_its_new_connection)
