Add a failing test of a waiting request that is started without being resumed

The hello frame of an ingress extends the time of its waiting requests too. One starts 1.2 s after the loss of the connection although the ingress has not resumed it.

--- a/libs/sidecar/tests/backend_executions_test.cpp
+++ b/libs/sidecar/tests/backend_executions_test.cpp
@@ -231,6 +231,36 @@
     EXPECT_EQ(cancelled, 0U);
 }
 
+// Guards against the start of a waiting request whose ingress has connected again and has not
+// resumed it within 0.8 s of the loss of the connection: its caller may have disconnected.
+TEST(backend_executions, waiting_request_that_is_not_resumed_in_time_is_not_started)
+{
+    node_state state = make_gate();
+    step(state, link_opened{3, ""}, start_time);
+    step(state, frame_received{3, hello_frame{"other", 1, "other:0", "", {}, {}}}, start_time);
+    step(state, frame_received{3, make_request(8)}, start_time);
+    step(state, frame_received{1, make_request(9)}, start_time);
+    const std::uint64_t running = state.m_executions.begin()->first;
+    step(state, link_closed{1}, start_time);
+    std::size_t started = 0;
+    for (duration at{}; at <= milliseconds(1400); at += milliseconds(25)) {
+        const time_point now = start_time + at;
+        step(state, frame_received{3, ping_frame{1, 0}}, now);
+        if (at == milliseconds(700)) {
+            step(state, link_opened{2, ""}, now);
+            step(state, frame_received{2, hello_frame{"origin", 1, "origin:0", "", {}, {}}}, now);
+        }
+        if (at == milliseconds(1200)) {
+            execution_ended ended;
+            ended.m_execution = running;
+            ended.m_result = execution_result::unknown;
+            started += started_executions(step(state, ended, now));
+        }
+        started += started_executions(step(state, timer_tick{}, now));
+    }
+    EXPECT_EQ(started, 0U);
+}
+
 // Guards against an estimate that keeps the offset of the clocks from before a suspension.
 TEST(frame_delay, forgets_the_offset_of_the_clocks)
 {
