--- a/libs/sidecar/tests/unresponsive_gate_test.cpp
+++ b/libs/sidecar/tests/unresponsive_gate_test.cpp
@@ -139,8 +139,8 @@
     EXPECT_EQ(sent_request(request.m_done).first, 0U);
 }
 
-// Guards against counting a pause of the ingress as time in which the gate could be connected again:
-// it answered 502 to a request at which a backend server was at work.
+// Guards against counting a pause of the ingress as time in which the gate could be connected
+// again: it answered 502 to a request at which a backend server was at work.
 TEST(unresponsive_gate, pause_of_the_ingress_does_not_count_as_an_unreachable_gate)
 {
     node_state state = make_connected_node({"a"});
