--- a/libs/sidecar/tests/backend_executions_test.cpp
+++ b/libs/sidecar/tests/backend_executions_test.cpp
@@ -199,6 +199,68 @@
     EXPECT_TRUE(state.m_admission_controller.m_running.empty());
 }
 
+// Guards against two executions of a non-idempotent request whose ingress was away for longer than
+// results are retained, but returns before its deadline: an unknown request counts as not executed.
+TEST(backend_executions, result_is_retained_until_the_deadline_of_its_request)
+{
+    node_state state = make_gate();
+    request_frame frame = make_request(8);
+    frame.m_remaining_us = frame.m_target_us = 20'000'000;
+    ASSERT_EQ(started_executions(step(state, frame_received{1, frame}, start_time)), 1U);
+    step(state, link_closed{1}, start_time);
+    time_point now = start_time;
+    for (; now < start_time + seconds(12); now += milliseconds(25))
+        step(state, timer_tick{}, now);
+    step(state, link_opened{2, ""}, now);
+    step(state, frame_received{2, hello_frame{"origin", 1, "origin:0", "", {}, {}}}, now);
+    EXPECT_EQ(refusals(step(state, frame_received{2, resume_frame{8}}, now)), reasons());
+}
+
+// Guards against counting a pause of the gate as time in which the ingress could connect again: an
+// execution is cut although its ingress waits for it.
+TEST(backend_executions, pause_of_the_node_does_not_count_as_the_loss_of_an_ingress)
+{
+    node_state state = make_gate();
+    step(state, frame_received{1, make_request(8)}, start_time);
+    step(state, timer_tick{}, start_time);
+    step(state, link_closed{1}, start_time);
+    // The process stands still. The hello frame of the new connection is read after the tick.
+    std::size_t cancelled = 0;
+    for (const auto& effect : step(state, timer_tick{}, start_time + milliseconds(1000)))
+        cancelled += std::holds_alternative<cancel_execution>(effect) ? 1 : 0;
+    EXPECT_EQ(cancelled, 0U);
+}
+
+// Guards against the start of a waiting request whose ingress has connected again and has not
+// resumed it within 0.8 s of the loss of the connection: its caller may have disconnected.
+TEST(backend_executions, waiting_request_that_is_not_resumed_in_time_is_not_started)
+{
+    node_state state = make_gate();
+    step(state, link_opened{3, ""}, start_time);
+    step(state, frame_received{3, hello_frame{"other", 1, "other:0", "", {}, {}}}, start_time);
+    step(state, frame_received{3, make_request(8)}, start_time);
+    step(state, frame_received{1, make_request(9)}, start_time);
+    const std::uint64_t running = state.m_executions.begin()->first;
+    step(state, link_closed{1}, start_time);
+    std::size_t started = 0;
+    for (duration at{}; at <= milliseconds(1400); at += milliseconds(25)) {
+        const time_point now = start_time + at;
+        step(state, frame_received{3, ping_frame{1, 0}}, now);
+        if (at == milliseconds(700)) {
+            step(state, link_opened{2, ""}, now);
+            step(state, frame_received{2, hello_frame{"origin", 1, "origin:0", "", {}, {}}}, now);
+        }
+        if (at == milliseconds(1200)) {
+            execution_ended ended;
+            ended.m_execution = running;
+            ended.m_result = execution_result::unknown;
+            started += started_executions(step(state, ended, now));
+        }
+        started += started_executions(step(state, timer_tick{}, now));
+    }
+    EXPECT_EQ(started, 0U);
+}
+
 // Guards against an estimate that keeps the offset of the clocks from before a suspension.
 TEST(frame_delay, forgets_the_offset_of_the_clocks)
 {
--- a/libs/sidecar/tests/unresponsive_gate_test.cpp
+++ b/libs/sidecar/tests/unresponsive_gate_test.cpp
@@ -139,6 +139,123 @@
     EXPECT_EQ(sent_request(request.m_done).first, 0U);
 }
 
+// Guards against counting a pause of the ingress as time in which the gate could be connected
+// again: it answered 502 to a request at which a backend server was at work.
+TEST(unresponsive_gate, pause_of_the_ingress_does_not_count_as_an_unreachable_gate)
+{
+    node_state state = make_connected_node({"a"});
+    ASSERT_EQ(sent_request(step(state, make_request(), start_time)).first, 1U);
+    step(state, timer_tick{}, start_time + milliseconds(25));
+    step(state, link_closed{1}, start_time + milliseconds(50));
+    // The process stands still before its next tick, and then opens the connection.
+    EXPECT_EQ(response_status(step(state, timer_tick{}, start_time + milliseconds(1000))), 0);
+    step(state, link_opened{7, "a"}, start_time + milliseconds(1010));
+    const effects done = step(state, frame_received{7, hello_frame{"a", 1, "a:0", "", {}, {}}},
+                              start_time + milliseconds(1020));
+    EXPECT_EQ(response_status(done), 0);
+    bool is_resumed = false;
+    for (const auto& effect : done) {
+        const auto* frame = std::get_if<send_frame>(&effect);
+        is_resumed |= frame != nullptr && std::holds_alternative<resume_frame>(frame->m_frame);
+    }
+    EXPECT_TRUE(is_resumed);
+}
+
+// Guards against an execution that nobody needs: the slow gate refuses the request at last, while
+// the second gate, which answers its pings, still executes it.
+TEST(unresponsive_gate, late_refusal_starts_no_attempt_beside_a_responsive_one)
+{
+    repeated_request request;
+    request.m_state = make_connected_node({"a", "b", "c"});
+    request.m_state.m_retry_budgets["orders"].m_tokens = 2.0;
+    request.m_first = sent_request(step(request.m_state, make_request(), start_time));
+    ASSERT_NE(request.m_first.first, 0U);
+    while (request.m_second.first == 0 && request.m_now < start_time + milliseconds(900)) {
+        request.m_now += milliseconds(25);
+        const effects done = step(request.m_state, timer_tick{}, request.m_now);
+        for (std::uint64_t link = 1; link <= 3; ++link) {
+            if (link != request.m_first.first)
+                answer_pings(request.m_state, done, link, request.m_now);
+        }
+        request.m_second = sent_request(done);
+    }
+    ASSERT_NE(request.m_second.first, 0U);
+    refusal_frame late;
+    late.m_id = request.m_first.second;
+    late.m_reason = refusal_reason::arrived_late;
+    late.m_report.m_open = true;
+    const effects done =
+        step(request.m_state, frame_received{request.m_first.first, late}, request.m_now);
+    EXPECT_EQ(sent_request(done).first, 0U);
+}
+
+// Guards against repeats that are taken from the retry budget and not sent. A response that a peer
+// made before its stop arrives after its status, and its report states that the peer is open.
+TEST(unresponsive_gate, repeat_that_no_node_can_get_takes_nothing_from_the_budget)
+{
+    node_state state = make_connected_node({"a", "b"});
+    const auto first = sent_request(step(state, make_request(), start_time));
+    ASSERT_NE(first.first, 0U);
+    std::pair<std::uint64_t, std::uint64_t> other;
+    for (std::uint64_t caller = 2; other.first != 3 - first.first; ++caller) {
+        ASSERT_LE(caller, 50U);
+        caller_request request = make_request();
+        request.m_caller = caller;
+        other = sent_request(step(state, request, start_time));
+    }
+    state.m_retry_budgets["orders"].m_tokens = 4.0;
+    std::size_t sent = 0;
+    for (duration at = milliseconds(25); at <= milliseconds(1000); at += milliseconds(25)) {
+        const time_point now = start_time + at;
+        if (at == milliseconds(800)) {
+            status_frame leaving;
+            leaving.m_status.m_service = "orders";
+            leaving.m_status.m_leaving = true;
+            step(state, frame_received{other.first, leaving}, now);
+            auto response = std::make_shared<server_response>();
+            response->m_status = 200;
+            response_frame frame;
+            frame.m_id = other.second;
+            frame.m_response = std::move(response);
+            frame.m_report.m_open = true;
+            step(state, frame_received{other.first, frame}, now);
+        }
+        const effects done = step(state, timer_tick{}, now);
+        sent += sent_request(done).first != 0 ? 1 : 0;
+        if (at < milliseconds(800))
+            answer_pings(state, done, other.first, now);
+    }
+    EXPECT_EQ(sent, 0U);
+    EXPECT_EQ(state.m_retry_budgets["orders"].m_tokens, 4.0);
+}
+
+// Guards against waiting for a slow gate until the deadline although the backend server beside the
+// ingress could execute the request.
+TEST(unresponsive_gate, request_is_repeated_at_the_local_backend_server)
+{
+    node_state state = make_connected_node({"a"});
+    backend_announcement announced;
+    announced.m_id = "server";
+    announced.m_service = "orders";
+    announced.m_address = "server:0";
+    announced.m_slots = 4;
+    announced.m_sequence = 1;
+    announced.m_started_at_ms = 1;
+    // The only request is sent to the peer, because the local server joins later.
+    ASSERT_EQ(sent_request(step(state, make_request(), start_time)).first, 1U);
+    step(state, backend_announced{announced}, start_time);
+    state.m_retry_budgets["orders"].m_tokens = 2.0;
+    step(state, link_closed{1}, start_time + milliseconds(50));
+    step(state, timer_tick{}, start_time + milliseconds(50));
+    step(state, link_opened{7, "a"}, start_time + milliseconds(60));
+    std::size_t started = 0;
+    for (duration at = milliseconds(75); at <= milliseconds(1100); at += milliseconds(25)) {
+        for (const auto& effect : step(state, timer_tick{}, start_time + at))
+            started += std::holds_alternative<start_execution>(effect) ? 1 : 0;
+    }
+    EXPECT_EQ(started, 1U);
+}
+
 // Guards against giving up a request because its gate, which still runs, is slow to accept the new
 // connection.
 TEST(unresponsive_gate, request_is_kept_while_the_gate_has_not_answered_on_its_new_connection)
