Retain the result of an execution until the deadline of its request

What callers would see: a non-idempotent request with a timeout of over 10 s is executed twice.

Cause: a gate drops a result 10 s after the end of the execution. An ingress that was away for longer resumes the request, is told that the gate does not know it, and sends it to another gate.

Change: results are retained until the deadline has passed too, and an ingress resumes no request after its deadline.

--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-/// Time for which results of finished executions are retained, so that their origin can resume
-/// them. Longer than any origin waits.
+/// Time for which results of finished executions are retained at least, so that their origin can
+/// resume them. They are retained until the deadline in any case, because an origin takes an
+/// unknown request for one that was not executed.
 constexpr duration result_retention = seconds(10);
 
 /// Interval between probe requests to an unresponsive or unreachable backend server.
@@ -561,7 +562,8 @@
     std::vector<std::uint64_t> orphaned;
     for (const auto& [id, execution] : state.m_executions) {
         if (execution.m_result) {
-            if (context.m_now - execution.m_finished_at > result_retention)
+            if (context.m_now - execution.m_finished_at > result_retention &&
+                context.m_now > execution.m_deadline + deadline_tolerance)
                 ended.push_back(id);
         } else if (execution.m_link_lost_at != time_point{} &&
                    context.m_now - execution.m_link_lost_at > state.m_options.m_resume_window) {
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -357,7 +357,9 @@
     std::vector<std::uint64_t> failed;
     for (auto& [caller, request] : context.m_state.m_requests) {
         for (auto& attempt : request.m_attempts) {
-            if (attempt.m_node != node || attempt.m_link_lost_at == time_point{})
+            // The node may have dropped the result of a request whose deadline has passed.
+            if (attempt.m_node != node || attempt.m_link_lost_at == time_point{} ||
+                context.m_now >= request.m_deadline)
                 continue;
             if (peer->second.m_incarnation != attempt.m_node_incarnation) {
                 failed.push_back(attempt.m_frame);
