Don't count a pause of the process as the loss of a peer

What callers would see: 502 for a request at which a backend server was at work.

Cause: both ends give up requests 0.8 s after the loss of their connection. A process that stood still meanwhile did so in its first tick, before it could connect again or read the hello frame of its peer.

Change: after a pause this time starts anew, as the times of pings do.

--- a/libs/sidecar/src/peers.cpp
+++ b/libs/sidecar/src/peers.cpp
@@ -332,6 +332,20 @@
         retry_waiting_requests(context);
 }
 
+void restart_resume_windows(step_context& context)
+{
+    const auto restart = [&](time_point& link_lost_at) {
+        if (link_lost_at != time_point{})
+            link_lost_at = context.m_now;
+    };
+    for (auto& [caller, request] : context.m_state.m_requests) {
+        for (auto& attempt : request.m_attempts)
+            restart(attempt.m_link_lost_at);
+    }
+    for (auto& [id, execution] : context.m_state.m_executions)
+        restart(execution.m_link_lost_at);
+}
+
 void check_peers(step_context& context)
 {
     node_state& state = context.m_state;
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -76,6 +76,7 @@
         }
         for (auto& [link, accepted] : state.m_accepted_links)
             accepted.m_last_frame_at = context.m_now;
+        restart_resume_windows(context);
     }
     state.m_last_tick = context.m_now;
     check_peers(context);
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -82,6 +82,10 @@
 /// Marks the current server as leaving if its departure is recorded.
 void apply_departures(step_context& context);
 void check_backend_executions(step_context& context);
+
+/// Restarts the time in which requests over lost connections can be resumed, of open requests and
+/// of executions. Neither side could resume them while this process stood still.
+void restart_resume_windows(step_context& context);
 bool accepts_requests(const node_state& state, time_point now);
 
 /// Time between two ticks above which the process counts as paused. Frames may then have arrived
