Select the node of a repeat before it is taken from the retry budget

What callers would see: fewer retries during rolling restarts, and a wait until the deadline at a slow gate although the backend server beside the ingress is free.

Cause: whether a repeat is possible and where it goes were decided by two functions. The first one counted leaving peers and left out the local server, so that a repeat could be taken from the budget at each tick and never be sent, or not be made at all.

Change: the node is selected first, by the function that selects those of all requests.

--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -81,30 +81,15 @@
     }
 }
 
-bool has_attempt_at(const open_request& request, const std::string& node)
-{
-    return std::any_of(request.m_attempts.begin(), request.m_attempts.end(),
-                       [&](const auto& attempt) { return attempt.m_node == node; });
-}
-
 /// Whether a request with open attempts may be sent to a further node. A request bound to the owner
 /// of its key may not, since no other node can execute it.
-bool may_repeat_elsewhere(step_context& context, const open_request& request)
+bool may_repeat_elsewhere(const node_state& state, const open_request& request)
 {
-    node_state& state = context.m_state;
-    if (request.m_request->m_kind != routing::request_kind::idempotent ||
-        is_bound_to_owner(state, request) || request.m_refusals >= max_refusals ||
-        request.m_executions + request.m_attempts.size() >= request.m_max_attempts)
-        return false;
-    if (!routing::may_retry(state.m_retry_budgets, request.m_request->m_service,
-                            calls_of(state, request, request.m_attempts.back().m_node)))
-        return false;
-    const auto& peers = state.m_peer_index.peers_of(state.m_peers, request.m_request->m_service);
-    return std::any_of(peers.begin(), peers.end(), [&](const auto* entry) {
-        const auto& [node, peer] = *entry;
-        return !has_attempt_at(request, node) && request.m_failed_nodes.count(node) == 0 &&
-               is_usable(state, peer, context.m_now) && peer.m_status.m_report.m_open;
-    });
+    return request.m_request->m_kind == routing::request_kind::idempotent &&
+           !is_bound_to_owner(state, request) && request.m_refusals < max_refusals &&
+           request.m_executions + request.m_attempts.size() < request.m_max_attempts &&
+           routing::may_retry(state.m_retry_budgets, request.m_request->m_service,
+                              calls_of(state, request, request.m_attempts.back().m_node));
 }
 
 /// Whether an attempt awaits its result over a connection that is lost for longer than it may take
@@ -150,17 +135,17 @@
     log(context, log_level::info, event, std::move(fields));
 }
 
-/// Sends a request to a further node and leaves its open attempts as they are: their results may
-/// arrive first, or no other node may accept the request.
+/// Sends a request to a further node, if one is open, and leaves its open attempts as they are:
+/// their results may arrive first, or the other node may refuse the request.
 void repeat_elsewhere(step_context& context, open_request& request)
 {
-    const std::string node = request.m_attempts.back().m_node;
-    if (!take_retry(context, request, node))
-        return;
     for (const auto& attempt : request.m_attempts)
         request.m_failed_nodes.insert(attempt.m_node);
+    const std::string node = select_node(context, request);
+    if (node.empty() || !take_retry(context, request, request.m_attempts.back().m_node))
+        return;
     log_unresponsive_node(context, "request_repeated", request, request.m_attempts.back());
-    dispatch(context, request);
+    send_request(context, request, node);
 }
 
 void update_load_report(step_context& context, const std::string& node,
@@ -401,7 +386,7 @@
                 lost_frames.push_back(attempt.m_frame);
             is_any_responsive |= !is_node_unresponsive(state, attempt, now);
         }
-        if (!is_any_responsive && may_repeat_elsewhere(context, request))
+        if (!is_any_responsive && may_repeat_elsewhere(state, request))
             unresponsive.push_back(caller);
     }
     for (const std::uint64_t caller : late) {
--- a/libs/sidecar/src/ingress_dispatch.cpp
+++ b/libs/sidecar/src/ingress_dispatch.cpp
@@ -17,6 +17,8 @@
 /// Owner hints retained per table. More simultaneous transfers are rare.
 constexpr std::size_t max_hints = 32;
 
+} // namespace
+
 void send_request(step_context& context, open_request& request, const std::string& node)
 {
     node_state& state = context.m_state;
@@ -51,8 +53,6 @@
     send_to_node(context, node, std::move(frame));
 }
 
-} // namespace
-
 void wait_for_owner(step_context& context, open_request& request, const char* cause)
 {
     const duration limit = routing::scaled(request.m_latency_objective,
@@ -130,7 +130,9 @@
         send_request(context, request, owner);
 }
 
-void dispatch_to_any(step_context& context, open_request& request)
+} // namespace
+
+std::string select_node(step_context& context, const open_request& request)
 {
     node_state& state = context.m_state;
     std::vector<routing::server_candidate> candidates;
@@ -157,13 +159,21 @@
     routing::set_service_times(candidates, routing::route_hash(request.m_request->m_route));
     const std::size_t chosen =
         routing::select_server(candidates, state.m_options.m_server_selection, state.m_random());
-    if (chosen == candidates.size()) {
-        if (request.m_refusals == 0)
-            request.m_last_cause = "no open backend server";
-        finish_unserved(context, request);
+    return chosen == candidates.size() ? std::string() : *nodes[chosen];
+}
+
+namespace {
+
+void dispatch_to_any(step_context& context, open_request& request)
+{
+    const std::string node = select_node(context, request);
+    if (!node.empty()) {
+        send_request(context, request, node);
         return;
     }
-    send_request(context, request, *nodes[chosen]);
+    if (request.m_refusals == 0)
+        request.m_last_cause = "no open backend server";
+    finish_unserved(context, request);
 }
 
 } // namespace
--- a/libs/sidecar/src/ingress_internal.hpp
+++ b/libs/sidecar/src/ingress_internal.hpp
@@ -58,6 +58,13 @@
 void wait_for_owner(step_context& context, open_request& request, const char* cause);
 
 void add_owner_hint(step_context& context, const std::string& service, const owner_hint& hint);
+
+/// Node that is to execute a request which any server of its service can execute. Nodes that have
+/// failed or refused it are left out. Empty if no server is open.
+std::string select_node(step_context& context, const open_request& request);
+
+/// Sends a request to a node as a new attempt.
+void send_request(step_context& context, open_request& request, const std::string& node);
 void dispatch(step_context& context, open_request& request);
 
 } // namespace azureladder::sidecar
