Send a refused request nowhere else while another attempt is at work

What servers would see: an execution whose result is thrown away. A slow gate refused a request at last, and the ingress sent it to a third gate although the second one, which answers its pings, was executing it.

--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -117,6 +117,14 @@
             now - peer->second.m_ping_sent_at > repeat_timeout);
 }
 
+/// Whether the result of an open attempt can be expected, so that no further attempt is needed.
+bool has_responsive_attempt(const node_state& state, const open_request& request, time_point now)
+{
+    return std::any_of(
+        request.m_attempts.begin(), request.m_attempts.end(),
+        [&](const auto& attempt) { return !is_node_unresponsive(state, attempt, now); });
+}
+
 /// Logs a decision about an attempt whose node does not respond, and what it was made from.
 void log_unresponsive_node(step_context& context, const char* event, const open_request& request,
                            const request_attempt& attempt)
@@ -290,6 +298,8 @@
         request->m_shortest_retry_after = advised_delay;
     if (frame.m_reason != refusal_reason::unknown_request)
         request->m_failed_nodes.insert(node);
+    if (has_responsive_attempt(context.m_state, *request, context.m_now))
+        return;
     const bool keyed = is_bound_to_owner(context.m_state, *request);
     if (keyed && frame.m_reason == refusal_reason::not_owner) {
         if (frame.m_owner)
@@ -380,13 +390,12 @@
             late.push_back(caller);
             continue;
         }
-        bool is_any_responsive = request.m_attempts.empty();
         for (const auto& attempt : request.m_attempts) {
             if (is_node_unreachable(state, attempt, now))
                 lost_frames.push_back(attempt.m_frame);
-            is_any_responsive |= !is_node_unresponsive(state, attempt, now);
         }
-        if (!is_any_responsive && may_repeat_elsewhere(state, request))
+        if (!request.m_attempts.empty() && !has_responsive_attempt(state, request, now) &&
+            may_repeat_elsewhere(state, request))
             unresponsive.push_back(caller);
     }
     for (const std::uint64_t caller : late) {
