Drop waiting requests that their ingress has not resumed in time

Cause: the hello frame of an ingress restarted the time in which it can resume its waiting requests too. Their callers may have disconnected, and another gate can execute them.

--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -497,7 +497,8 @@
                          std::uint64_t incarnation)
 {
     for (auto& [id, execution] : context.m_state.m_executions) {
-        if (execution.m_origin == origin && execution.m_origin_incarnation == incarnation &&
+        if (execution.m_started && execution.m_origin == origin &&
+            execution.m_origin_incarnation == incarnation &&
             execution.m_link_lost_at != time_point{})
             execution.m_link_lost_at = context.m_now;
     }
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -69,7 +69,8 @@
 void on_backend_replaced(step_context& context);
 void on_origin_link_lost(step_context& context, std::uint64_t link);
 
-/// Restarts the time in which a node that has connected again can resume its requests.
+/// Restarts the time in which a node that has connected again can resume its started executions.
+/// Its waiting requests are dropped in time, since their callers may have disconnected.
 void on_origin_connected(step_context& context, const std::string& origin,
                          std::uint64_t incarnation);
 void on_backend_announced(step_context& context, const backend_announcement& announced);
