--- a/libs/sidecar/tests/unresponsive_gate_test.cpp
+++ b/libs/sidecar/tests/unresponsive_gate_test.cpp
@@ -309,6 +309,7 @@
         cluster.run_for(seconds(8));
         cluster.set_execution_time(milliseconds(1200));
         std::vector<std::string> sent;
+        sent.reserve(9);
         for (int i = 0; i < 9; ++i)
             sent.push_back(cluster.send("orders-0", "orders"));
         cluster.run_for(milliseconds(50));
