Limit the memory of all unfinished responses together

What callers saw: a backend server that sent responses without end made the process run out of memory, and all other requests on the machine ended with it.

Cause: one exchange is limited to 4 MiB of input, but nothing limited the sum over concurrent exchanges. The growth of a body can double its memory, and a declared length reserves it before a byte has arrived. A connection kept the buffers and the parser of its last response.

Change: exchanges reserve the memory that they use (unparsed bytes, header fields, capacity of the body) from a budget: 15 % of the process's memory for the backend server, 10 % for the store, so that a faulty backend server takes nothing from the store's calls. The new setting memory_mb states that memory. When the budget is exceeded, the exchange that holds the most fails as incomplete, so one long response does not fail the ordinary ones. Connections release the memory of a response at its end.

--- a/libs/sidecar_runtime/include/azureladder/sidecar_runtime/sidecar_settings.hpp
+++ b/libs/sidecar_runtime/include/azureladder/sidecar_runtime/sidecar_settings.hpp
@@ -54,6 +54,10 @@
     /// Bandwidth of the VM's link in Mbit/s, of which documents and long bodies between nodes use a
     /// part only; 0 if unknown, for no limit.
     double m_link_mbps = 0.0;
+
+    /// Memory of the process in MB, of which received responses use a part only. The default is
+    /// that of the smallest VM.
+    std::int64_t m_memory_mb = 160;
 };
 
 /// Parses and validates settings. Appends errors to `errors`; the result is then incomplete.
--- a/libs/sidecar_runtime/src/backend_connection_pool.cpp
+++ b/libs/sidecar_runtime/src/backend_connection_pool.cpp
@@ -20,9 +20,11 @@
 } // namespace
 
 backend_connection_pool::backend_connection_pool(asio::io_context& io, const protocol_codec& codec,
+                                                 byte_budget& budget,
                                                  backend_connection_pool_options options,
                                                  event_handler on_event)
-    : m_io(io), m_codec(codec), m_options(options), m_on_event(std::move(on_event))
+    : m_io(io), m_codec(codec), m_budget(budget), m_options(options),
+      m_on_event(std::move(on_event))
 {
 }
 
@@ -31,7 +33,7 @@
 {
     if (auto connection = take_idle_connection(m_idle_connections[address]))
         return connection;
-    return make_connection(m_io, address, m_options.m_connect_timeout);
+    return make_connection(m_io, address, m_options.m_connect_timeout, m_budget);
 }
 
 void backend_connection_pool::return_connection(const std::string& address,
--- a/libs/sidecar_runtime/src/backend_connection_pool.hpp
+++ b/libs/sidecar_runtime/src/backend_connection_pool.hpp
@@ -30,7 +30,8 @@
 public:
     using event_handler = std::function<void(sidecar::event)>;
 
-    backend_connection_pool(asio::io_context& io, const protocol_codec& codec,
+    /// `budget` limits the memory of unfinished responses.
+    backend_connection_pool(asio::io_context& io, const protocol_codec& codec, byte_budget& budget,
                             backend_connection_pool_options options, event_handler on_event);
 
     void start(const sidecar::start_execution& execution);
@@ -44,6 +45,7 @@
 
     asio::io_context& m_io;
     const protocol_codec& m_codec;
+    byte_budget& m_budget;
     backend_connection_pool_options m_options;
     event_handler m_on_event;
     std::map<std::string, std::vector<connection_ptr>> m_idle_connections;
--- /dev/null
+++ b/libs/sidecar_runtime/src/byte_budget.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstddef>
+#include <set>
+
+namespace azureladder::sidecar_runtime {
+
+class byte_reservation;
+
+/// Limit of the bytes of several owners together. An owner that needs more bytes than are left
+/// makes the largest reservation fail, which may be its own, so that a few large owners
+/// do not fail many small ones.
+class byte_budget
+{
+public:
+    explicit byte_budget(std::size_t max_bytes) : m_max_bytes(max_bytes) {}
+    byte_budget(const byte_budget&) = delete;
+    byte_budget& operator=(const byte_budget&) = delete;
+
+    std::size_t used_bytes() const { return m_used_bytes; }
+
+private:
+    friend class byte_reservation;
+
+    /// Revokes larger reservations until the limit is met. Returns false if `growing` is the
+    /// largest one itself.
+    bool make_room(const byte_reservation& growing);
+
+    std::size_t m_max_bytes;
+    std::size_t m_used_bytes = 0;
+    std::set<byte_reservation*> m_reservations;
+};
+
+} // namespace azureladder::sidecar_runtime
--- a/libs/sidecar_runtime/src/client_connection.cpp
+++ b/libs/sidecar_runtime/src/client_connection.cpp
@@ -1,5 +1,7 @@
 #include "client_connection.hpp"
 
+#include "byte_budget.hpp"
+
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -22,16 +24,29 @@
 
 constexpr std::size_t max_single_read_bytes = 64 * 1024;
 
-/// Limit of all bytes read in one exchange. A page of the store has about 1.5 MB, and a dozen
-/// concurrent exchanges use less than a third of the 160 MB of the smallest VM.
+/// Limit of all bytes read in one exchange. A page of the store has about 1.5 MB.
 constexpr std::size_t max_exchange_bytes = 4 * 1024 * 1024;
 
+/// Memory of a header field beside its text, in the parser or in a list of fields.
+constexpr std::size_t field_overhead_bytes = 96;
+
+constexpr const char* memory_limit_cause = "responses exceed the memory limit";
+
 /// Idle time after which a connection is not reused when its server sends no Keep-Alive timeout.
 constexpr std::chrono::milliseconds default_keep_alive{4000};
 
 /// Subtracted from the server's Keep-Alive timeout, so that a request does not meet the close.
 constexpr std::chrono::milliseconds keep_alive_margin{1000};
 
+template <class Fields>
+std::size_t memory_of_fields(const Fields& fields)
+{
+    std::size_t bytes = 0;
+    for (const auto& field : fields)
+        bytes += field.name_string().size() + field.value().size() + field_overhead_bytes;
+    return bytes;
+}
+
 std::chrono::milliseconds keep_alive_time(const sidecar::header_fields& headers)
 {
     const std::string_view text = header_value(headers, "Keep-Alive");
@@ -50,9 +65,9 @@
 } // namespace
 
 client_connection::client_connection(asio::io_context& io, const endpoint& address,
-                                     milliseconds connect_timeout)
+                                     milliseconds connect_timeout, byte_budget* budget)
     : m_io(io), m_stream(io), m_address(to_tcp_endpoint(address)),
-      m_connect_timeout(connect_timeout), m_buffer(max_unparsed_bytes)
+      m_connect_timeout(connect_timeout), m_budget(budget), m_buffer(max_unparsed_bytes)
 {
 }
 
@@ -76,6 +91,12 @@
     m_is_request_written = false;
     m_nothing_sent = false;
     m_reusable = false;
+    if (m_budget != nullptr) {
+        m_reservation.emplace(*m_budget, [this] {
+            const auto self = shared_from_this();
+            fail_exchange(exchange_result::incomplete, memory_limit_cause);
+        });
+    }
     if (m_connected)
         send();
     else if (m_send_condition && m_has_connected)
@@ -133,6 +154,7 @@
 
 void client_connection::start_response_parser()
 {
+    m_header_bytes = 0;
     m_parser.emplace();
     m_parser->header_limit(max_response_header_bytes);
     m_parser->body_limit(max_exchange_bytes);
@@ -152,7 +174,10 @@
         fail_exchange(exchange_result::incomplete, "timeout");
         return;
     }
-    m_stream.async_read_some(m_buffer.prepare(size),
+    const auto free_space = m_buffer.prepare(size);
+    if (!reserve_used_bytes())
+        return;
+    m_stream.async_read_some(free_space,
                              [self = shared_from_this()](error_code error, std::size_t read) {
                                  if (!self->m_completion_handler)
                                      return;
@@ -195,6 +220,8 @@
         if (error)
             break;
     }
+    if (m_header_bytes == 0 && m_parser->is_header_done())
+        m_header_bytes = memory_of_fields(m_parser->get());
     return error == http::error::need_more ? error_code() : error;
 }
 
@@ -213,6 +240,9 @@
             {std::string(name.data(), name.size()), std::string(value.data(), value.size())});
     }
     outcome.m_response.m_body = std::move(message.body());
+    // The receiver of the response copies it.
+    if (!reserve(2 * (memory_of_fields(message) + outcome.m_response.m_body.capacity())))
+        return true;
     if (m_response_filter && !m_response_filter(outcome.m_response))
         return false;
     m_stream.expires_never();
@@ -222,12 +252,35 @@
         std::chrono::steady_clock::now() + keep_alive_time(outcome.m_response.m_headers);
     const completion_handler on_completion = std::move(m_completion_handler);
     m_completion_handler = nullptr;
-    if (!m_reusable)
+    if (m_reusable)
+        release_memory();
+    else
         close();
     on_completion(std::move(outcome));
     return true;
 }
 
+bool client_connection::reserve_used_bytes()
+{
+    return reserve(m_buffer.capacity() + m_header_bytes + m_parser->get().body().capacity());
+}
+
+bool client_connection::reserve(std::size_t bytes)
+{
+    if (!m_reservation || m_reservation->resize(bytes))
+        return true;
+    fail_exchange(exchange_result::incomplete, memory_limit_cause);
+    return false;
+}
+
+void client_connection::release_memory()
+{
+    m_parser.reset();
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+    m_reservation.reset();
+}
+
 void client_connection::fail_exchange(exchange_result result, const std::string& cause)
 {
     const completion_handler on_completion = std::move(m_completion_handler);
@@ -244,6 +297,7 @@
     // The connection is discarded, so an error while closing has no effect.
     error_code ignored;
     m_stream.socket().close(ignored);
+    release_memory();
 }
 
 void client_connection::watch_idle(std::function<void()> on_closed)
@@ -260,11 +314,12 @@
 }
 
 std::shared_ptr<client_connection> make_connection(asio::io_context& io, const std::string& address,
-                                                   milliseconds connect_timeout)
+                                                   milliseconds connect_timeout,
+                                                   byte_budget& budget)
 {
     const auto parsed = parse_endpoint(address);
     return std::make_shared<client_connection>(io, parsed.value_or(endpoint{"127.0.0.1", 9}),
-                                               connect_timeout);
+                                               connect_timeout, &budget);
 }
 
 std::shared_ptr<client_connection>
--- a/libs/sidecar_runtime/src/client_connection.hpp
+++ b/libs/sidecar_runtime/src/client_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "asio_types.hpp"
+#include "byte_reservation.hpp"
 
 #include <azureladder/sidecar_runtime/http_message.hpp>
 
@@ -18,6 +19,8 @@
 
 namespace azureladder::sidecar_runtime {
 
+class byte_budget;
+
 enum class exchange_result
 {
     answered,
@@ -47,7 +50,9 @@
     /// Called just before the first byte is sent; false ends the exchange as not_sent.
     using send_condition = std::function<bool()>;
 
-    client_connection(asio::io_context& io, const endpoint& address, milliseconds connect_timeout);
+    /// Without a budget, only each exchange by itself is limited.
+    client_connection(asio::io_context& io, const endpoint& address, milliseconds connect_timeout,
+                      byte_budget* budget = nullptr);
 
     /// Restricts exchanges to the first established connection: it is not reopened after its end,
     /// and a request is sent only if `may_send` returns true.
@@ -83,12 +88,21 @@
     void on_read(error_code error);
     error_code parse();
     bool try_complete();
+
+    /// Reserves the memory that the exchange uses. Otherwise fails it and returns false.
+    bool reserve_used_bytes();
+    bool reserve(std::size_t bytes);
+
+    /// Releases the memory of a response that is of no use any more.
+    void release_memory();
+
     void fail_exchange(exchange_result result, const std::string& cause);
 
     asio::io_context& m_io;
     boost::beast::tcp_stream m_stream;
     tcp::endpoint m_address;
     milliseconds m_connect_timeout;
+    byte_budget* m_budget;
     bool m_connected = false;
     bool m_has_connected = false;
     send_condition m_send_condition;
@@ -100,6 +114,12 @@
 
     /// Bytes read in this exchange, including responses that the filter rejected.
     std::size_t m_bytes_read = 0;
+
+    /// Memory of the parsed header section.
+    std::size_t m_header_bytes = 0;
+
+    /// Empty between exchanges and without a budget.
+    std::optional<byte_reservation> m_reservation;
     std::chrono::steady_clock::time_point m_deadline;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     milliseconds m_timeout{};
@@ -114,7 +134,8 @@
 
 /// A connection to "IP:PORT"; its first exchange connects.
 std::shared_ptr<client_connection> make_connection(asio::io_context& io, const std::string& address,
-                                                   milliseconds connect_timeout);
+                                                   milliseconds connect_timeout,
+                                                   byte_budget& budget);
 
 /// Removes and returns the most recently used connection, which is the least likely to be closed.
 /// Closes connections that can't be reused. Null when none is left.
--- a/libs/sidecar_runtime/src/key_command_sender.cpp
+++ b/libs/sidecar_runtime/src/key_command_sender.cpp
@@ -5,15 +5,16 @@
 namespace azureladder::sidecar_runtime {
 
 key_command_sender::key_command_sender(asio::io_context& io, const clock& time,
-                                       const protocol_codec& codec,
+                                       const protocol_codec& codec, byte_budget& budget,
                                        key_command_sender_options options, event_handler on_event)
-    : m_io(io), m_clock(time), m_codec(codec), m_options(options), m_on_event(std::move(on_event))
+    : m_io(io), m_clock(time), m_codec(codec), m_budget(budget), m_options(options),
+      m_on_event(std::move(on_event))
 {
 }
 
 key_command_sender::connection_ptr key_command_sender::open_connection(const std::string& address)
 {
-    return make_connection(m_io, address, m_options.m_max_send_delay);
+    return make_connection(m_io, address, m_options.m_max_send_delay, m_budget);
 }
 
 void key_command_sender::close_idle_connection()
--- a/libs/sidecar_runtime/src/key_command_sender.hpp
+++ b/libs/sidecar_runtime/src/key_command_sender.hpp
@@ -34,7 +34,8 @@
     using event_handler = std::function<void(sidecar::event)>;
 
     key_command_sender(asio::io_context& io, const clock& time, const protocol_codec& codec,
-                       key_command_sender_options options, event_handler on_event);
+                       byte_budget& budget, key_command_sender_options options,
+                       event_handler on_event);
 
     void grant(const sidecar::grant_keys& command);
     void release(const sidecar::release_keys& command);
@@ -53,6 +54,7 @@
     asio::io_context& m_io;
     const clock& m_clock;
     const protocol_codec& m_codec;
+    byte_budget& m_budget;
     key_command_sender_options m_options;
     event_handler m_on_event;
 
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -40,6 +40,18 @@
 /// repeated executions beyond their mean.
 constexpr double retry_slack_share = 0.7;
 
+/// Fractions of the process's memory for the responses of the backend server and of the store. The
+/// store's part has room for several pages of 1.5 MB on the smallest VM.
+constexpr double backend_response_share = 0.15;
+constexpr double store_response_share = 0.1;
+
+std::size_t memory_share(const sidecar_settings& settings, double share)
+{
+    constexpr double bytes_per_mb = 1e6;
+    return static_cast<std::size_t>(static_cast<double>(settings.m_memory_mb) * bytes_per_mb *
+                                    share);
+}
+
 std::uint64_t random_u64()
 {
     std::random_device device;
@@ -82,15 +94,18 @@
 node_runtime::impl::impl(const sidecar_settings& settings, std::string settings_path,
                          const protocol_codec& codec, const clock& time)
     : m_settings(settings), m_settings_path(std::move(settings_path)), m_codec(codec),
-      m_clock(time), m_options(make_node_options(settings)),
+      m_clock(time), m_backend_response_budget(memory_share(settings, backend_response_share)),
+      m_store_response_budget(memory_share(settings, store_response_share)),
+      m_options(make_node_options(settings)),
       m_log(time, {m_options.m_node, m_options.m_incarnation}, STDOUT_FILENO),
       m_state(sidecar::make_node(m_options, time.now(), random_u64())),
       m_backend_connections(
-          m_io, codec, {}, [this](sidecar::event input_event) { enqueue(std::move(input_event)); }),
-      m_key_commands(m_io, time, codec, {},
+          m_io, codec, m_backend_response_budget, {},
+          [this](sidecar::event input_event) { enqueue(std::move(input_event)); }),
+      m_key_commands(m_io, time, codec, m_backend_response_budget, {},
                      [this](sidecar::event input_event) { enqueue(std::move(input_event)); }),
       m_store_client(
-          m_io, time, codec, make_store_options(settings),
+          m_io, time, codec, m_store_response_budget, make_store_options(settings),
           [this](sidecar::event input_event) { enqueue(std::move(input_event)); },
           [this](log_level level, std::string_view event, const json& fields) {
               m_log.write(level, event, fields);
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backend_connection_pool.hpp"
+#include "byte_budget.hpp"
 #include "event_queue.hpp"
 #include "http_listener.hpp"
 #include "key_command_sender.hpp"
@@ -110,6 +111,11 @@
     std::string m_settings_path;
     const protocol_codec& m_codec;
     const clock& m_clock;
+
+    /// Memory of unfinished responses of the backend server and of the store. A faulty server
+    /// leaves the store's part free.
+    byte_budget m_backend_response_budget;
+    byte_budget m_store_response_budget;
     asio::io_context m_io{1};
     const sidecar::node_options m_options;
     json_line_log m_log;
--- a/libs/sidecar_runtime/src/sidecar_settings.cpp
+++ b/libs/sidecar_runtime/src/sidecar_settings.cpp
@@ -13,6 +13,10 @@
 constexpr double max_retry_ratio = 10.0;
 constexpr double max_retry_slack = 1e6;
 constexpr double max_link_mbps = 1e6;
+
+/// With less memory, the responses of a dozen exchanges and a page of the store do not fit.
+constexpr std::int64_t min_memory_mb = 64;
+constexpr std::int64_t max_memory_mb = 1'000'000;
 constexpr std::size_t max_name_bytes = 200;
 
 const string_constraint name_rule{"a text of 1 to 200 bytes", [](const std::string& text) {
@@ -80,6 +84,7 @@
     read_number(document, reader, "retry_ratio", max_retry_ratio, settings.m_retry_ratio);
     read_number(document, reader, "retry_slack", max_retry_slack, settings.m_retry_slack);
     read_number(document, reader, "link_mbps", max_link_mbps, settings.m_link_mbps);
+    reader.read_integer("memory_mb", min_memory_mb, max_memory_mb, settings.m_memory_mb);
     return settings;
 }
 
--- a/libs/sidecar_runtime/src/store_client.cpp
+++ b/libs/sidecar_runtime/src/store_client.cpp
@@ -49,9 +49,9 @@
 } // namespace
 
 store_client::store_client(asio::io_context& io, const clock& time, const protocol_codec& codec,
-                           store_client_options options, event_handler on_event,
-                           log_handler on_log_line)
-    : m_io(io), m_clock(time), m_codec(codec), m_options(std::move(options)),
+                           byte_budget& budget, store_client_options options,
+                           event_handler on_event, log_handler on_log_line)
+    : m_io(io), m_clock(time), m_codec(codec), m_budget(budget), m_options(std::move(options)),
       m_on_event(std::move(on_event)), m_on_log_line(std::move(on_log_line)),
       m_random(static_cast<std::uint32_t>(std::hash<std::string>{}(m_options.m_node)))
 {
@@ -97,7 +97,7 @@
     auto connection = take_idle_connection(m_idle_connections);
     if (!connection)
         connection = std::make_shared<client_connection>(m_io, m_options.m_address,
-                                                         m_options.m_connect_timeout);
+                                                         m_options.m_connect_timeout, &m_budget);
     connection->exchange(
         request, timeout, nullptr,
         [this, connection, on_response = std::move(on_response)](const exchange_outcome& outcome) {
@@ -182,8 +182,8 @@
 {
     ++m_call_count;
     if (!m_watch_connection || !m_watch_connection->can_be_reused_now())
-        m_watch_connection = std::make_shared<client_connection>(m_io, m_options.m_address,
-                                                                 m_options.m_connect_timeout);
+        m_watch_connection = std::make_shared<client_connection>(
+            m_io, m_options.m_address, m_options.m_connect_timeout, &m_budget);
     m_watch_connection->exchange(
         m_codec.encode_watch(m_codec.operator_key_prefix(), m_revision, m_options.m_watch_wait),
         m_options.m_watch_wait + watch_response_margin, nullptr,
--- a/libs/sidecar_runtime/src/store_client.hpp
+++ b/libs/sidecar_runtime/src/store_client.hpp
@@ -57,7 +57,8 @@
     using log_handler = std::function<void(log_level, std::string_view, const json&)>;
 
     store_client(asio::io_context& io, const clock& time, const protocol_codec& codec,
-                 store_client_options options, event_handler on_event, log_handler on_log_line);
+                 byte_budget& budget, store_client_options options, event_handler on_event,
+                 log_handler on_log_line);
 
     void start();
     void read_table(const sidecar::read_table& command);
@@ -102,6 +103,7 @@
     asio::io_context& m_io;
     const clock& m_clock;
     const protocol_codec& m_codec;
+    byte_budget& m_budget;
     store_client_options m_options;
     event_handler m_on_event;
     log_handler m_on_log_line;
