Limit the memory of the responses that a gate retains

What callers would see: a backend server whose responses are long makes the process run out of memory, and all requests on the machine end with it.

Cause: a gate retains the response of each execution for 10 s, for an ingress that lost its connection. A response may have 4 MiB, and nothing limited the sum.

Change: retained responses take 15 % of memory_mb at most. Responses above a 32nd of this are dropped first, the oldest one first, then the oldest of all, so that a few long responses do not replace the ordinary ones. The execution stays known: an ingress that resumes it learns that it failed, since an unknown execution counts as not executed.

Evidence: backend_executions.retained_responses_stay_within_the_memory_limit fails without the limit: 2,020,384 bytes are retained with a limit of 1,000,000.

--- a/libs/sidecar/include/azureladder/sidecar/backend_execution.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/backend_execution.hpp
@@ -3,6 +3,7 @@
 #include <azureladder/base/time.hpp>
 #include <azureladder/sidecar/peer_frame.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -31,6 +32,9 @@
     /// Result frame, once the execution has ended. Retained for a while, because the connection
     /// that carries it may fail before the origin has received it.
     std::optional<peer_frame> m_result;
+
+    /// Memory of the response in it.
+    std::size_t m_result_bytes = 0;
     time_point m_finished_at;
 };
 
--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -8,6 +8,7 @@
 #include <azureladder/routing/server_selection.hpp>
 #include <azureladder/sidecar/staggered_delay.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -55,6 +56,9 @@
     /// Share of a request's target latency for which the ingress waits for a range in transfer.
     double m_transfer_wait_share = 0.4;
 
+    /// Memory of the responses that are retained for origins that lost their connection.
+    std::size_t m_max_retained_bytes = 24'000'000;
+
     /// Time for which queued requests are still started after the server has announced its
     /// departure. Half of the shortest `drain` bound.
     duration m_drain_start_window = milliseconds(1000);
--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -105,6 +105,11 @@
     std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> m_execution_of_frame;
     std::uint64_t m_next_execution = 1;
 
+    /// Memory of the responses that ended executions retain, and these executions in the order of
+    /// their ends.
+    std::size_t m_retained_bytes = 0;
+    std::deque<std::uint64_t> m_retained_executions;
+
     /// Calls that the local backend server makes during its executions.
     routing::nested_calls m_nested_calls;
 
--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -3,6 +3,7 @@
 #include <azureladder/sidecar/step.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace azureladder::sidecar {
 
@@ -12,6 +13,10 @@
 /// them. Longer than any origin waits.
 constexpr duration result_retention = seconds(10);
 
+/// Responses above this fraction of the memory for retained responses are dropped first, so that
+/// a few long ones do not replace all others.
+constexpr std::size_t long_response_divisor = 32;
+
 /// Interval between probe requests to an unresponsive or unreachable backend server.
 constexpr duration probe_interval = milliseconds(500);
 
@@ -76,15 +81,60 @@
     send_on_link(context, link, std::move(refusal));
 }
 
+void release_result(node_state& state, backend_execution& execution)
+{
+    state.m_retained_bytes -= std::exchange(execution.m_result_bytes, 0);
+    auto& retained = state.m_retained_executions;
+    const auto found = std::find(retained.begin(), retained.end(), execution.m_id);
+    if (found != retained.end())
+        retained.erase(found);
+}
+
 void remove_execution(step_context& context, std::uint64_t id)
 {
     const auto found = context.m_state.m_executions.find(id);
     if (found == context.m_state.m_executions.end())
         return;
+    release_result(context.m_state, found->second);
     context.m_state.m_execution_of_frame.erase({found->second.m_origin, found->second.m_frame});
     context.m_state.m_executions.erase(found);
 }
 
+std::size_t memory_of(const server_response& response)
+{
+    std::size_t bytes = sizeof response + response.m_body.capacity();
+    for (const auto& field : response.m_headers)
+        bytes += sizeof field + field.m_name.size() + field.m_value.size();
+    return bytes;
+}
+
+/// Retains the response of an ended execution. If the memory for all of them is exceeded, the
+/// origins of the oldest ones are told that the execution failed, if they resume it: an unknown
+/// execution counts as not executed.
+void retain_response(step_context& context, backend_execution& execution)
+{
+    node_state& state = context.m_state;
+    const auto* answer = std::get_if<response_frame>(&*execution.m_result);
+    if (answer == nullptr)
+        return;
+    execution.m_result_bytes = memory_of(*answer->m_response);
+    state.m_retained_bytes += execution.m_result_bytes;
+    auto& retained = state.m_retained_executions;
+    retained.push_back(execution.m_id);
+    const std::size_t max_bytes = state.m_options.m_max_retained_bytes;
+    while (state.m_retained_bytes > max_bytes) {
+        const auto first_long =
+            std::find_if(retained.begin(), retained.end(), [&](std::uint64_t id) {
+                return state.m_executions.at(id).m_result_bytes > max_bytes / long_response_divisor;
+            });
+        backend_execution& dropped =
+            state.m_executions.at(first_long == retained.end() ? retained.front() : *first_long);
+        release_result(state, dropped);
+        dropped.m_result = failure_frame{dropped.m_frame, "the response is not retained any more",
+                                         own_load_report(context)};
+    }
+}
+
 /// Sends the result of an execution and retains it in case the origin has to resume.
 void send_and_retain_result(step_context& context, backend_execution& execution, peer_frame result)
 {
@@ -92,6 +142,7 @@
     execution.m_result = result;
     if (execution.m_link_lost_at == time_point{})
         send_on_link(context, execution.m_link, std::move(result));
+    retain_response(context, execution);
 }
 
 /// Updates from an ended execution whether the backend server is reachable and responds.
--- a/libs/sidecar/tests/backend_executions_test.cpp
+++ b/libs/sidecar/tests/backend_executions_test.cpp
@@ -199,6 +199,46 @@
     EXPECT_TRUE(state.m_admission_controller.m_running.empty());
 }
 
+// Guards against long responses that exhaust the memory while they are retained for their ingress,
+// or replace all ordinary ones. A request whose response was dropped must not be executed again.
+TEST(backend_executions, retained_responses_stay_within_the_memory_limit)
+{
+    node_state state = make_gate();
+    state.m_options.m_max_retained_bytes = 1'000'000;
+    const auto execute = [&](std::uint64_t id, std::size_t body_bytes) {
+        step(state, frame_received{1, make_request(id)}, start_time);
+        const auto response = std::make_shared<server_response>();
+        response->m_status = 200;
+        response->m_body = std::string(body_bytes, 'x');
+        step(state, execution_ended{id, execution_result::answered, response, "", false},
+             start_time);
+        EXPECT_LE(state.m_retained_bytes, 1'000'000U);
+    };
+    execute(1, 20'000);
+    for (std::uint64_t id = 2; id <= 6; ++id)
+        execute(id, 400'000);
+    step(state, link_closed{1}, start_time);
+    step(state, link_opened{2, ""}, start_time);
+    std::vector<bool> is_answered;
+    const auto record = [&](const effects& done) {
+        for (const auto& effect : done) {
+            const auto* sent = std::get_if<send_frame>(&effect);
+            if (sent != nullptr && std::holds_alternative<response_frame>(sent->m_frame))
+                is_answered.push_back(true);
+            else if (sent != nullptr && std::holds_alternative<failure_frame>(sent->m_frame))
+                is_answered.push_back(false);
+        }
+    };
+    record(step(state, frame_received{2, hello_frame{"origin", 1, "origin:0", "", {}, {}}},
+                start_time));
+    for (std::uint64_t id = 1; id <= 6; ++id)
+        record(step(state, frame_received{2, resume_frame{id}}, start_time));
+    EXPECT_EQ(is_answered, (std::vector<bool>{true, false, false, false, true, true}));
+    step(state, timer_tick{}, start_time + seconds(11));
+    EXPECT_EQ(state.m_retained_bytes, 0U);
+    EXPECT_TRUE(state.m_executions.empty());
+}
+
 // Guards against an estimate that keeps the offset of the clocks from before a suspension.
 TEST(frame_delay, forgets_the_offset_of_the_clocks)
 {
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -45,6 +45,9 @@
 constexpr double backend_response_share = 0.15;
 constexpr double store_response_share = 0.1;
 
+/// Fraction for responses that are retained until their ingress must have received them.
+constexpr double retained_response_share = 0.15;
+
 std::size_t memory_share(const sidecar_settings& settings, double share)
 {
     constexpr double bytes_per_mb = 1e6;
@@ -69,6 +72,7 @@
     options.m_retry.m_tokens_per_request = settings.m_retry_ratio * retry_ratio_share;
     options.m_retry.m_max_total_tokens = settings.m_retry_slack * retry_slack_share;
     options.m_drain_start_window = milliseconds(settings.m_drain_ms) / 2;
+    options.m_max_retained_bytes = memory_share(settings, retained_response_share);
     sidecar::set_max_stop_time(options, milliseconds(settings.m_stop_grace_ms) - stop_margin);
     return options;
 }
