Reject chunk extensions and trailers of callers that do not fit into the buffer

What callers saw: no response for 30 s to a request with a chunk extension or trailers above 80 KiB. Each such connection kept its full buffer for this time, with up to 2,500 connections.

Cause: the parser waits for the end of a chunk size line or of the trailers. When the buffer was full, no more was read, and only the timeout of the body ended the connection.

Change: a full buffer of which the parser takes nothing is answered with 431 at once, and the connection is closed.

Evidence: http_session.rejects_chunk_extensions_and_trailers_without_end got no response to any of its three requests before.

--- a/libs/sidecar_runtime/src/http_session.cpp
+++ b/libs/sidecar_runtime/src/http_session.cpp
@@ -207,6 +207,11 @@
         add_request();
         return true;
     }
+    // A chunk size line or trailers that do not fit into the buffer are never parsed.
+    if (used == 0 && m_buffer.size() >= max_buffered_bytes()) {
+        reject(status_for_error(http::error::header_limit));
+        return false;
+    }
     if (m_parser->is_header_done())
         continue_if_expected();
     return used > 0;
--- a/libs/sidecar_runtime/tests/http_test.cpp
+++ b/libs/sidecar_runtime/tests/http_test.cpp
@@ -192,6 +192,17 @@
 }
 
 // Guards against a truncated response that its caller accepts as complete.
+// Guards against callers that bind memory with a part of a request that has no end. A buffer of
+// such a part is given up as soon as it is full.
+TEST(http_session, rejects_chunk_extensions_and_trailers_without_end)
+{
+    const std::string chunked = "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(90'000, 'a');
+    for (const std::string& start :
+         {chunked + "1;a=", chunked + "1\r\nx\r\n0\r\nA: ", chunked + "1\r\nx\r\n0\r\nA: b\r\nB: "})
+        EXPECT_EQ(exchange_bytes(start + filler).rfind("HTTP/1.1 431", 0), 0U) << start;
+}
+
 TEST(http_session, makes_truncated_responses_detectable)
 {
     const std::string body(8 * 1024 * 1024, 'x');
