Limit the memory of all unfinished request bodies together

What callers would see: callers that send bodies without end make the process run out of memory, and all other requests on the machine end with it.

Cause: a body is limited by the operator's configuration (64 MiB without one), but nothing limited the sum over the connections.

Change: the bodies of requests that are still being read reserve their memory from a budget of 20 % of memory_mb. When it is exceeded, the longest of them is refused with 503; it was not executed.

--- a/libs/sidecar_runtime/src/http_session.cpp
+++ b/libs/sidecar_runtime/src/http_session.cpp
@@ -1,5 +1,7 @@
 #include "http_session.hpp"
 
+#include "byte_budget.hpp"
+
 #include <azureladder/base/scope_guard.hpp>
 
 #include <boost/asio/post.hpp>
@@ -36,6 +38,9 @@
 /// Longest time for which input is discarded after the last response.
 constexpr std::chrono::milliseconds closing_timeout{500};
 
+/// Status of a request that was not read completely because other requests need the memory.
+constexpr int out_of_memory_status = 503;
+
 int status_for_error(error_code error)
 {
     if (error == http::error::header_limit)
@@ -170,6 +175,8 @@
         bool has_progress = false;
         while (!m_is_closed && may_read_request() && m_buffer.size() > 0 && parse_request())
             has_progress = true;
+        if (!m_is_closed && !reserve_body())
+            reject(out_of_memory_status);
         may_have_more = is_full && has_progress;
     }
     if (m_is_closed)
@@ -262,8 +269,23 @@
     dispatch_ready();
 }
 
+bool http_session::reserve_body()
+{
+    const std::size_t bytes = m_parser ? m_parser->get().body().capacity() : 0;
+    if (!m_handlers.m_request_budget || (bytes == 0 && !m_reservation))
+        return true;
+    if (!m_reservation) {
+        m_reservation.emplace(*m_handlers.m_request_budget, [this] {
+            const auto self = shared_from_this();
+            reject(out_of_memory_status);
+        });
+    }
+    return m_reservation->resize(bytes);
+}
+
 void http_session::reject(int status)
 {
+    m_reservation.reset();
     exchange rejected;
     rejected.m_number = m_next_number++;
     rejected.m_keep_alive = false;
@@ -401,6 +423,7 @@
         return;
     m_is_last_request_read = true;
     m_parser.reset();
+    m_reservation.reset();
     if (m_exchanges.empty() || m_is_closing)
         end();
     else
--- a/libs/sidecar_runtime/src/http_session.hpp
+++ b/libs/sidecar_runtime/src/http_session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "asio_types.hpp"
+#include "byte_reservation.hpp"
 
 #include <azureladder/routing/client_limits.hpp>
 #include <azureladder/sidecar_runtime/http_message.hpp>
@@ -18,6 +19,8 @@
 
 namespace azureladder::sidecar_runtime {
 
+class byte_budget;
+
 /// One accepted HTTP connection. Requests that are sent before earlier ones have been answered
 /// (pipelined) may be handled at the same time; responses leave in the order of the requests.
 /// Requests behind a response that closes the connection are not handled, so their caller may send
@@ -56,6 +59,10 @@
         /// Drops a request without m_on_request if its caller has closed the connection before it
         /// was read. For requests that have no use without their response.
         bool m_drops_abandoned_requests = true;
+
+        /// Memory of the bodies of unfinished requests. Null for no limit of all connections
+        /// together.
+        byte_budget* m_request_budget = nullptr;
     };
 
     http_session(tcp::socket socket, const callbacks& handlers);
@@ -113,6 +120,9 @@
     bool continue_if_expected();
 
     void add_request();
+
+    /// Reserves the memory of the body that is being read. Returns false when it exceeds the limit.
+    bool reserve_body();
     void reject(int status);
     void on_end_of_input();
     void dispatch_ready();
@@ -132,6 +142,7 @@
     const callbacks& m_handlers;
     boost::beast::flat_buffer m_buffer;
     std::optional<request_parser> m_parser;
+    std::optional<byte_reservation> m_reservation;
     std::deque<exchange> m_exchanges;
     std::uint64_t m_next_number = 1;
     boost::beast::http::response<boost::beast::http::string_body> m_response;
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -45,6 +45,9 @@
 constexpr double backend_response_share = 0.15;
 constexpr double store_response_share = 0.1;
 
+/// Fraction for the bodies of unfinished requests.
+constexpr double request_share = 0.2;
+
 /// Fraction for responses that are retained until their ingress must have received them.
 constexpr double retained_response_share = 0.15;
 
@@ -100,6 +103,7 @@
     : m_settings(settings), m_settings_path(std::move(settings_path)), m_codec(codec),
       m_clock(time), m_backend_response_budget(memory_share(settings, backend_response_share)),
       m_store_response_budget(memory_share(settings, store_response_share)),
+      m_request_budget(memory_share(settings, request_share)),
       m_options(make_node_options(settings)),
       m_log(time, {m_options.m_node, m_options.m_incarnation}, STDOUT_FILENO),
       m_state(sidecar::make_node(m_options, time.now(), random_u64())),
@@ -176,6 +180,7 @@
                    : routing::client_limits{};
     };
     callbacks.m_is_draining = [this] { return m_state.m_stopping; };
+    callbacks.m_request_budget = &m_request_budget;
     callbacks.m_on_write = [this](bool is_started) {
         if (is_started)
             ++m_writing_sessions;
@@ -198,6 +203,7 @@
     callbacks.m_on_disconnect = [](const http_session& /*session*/, std::uint64_t /*number*/) {};
     callbacks.m_limits = [] { return routing::client_limits{}; };
     callbacks.m_is_draining = [] { return false; };
+    callbacks.m_request_budget = &m_request_budget;
     // An announcement of a backend server is valid although its sender does not wait any longer.
     callbacks.m_drops_abandoned_requests = false;
     return callbacks;
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -116,6 +116,9 @@
     /// leaves the store's part free.
     byte_budget m_backend_response_budget;
     byte_budget m_store_response_budget;
+
+    /// Memory of the bodies of unfinished requests of callers.
+    byte_budget m_request_budget;
     asio::io_context m_io{1};
     const sidecar::node_options m_options;
     json_line_log m_log;
--- a/libs/sidecar_runtime/tests/response_memory_test.cpp
+++ b/libs/sidecar_runtime/tests/response_memory_test.cpp
@@ -1,10 +1,12 @@
 #include "byte_budget.hpp"
 #include "client_connection.hpp"
+#include "http_listener.hpp"
 #include "loopback_server.hpp"
 
 #include <gtest/gtest.h>
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 
 #include <malloc.h>
 
@@ -133,6 +135,54 @@
     EXPECT_EQ(failed_others, 0U);
 }
 
+// Guards against request bodies without end of many callers that exhaust the memory of the process.
+TEST(http_session, endless_request_bodies_stay_within_the_memory_limit)
+{
+    byte_budget budget(max_response_bytes);
+    asio::io_context io;
+    const std::uint16_t port =
+        tcp::acceptor(io, {asio::ip::make_address("127.0.0.1"), 0}).local_endpoint().port();
+    http_session::callbacks callbacks;
+    callbacks.m_on_request = [](const auto& session, std::uint64_t number, const http_request&) {
+        session->respond(number, {200, {}, "ok"});
+        return false;
+    };
+    callbacks.m_on_disconnect = [](const http_session&, std::uint64_t) {};
+    callbacks.m_limits = [] { return routing::client_limits{}; };
+    callbacks.m_is_draining = [] { return false; };
+    callbacks.m_request_budget = &budget;
+    http_listener listener(io, {"127.0.0.1", port}, callbacks);
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string block = repeat_to_size("3e8\r\n" + std::string(1000, 'x') + "\r\n", 16'000);
+    std::vector<std::unique_ptr<tcp::socket>> callers;
+    std::size_t closed = 0;
+    const std::function<void(tcp::socket&)> send = [&](tcp::socket& caller) {
+        asio::async_write(caller, asio::buffer(block), [&](error_code error, std::size_t) {
+            if (error)
+                ++closed;
+            else
+                send(caller);
+        });
+    };
+    const std::size_t heap_before = used_heap_bytes();
+    for (std::size_t i = 0; i < exchange_count; ++i) {
+        callers.push_back(std::make_unique<tcp::socket>(io));
+        callers.back()->connect({asio::ip::make_address("127.0.0.1"), port});
+        asio::write(*callers.back(), asio::buffer(head));
+        send(*callers.back());
+    }
+    std::size_t peak_heap = heap_before;
+    const auto started_at = std::chrono::steady_clock::now();
+    while (closed < exchange_count && peak_heap - heap_before <= max_heap_bytes &&
+           std::chrono::steady_clock::now() - started_at < seconds(20)) {
+        io.run_one_for(milliseconds(50));
+        peak_heap = std::max(peak_heap, used_heap_bytes());
+    }
+    RecordProperty("peak_heap_kb", std::to_string((peak_heap - heap_before) / 1024));
+    EXPECT_EQ(closed, exchange_count);
+    EXPECT_LE(peak_heap - heap_before, max_heap_bytes);
+}
+
 // Guards against a stalled long response that makes the ordinary responses of other exchanges fail.
 TEST(client_connection, long_response_fails_before_ordinary_ones)
 {
