--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -40,6 +40,24 @@
 /// repeated executions beyond their mean.
 constexpr double retry_slack_share = 0.7;
 
+/// Fractions of the process's memory for the responses of the backend server and of the store. The
+/// store's part has room for several pages of 1.5 MB on the smallest VM.
+constexpr double backend_response_share = 0.15;
+constexpr double store_response_share = 0.1;
+
+/// Fraction for the bodies of unfinished requests.
+constexpr double request_share = 0.2;
+
+/// Fraction for responses that are retained until their ingress must have received them.
+constexpr double retained_response_share = 0.15;
+
+std::size_t memory_share(const sidecar_settings& settings, double share)
+{
+    constexpr double bytes_per_mb = 1e6;
+    return static_cast<std::size_t>(static_cast<double>(settings.m_memory_mb) * bytes_per_mb *
+                                    share);
+}
+
 std::uint64_t random_u64()
 {
     std::random_device device;
@@ -57,6 +75,7 @@
     options.m_retry.m_tokens_per_request = settings.m_retry_ratio * retry_ratio_share;
     options.m_retry.m_max_total_tokens = settings.m_retry_slack * retry_slack_share;
     options.m_drain_start_window = milliseconds(settings.m_drain_ms) / 2;
+    options.m_max_retained_bytes = memory_share(settings, retained_response_share);
     sidecar::set_max_stop_time(options, milliseconds(settings.m_stop_grace_ms) - stop_margin);
     return options;
 }
@@ -82,15 +101,19 @@
 node_runtime::impl::impl(const sidecar_settings& settings, std::string settings_path,
                          const protocol_codec& codec, const clock& time)
     : m_settings(settings), m_settings_path(std::move(settings_path)), m_codec(codec),
-      m_clock(time), m_options(make_node_options(settings)),
+      m_clock(time), m_backend_response_budget(memory_share(settings, backend_response_share)),
+      m_store_response_budget(memory_share(settings, store_response_share)),
+      m_request_budget(memory_share(settings, request_share)),
+      m_options(make_node_options(settings)),
       m_log(time, {m_options.m_node, m_options.m_incarnation}, STDOUT_FILENO),
       m_state(sidecar::make_node(m_options, time.now(), random_u64())),
       m_backend_connections(
-          m_io, codec, {}, [this](sidecar::event input_event) { enqueue(std::move(input_event)); }),
-      m_key_commands(m_io, time, codec, {},
+          m_io, codec, m_backend_response_budget, {},
+          [this](sidecar::event input_event) { enqueue(std::move(input_event)); }),
+      m_key_commands(m_io, time, codec, m_backend_response_budget, {},
                      [this](sidecar::event input_event) { enqueue(std::move(input_event)); }),
       m_store_client(
-          m_io, time, codec, make_store_options(settings),
+          m_io, time, codec, m_store_response_budget, make_store_options(settings),
           [this](sidecar::event input_event) { enqueue(std::move(input_event)); },
           [this](log_level level, std::string_view event, const json& fields) {
               m_log.write(level, event, fields);
@@ -157,6 +180,7 @@
                    : routing::client_limits{};
     };
     callbacks.m_is_draining = [this] { return m_state.m_stopping; };
+    callbacks.m_request_budget = &m_request_budget;
     callbacks.m_on_write = [this](bool is_started) {
         if (is_started)
             ++m_writing_sessions;
@@ -179,6 +203,7 @@
     callbacks.m_on_disconnect = [](const http_session& /*session*/, std::uint64_t /*number*/) {};
     callbacks.m_limits = [] { return routing::client_limits{}; };
     callbacks.m_is_draining = [] { return false; };
+    callbacks.m_request_budget = &m_request_budget;
     // An announcement of a backend server is valid although its sender does not wait any longer.
     callbacks.m_drops_abandoned_requests = false;
     return callbacks;
