--- a/libs/sidecar_runtime/src/client_connection.cpp
+++ b/libs/sidecar_runtime/src/client_connection.cpp
@@ -30,6 +30,10 @@
 /// Memory of a header field beside its text, in the parser or in a list of fields.
 constexpr std::size_t field_overhead_bytes = 96;
 
+/// Largest read buffer that is kept between exchanges. It holds an ordinary response, which then
+/// takes one read.
+constexpr std::size_t max_kept_buffer_bytes = 16 * 1024;
+
 constexpr const char* memory_limit_cause = "responses exceed the memory limit";
 
 /// Idle time after which a connection is not reused when its server sends no Keep-Alive timeout.
@@ -277,7 +281,8 @@
 {
     m_parser.reset();
     m_buffer.clear();
-    m_buffer.shrink_to_fit();
+    if (m_buffer.capacity() > max_kept_buffer_bytes)
+        m_buffer.shrink_to_fit();
     m_reservation.reset();
 }
 
