Divide the results of executions from their admission

What sends and retains results, and learns from them whether the server responds, is in execution_results.cpp now; functions are moved without a change.

--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -1,3 +1,4 @@
+#include "execution_results.hpp"
 #include "step_context.hpp"
 
 #include <azureladder/sidecar/step.hpp>
@@ -14,13 +15,6 @@
 /// unknown request for one that was not executed.
 constexpr duration result_retention = seconds(10);
 
-/// Responses above this fraction of the memory for retained responses are dropped first, so that
-/// a few long ones do not replace all others.
-constexpr std::size_t long_response_divisor = 32;
-
-/// Interval between probe requests to an unresponsive or unreachable backend server.
-constexpr duration probe_interval = milliseconds(500);
-
 /// Largest difference between the deadlines at the origin and here: the one-way delay between two
 /// zones.
 constexpr duration deadline_tolerance = milliseconds(30);
@@ -33,12 +27,6 @@
 /// callers have disconnected. It pings every 250 ms while it has requests here.
 constexpr duration max_origin_silence = milliseconds(800);
 
-void record_unanswered_execution(const step_context& context, local_backend& backend)
-{
-    ++backend.m_unanswered_executions;
-    backend.m_next_probe_at = context.m_now + probe_interval;
-}
-
 json execution_fields(const backend_execution& execution)
 {
     return {{"request", execution.m_request->m_request_id},
@@ -46,13 +34,6 @@
             {"route", execution.m_request->m_route}};
 }
 
-routing::load_report own_load_report(step_context& context)
-{
-    return routing::make_load_report(context.m_state.m_admission_controller,
-                                     accepts_requests(context.m_state, context.m_now),
-                                     context.m_now, context.m_state.m_options.m_admission_options);
-}
-
 /// Owner of a key according to the range table, unless it is this node.
 std::optional<owner_hint> other_owner(const node_state& state, const std::string& service,
                                       std::uint32_t key)
@@ -82,123 +63,6 @@
     send_on_link(context, link, std::move(refusal));
 }
 
-void release_result(node_state& state, backend_execution& execution)
-{
-    state.m_retained_bytes -= std::exchange(execution.m_result_bytes, 0);
-    auto& retained = state.m_retained_executions;
-    const auto found = std::find(retained.begin(), retained.end(), execution.m_id);
-    if (found != retained.end())
-        retained.erase(found);
-}
-
-void remove_execution(step_context& context, std::uint64_t id)
-{
-    const auto found = context.m_state.m_executions.find(id);
-    if (found == context.m_state.m_executions.end())
-        return;
-    release_result(context.m_state, found->second);
-    context.m_state.m_execution_of_frame.erase({found->second.m_origin, found->second.m_frame});
-    context.m_state.m_executions.erase(found);
-}
-
-std::size_t memory_of(const server_response& response)
-{
-    std::size_t bytes = sizeof response + response.m_body.capacity();
-    for (const auto& field : response.m_headers)
-        bytes += sizeof field + field.m_name.size() + field.m_value.size();
-    return bytes;
-}
-
-/// Retains the response of an ended execution. If the memory for all of them is exceeded, the
-/// origins of the oldest ones are told that the execution failed, if they resume it: an unknown
-/// execution counts as not executed.
-void retain_response(step_context& context, backend_execution& execution)
-{
-    node_state& state = context.m_state;
-    const auto* answer = std::get_if<response_frame>(&*execution.m_result);
-    if (answer == nullptr)
-        return;
-    execution.m_result_bytes = memory_of(*answer->m_response);
-    state.m_retained_bytes += execution.m_result_bytes;
-    auto& retained = state.m_retained_executions;
-    retained.push_back(execution.m_id);
-    const std::size_t max_bytes = state.m_options.m_max_retained_bytes;
-    while (state.m_retained_bytes > max_bytes) {
-        const auto first_long =
-            std::find_if(retained.begin(), retained.end(), [&](std::uint64_t id) {
-                return state.m_executions.at(id).m_result_bytes > max_bytes / long_response_divisor;
-            });
-        backend_execution& dropped =
-            state.m_executions.at(first_long == retained.end() ? retained.front() : *first_long);
-        release_result(state, dropped);
-        dropped.m_result = failure_frame{dropped.m_frame, "the response is not retained any more",
-                                         own_load_report(context)};
-    }
-}
-
-/// Sends the result of an execution and retains it in case the origin has to resume.
-void send_and_retain_result(step_context& context, backend_execution& execution, peer_frame result)
-{
-    execution.m_finished_at = context.m_now;
-    execution.m_result = result;
-    if (execution.m_link_lost_at == time_point{})
-        send_on_link(context, execution.m_link, std::move(result));
-    retain_response(context, execution);
-}
-
-/// Updates from an ended execution whether the backend server is reachable and responds.
-void update_backend_health(step_context& context, const execution_ended& ended)
-{
-    if (!context.m_state.m_backend)
-        return;
-    local_backend& backend = *context.m_state.m_backend;
-    if (ended.m_result == execution_result::answered ||
-        ended.m_result == execution_result::rejected) {
-        backend.m_unanswered_executions = 0;
-        backend.m_unreachable = false;
-        return;
-    }
-    if (ended.m_result == execution_result::unknown) {
-        record_unanswered_execution(context, backend);
-        return;
-    }
-    if (!backend.m_unreachable) {
-        backend.m_unreachable_since = context.m_now;
-        log(context, log_level::warning, "backend_unreachable",
-            {{"backend", backend.m_announcement.m_id}, {"cause", ended.m_cause}});
-    }
-    backend.m_unreachable = true;
-    backend.m_next_probe_at = context.m_now + probe_interval;
-}
-
-/// Converts the result of an execution to a frame and sends it to the origin.
-void send_execution_result(step_context& context, backend_execution& execution,
-                           const execution_ended& ended)
-{
-    const std::uint64_t frame = execution.m_frame;
-    switch (ended.m_result) {
-    case execution_result::answered:
-        send_and_retain_result(context, execution,
-                               response_frame{frame, ended.m_response, own_load_report(context)});
-        break;
-    case execution_result::rejected:
-        send_and_retain_result(
-            context, execution,
-            refusal_frame{
-                frame, refusal_reason::rejected_by_server, 0, own_load_report(context), {}});
-        break;
-    case execution_result::not_sent:
-        send_and_retain_result(
-            context, execution,
-            refusal_frame{frame, refusal_reason::no_server, 0, own_load_report(context), {}});
-        break;
-    case execution_result::unknown:
-        send_and_retain_result(context, execution,
-                               failure_frame{frame, ended.m_cause, own_load_report(context)});
-        break;
-    }
-}
-
 void begin_execution(step_context& context, backend_execution& execution)
 {
     const local_backend& backend = *context.m_state.m_backend;
--- /dev/null
+++ b/libs/sidecar/src/execution_results.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "step_context.hpp"
+
+#include <cstdint>
+
+namespace azureladder::sidecar {
+
+routing::load_report own_load_report(step_context& context);
+
+/// Counts an execution without a response against the backend server.
+void record_unanswered_execution(const step_context& context, local_backend& backend);
+
+/// Removes an execution and its retained result.
+void remove_execution(step_context& context, std::uint64_t id);
+
+/// Sends the result of an execution and retains it in case the origin has to resume.
+void send_and_retain_result(step_context& context, backend_execution& execution, peer_frame result);
+
+/// Updates from an ended execution whether the backend server is reachable and responds.
+void update_backend_health(step_context& context, const execution_ended& ended);
+
+/// Converts the result of an execution to a frame and sends it to the origin.
+void send_execution_result(step_context& context, backend_execution& execution,
+                           const execution_ended& ended);
+
+} // namespace azureladder::sidecar
