--- a/libs/sidecar_runtime/src/client_connection.cpp
+++ b/libs/sidecar_runtime/src/client_connection.cpp
@@ -30,8 +30,7 @@
 /// Memory of a header field beside its text, in the parser or in a list of fields.
 constexpr std::size_t field_overhead_bytes = 96;
 
-/// Largest read buffer that is kept between exchanges. It holds an ordinary response, which then
-/// takes one read.
+/// Largest read buffer that is kept between exchanges. It has room for an ordinary response.
 constexpr std::size_t max_kept_buffer_bytes = 16 * 1024;
 
 constexpr const char* memory_limit_cause = "responses exceed the memory limit";
