--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -234,6 +234,7 @@
         self.fences = []  # [from, target, fence]
         self.lock = threading.Lock()
         self.work_s = work_s
+        self.slots = 9
         self.stopped = threading.Event()
         self.release_handover = lambda: "%016x" % random.getrandbits(64)
         upstream = self
@@ -267,7 +268,7 @@
     def beat(self):
         self.sequence += 1
         return put_heartbeat(self.machine, self.id, self.address, self.service, self.machine.zone,
-                             self.born, self.sequence, self.state)
+                             self.born, self.sequence, self.state, self.slots)
 
     def on_grant(self, call, grant):
         first, last, fence = grant["from"], grant["target"], grant["fence"]
@@ -340,10 +341,11 @@
         self.server.server_close()
 
 
-def put_heartbeat(machine, upstream_id, address, service, zone, born, sequence, state):
+def put_heartbeat(machine, upstream_id, address, service, zone, born, sequence, state, slots=9):
     """Sends one heartbeat; returns the status or None. `upstream_id` may be any text or bytes."""
     body = json.dumps({"address": address,
-                       "info": {"service": service, "version": "v1", "zone": zone, "slots": 9},
+                       "info": {"service": service, "version": "v1", "zone": zone,
+                                "slots": slots},
                        "status": {"state": state, "seq": sequence, "cold_remaining": "0ms"},
                        "born": born}).encode()
     identifier = upstream_id if isinstance(upstream_id, bytes) else upstream_id.encode()
@@ -535,6 +537,8 @@
 
 def execute(main):
     """Exits with the result of `main`, and with 2 when it fails: the case couldn't run then."""
+    # An exception in place of the default action, so that the run ends its processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         code = main()
     except BaseException as error:
