End the processes of a review script also when the script itself is ended

Cause: a script that was stopped from outside left its nodes running, and an interpreter that could not start was reported as a broken rule.

Added: a time limit and handlers of signals in the runner, and an exit code of its own for a broken rule.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,15 @@
 # TROUBLE=0 leaves the disruption out.
 export TROUBLE="${TROUBLE:-1}"
 cd "$(dirname "$0")" || exit 2
-timeout -k 5 110 python3 case.py
+python3 case.py &
+pid=$!
+trap 'kill "$pid" 2>/dev/null' TERM INT
+wait "$pid"
 code=$?
-[ "$code" -le 1 ] && exit "$code"
-exit 2
+# A trapped signal ends the first wait.
+[ "$code" -le 128 ] || { wait "$pid"; code=$?; }
+case "$code" in
+0) exit 0 ;;
+10) exit 1 ;;
+*) exit 2 ;;
+esac
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -30,6 +30,11 @@
 CONTACT_S = 3.0
 CONFIG_APPLY_S = 2.0
 
+TIME_LIMIT_S = 110
+
+# Exit code for a broken rule. An interpreter that fails to start the case exits with 1.
+BROKEN = 10
+
 
 def trouble():
     """Whether the disruption of the case is wanted."""
@@ -536,11 +541,13 @@
 
 
 def execute(main):
-    """Exits with the result of `main`, and with 2 when it fails: the case couldn't run then."""
-    # An exception in place of the default action, so that the run ends its processes.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    """Ends the process for run.sh: 0 if the rule held, BROKEN if it was broken, else 2."""
+    # Exceptions in place of the default actions, so that the run ends its processes.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, lambda *_: sys.exit(2))
+    signal.alarm(TIME_LIMIT_S)
     try:
-        code = main()
+        code = {0: 0, 1: BROKEN}.get(main(), 2)
     except BaseException as error:
         print("the case could not run: %r" % error)
         code = 2
