Put the case of an unnoticed configuration as lost answers of the store

Cause: a node asks for the operator's documents by one watch, which waits 28 s and 2 s more. An answer that the store loses leaves the connection open, and nothing else asks meanwhile.

Added: the store's stand-in loses the answers to the watches, in place of a proxy that silences connections.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -93,6 +93,12 @@
         self.wfile.write(body)
         self.wfile.flush()
 
+    def return_nothing_further(self):
+        """The connection stays open, and its calls have no answer, until the caller closes it."""
+        self.close_connection = True
+        while self.connection.recv(65536):
+            pass
+
     def reply_json(self, status, value):
         self.reply(status, json.dumps(value).encode(), [("Content-Type", "application/json")])
 
@@ -107,6 +113,7 @@
         self.history = []
         self.leases = {}
         self.next_lease = 100
+        self.loses_answer = lambda answer: False
         store = self
 
         class Handler(QuietHandler):
@@ -118,8 +125,12 @@
                 elif url.path == "/v1/kv-range":
                     self.reply_json(200, store.list(query.get("prefix", ""), query.get("after")))
                 elif url.path == "/v1/kv-watch":
-                    self.reply_json(200, store.watch(query.get("prefix", ""), int(query["after"]),
-                                                     int(query["wait_ms"]) / 1000.0))
+                    answer = store.watch(query.get("prefix", ""), int(query["after"]),
+                                         int(query["wait_ms"]) / 1000.0)
+                    if store.loses_answer(answer):
+                        self.return_nothing_further()
+                    else:
+                        self.reply_json(200, answer)
                 else:
                     self.reply(404)
 
@@ -365,61 +376,6 @@
         return None
 
 
-class Proxy:
-    """A proxy in front of an address, whose open connections can be silenced: they stay open and
-    pass nothing on any more, while new ones work."""
-
-    def __init__(self, ip, target):
-        host, _, port = target.rpartition(":")
-        self.target = (host, int(port))
-        self.lock = threading.Lock()
-        self.open = []
-        self.listener = socket.create_server((ip, 0), backlog=128)
-        self.address = "%s:%d" % (ip, self.listener.getsockname()[1])
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self):
-        while True:
-            near, _ = self.listener.accept()
-            far = socket.create_connection(self.target)
-            state = {"silent": False, "sockets": (near, far)}
-            with self.lock:
-                self.open.append(state)
-            for source, sink in ((near, far), (far, near)):
-                source.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                threading.Thread(target=self._pass_on, args=(source, sink, state),
-                                 daemon=True).start()
-
-    def _pass_on(self, source, sink, state):
-        try:
-            while True:
-                data = source.recv(65536)
-                if state["silent"]:
-                    if not data:
-                        return
-                    continue
-                if not data:
-                    break
-                sink.sendall(data)
-        except OSError:
-            pass
-        if not state["silent"]:
-            for end in (source, sink):
-                try:
-                    end.shutdown(socket.SHUT_RDWR)
-                except OSError:
-                    pass
-
-    def silence(self):
-        """Returns the number of connections that were silenced."""
-        with self.lock:
-            for state in self.open:
-                state["silent"] = True
-            count = len(self.open)
-            self.open = []
-            return count
-
-
 class Machine:
     """One machine: a node process and the address of its backend server's interfaces."""
 
