Skip input that can't be used instead of ending the process

Cause: decoders accepted texts from outside as any bytes, writers serialised them strictly, and no handler stood between the event loop and main. The HTTP library throws as well, for a TRACE with a body, a status above 999, an empty method and a header field above 64 KiB.

Change: decoders reject such ids, handovers, requests and frames; a malformed frame of a peer is skipped and the connection stays open. Writers replace invalid UTF-8. Requests and responses that can't be written end as not_sent or 502. An exception that is left costs its event, effect or connection. All of it is logged and counted.

--- a/libs/base/include/azureladder/base/object_reader.hpp
+++ b/libs/base/include/azureladder/base/object_reader.hpp
@@ -35,6 +35,9 @@
     bool (*m_is_valid)(const std::string& text);
 };
 
+/// Whether `text` is valid UTF-8.
+bool is_utf8(const std::string& text);
+
 /// Whether `text` is valid UTF-8 without control characters and has at most `max_bytes`.
 bool is_printable_utf8(const std::string& text, std::size_t max_bytes);
 
--- a/libs/base/src/object_reader.cpp
+++ b/libs/base/src/object_reader.cpp
@@ -1,5 +1,7 @@
 #include <azureladder/base/object_reader.hpp>
 
+#include <websocketpp/utf8_validator.hpp>
+
 #include <algorithm>
 
 namespace azureladder {
@@ -71,6 +73,11 @@
 
 } // namespace
 
+bool is_utf8(const std::string& text)
+{
+    return websocketpp::utf8_validator::validate(text);
+}
+
 bool is_printable_utf8(const std::string& text, std::size_t max_bytes)
 {
     if (text.size() > max_bytes)
@@ -78,10 +85,7 @@
     const auto is_control = [](unsigned char c) { return c < 0x20 || c == 0x7f; };
     if (std::any_of(text.begin(), text.end(), is_control))
         return false;
-    // The serializer replaces invalid UTF-8, so text with invalid UTF-8 does not survive a
-    // round trip.
-    const std::string written = json(text).dump(-1, ' ', false, json::error_handler_t::replace);
-    return json::parse(written, nullptr, false) == json(text);
+    return is_utf8(text);
 }
 
 object_reader::object_reader(const json& object, std::string path, std::vector<field_error>& errors)
--- a/libs/key_ranges/src/range_table_json.cpp
+++ b/libs/key_ranges/src/range_table_json.cpp
@@ -77,7 +77,7 @@
             owners.push_back({entry.m_owner, entry.m_server_incarnation});
         rows.push_back(entry_row(entry, owner->second));
     }
-    return json{{"next_fence", next_fencing_token}, {"owners", owners}, {"ranges", rows}}.dump();
+    return dump_json({{"next_fence", next_fencing_token}, {"owners", owners}, {"ranges", rows}});
 }
 
 /// Parses the fields that tables and changes have in common. Returns false if they are malformed.
--- a/libs/sidecar/include/azureladder/sidecar/peer_frame_codec.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame_codec.hpp
@@ -22,10 +22,17 @@
 {
     incomplete,
     complete,
+
+    /// The frame is complete, but its content can't be used. The next one begins behind it.
+    malformed,
+
+    /// The bytes are no frames.
     invalid
 };
 
-/// Parses the frame at the front of `buffer` and stores its size in `used`.
+/// Parses the frame at the front of `buffer` and stores its size in `used`, also if it is
+/// malformed. A frame counts as malformed too if a field has a value that could not be written on:
+/// names, ids and handovers that are not UTF-8, and numbers that are not finite.
 frame_state decode_frame(std::string_view buffer, peer_frame& frame, std::size_t& used);
 
 } // namespace azureladder::sidecar
--- a/libs/sidecar/src/departed_servers.cpp
+++ b/libs/sidecar/src/departed_servers.cpp
@@ -17,7 +17,7 @@
 
 std::string to_text(const departed_servers& servers)
 {
-    return json(servers).dump();
+    return dump_json(json(servers));
 }
 
 std::optional<departed_servers> parse_departed_servers(const std::string& text)
--- a/libs/sidecar/src/documents.cpp
+++ b/libs/sidecar/src/documents.cpp
@@ -175,7 +175,7 @@
         frame.m_text = state.m_active_configuration.m_text;
     } else if (name == evacuations_document) {
         frame.m_revision = state.m_active_configuration.m_evacuations_revision;
-        frame.m_text = json(state.m_active_configuration.m_evacuated_zones).dump();
+        frame.m_text = dump_json(json(state.m_active_configuration.m_evacuated_zones));
     } else if (is_table(name)) {
         const auto found = state.m_tables.find(table_service(name));
         if (found == state.m_tables.end())
--- a/libs/sidecar/src/peer_frame_codec.cpp
+++ b/libs/sidecar/src/peer_frame_codec.cpp
@@ -2,9 +2,13 @@
 
 #include "peer_frame_fields.hpp"
 
+#include <azureladder/base/object_reader.hpp>
+
 #include <msgpack.hpp>
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 #include <limits>
 #include <type_traits>
 
@@ -205,8 +209,56 @@
         value = row.as<Value>();
     else
         read_value(row, value);
+    if constexpr (std::is_floating_point_v<Value>) {
+        if (!std::isfinite(value))
+            throw msgpack::type_error();
+    }
+}
+
+template <class Value>
+bool has_utf8_keys(const std::map<std::string, Value>& values)
+{
+    return std::all_of(values.begin(), values.end(),
+                       [](const auto& entry) { return is_utf8(entry.first); });
 }
 
+/// Whether the fields of a frame that are written to JSON texts are UTF-8.
+struct content_check
+{
+    bool operator()(const hello_frame& frame) const
+    {
+        return is_utf8(frame.m_node) && is_utf8(frame.m_address) && is_utf8(frame.m_zone) &&
+               has_utf8_keys(frame.m_known_nodes) && has_utf8_keys(frame.m_departed_servers);
+    }
+
+    bool operator()(const status_frame& frame) const
+    {
+        return is_utf8(frame.m_status.m_service) && is_utf8(frame.m_status.m_server_incarnation) &&
+               has_utf8_keys(frame.m_status.m_departed_servers);
+    }
+
+    bool operator()(const refusal_frame& frame) const
+    {
+        return !frame.m_owner || is_utf8(frame.m_owner->m_owner);
+    }
+
+    bool operator()(const released_keys_frame& frame) const
+    {
+        return is_utf8(frame.m_service) &&
+               std::all_of(frame.m_released.begin(), frame.m_released.end(), [](const auto& keys) {
+                   return is_utf8(keys.m_target) && is_utf8(keys.m_handover);
+               });
+    }
+
+    /// HTTP messages with unusable fields are refused where they are written, and the texts of
+    /// documents are parsed before they are written on.
+    template <class Frame>
+    bool operator()(const Frame& /*frame*/) const
+    {
+        return true;
+    }
+};
+
 using frame_reader = void (*)(const msgpack::object&, peer_frame&);
 
 template <std::size_t... Kinds>
@@ -271,17 +323,17 @@
                             msgpack::unpack_limit(max_elements, max_elements, max_frame_bytes,
                                                   max_frame_bytes, max_frame_bytes, max_depth));
         if (row.type != msgpack::type::ARRAY || row.via.array.size < 2)
-            return frame_state::invalid;
+            return frame_state::malformed;
         const auto kind = row.via.array.ptr[0].as<std::size_t>();
         if (kind >= frame_kind_count)
-            return frame_state::invalid;
+            return frame_state::malformed;
         frame_readers[kind](row.via.array.ptr[1], frame);
     } catch (const msgpack::unpack_error&) {
-        return frame_state::invalid;
+        return frame_state::malformed;
     } catch (const msgpack::type_error&) {
-        return frame_state::invalid;
+        return frame_state::malformed;
     }
-    return frame_state::complete;
+    return std::visit(content_check(), frame) ? frame_state::complete : frame_state::malformed;
 }
 
 } // namespace azureladder::sidecar
--- a/libs/sidecar/src/range_leases.cpp
+++ b/libs/sidecar/src/range_leases.cpp
@@ -278,6 +278,7 @@
              {"order", ended.m_command_id},
              {"elapsed_us", (context.m_now - transfer.m_command_sent_at).count()},
              {"has_handover", !ended.m_handover.empty()},
+             {"cause", ended.m_cause},
              {"may_be_granted_late",
               key_ranges::may_be_granted_late(keys.m_grants, transfer.m_from, transfer.m_to,
                                               context.m_now, context.m_state.m_options.m_leases)}});
--- a/libs/sidecar_runtime/src/client_connection.cpp
+++ b/libs/sidecar_runtime/src/client_connection.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <stdexcept>
 
 namespace azureladder::sidecar_runtime {
 
@@ -80,14 +81,6 @@
     ++m_idle_watch_id;
     if (m_connected && !has_no_pending_input())
         close();
-    m_request = {};
-    m_request.version(11);
-    m_request.method_string(request.m_method);
-    m_request.target(request.m_target);
-    for (const auto& field : request.m_headers)
-        m_request.insert(field.m_name, field.m_value);
-    m_request.body() = request.m_body;
-    m_request.prepare_payload();
     m_timeout = timeout;
     m_response_filter = std::move(filter);
     m_completion_handler = std::move(on_completion);
@@ -100,6 +93,13 @@
             fail_exchange(exchange_result::incomplete, memory_limit_cause);
         });
     }
+    try {
+        build_message(request);
+    } catch (const std::exception& error) {
+        fail_exchange(exchange_result::not_sent,
+                      std::string("the request can't be written: ") + error.what());
+        return;
+    }
     if (m_connected)
         send();
     else if (m_send_condition && m_has_connected)
@@ -109,6 +109,18 @@
         connect();
 }
 
+void client_connection::build_message(const http_request& request)
+{
+    m_request = {};
+    m_request.version(11);
+    m_request.method_string(request.m_method);
+    m_request.target(request.m_target);
+    for (const auto& field : request.m_headers)
+        m_request.insert(field.m_name, field.m_value);
+    m_request.body() = request.m_body;
+    m_request.prepare_payload();
+}
+
 void client_connection::restrict_to_first_connection(send_condition may_send)
 {
     m_send_condition = std::move(may_send);
@@ -218,7 +230,13 @@
     while (m_buffer.size() > 0 && !m_parser->is_done()) {
         // An eager parser continues after a header section that exceeds the limit.
         m_parser->eager(m_parser->is_header_done());
-        const std::size_t consumed_bytes = m_parser->put(m_buffer.data(), error);
+        std::size_t consumed_bytes = 0;
+        try {
+            consumed_bytes = m_parser->put(m_buffer.data(), error);
+        } catch (const std::length_error&) {
+            // A header field is longer than the list of fields can hold.
+            return http::error::header_limit;
+        }
         m_buffer.consume(consumed_bytes);
         if (error)
             break;
--- a/libs/sidecar_runtime/src/http_session.cpp
+++ b/libs/sidecar_runtime/src/http_session.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace azureladder::sidecar_runtime {
 
@@ -41,6 +42,12 @@
 /// Status of a request that was not read completely because other requests need the memory.
 constexpr int out_of_memory_status = 503;
 
+/// Status of a request whose handler failed. It says nothing about an execution.
+constexpr int failed_handler_status = 500;
+
+/// Status in place of a response that can't be written.
+constexpr int unwritable_response_status = 502;
+
 int status_for_error(error_code error)
 {
     if (error == http::error::header_limit)
@@ -204,7 +211,7 @@
         m_parser->eager(true);
     }
     error_code error;
-    const std::size_t used = m_parser->put(m_buffer.data(), error);
+    const std::size_t used = parse(error);
     m_buffer.consume(used);
     if (error && error != http::error::need_more) {
         reject(status_for_error(error));
@@ -224,6 +231,17 @@
     return used > 0;
 }
 
+std::size_t http_session::parse(error_code& error)
+{
+    try {
+        return m_parser->put(m_buffer.data(), error);
+    } catch (const std::length_error&) {
+        // A header field is longer than the list of fields can hold.
+        error = http::error::header_limit;
+        return 0;
+    }
+}
+
 bool http_session::continue_if_expected()
 {
     if (m_is_continue_sent ||
@@ -285,6 +303,8 @@
 
 void http_session::reject(int status)
 {
+    if (m_handlers.m_on_rejected)
+        m_handlers.m_on_rejected(status, "the request is malformed or exceeds a limit");
     m_reservation.reset();
     exchange rejected;
     rejected.m_number = m_next_number++;
@@ -320,8 +340,7 @@
                 return;
             pending.m_is_dispatched = true;
             const std::uint64_t number = pending.m_number;
-            const bool result =
-                m_handlers.m_on_request(shared_from_this(), number, std::move(pending.m_request));
+            const bool result = handle_request(number, std::move(pending.m_request));
             // The handler adds and removes no exchange.
             m_exchanges[i].m_may_overlap = result;
         }
@@ -329,6 +348,20 @@
     }
 }
 
+bool http_session::handle_request(std::uint64_t number, http_request request)
+{
+    try {
+        return m_handlers.m_on_request(shared_from_this(), number, std::move(request));
+    } catch (const std::exception& error) {
+        if (m_handlers.m_on_rejected)
+            m_handlers.m_on_rejected(failed_handler_status, error.what());
+        // No further request is read, because the handler may have left the state of this one.
+        m_is_last_request_read = true;
+        respond(number, {failed_handler_status, {}, "request could not be handled\n"});
+        return false;
+    }
+}
+
 void http_session::respond(std::uint64_t number, const http_response& response)
 {
     const auto found =
@@ -349,15 +382,14 @@
     const exchange& answered = m_exchanges.front();
     const bool has_successor = m_exchanges.size() > 1 && m_exchanges[1].m_is_dispatched;
     const bool keep_alive = answered.m_keep_alive && (has_successor || !m_handlers.m_is_draining());
-    const http_response& response = *answered.m_response;
-    m_response = {};
-    m_response.version(11);
-    m_response.result(static_cast<unsigned>(response.m_status));
-    for (const auto& field : response.m_headers)
-        m_response.insert(field.m_name, field.m_value);
-    m_response.body() = answered.m_is_head_request ? std::string() : response.m_body;
-    m_response.prepare_payload();
-    m_response.keep_alive(keep_alive);
+    try {
+        build_response(*answered.m_response, answered.m_is_head_request, keep_alive);
+    } catch (const std::exception& error) {
+        if (m_handlers.m_on_rejected)
+            m_handlers.m_on_rejected(unwritable_response_status, error.what());
+        build_response({unwritable_response_status, {}, "response can't be written\n"},
+                       answered.m_is_head_request, keep_alive);
+    }
     m_stream.expires_after(transfer_timeout);
     http::async_write(m_stream, m_response,
                       [self = shared_from_this(), keep_alive](error_code error, std::size_t) {
@@ -371,6 +403,19 @@
                       });
 }
 
+void http_session::build_response(const http_response& response, bool is_head_request,
+                                  bool keep_alive)
+{
+    m_response = {};
+    m_response.version(11);
+    m_response.result(static_cast<unsigned>(response.m_status));
+    for (const auto& field : response.m_headers)
+        m_response.insert(field.m_name, field.m_value);
+    m_response.body() = is_head_request ? std::string() : response.m_body;
+    m_response.prepare_payload();
+    m_response.keep_alive(keep_alive);
+}
+
 void http_session::set_writing(bool is_writing)
 {
     m_is_writing = is_writing;
--- a/libs/sidecar_runtime/src/http_session.hpp
+++ b/libs/sidecar_runtime/src/http_session.hpp
@@ -40,6 +40,10 @@
         /// or an earlier response closes it. Called without m_on_request for a dropped request.
         std::function<void(const http_session&, std::uint64_t number)> m_on_disconnect;
 
+        /// A request could not be read, or its handler or the sending of its response failed. The
+        /// request has its response or its connection is closed. May be null.
+        std::function<void(int status, const std::string& cause)> m_on_rejected;
+
         /// The connection is closed.
         std::function<void(const http_session&)> m_on_closed;
 
@@ -113,8 +117,18 @@
     void process_input();
 
     /// Parses buffered bytes. Returns false when more bytes are needed.
+    /// Calls the handler of a request. Responds in its place if it throws.
+    bool handle_request(std::uint64_t number, http_request request);
+
+    /// Builds the message to send. Throws std::exception for a status or header that HTTP does not
+    /// allow.
+    void build_response(const http_response& response, bool is_head_request, bool keep_alive);
+
     bool parse_request();
 
+    /// Passes input to the parser. Returns the number of bytes used.
+    std::size_t parse(error_code& error);
+
     /// Sends the interim response if the caller waits for it. Returns false while it has to wait
     /// for earlier responses or for the end of its sending.
     bool continue_if_expected();
--- a/libs/sidecar_runtime/src/json_line_log.cpp
+++ b/libs/sidecar_runtime/src/json_line_log.cpp
@@ -9,8 +9,7 @@
 
 json_line_log::json_line_log(const clock& time, json_line_log_options options, int descriptor)
     : m_clock(time), m_options(std::move(options)), m_descriptor(descriptor),
-      m_common_fields(",\"node\":" +
-                      json(m_options.m_node).dump(-1, ' ', false, json::error_handler_t::replace) +
+      m_common_fields(",\"node\":" + dump_json(json(m_options.m_node)) +
                       ",\"incarnation\":" + std::to_string(m_options.m_incarnation) + "}\n"),
       m_tokens(m_options.m_max_burst_lines), m_last_refill(time.now())
 {
@@ -36,9 +35,8 @@
 {
     // The common fields are appended as text, because copying the given ones takes longer than
     // writing them.
-    std::string line = fields.is_object() && !fields.empty()
-                           ? fields.dump(-1, ' ', false, json::error_handler_t::replace)
-                           : std::string("{}");
+    std::string line =
+        fields.is_object() && !fields.empty() ? dump_json(fields) : std::string("{}");
     line.pop_back();
     if (line.size() > 1)
         line += ',';
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -1,5 +1,7 @@
 #include "node_runtime_impl.hpp"
 
+#include <azureladder/base/scope_guard.hpp>
+
 #include <boost/asio/post.hpp>
 
 #include <unistd.h>
@@ -45,6 +47,9 @@
 constexpr double backend_response_share = 0.15;
 constexpr double store_response_share = 0.1;
 
+/// Status of a request whose handling failed. It says nothing about an execution.
+constexpr int failed_handler_status = 500;
+
 /// Fraction for the bodies of unfinished requests.
 constexpr double request_share = 0.2;
 
@@ -116,7 +121,7 @@
           m_io, time, codec, m_store_response_budget, make_store_options(settings),
           [this](sidecar::event input_event) { enqueue(std::move(input_event)); },
           [this](log_level level, std::string_view event, const json& fields) {
-              m_log.write(level, event, fields);
+              report(level, event, fields);
           }),
       m_peer_acceptor(m_io), m_tick_timer(m_io), m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
 {
@@ -128,6 +133,13 @@
         m_links.erase(link);
         enqueue(sidecar::link_closed{link});
     };
+    m_link_callbacks.m_on_malformed = [this](std::uint64_t link, std::size_t count) {
+        const auto peer = m_state.m_node_of_link.find(link);
+        report(log_level::warning, "peer_frames_malformed",
+               {{"peer", peer == m_state.m_node_of_link.end() ? std::string() : peer->second},
+                {"link", link},
+                {"frames", count}});
+    };
     m_link_callbacks.m_on_sent = [this](std::uint64_t link, const peer_link::sent_frame& frame) {
         on_frame_sent(link, frame);
     };
@@ -180,6 +192,9 @@
                    : routing::client_limits{};
     };
     callbacks.m_is_draining = [this] { return m_state.m_stopping; };
+    callbacks.m_on_rejected = [this](int status, const std::string& cause) {
+        report(log_level::info, "request_malformed", {{"status", status}, {"cause", cause}});
+    };
     callbacks.m_request_budget = &m_request_budget;
     callbacks.m_on_write = [this](bool is_started) {
         if (is_started)
@@ -203,6 +218,10 @@
     callbacks.m_on_disconnect = [](const http_session& /*session*/, std::uint64_t /*number*/) {};
     callbacks.m_limits = [] { return routing::client_limits{}; };
     callbacks.m_is_draining = [] { return false; };
+    callbacks.m_on_rejected = [this](int status, const std::string& cause) {
+        report(log_level::warning, "control_request_malformed",
+               {{"status", status}, {"cause", cause}});
+    };
     callbacks.m_request_budget = &m_request_budget;
     // An announcement of a backend server is valid although its sender does not wait any longer.
     callbacks.m_drops_abandoned_requests = false;
@@ -220,7 +239,29 @@
     wait_for_signal();
     tick();
     m_store_client.start();
-    m_io.run();
+    run_event_loop();
+}
+
+void node_runtime::impl::run_event_loop()
+{
+    while (!m_io.stopped()) {
+        try {
+            m_io.run();
+        } catch (const std::exception& error) {
+            report_exception("event_loop", error);
+        }
+    }
+}
+
+void node_runtime::impl::report(log_level level, std::string_view event, const json& fields)
+{
+    ++m_event_counts[std::string(event)];
+    m_log.write(level, event, fields);
+}
+
+void node_runtime::impl::report_exception(const char* handler, const std::exception& error)
+{
+    report(log_level::error, "handler_failed", {{"handler", handler}, {"cause", error.what()}});
 }
 
 void node_runtime::impl::enqueue(sidecar::event input_event)
@@ -240,13 +281,30 @@
     if (m_is_processing)
         return;
     m_is_processing = true;
-    while (const auto next = m_events.pop()) {
-        if (is_request_of_disconnected_caller(*next))
-            continue;
-        for (const auto& command : sidecar::step(m_state, *next, m_clock.now()))
+    const scope_guard done([this] { m_is_processing = false; });
+    while (const auto next = m_events.pop())
+        process_event(*next);
+}
+
+void node_runtime::impl::process_event(const sidecar::event& input_event)
+{
+    if (is_request_of_disconnected_caller(input_event))
+        return;
+    sidecar::effects commands;
+    try {
+        commands = sidecar::step(m_state, input_event, m_clock.now());
+    } catch (const std::exception& error) {
+        report_exception("event", error);
+        if (const auto* arrived = std::get_if<sidecar::caller_request>(&input_event))
+            respond(arrived->m_caller, {failed_handler_status, {}, "request failed\n"});
+    }
+    for (const auto& command : commands) {
+        try {
             execute_effect(command);
+        } catch (const std::exception& error) {
+            report_exception("effect", error);
+        }
     }
-    m_is_processing = false;
 }
 
 bool node_runtime::impl::is_request_of_disconnected_caller(const sidecar::event& input_event) const
@@ -346,8 +404,8 @@
 {
     auto decoded = m_codec.decode_routing_configuration(command.m_text);
     if (const auto* error = std::get_if<decode_error>(&decoded)) {
-        m_log.write(log_level::error, "configuration_unreadable",
-                    {{"revision", command.m_revision}, {"cause", error->m_reason}});
+        report(log_level::error, "configuration_unreadable",
+               {{"revision", command.m_revision}, {"cause", error->m_reason}});
         return;
     }
     auto configuration = std::make_shared<routing::routing_configuration>(
@@ -413,7 +471,7 @@
 {
     auto read = m_codec.decode_caller_request(request);
     if (const auto* error = std::get_if<decode_error>(&read)) {
-        m_log.write(log_level::info, "request_malformed", {{"cause", error->m_reason}});
+        report(log_level::info, "request_malformed", {{"status", 400}, {"cause", error->m_reason}});
         exchange.m_session->respond(
             exchange.m_number, {400, {{"Content-Type", "text/plain"}}, error->m_reason + "\n"});
         return true;
@@ -454,7 +512,7 @@
 {
     auto message = m_codec.decode_registry_message(request);
     if (const auto* error = std::get_if<decode_error>(&message)) {
-        m_log.write(log_level::warning, "announcement_unreadable", {{"cause", error->m_reason}});
+        report(log_level::warning, "announcement_unreadable", {{"cause", error->m_reason}});
         exchange.m_session->respond(
             exchange.m_number, {400, {{"Content-Type", "text/plain"}}, error->m_reason + "\n"});
         return;
@@ -620,8 +678,8 @@
     std::vector<field_error> errors;
     const sidecar_settings read = load_settings(m_settings_path, errors);
     if (!errors.empty()) {
-        m_log.write(log_level::error, "settings_rejected",
-                    {{"field", errors.front().m_path}, {"cause", errors.front().m_message}});
+        report(log_level::error, "settings_rejected",
+               {{"field", errors.front().m_path}, {"cause", errors.front().m_message}});
         return;
     }
     m_settings.m_retry_ratio = read.m_retry_ratio;
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -37,6 +37,18 @@
 
     void process_events();
 
+    /// Processes one event. An exception costs only this event, or the effect that raised it.
+    void process_event(const sidecar::event& input_event);
+
+    /// Runs the event loop until it is stopped. An exception costs only the handler that raised it.
+    void run_event_loop();
+
+    /// Writes a log line and counts it in the metrics.
+    void report(log_level level, std::string_view event, const json& fields);
+
+    /// Reports a handler that failed.
+    void report_exception(const char* handler, const std::exception& error);
+
     /// Whether an event is a request whose caller has disconnected since it was read.
     bool is_request_of_disconnected_caller(const sidecar::event& input_event) const;
 
--- a/libs/sidecar_runtime/src/peer_link.cpp
+++ b/libs/sidecar_runtime/src/peer_link.cpp
@@ -84,6 +84,9 @@
                 m_handlers.m_on_frame(m_id, std::move(frame));
                 return !m_is_closed;
             });
+        if (m_reader.m_malformed_frames > 0 && m_handlers.m_on_malformed)
+            m_handlers.m_on_malformed(m_id, m_reader.m_malformed_frames);
+        m_reader.m_malformed_frames = 0;
         if (!is_valid)
             return asio::error::invalid_argument;
         total += size;
--- a/libs/sidecar_runtime/src/peer_link.hpp
+++ b/libs/sidecar_runtime/src/peer_link.hpp
@@ -35,6 +35,9 @@
         std::function<void(std::uint64_t link, sidecar::peer_frame)> m_on_frame;
         std::function<void(std::uint64_t link)> m_on_closed;
 
+        /// Frames were skipped because their content is malformed. May be null.
+        std::function<void(std::uint64_t link, std::size_t count)> m_on_malformed;
+
         /// The system has taken the last byte of a frame.
         std::function<void(std::uint64_t link, const sent_frame& frame)> m_on_sent;
 
--- a/libs/sidecar_runtime/src/piece_reader.cpp
+++ b/libs/sidecar_runtime/src/piece_reader.cpp
@@ -27,7 +27,7 @@
     invalid
 };
 
-decode_result decode_frames(std::string& bytes,
+decode_result decode_frames(std::string& bytes, std::size_t& malformed_frames,
                             const std::function<bool(sidecar::peer_frame)>& on_frame)
 {
     std::size_t offset = 0;
@@ -41,6 +41,10 @@
         if (state == sidecar::frame_state::incomplete)
             break;
         offset += frame_bytes;
+        if (state == sidecar::frame_state::malformed) {
+            ++malformed_frames;
+            continue;
+        }
         if (!on_frame(std::move(frame)))
             return decode_result::stopped;
     }
@@ -72,7 +76,8 @@
         bytes.remove_prefix(size);
         if (reader.m_missing_bytes > 0)
             break;
-        const auto result = decode_frames(reader.m_frames[reader.m_stream], on_frame);
+        const auto result =
+            decode_frames(reader.m_frames[reader.m_stream], reader.m_malformed_frames, on_frame);
         if (result != decode_result::done)
             return result == decode_result::stopped;
     }
--- a/libs/sidecar_runtime/src/piece_reader.hpp
+++ b/libs/sidecar_runtime/src/piece_reader.hpp
@@ -21,6 +21,9 @@
 
     /// Incomplete frames by stream.
     std::array<std::string, frame_stream_count> m_frames;
+
+    /// Number of frames that were skipped because their content is malformed.
+    std::size_t m_malformed_frames = 0;
 };
 
 /// Calls `on_frame` for each frame that `bytes` complete, until it returns false. Returns false
--- a/libs/sidecar_runtime/src/sidecar_settings.cpp
+++ b/libs/sidecar_runtime/src/sidecar_settings.cpp
@@ -56,7 +56,7 @@
     if (!found->is_number() || found->get<double>() < 0.0 || found->get<double>() > max)
         reader.fail(name, "expected a number from 0 to " +
                               std::to_string(static_cast<std::int64_t>(max)) + ", found " +
-                              found->dump());
+                              dump_json(*found));
     else
         value = found->get<double>();
 }
--- a/libs/sidecar_runtime/src/store_client.cpp
+++ b/libs/sidecar_runtime/src/store_client.cpp
@@ -231,7 +231,8 @@
 void store_client::write_record(std::uint64_t lease)
 {
     const json record = {{"node", m_options.m_node}, {"address", m_options.m_peer_address}};
-    call(m_codec.encode_put(node_key_prefix + m_options.m_node, record.dump(), std::nullopt, lease),
+    call(m_codec.encode_put(node_key_prefix + m_options.m_node, dump_json(record), std::nullopt,
+                            lease),
          m_options.m_call_timeout, [this, lease](const exchange_outcome& outcome) {
              if (is_success(outcome)) {
                  m_on_log_line(log_level::info, "node_record_written", {{"lease", lease}});
--- a/libs/sidecar_runtime/tests/http_test.cpp
+++ b/libs/sidecar_runtime/tests/http_test.cpp
@@ -83,16 +83,24 @@
     return result;
 }
 
-/// Sends bytes to a listener that echoes the method, target and body of each request, and returns
-/// all received bytes.
-std::string exchange_bytes(const std::string& bytes, const routing::client_limits& limits = {})
+using request_handler =
+    std::function<void(http_session& session, std::uint64_t number, const http_request&)>;
+
+/// Sends bytes to a listener and returns all received bytes. The handler echoes the method, target
+/// and body of each request by default.
+std::string exchange_bytes(
+    const std::string& bytes, const routing::client_limits& limits = {},
+    const request_handler& handler = [](http_session& session, std::uint64_t number,
+                                        const http_request& request) {
+        session.respond(number, {200, {}, request.m_method + request.m_target + request.m_body});
+    })
 {
     asio::io_context io;
     const std::uint16_t port = free_port(io);
     http_session::callbacks callbacks;
     callbacks.m_on_request = [&](const auto& session, std::uint64_t number,
                                  const http_request& request) {
-        session->respond(number, {200, {}, request.m_method + request.m_target + request.m_body});
+        handler(*session, number, request);
         return false;
     };
     callbacks.m_on_disconnect = [](const http_session&, std::uint64_t) {};
@@ -202,6 +210,41 @@
         EXPECT_EQ(exchange_bytes(start + filler).rfind("HTTP/1.1 431", 0), 0U) << start;
 }
 
+// Guards against an exception of a handler that reaches main and ends the process.
+TEST(http_session, failed_handler_costs_only_its_request)
+{
+    const auto failing = [](http_session&, std::uint64_t, const http_request&) {
+        throw std::runtime_error("not handled");
+    };
+    const std::string received = exchange_bytes("GET / HTTP/1.1\r\nHost: h\r\n\r\n", {}, failing);
+    EXPECT_EQ(received.substr(0, 12), "HTTP/1.1 500");
+}
+
+// Guards against the end of the process by a response that the HTTP library refuses to write.
+TEST(http_session, response_that_cannot_be_written_is_replaced)
+{
+    for (const http_response& response :
+         {http_response{5000, {}, ""}, http_response{200, {{"X", std::string(70'000, 'x')}}, ""}}) {
+        const auto respond = [&](http_session& session, std::uint64_t number, const http_request&) {
+            session.respond(number, response);
+        };
+        const std::string received =
+            exchange_bytes("GET / HTTP/1.1\r\nHost: h\r\n\r\n", {}, respond);
+        EXPECT_EQ(received.substr(0, 12), "HTTP/1.1 502");
+    }
+}
+
+// Guards against the end of the process by a header field that is longer than the HTTP library
+// stores, where the configuration allows it.
+TEST(http_session, header_field_that_cannot_be_stored_is_rejected)
+{
+    routing::client_limits limits;
+    limits.m_max_header_bytes = 1'000'000;
+    const std::string received = exchange_bytes(
+        "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(70'000, 'x') + "\r\n\r\n", limits);
+    EXPECT_EQ(received.substr(0, 12), "HTTP/1.1 431");
+}
+
 // Guards against a truncated response that its caller accepts as complete.
 TEST(http_session, makes_truncated_responses_detectable)
 {
