Stop using a backend server whose announcements have stopped

Cause: only the processes remembered the departure, and one announcement made a server usable until a connection to it failed. Nothing ended the belief when no further announcement followed.

Change: a server becomes silent 1.5 s after the only announcement that this process has received, else after four learned intervals and 3 s at least. A pause of the process restarts the time.

--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -67,6 +67,14 @@
     /// unresponsive.
     std::uint32_t m_unanswered_limit = 4;
 
+    /// Time after which a server counts as silent that this process has received one announcement
+    /// of. That one may have been delayed, and the server may have left.
+    duration m_first_announcement_lifetime = milliseconds(1500);
+
+    /// Number of missed announcements after which a server counts as silent, and shortest time.
+    std::uint32_t m_missed_announcement_limit = 4;
+    duration m_min_announcement_lifetime = milliseconds(3000);
+
     /// Delays after which members take over the ranges of an unreachable owner.
     staggered_delay m_takeover_delay{milliseconds(1500), milliseconds(1500)};
 
--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -33,6 +33,13 @@
     time_point m_announced_at;
     time_point m_cold_until;
 
+    /// Interval between its announcements, learned from the second one on; zero before.
+    duration m_announcement_interval{};
+
+    /// Its announcements have stopped, and time at which this was noticed.
+    bool m_silent = false;
+    time_point m_silent_since;
+
     /// The server has announced its departure, and time of the announcement.
     bool m_leaving = false;
     time_point m_leaving_since;
--- /dev/null
+++ b/libs/sidecar/src/backend_announcements.cpp
@@ -0,0 +1,111 @@
+#include "step_context.hpp"
+
+#include <algorithm>
+
+namespace azureladder::sidecar {
+
+namespace {
+
+/// Shortest time between two announcements that shows that their server is running. Announcements
+/// that were held up arrive together.
+constexpr duration min_announcement_interval = milliseconds(200);
+
+/// Limit of the learned interval, because a single announcement may be late.
+constexpr duration max_announcement_interval = seconds(10);
+
+/// Share of the learned interval that is kept at each announcement.
+constexpr double interval_decay = 0.75;
+
+/// Time after the latest announcement from which a server counts as silent.
+duration announcement_lifetime(const node_state& state, const local_backend& backend)
+{
+    const node_options& options = state.m_options;
+    if (backend.m_announcement_interval == duration::zero())
+        return options.m_first_announcement_lifetime;
+    return std::max(options.m_min_announcement_lifetime,
+                    backend.m_announcement_interval * options.m_missed_announcement_limit);
+}
+
+/// Updates the interval between the announcements of a server with the next one.
+void record_interval(step_context& context, local_backend& backend,
+                     const backend_announcement& announced)
+{
+    const std::int64_t count = announced.m_sequence - backend.m_announcement.m_sequence;
+    const duration elapsed = context.m_now - backend.m_announced_at;
+    if (elapsed < min_announcement_interval)
+        return;
+    const duration decayed =
+        std::chrono::duration_cast<duration>(backend.m_announcement_interval * interval_decay);
+    backend.m_announcement_interval =
+        std::min(std::max(elapsed / count, decayed), max_announcement_interval);
+}
+
+} // namespace
+
+void on_backend_announced(step_context& context, const backend_announcement& announced)
+{
+    node_state& state = context.m_state;
+    const bool same_incarnation =
+        state.m_backend &&
+        incarnation_of(state.m_backend->m_announcement) == incarnation_of(announced);
+    if (state.m_backend && !same_incarnation &&
+        announced.m_started_at_ms < state.m_backend->m_announcement.m_started_at_ms) {
+        log(context, log_level::info, "announcement_of_older_server_ignored",
+            {{"backend", announced.m_id}});
+        return;
+    }
+    if (same_incarnation && announced.m_sequence <= state.m_backend->m_announcement.m_sequence)
+        return;
+    if (same_incarnation) {
+        record_interval(context, *state.m_backend, announced);
+    } else {
+        log(context, log_level::info, "backend_joined",
+            {{"backend", announced.m_id},
+             {"service", announced.m_service},
+             {"slots", announced.m_slots},
+             {"born_ms", announced.m_started_at_ms},
+             {"former", local_owner_incarnation(state)},
+             {"grants_in_force", state.m_ownership.m_grants.size()},
+             {"cold_ms", to_ms(announced.m_cold_time_left)}});
+        if (state.m_backend)
+            clear_range_leases(context);
+        state.m_backend.emplace();
+        state.m_ownership.m_next_table_check_at = context.m_now;
+        state.m_admission_controller.m_failure_share = 0.0;
+    }
+    local_backend& backend = *state.m_backend;
+    if (backend.m_silent)
+        log(context, log_level::info, "backend_heard_again",
+            {{"backend", announced.m_id},
+             {"silent_ms", to_ms(context.m_now - backend.m_announced_at)}});
+    backend.m_announcement = announced;
+    backend.m_announced_at = context.m_now;
+    backend.m_silent = false;
+    backend.m_unreachable = false;
+    backend.m_cold_until = context.m_now + announced.m_cold_time_left;
+    state.m_cold_until_announced = {};
+    if (announced.m_draining)
+        acknowledge_departures(context, {{announced.m_id, announced.m_started_at_ms}});
+    apply_departures(context);
+    update_limits(context);
+    start_waiting(context);
+}
+
+void check_announcement_age(step_context& context)
+{
+    node_state& state = context.m_state;
+    if (!state.m_backend || state.m_backend->m_silent)
+        return;
+    local_backend& backend = *state.m_backend;
+    const duration age = context.m_now - backend.m_announced_at;
+    if (age <= announcement_lifetime(state, backend))
+        return;
+    backend.m_silent = true;
+    backend.m_silent_since = context.m_now;
+    log(context, log_level::warning, "backend_silent",
+        {{"backend", backend.m_announcement.m_id},
+         {"age_ms", to_ms(age)},
+         {"interval_ms", to_ms(backend.m_announcement_interval)}});
+}
+
+} // namespace azureladder::sidecar
--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -92,6 +92,8 @@
                retry_after);
 }
 
+} // namespace
+
 void start_waiting(step_context& context)
 {
     node_state& state = context.m_state;
@@ -120,6 +122,8 @@
     }
 }
 
+namespace {
+
 /// Refuses the waiting requests of ingresses from which nothing has been heard for a while.
 void refuse_requests_of_silent_origins(step_context& context)
 {
@@ -201,6 +205,8 @@
     return cold ? service->m_cold_rate_per_s : 0.0;
 }
 
+} // namespace
+
 void update_limits(step_context& context)
 {
     node_state& state = context.m_state;
@@ -213,9 +219,11 @@
     state.m_admission_controller.m_cold_rate_per_s = cold_rate(state, context.m_now);
 }
 
+namespace {
+
 refusal_reason unavailable_reason(const node_state& state, const forwarded_request& request)
 {
-    if (!state.m_backend || state.m_backend->m_unreachable ||
+    if (!state.m_backend || state.m_backend->m_unreachable || state.m_backend->m_silent ||
         state.m_backend->m_announcement.m_service != request.m_service)
         return refusal_reason::no_server;
     return refusal_reason::closed;
@@ -237,7 +245,7 @@
 {
     // Without a configuration the rate limit of a cold server is unknown.
     if (!state.m_backend || !state.m_active_configuration.m_configuration ||
-        is_draining_or_evacuated(state) || state.m_stopping)
+        state.m_backend->m_silent || is_draining_or_evacuated(state) || state.m_stopping)
         return false;
     if (state.m_backend->m_unreachable)
         return now >= state.m_backend->m_next_probe_at;
@@ -261,7 +269,7 @@
     }
     const bool may_accept_while_stopping =
         state.m_stopping && context.m_now - state.m_stop_requested_at < stop_propagation_time &&
-        state.m_backend && !is_draining_or_evacuated(state);
+        state.m_backend && !state.m_backend->m_silent && !is_draining_or_evacuated(state);
     if (!(accepts_requests(state, context.m_now) || may_accept_while_stopping) ||
         !state.m_backend || state.m_backend->m_announcement.m_service != request.m_service) {
         // A node that releases its ranges names the new owner, so that the origin can send the
@@ -419,51 +427,10 @@
     }
 }
 
-void on_backend_announced(step_context& context, const backend_announcement& announced)
-{
-    node_state& state = context.m_state;
-    const bool same_incarnation =
-        state.m_backend &&
-        incarnation_of(state.m_backend->m_announcement) == incarnation_of(announced);
-    if (state.m_backend && !same_incarnation &&
-        announced.m_started_at_ms < state.m_backend->m_announcement.m_started_at_ms) {
-        log(context, log_level::info, "announcement_of_older_server_ignored",
-            {{"backend", announced.m_id}});
-        return;
-    }
-    if (same_incarnation && announced.m_sequence <= state.m_backend->m_announcement.m_sequence)
-        return;
-    if (!same_incarnation) {
-        log(context, log_level::info, "backend_joined",
-            {{"backend", announced.m_id},
-             {"service", announced.m_service},
-             {"slots", announced.m_slots},
-             {"born_ms", announced.m_started_at_ms},
-             {"former", local_owner_incarnation(state)},
-             {"grants_in_force", state.m_ownership.m_grants.size()},
-             {"cold_ms", to_ms(announced.m_cold_time_left)}});
-        if (state.m_backend)
-            clear_range_leases(context);
-        state.m_backend.emplace();
-        state.m_ownership.m_next_table_check_at = context.m_now;
-        state.m_admission_controller.m_failure_share = 0.0;
-    }
-    local_backend& backend = *state.m_backend;
-    backend.m_announcement = announced;
-    backend.m_announced_at = context.m_now;
-    backend.m_unreachable = false;
-    backend.m_cold_until = context.m_now + announced.m_cold_time_left;
-    state.m_cold_until_announced = {};
-    if (announced.m_draining)
-        acknowledge_departures(context, {{announced.m_id, announced.m_started_at_ms}});
-    apply_departures(context);
-    update_limits(context);
-    start_waiting(context);
-}
-
 void check_backend_executions(step_context& context)
 {
     node_state& state = context.m_state;
+    check_announcement_age(context);
     update_limits(context);
     const bool evacuated =
         state.m_active_configuration.m_evacuated_zones.count(state.m_options.m_zone) != 0;
@@ -472,6 +439,8 @@
         context.m_now - state.m_backend->m_leaving_since > state.m_options.m_drain_start_window;
     if (evacuated || left)
         refuse_all_waiting(context, refusal_reason::closed);
+    if (state.m_backend && state.m_backend->m_silent)
+        refuse_all_waiting(context, refusal_reason::no_server);
     refuse_requests_of_silent_origins(context);
     start_waiting(context);
     std::vector<std::uint64_t> ended;
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -77,6 +77,9 @@
         for (auto& [link, accepted] : state.m_accepted_links)
             accepted.m_last_frame_at = context.m_now;
         restart_resume_windows(context);
+        // Announcements may have arrived that were not read yet.
+        if (state.m_backend)
+            state.m_backend->m_announced_at = context.m_now;
     }
     state.m_last_tick = context.m_now;
     check_peers(context);
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -74,6 +74,15 @@
 void on_origin_connected(step_context& context, const std::string& origin,
                          std::uint64_t incarnation);
 void on_backend_announced(step_context& context, const backend_announcement& announced);
+
+/// Ends the belief in a server that has not announced itself for a while. An acknowledged departure
+/// may have been forgotten with all processes, and delayed announcements may follow it; those of a
+/// server that has left end.
+void check_announcement_age(step_context& context);
+
+/// Starts or refuses queued requests according to the current limits.
+void start_waiting(step_context& context);
+void update_limits(step_context& context);
 void on_backend_removed(step_context& context, const backend_removed& removed);
 void on_departures_read(step_context& context, const departures_read& read);
 
--- /dev/null
+++ b/libs/sidecar/tests/backend_announcements_test.cpp
@@ -0,0 +1,147 @@
+#include "connected_node.hpp"
+#include "step_context.hpp"
+
+#include <gtest/gtest.h>
+
+namespace azureladder::sidecar {
+
+namespace {
+
+constexpr duration heartbeat = milliseconds(870);
+constexpr duration tick = milliseconds(25);
+
+/// A node that has just started, beside a server of the service "orders".
+class announced_server : public testing::Test
+{
+protected:
+    announced_server()
+    {
+        m_state = make_connected_node({"a"}, "orders");
+        m_announcement.m_id = "i-1";
+        m_announcement.m_service = "orders";
+        m_announcement.m_address = "10.0.0.1:8301";
+        m_announcement.m_slots = 4;
+        m_announcement.m_started_at_ms = 1000;
+        m_announcement.m_sequence = 5;
+    }
+
+    void announce()
+    {
+        step(m_state, backend_announced{m_announcement}, m_now);
+        ++m_announcement.m_sequence;
+    }
+
+    void run_for(duration time)
+    {
+        for (const time_point end = m_now + time; m_now < end; m_now += tick)
+            step(m_state, timer_tick{}, m_now);
+    }
+
+    /// Lets the server announce itself regularly.
+    void announce_for(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            announce();
+            run_for(heartbeat);
+        }
+    }
+
+    bool is_open() const { return accepts_requests(m_state, m_now); }
+
+    node_state m_state;
+    backend_announcement m_announcement;
+    time_point m_now = start_time;
+};
+
+} // namespace
+
+// Guards against requests to a server that has left: its departure was acknowledged while the store
+// was down, all processes were killed, and one announcement arrived late.
+TEST_F(announced_server, only_one_late_announcement_does_not_restore_a_forgotten_departure)
+{
+    announce();
+    EXPECT_TRUE(is_open());
+    run_for(seconds(2));
+    EXPECT_FALSE(is_open());
+    run_for(seconds(10));
+    EXPECT_FALSE(is_open());
+}
+
+// The same, if several announcements were held up and arrive together.
+TEST_F(announced_server, announcements_that_arrive_together_do_not_show_that_the_server_runs)
+{
+    announce();
+    announce();
+    announce();
+    run_for(seconds(2));
+    EXPECT_FALSE(is_open());
+}
+
+// The same, if the late announcements keep their intervals.
+TEST_F(announced_server, is_not_used_after_its_announcements_have_stopped)
+{
+    announce_for(6);
+    EXPECT_TRUE(is_open());
+    run_for(heartbeat * 4);
+    EXPECT_FALSE(is_open());
+    announce();
+    EXPECT_TRUE(is_open());
+}
+
+// Guards against a running server that receives no requests because of two lost announcements.
+TEST_F(announced_server, stays_in_use_while_few_announcements_are_missing)
+{
+    announce_for(3);
+    run_for(heartbeat * 2);
+    EXPECT_TRUE(is_open());
+}
+
+// Guards against flapping in a deployment whose servers announce themselves rarely.
+TEST_F(announced_server, stays_in_use_between_rare_announcements)
+{
+    announce();
+    run_for(seconds(5));
+    for (int i = 0; i < 4; ++i) {
+        announce();
+        run_for(seconds(5));
+        EXPECT_TRUE(is_open());
+    }
+}
+
+// Guards against taking the pause of this process for the silence of its server.
+TEST_F(announced_server, stays_in_use_after_a_pause_of_the_process)
+{
+    announce_for(3);
+    m_now += seconds(6);
+    run_for(heartbeat);
+    EXPECT_TRUE(is_open());
+}
+
+// Guards against requests that wait for a server whose announcements have stopped.
+TEST_F(announced_server, silent_server_has_its_waiting_requests_refused)
+{
+    m_announcement.m_slots = 1;
+    announce_for(2);
+    step(m_state, link_opened{9, ""}, m_now);
+    step(m_state, frame_received{9, hello_frame{"b", 1, "b:0", "", {}, {}}}, m_now);
+    for (const std::uint64_t frame : {1, 2}) {
+        auto request = std::make_shared<forwarded_request>();
+        request->m_service = "orders";
+        request->m_route = "plain";
+        step(m_state, frame_received{9, request_frame{frame, request, 60'000'000, 30'000'000}},
+             m_now);
+    }
+    ASSERT_EQ(m_state.m_admission_controller.m_waiting.size(), 1U);
+    const auto run_connected = [&](duration time) {
+        for (const time_point end = m_now + time; m_now < end;) {
+            step(m_state, frame_received{9, ping_frame{1, 0}}, m_now);
+            run_for(milliseconds(250));
+        }
+    };
+    run_connected(seconds(2));
+    EXPECT_EQ(m_state.m_admission_controller.m_waiting.size(), 1U);
+    run_connected(seconds(2));
+    EXPECT_TRUE(m_state.m_admission_controller.m_waiting.empty());
+}
+
+} // namespace azureladder::sidecar
--- a/libs/sidecar/tests/connected_node.cpp
+++ b/libs/sidecar/tests/connected_node.cpp
@@ -22,11 +22,11 @@
     return result;
 }
 
-node_state make_connected_node(const std::vector<std::string>& peers)
+node_state make_connected_node(const std::vector<std::string>& peers, const std::string& service)
 {
     node_options options;
     options.m_node = "ingress";
-    options.m_service = "other";
+    options.m_service = service;
     node_state state = make_node(options, start_time, 1);
     step(state, configuration_decoded{5, "text", make_configuration()}, start_time);
     nodes_listed listed;
--- a/libs/sidecar/tests/connected_node.hpp
+++ b/libs/sidecar/tests/connected_node.hpp
@@ -15,7 +15,9 @@
 std::shared_ptr<const routing::routing_configuration> make_configuration();
 
 /// A node connected to peers that serve "orders". Link i + 1 leads to the peer with index i.
-node_state make_connected_node(const std::vector<std::string>& peers);
+/// `service` is that of the node's own backend server.
+node_state make_connected_node(const std::vector<std::string>& peers,
+                               const std::string& service = "other");
 
 /// Link and frame id of the request that a step sends to a peer; {0, 0} if it sends none.
 std::pair<std::uint64_t, std::uint64_t> sent_request(const effects& done);
