Wait 2.5 s for the second announcement of a backend server

Cause: servers there announce themselves every 1.5 to 1.6 s, and the interval is not known before the second announcement.

Change: 2.5 s after the first announcement, and three missed ones after that instead of four.

Evidence: stays_in_use_until_its_second_announcement fails with 1.5 s.

--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -68,11 +68,12 @@
     std::uint32_t m_unanswered_limit = 4;
 
     /// Time after which a server counts as silent that this process has received one announcement
-    /// of. That one may have been delayed, and the server may have left.
-    duration m_first_announcement_lifetime = milliseconds(1500);
+    /// of. That one may have been delayed, and the server may have left. Above the interval of the
+    /// announcements, which is not known yet.
+    duration m_first_announcement_lifetime = milliseconds(2500);
 
     /// Number of missed announcements after which a server counts as silent, and shortest time.
-    std::uint32_t m_missed_announcement_limit = 4;
+    std::uint32_t m_missed_announcement_limit = 3;
     duration m_min_announcement_lifetime = milliseconds(3000);
 
     /// Delays after which members take over the ranges of an unreachable owner.
