Accept announcements of the VM's own backend server only

Cause: any announcement with a later start replaced the current server for good, and the announced service was preferred to that of the settings.

Change: announcements of another service than the settings name, of another VM's address, and of the current incarnation at another address are ignored. A server at another address of the VM replaces the current one only when that is leaving, unreachable or silent, and any server replaces a silent one. The caller service is that of the settings, which are read again when another service is announced.

--- a/libs/sidecar/src/backend_announcements.cpp
+++ b/libs/sidecar/src/backend_announcements.cpp
@@ -1,6 +1,7 @@
 #include "step_context.hpp"
 
 #include <algorithm>
+#include <string_view>
 
 namespace azureladder::sidecar {
 
@@ -32,7 +33,7 @@
 {
     const std::int64_t count = announced.m_sequence - backend.m_announcement.m_sequence;
     const duration elapsed = context.m_now - backend.m_announced_at;
-    if (elapsed < min_announcement_interval)
+    if (count <= 0 || elapsed < min_announcement_interval)
         return;
     const duration decayed =
         std::chrono::duration_cast<duration>(backend.m_announcement_interval * interval_decay);
@@ -40,22 +41,65 @@
         std::min(std::max(elapsed / count, decayed), max_announcement_interval);
 }
 
+std::string_view host_of(std::string_view address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+/// Why an announcement can't come from the server beside this node; null if it can.
+const char* foreign_cause(const node_options& options, const backend_announcement& announced)
+{
+    if (announced.m_service != options.m_service)
+        return "its service is not that of this VM";
+    if (!options.m_peer_address.empty() &&
+        host_of(announced.m_address) != host_of(options.m_peer_address))
+        return "its address is not on this VM";
+    return nullptr;
+}
+
+/// Why an announcement does not count beside the current server; null if it does. A later
+/// incarnation replaces the current one at its address, where only one of them can listen. Any
+/// other server does so only when the current one can't be reached or heard any more.
+const char* outranked_cause(const local_backend& current, const backend_announcement& announced)
+{
+    const backend_announcement& known = current.m_announcement;
+    if (current.m_silent)
+        return nullptr;
+    if (incarnation_of(known) == incarnation_of(announced)) {
+        if (known.m_address != announced.m_address)
+            return "the server announces itself at another address";
+        return announced.m_sequence <= known.m_sequence ? "it is older than the latest one"
+                                                        : nullptr;
+    }
+    if (announced.m_started_at_ms < known.m_started_at_ms)
+        return "the current server started later";
+    const bool is_available = !current.m_leaving && !current.m_unreachable;
+    return known.m_address != announced.m_address && is_available
+               ? "the current server announces itself at another address"
+               : nullptr;
+}
+
 } // namespace
 
 void on_backend_announced(step_context& context, const backend_announcement& announced)
 {
     node_state& state = context.m_state;
+    const char* cause = foreign_cause(state.m_options, announced);
+    if (cause == nullptr && state.m_backend)
+        cause = outranked_cause(*state.m_backend, announced);
+    if (cause != nullptr) {
+        log(context, log_level::info, "announcement_ignored",
+            {{"backend", announced.m_id},
+             {"service", announced.m_service},
+             {"address", announced.m_address},
+             {"born_ms", announced.m_started_at_ms},
+             {"sequence", announced.m_sequence},
+             {"cause", cause}});
+        return;
+    }
     const bool same_incarnation =
         state.m_backend &&
         incarnation_of(state.m_backend->m_announcement) == incarnation_of(announced);
-    if (state.m_backend && !same_incarnation &&
-        announced.m_started_at_ms < state.m_backend->m_announcement.m_started_at_ms) {
-        log(context, log_level::info, "announcement_of_older_server_ignored",
-            {{"backend", announced.m_id}});
-        return;
-    }
-    if (same_incarnation && announced.m_sequence <= state.m_backend->m_announcement.m_sequence)
-        return;
     if (same_incarnation) {
         record_interval(context, *state.m_backend, announced);
     } else {
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -40,10 +40,10 @@
                                                                                    : &found->second;
 }
 
-/// Service of the local backend server, from its announcement or else from the settings.
+/// Service of this VM, by the settings. Announcements of other services are ignored.
 inline const std::string& local_service(const node_state& state)
 {
-    return state.m_backend ? state.m_backend->m_announcement.m_service : state.m_options.m_service;
+    return state.m_options.m_service;
 }
 
 // Requests of callers.
--- a/libs/sidecar/tests/backend_announcements_test.cpp
+++ b/libs/sidecar/tests/backend_announcements_test.cpp
@@ -153,4 +153,98 @@
     EXPECT_TRUE(m_state.m_admission_controller.m_waiting.empty());
 }
 
+// Guards against orders that run with a wrong caller service, and a true server that is never
+// heard again, because of one announcement of another service with a later start.
+TEST_F(announced_server, announcement_of_another_service_does_not_speak_for_the_vm)
+{
+    announce_for(2);
+    // The second service is one that the configuration names.
+    for (const char* service : {"telemetry", "other"}) {
+        backend_announcement stray = m_announcement;
+        stray.m_id = "i-stray";
+        stray.m_service = service;
+        stray.m_started_at_ms = 9000;
+        step(m_state, backend_announced{stray}, m_now);
+        stray = m_announcement;
+        stray.m_service = service;
+        stray.m_draining = true;
+        stray.m_sequence = 1000;
+        step(m_state, backend_announced{stray}, m_now);
+        EXPECT_EQ(local_service(m_state), "orders");
+        EXPECT_EQ(m_state.m_backend->m_announcement.m_id, "i-1");
+        EXPECT_TRUE(is_open());
+    }
+    announce_for(6);
+    EXPECT_EQ(m_state.m_backend->m_announcement.m_sequence, m_announcement.m_sequence - 1);
+    EXPECT_TRUE(is_open());
+}
+
+// Guards against a server of another VM, or a second one on this VM, that replaces the current one.
+TEST_F(announced_server, server_elsewhere_does_not_replace_the_current_one)
+{
+    m_state.m_options.m_peer_address = "10.0.0.1:7620";
+    announce_for(2);
+    for (const char* address : {"10.0.0.2:8301", "10.0.0.1:8999"}) {
+        backend_announcement stray = m_announcement;
+        stray.m_id = "i-stray";
+        stray.m_address = address;
+        stray.m_started_at_ms = 9000;
+        for (int i = 0; i < 5; ++i) {
+            ++stray.m_sequence;
+            step(m_state, backend_announced{stray}, m_now);
+            announce_for(1);
+            EXPECT_EQ(m_state.m_backend->m_announcement.m_id, "i-1") << address;
+        }
+        // The current server's own id does not move it either.
+        stray.m_id = "i-1";
+        stray.m_started_at_ms = m_announcement.m_started_at_ms;
+        stray.m_sequence = 1000;
+        step(m_state, backend_announced{stray}, m_now);
+        announce_for(1);
+        EXPECT_EQ(m_state.m_backend->m_announcement.m_address, "10.0.0.1:8301") << address;
+        EXPECT_TRUE(is_open());
+    }
+}
+
+// Guards against a second server on the VM that never receives requests after the first has
+// stopped.
+TEST_F(announced_server, second_server_of_the_vm_replaces_one_that_is_silent)
+{
+    announce_for(2);
+    backend_announcement second = m_announcement;
+    second.m_id = "i-2";
+    second.m_address = "10.0.0.1:8302";
+    second.m_started_at_ms = 500;
+    second.m_sequence = 1;
+    run_for(heartbeat * 4);
+    step(m_state, backend_announced{second}, m_now);
+    EXPECT_EQ(m_state.m_backend->m_announcement.m_id, "i-2");
+    EXPECT_TRUE(is_open());
+}
+
+// Guards against a true server that is ignored for good because another announcement has named its
+// address and a later start.
+TEST_F(announced_server, is_heard_again_after_a_single_announcement_of_a_later_server)
+{
+    announce_for(2);
+    backend_announcement stray = m_announcement;
+    stray.m_id = "i-stray";
+    stray.m_started_at_ms = 9000;
+    step(m_state, backend_announced{stray}, m_now);
+    announce_for(4);
+    EXPECT_EQ(m_state.m_backend->m_announcement.m_id, "i-1");
+    EXPECT_TRUE(is_open());
+}
+
+// Guards against a delayed announcement of an earlier incarnation that replaces the running one.
+TEST_F(announced_server, late_announcement_of_a_crashed_incarnation_is_ignored)
+{
+    announce_for(2);
+    backend_announcement late = m_announcement;
+    late.m_started_at_ms = 500;
+    late.m_sequence = 1000;
+    step(m_state, backend_announced{late}, m_now);
+    EXPECT_EQ(m_state.m_backend->m_announcement.m_started_at_ms, 1000);
+}
+
 } // namespace azureladder::sidecar
--- a/libs/sidecar/tests/cluster_test.cpp
+++ b/libs/sidecar/tests/cluster_test.cpp
@@ -348,6 +348,7 @@
 {
     node_options options;
     options.m_node = "node-1";
+    options.m_service = "orders";
     const time_point now{std::chrono::seconds(1000)};
     node_state state = make_node(options, now, 1);
     backend_announcement announced;
@@ -370,6 +371,7 @@
 {
     node_options options;
     options.m_node = "node-1";
+    options.m_service = "orders";
     const time_point now{std::chrono::seconds(1000)};
     node_state state = make_node(options, now, 1);
     backend_announcement announced;
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -25,6 +25,9 @@
 
 constexpr seconds traffic_report_interval{10};
 
+/// Shortest time between two reads of the settings because of an announcement of another service.
+constexpr seconds service_refresh_interval{1};
+
 /// Shortest time for which a stopping process sends its last responses and frames.
 constexpr milliseconds min_output_time{300};
 
@@ -518,6 +521,8 @@
         return;
     }
     if (auto* announced = std::get_if<sidecar::backend_announced>(&message)) {
+        if (announced->m_announcement.m_service != m_state.m_options.m_service)
+            refresh_service();
         enqueue(std::move(*announced));
     } else {
         auto& removed = std::get<sidecar::backend_removed>(message);
@@ -673,6 +678,20 @@
     });
 }
 
+void node_runtime::impl::refresh_service()
+{
+    if (m_clock.now() < m_next_service_refresh)
+        return;
+    m_next_service_refresh = m_clock.now() + service_refresh_interval;
+    std::vector<field_error> errors;
+    const sidecar_settings read = load_settings(m_settings_path, errors);
+    if (!errors.empty() || read.m_service == m_state.m_options.m_service)
+        return;
+    report(log_level::warning, "service_changed",
+           {{"former", m_state.m_options.m_service}, {"service", read.m_service}});
+    m_settings.m_service = m_state.m_options.m_service = read.m_service;
+}
+
 void node_runtime::impl::reload_settings()
 {
     std::vector<field_error> errors;
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -117,6 +117,10 @@
     void tick();
     void wait_for_signal();
     void reload_settings();
+
+    /// Reads the service of this VM from the settings file again, at most once a second. The file
+    /// may change without a signal.
+    void refresh_service();
     std::string metrics_text();
 
     sidecar_settings m_settings;
@@ -162,6 +166,7 @@
     bool m_is_output_sent = false;
     time_point m_end_deadline;
 
+    time_point m_next_service_refresh;
     std::map<std::string, std::uint64_t> m_event_counts;
     bulk_pacer m_bulk_pacer;
 
