Check in turn that no change of the operator's documents was missed

Seen by callers: the store lost the answers to three watches and answered everything else.

Cause: a watch has 30 s for its answer. TCP keep-alive does not show a connection whose other end is alive and returns nothing further, and nothing else asked for the operator's documents.

Change: one of the connected nodes a second, by rank, asks for events after its revision over another connection, without waiting. A node that is behind applies them, opens a new watch and tells all peers. Evacuations come by the same watch. A node asks every 3 s at most.

--- a/libs/sidecar/include/azureladder/sidecar/events.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/events.hpp
@@ -164,6 +164,9 @@
     std::uint64_t m_configuration_revision = 0;
 
     std::set<std::string> m_evacuated_zones;
+
+    /// The watch did not report the change. Those of the peers may not have either.
+    bool m_missed_by_watch = false;
 };
 
 /// A configuration was decoded from the text of a document.
--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -63,6 +63,10 @@
     /// Revision of the evacuations, which change independently of the configuration.
     std::uint64_t m_evacuations_revision = 0;
     std::set<std::string> m_evacuated_zones;
+
+    /// Newest revision whose change was missed by the watch. Peers are told of it once it is in
+    /// effect.
+    std::uint64_t m_missed_revision = 0;
 };
 
 /// A document of which a peer has reported a newer revision.
--- a/libs/sidecar/include/azureladder/sidecar/step.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/step.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <azureladder/sidecar/check_turn.hpp>
 #include <azureladder/sidecar/effects.hpp>
 #include <azureladder/sidecar/events.hpp>
 #include <azureladder/sidecar/node_state.hpp>
@@ -14,6 +15,9 @@
 /// Whether the node accepts new requests: it has a configuration and is not stopping.
 bool is_ready(const node_state& state);
 
+/// Turn of this node among the nodes that it is connected to.
+check_turn check_turn_of(const node_state& state);
+
 /// Status of the local backend server as reported to peers.
 node_status status_of(const node_state& state, time_point now);
 
--- a/libs/sidecar/src/documents.cpp
+++ b/libs/sidecar/src/documents.cpp
@@ -92,6 +92,8 @@
 void on_operator_documents(step_context& context, const operator_documents& read)
 {
     active_configuration& known = context.m_state.m_active_configuration;
+    if (read.m_missed_by_watch)
+        known.m_missed_revision = read.m_configuration_revision;
     if (read.m_configuration_text && read.m_configuration_revision > known.m_revision)
         emit(context,
              decode_configuration{read.m_configuration_revision, *read.m_configuration_text});
@@ -99,6 +101,8 @@
         read.m_evacuated_zones != known.m_evacuated_zones || known.m_evacuations_revision == 0;
     if (changed && read.m_revision > known.m_evacuations_revision)
         set_evacuations(context, read.m_revision, read.m_evacuated_zones);
+    if (read.m_missed_by_watch)
+        broadcast_status(context);
 }
 
 void on_configuration_decoded(step_context& context, const configuration_decoded& decoded)
@@ -120,6 +124,9 @@
         {{"version", configuration.m_version},
          {"revision", known.m_revision},
          {"routes", configuration.m_routes.size()}});
+    // Otherwise peers learn of the revision with their next ping, which many peers send rarely.
+    if (known.m_missed_revision == known.m_revision)
+        broadcast_status(context);
     retry_waiting_requests(context);
 }
 
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -181,6 +181,19 @@
     return result;
 }
 
+check_turn check_turn_of(const node_state& state)
+{
+    check_turn turn;
+    for (const auto& [node, peer] : state.m_peers) {
+        if (peer.m_link == 0 || !peer.m_handshake_complete)
+            continue;
+        ++turn.m_members;
+        if (node < state.m_options.m_node)
+            ++turn.m_rank;
+    }
+    return turn;
+}
+
 bool is_ready(const node_state& state)
 {
     return state.m_active_configuration.m_configuration != nullptr && !state.m_stopping;
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -125,7 +125,8 @@
           [this](sidecar::event input_event) { enqueue(std::move(input_event)); },
           [this](log_level level, std::string_view event, const json& fields) {
               report(level, event, fields);
-          }),
+          },
+          [this] { return sidecar::check_turn_of(m_state); }),
       m_peer_acceptor(m_io), m_tick_timer(m_io), m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
 {
     std::signal(SIGPIPE, SIG_IGN);
--- a/libs/sidecar_runtime/src/store_client.cpp
+++ b/libs/sidecar_runtime/src/store_client.cpp
@@ -24,6 +24,13 @@
 /// Also the base of the delay before a reload after a failed watch.
 constexpr milliseconds watch_delay{30};
 
+/// Wait time of a check, which returns events that exist already.
+constexpr milliseconds check_wait{1};
+
+/// Delay of a check after the start of its time slot, so that a timer which fires early does not
+/// count for the previous slot.
+constexpr milliseconds check_slot_margin{20};
+
 /// Added to the wait time of a watch for its timeout.
 constexpr milliseconds watch_response_margin{2000};
 
@@ -50,9 +57,10 @@
 
 store_client::store_client(asio::io_context& io, const clock& time, const protocol_codec& codec,
                            byte_budget& budget, store_client_options options,
-                           event_handler on_event, log_handler on_log_line)
+                           event_handler on_event, log_handler on_log_line, turn_source turn)
     : m_io(io), m_clock(time), m_codec(codec), m_budget(budget), m_options(std::move(options)),
       m_on_event(std::move(on_event)), m_on_log_line(std::move(on_log_line)),
+      m_turn(std::move(turn)),
       m_random(static_cast<std::uint32_t>(std::hash<std::string>{}(m_options.m_node)))
 {
 }
@@ -62,6 +70,7 @@
     load_operator_documents("");
     create_lease();
     schedule_node_lists();
+    run_after(m_options.m_first_check_delay, [this] { schedule_check(); });
 }
 
 void store_client::run_after(milliseconds delay, std::function<void()> action)
@@ -166,7 +175,7 @@
     m_configuration_changed = true;
 }
 
-void store_client::report_operator_documents(std::uint64_t revision)
+void store_client::report_operator_documents(std::uint64_t revision, bool missed_by_watch)
 {
     sidecar::operator_documents documents;
     documents.m_revision = revision;
@@ -175,12 +184,14 @@
         documents.m_configuration_text = m_configuration_text;
     m_configuration_changed = false;
     documents.m_evacuated_zones = m_evacuated_zones;
+    documents.m_missed_by_watch = missed_by_watch;
     m_on_event(std::move(documents));
 }
 
 void store_client::watch()
 {
     ++m_call_count;
+    m_is_watching = true;
     if (!m_watch_connection || !m_watch_connection->can_be_reused_now())
         m_watch_connection = std::make_shared<client_connection>(
             m_io, m_options.m_address, m_options.m_connect_timeout, &m_budget);
@@ -192,6 +203,7 @@
 
 void store_client::on_watch(const exchange_outcome& outcome)
 {
+    m_is_watching = false;
     if (outcome.m_result != exchange_result::answered || outcome.m_response.m_status >= 500 ||
         outcome.m_response.m_status == 429) {
         // A list shows immediately whether events were missed, since a broken watch may be detected
@@ -214,6 +226,70 @@
     run_after(watch_delay, [this] { watch(); });
 }
 
+void store_client::schedule_check()
+{
+    const std::int64_t interval = std::chrono::microseconds(m_options.m_check_interval).count();
+    const milliseconds left((interval - m_clock.wall_time_us() % interval) / 1000);
+    run_after(left + check_slot_margin, [this] {
+        if (is_own_turn())
+            check_operator_documents();
+        schedule_check();
+    });
+}
+
+bool store_client::is_own_turn() const
+{
+    const sidecar::check_turn turn = m_turn();
+    const auto slot = static_cast<std::uint64_t>(
+        m_clock.wall_time_us() / std::chrono::microseconds(m_options.m_check_interval).count());
+    const std::uint64_t min_slots =
+        static_cast<std::uint64_t>(m_options.m_min_own_check_interval / m_options.m_check_interval);
+    return slot % std::max<std::uint64_t>(turn.m_members, min_slots) == turn.m_rank;
+}
+
+void store_client::check_operator_documents()
+{
+    // Without a watch, the documents are being read or the watch is about to be sent.
+    if (!m_is_watching)
+        return;
+    call(m_codec.encode_watch(m_codec.operator_key_prefix(), m_revision, check_wait),
+         m_options.m_call_timeout, [this](const exchange_outcome& outcome) { on_check(outcome); });
+}
+
+void store_client::on_check(const exchange_outcome& outcome)
+{
+    if (!m_is_watching || outcome.m_result != exchange_result::answered)
+        return;
+    const auto decoded = m_codec.decode_store_items(outcome.m_response);
+    const auto* response = std::get_if<store_read_response>(&decoded);
+    if (response == nullptr)
+        return;
+    const bool is_behind =
+        response->m_is_revision_compacted ||
+        std::any_of(response->m_items.begin(), response->m_items.end(),
+                    [this](const auto& item) { return item.m_revision > m_revision; });
+    if (!is_behind)
+        return;
+    m_on_log_line(log_level::warning, "watch_behind",
+                  {{"revision", m_revision},
+                   {"store_revision", response->m_revision},
+                   {"events", response->m_items.size()},
+                   {"compacted", response->m_is_revision_compacted}});
+    m_watch_connection->close();
+    m_is_watching = false;
+    if (response->m_is_revision_compacted) {
+        load_operator_documents("");
+        return;
+    }
+    for (const auto& item : response->m_items) {
+        if (item.m_revision > m_revision)
+            apply_item(item);
+    }
+    m_revision = std::max(m_revision, response->m_revision);
+    report_operator_documents(m_revision, true);
+    watch();
+}
+
 void store_client::create_lease()
 {
     call(m_codec.encode_lease_creation(m_options.m_record_ttl), m_options.m_call_timeout,
--- a/libs/sidecar_runtime/src/store_client.hpp
+++ b/libs/sidecar_runtime/src/store_client.hpp
@@ -3,6 +3,7 @@
 #include "client_connection.hpp"
 
 #include <azureladder/base/clock.hpp>
+#include <azureladder/sidecar/check_turn.hpp>
 #include <azureladder/sidecar/effects.hpp>
 #include <azureladder/sidecar/events.hpp>
 #include <azureladder/sidecar_runtime/protocol_codec.hpp>
@@ -27,10 +28,20 @@
     /// Timeout of one call. A healthy store responds within milliseconds.
     milliseconds m_call_timeout{1500};
 
-    /// Time that the store holds a watch open without events. Each renewal is a priced call, and
-    /// TCP keep-alive detects a dead connection earlier.
+    /// Time that the store holds a watch open without events. Each renewal is a priced call. TCP
+    /// keep-alive detects a dead connection earlier, and checks detect a response that was lost.
     milliseconds m_watch_wait{28'000};
 
+    /// Interval at which one of the connected nodes checks that no change of the operator's
+    /// documents was missed, so that the calls of all nodes together do not grow with their number.
+    /// A change has to be in effect within seconds.
+    milliseconds m_check_interval{1000};
+
+    /// Shortest interval between the checks of one node, and delay of the first one. Nodes connect
+    /// to each other meanwhile.
+    milliseconds m_min_own_check_interval{3000};
+    milliseconds m_first_check_delay{6000};
+
     /// Base of the delay before a retry. Failed calls are priced too.
     milliseconds m_retry_delay{400};
 
@@ -54,11 +65,12 @@
 {
 public:
     using event_handler = std::function<void(sidecar::event)>;
+    using turn_source = std::function<sidecar::check_turn()>;
     using log_handler = std::function<void(log_level, std::string_view, const json&)>;
 
     store_client(asio::io_context& io, const clock& time, const protocol_codec& codec,
                  byte_budget& budget, store_client_options options, event_handler on_event,
-                 log_handler on_log_line);
+                 log_handler on_log_line, turn_source turn);
 
     void start();
     void read_table(const sidecar::read_table& command);
@@ -83,10 +95,17 @@
 
     void load_operator_documents(const std::string& after_key);
     void apply_item(const store_item& item);
-    void report_operator_documents(std::uint64_t revision);
+    void report_operator_documents(std::uint64_t revision, bool missed_by_watch = false);
     void watch();
     void on_watch(const exchange_outcome& outcome);
 
+    /// Checks regularly, when it is this node's turn, that the watch has missed no event. A
+    /// connection whose response was lost stays open and returns nothing further.
+    void schedule_check();
+    bool is_own_turn() const;
+    void check_operator_documents();
+    void on_check(const exchange_outcome& outcome);
+
     void create_lease();
     void write_record(std::uint64_t lease);
     void retry_record();
@@ -107,10 +126,14 @@
     store_client_options m_options;
     event_handler m_on_event;
     log_handler m_on_log_line;
+    turn_source m_turn;
     std::mt19937 m_random;
     std::vector<std::shared_ptr<client_connection>> m_idle_connections;
     std::shared_ptr<client_connection> m_watch_connection;
 
+    /// A watch was sent and has no outcome yet.
+    bool m_is_watching = false;
+
     std::uint64_t m_revision = 0;
     std::string m_configuration_text;
     std::uint64_t m_configuration_revision = 0;
