Keep departures of ignored servers and close connections of failed handlers

A connection whose handler failed said keep-alive and closed; it says close now. Requests that exceed a limit are logged as request_rejected, since they need not be malformed.

--- a/libs/sidecar/src/backend_announcements.cpp
+++ b/libs/sidecar/src/backend_announcements.cpp
@@ -84,9 +84,16 @@
 void on_backend_announced(step_context& context, const backend_announcement& announced)
 {
     node_state& state = context.m_state;
+    const bool same_incarnation =
+        state.m_backend &&
+        incarnation_of(state.m_backend->m_announcement) == incarnation_of(announced);
     const char* cause = foreign_cause(state.m_options, announced);
-    if (cause == nullptr && state.m_backend)
+    if (cause == nullptr && state.m_backend) {
         cause = outranked_cause(*state.m_backend, announced);
+        // The departure is acknowledged, so this server must not be used later either.
+        if (cause != nullptr && announced.m_draining && !same_incarnation)
+            acknowledge_departures(context, {{announced.m_id, announced.m_started_at_ms}});
+    }
     if (cause != nullptr) {
         log(context, log_level::info, "announcement_ignored",
             {{"backend", announced.m_id},
@@ -97,9 +104,6 @@
              {"cause", cause}});
         return;
     }
-    const bool same_incarnation =
-        state.m_backend &&
-        incarnation_of(state.m_backend->m_announcement) == incarnation_of(announced);
     if (same_incarnation) {
         record_interval(context, *state.m_backend, announced);
     } else {
--- a/libs/sidecar/tests/backend_announcements_test.cpp
+++ b/libs/sidecar/tests/backend_announcements_test.cpp
@@ -222,6 +222,26 @@
     EXPECT_TRUE(is_open());
 }
 
+// Guards against requests to a second server on the VM whose departure was acknowledged while the
+// first one was in use.
+TEST_F(announced_server, departure_of_a_second_server_of_the_vm_is_kept)
+{
+    announce_for(2);
+    backend_announcement second = m_announcement;
+    second.m_id = "i-2";
+    second.m_address = "10.0.0.1:8302";
+    second.m_started_at_ms = 9000;
+    second.m_sequence = 2;
+    second.m_draining = true;
+    step(m_state, backend_announced{second}, m_now);
+    EXPECT_TRUE(is_open());
+    run_for(heartbeat * 4);
+    second.m_draining = false;
+    second.m_sequence = 1;
+    step(m_state, backend_announced{second}, m_now);
+    EXPECT_FALSE(is_open());
+}
+
 // Guards against a true server that is ignored for good because another announcement has named its
 // address and a later start.
 TEST_F(announced_server, is_heard_again_after_a_single_announcement_of_a_later_server)
--- a/libs/sidecar_runtime/src/client_connection.hpp
+++ b/libs/sidecar_runtime/src/client_connection.hpp
@@ -81,6 +81,7 @@
 
 private:
     bool has_no_pending_input();
+
     /// Builds the message to send. Throws std::exception for a method or header that HTTP does not
     /// allow.
     void build_message(const http_request& request);
--- a/libs/sidecar_runtime/src/http_session.cpp
+++ b/libs/sidecar_runtime/src/http_session.cpp
@@ -355,8 +355,9 @@
     } catch (const std::exception& error) {
         if (m_handlers.m_on_rejected)
             m_handlers.m_on_rejected(failed_handler_status, error.what());
-        // No further request is read, because the handler may have left the state of this one.
+        // The connection is closed, because the handler may have left the state of this request.
         m_is_last_request_read = true;
+        m_exchanges.back().m_keep_alive = false;
         respond(number, {failed_handler_status, {}, "request could not be handled\n"});
         return false;
     }
--- a/libs/sidecar_runtime/src/http_session.hpp
+++ b/libs/sidecar_runtime/src/http_session.hpp
@@ -116,7 +116,6 @@
     void read_available();
     void process_input();
 
-    /// Parses buffered bytes. Returns false when more bytes are needed.
     /// Calls the handler of a request. Responds in its place if it throws.
     bool handle_request(std::uint64_t number, http_request request);
 
@@ -124,6 +123,7 @@
     /// allow.
     void build_response(const http_response& response, bool is_head_request, bool keep_alive);
 
+    /// Parses buffered bytes. Returns false when more bytes are needed.
     bool parse_request();
 
     /// Passes input to the parser. Returns the number of bytes used.
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -197,7 +197,7 @@
     };
     callbacks.m_is_draining = [this] { return m_state.m_stopping; };
     callbacks.m_on_rejected = [this](int status, const std::string& cause) {
-        report(log_level::info, "request_malformed", {{"status", status}, {"cause", cause}});
+        report(log_level::info, "request_rejected", {{"status", status}, {"cause", cause}});
     };
     callbacks.m_request_budget = &m_request_budget;
     callbacks.m_on_write = [this](bool is_started) {
@@ -223,7 +223,7 @@
     callbacks.m_limits = [] { return routing::client_limits{}; };
     callbacks.m_is_draining = [] { return false; };
     callbacks.m_on_rejected = [this](int status, const std::string& cause) {
-        report(log_level::warning, "control_request_malformed",
+        report(log_level::warning, "control_request_rejected",
                {{"status", status}, {"cause", cause}});
     };
     callbacks.m_request_budget = &m_request_budget;
