--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -67,9 +67,8 @@
     /// unresponsive.
     std::uint32_t m_unanswered_limit = 4;
 
-    /// Time after which a server counts as silent that this process has received one announcement
-    /// of. That one may have been delayed, and the server may have left. Above the interval of the
-    /// announcements, which is not known yet.
+    /// Time after the first announcement of a server at which it counts as silent if no second one
+    /// has arrived. The first may have been delayed, and the server may have left.
     duration m_first_announcement_lifetime = milliseconds(2500);
 
     /// Number of missed announcements after which a server counts as silent, and shortest time.
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -75,9 +75,8 @@
                          std::uint64_t incarnation);
 void on_backend_announced(step_context& context, const backend_announcement& announced);
 
-/// Ends the belief in a server that has not announced itself for a while. An acknowledged departure
-/// may have been forgotten with all processes, and delayed announcements may follow it; those of a
-/// server that has left end.
+/// Marks the server as silent when its announcements have stopped. It may have left, and its
+/// departure may be unknown because all processes were restarted.
 void check_announcement_age(step_context& context);
 
 /// Starts or refuses queued requests according to the current limits.
