Confine defects of a configuration to their routes and accept uploads

One route of the kind upload made the whole configuration unreadable: the nodes never became ready and no request was served. The reader gave up at the first invalid entry. Requests that match no route get 503 instead of 404 while a route can't be matched with requests.

--- a/libs/routing/include/azureladder/routing/route.hpp
+++ b/libs/routing/include/azureladder/routing/route.hpp
@@ -45,6 +45,10 @@
 
     /// Services that share the requests of the route, by weight.
     std::vector<weighted_service> m_services;
+
+    /// The operator's entry can't be used. Its requests are refused as not executed, since another
+    /// route, or none, would be wrong for them.
+    bool m_is_unusable = false;
 };
 
 } // namespace azureladder::routing
--- a/libs/routing/include/azureladder/routing/routing_configuration.hpp
+++ b/libs/routing/include/azureladder/routing/routing_configuration.hpp
@@ -12,6 +12,14 @@
 
 namespace azureladder::routing {
 
+/// Entry of a configuration that can't be used as it is written.
+struct configuration_defect
+{
+    /// Name of the route or service; empty if the entry has none.
+    std::string m_entry;
+    std::string m_cause;
+};
+
 /// One version of the operator's configuration.
 struct routing_configuration
 {
@@ -20,6 +28,13 @@
     std::map<std::string, service_definition, std::less<>> m_services;
     client_limits m_limits;
 
+    /// Defects cost the requests of their own entry only.
+    std::vector<configuration_defect> m_defects;
+
+    /// Some routes have no usable host or prefix. A request that matches no route may belong to one
+    /// of them.
+    bool m_has_unmatchable_routes = false;
+
     /// Indices into `m_routes` by host, longest prefix first. Filled by `index_routes`.
     std::map<std::string, std::vector<std::size_t>, std::less<>> m_routes_by_host;
 };
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -207,10 +207,20 @@
         refuse_new_request(context, arrived, 503, "node is stopping", default_retry_after);
         return;
     }
+    if (route == nullptr && configuration->m_has_unmatchable_routes) {
+        refuse_new_request(context, arrived, 503, "the configuration has unreadable routes",
+                           default_retry_after);
+        return;
+    }
     if (route == nullptr) {
         refuse_new_request(context, arrived, 404, "no route matches the host and path", {});
         return;
     }
+    if (route->m_is_unusable) {
+        refuse_new_request(context, arrived, 503, "the configuration of the route is unusable",
+                           default_retry_after);
+        return;
+    }
     const routing::weighted_service* service =
         routing::next_service(state.m_service_selections[route->m_name], route->m_services);
     if (service == nullptr) {
--- a/libs/sidecar/src/peer_frame_codec.cpp
+++ b/libs/sidecar/src/peer_frame_codec.cpp
@@ -198,8 +198,7 @@
 
 void read_value(const msgpack::object& row, routing::request_kind& value)
 {
-    value = row.as<int>() == 0 ? routing::request_kind::idempotent
-                               : routing::request_kind::non_idempotent;
+    read_enumerator(row, value, routing::request_kind_names);
 }
 
 template <class Value>
--- a/libs/sidecar/tests/ingress_test.cpp
+++ b/libs/sidecar/tests/ingress_test.cpp
@@ -211,4 +211,27 @@
     EXPECT_EQ(response_status(step(state, early, start_time + milliseconds(1600))), 503);
 }
 
+// Guards against 404, which callers do not repeat, and against an execution by the wrong service,
+// when the operator's entry of a route can't be used.
+TEST(ingress, requests_of_unusable_routes_are_refused_as_not_executed)
+{
+    for (const bool is_matchable : {true, false}) {
+        node_state state = make_connected_node({"a"});
+        auto configuration = *make_configuration();
+        configuration.m_version = 2;
+        if (is_matchable)
+            configuration.m_routes.front().m_is_unusable = true;
+        else
+            configuration.m_routes.clear();
+        configuration.m_has_unmatchable_routes = !is_matchable;
+        routing::index_routes(configuration);
+        step(state,
+             configuration_decoded{
+                 6, "text",
+                 std::make_shared<routing::routing_configuration>(std::move(configuration))},
+             start_time);
+        EXPECT_EQ(response_status(step(state, make_request(), start_time)), 503) << is_matchable;
+    }
+}
+
 } // namespace azureladder::sidecar
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -415,6 +415,14 @@
     auto configuration = std::make_shared<routing::routing_configuration>(
         std::get<routing::routing_configuration>(std::move(decoded)));
     routing::index_routes(*configuration);
+    for (const auto& defect : configuration->m_defects) {
+        report(log_level::error, "configuration_entry_unusable",
+               {{"revision", command.m_revision},
+                {"version", configuration->m_version},
+                {"entry", defect.m_entry},
+                {"cause", defect.m_cause}});
+        m_metrics.add_counter("configuration_defects_total", 1, {{"entry", defect.m_entry}});
+    }
     enqueue(sidecar::configuration_decoded{command.m_revision, command.m_text,
                                            std::move(configuration)});
 }
