Tell calls of backend servers by the nodes that they originate from

Calls were told by a route priority of 0. On all deployments calls have the priorities of clients' routes, and on one a route of clients has priority 0: its requests earned no repeats, and its repeats were charged for calls. Now the gates count the origins of a route's requests; a route that only one service uses is one of calls, and calls go before all other requests in the queue of the called server. The test of the budget beside a flood of calls ran in a system of one service, where calls can't be told from requests of clients; it has two services now and the same bounds.

--- a/libs/routing/include/azureladder/routing/admission_controller.hpp
+++ b/libs/routing/include/azureladder/routing/admission_controller.hpp
@@ -57,8 +57,8 @@
     /// Running requests by id.
     std::map<std::uint64_t, admission_request> m_running;
 
-    /// Waiting requests, the most urgent first: by priority, then those that can meet their target
-    /// before those that can't, then by target, then by arrival.
+    /// Waiting requests, the most urgent first: calls, then by priority, then those that can meet
+    /// their target before those that can't, then by target, then by arrival.
     std::vector<admission_request> m_waiting;
 
     /// Time at which the queue last became non-empty.
--- a/libs/routing/include/azureladder/routing/admission_request.hpp
+++ b/libs/routing/include/azureladder/routing/admission_request.hpp
@@ -31,6 +31,10 @@
     /// Whether the request was admitted although it will miss its target. It waits behind all
     /// requests of the same priority that can meet theirs. Set by the admission controller.
     bool m_is_late = false;
+
+    /// Whether a backend server makes the request during the execution of another one, which holds
+    /// a slot until it has the response. Calls go before all other requests.
+    bool m_is_call = false;
 };
 
 } // namespace azureladder::routing
--- a/libs/routing/include/azureladder/routing/route.hpp
+++ b/libs/routing/include/azureladder/routing/route.hpp
@@ -16,10 +16,6 @@
     std::uint32_t m_weight = 1;
 };
 
-/// Priority of routes that only the calls of backend servers use; routes of clients are less
-/// urgent.
-inline constexpr std::uint32_t call_priority = 0;
-
 /// Route for the requests to one host below one path prefix.
 struct route
 {
@@ -37,7 +33,7 @@
     /// Target latency of a response.
     duration m_latency_objective{};
 
-    /// Priority; 0 is the most urgent (`call_priority`).
+    /// Priority; 0 is the most urgent. Routes of clients and of calls may have the same.
     std::uint32_t m_priority = 0;
 
     /// Maximum number of backend servers that one request of a caller may be sent to.
--- a/libs/routing/src/admission_controller.cpp
+++ b/libs/routing/src/admission_controller.cpp
@@ -43,6 +43,8 @@
 
 bool is_more_urgent(const admission_request& a, const admission_request& b)
 {
+    if (a.m_is_call != b.m_is_call)
+        return a.m_is_call;
     if (a.m_priority != b.m_priority)
         return a.m_priority < b.m_priority;
     if (a.m_is_late != b.m_is_late)
--- a/libs/routing/tests/admission_controller_test.cpp
+++ b/libs/routing/tests/admission_controller_test.cpp
@@ -44,6 +44,24 @@
     EXPECT_EQ(state.m_running.size(), 2U);
 }
 
+// Guards against calls that wait behind new requests of the same or a more urgent priority: the slot
+// of the calling request stays occupied, and its work is wasted if the call fails.
+TEST(admission_controller, starts_calls_before_new_requests)
+{
+    admission_controller state = make_admission_controller(1, "r", milliseconds(50));
+    const admission_options options;
+    for (std::uint64_t id = 1; id <= 3; ++id)
+        admit(state, make_request(id, "r", 0, milliseconds(1000), milliseconds(2000)), start_time,
+              options);
+    admission_request call = make_request(4, "call", 1, milliseconds(250), milliseconds(800));
+    call.m_is_call = true;
+    admit(state, call, start_time, options);
+    finish_execution(state, 1, milliseconds(50), execution_outcome::succeeded, start_time, options);
+    const auto started = start_waiting_requests(state, start_time, options);
+    ASSERT_EQ(started.size(), 1U);
+    EXPECT_EQ(started.front().m_id, 4U);
+}
+
 // Guards against retries that delay requests that can still meet their target: under sustained
 // overload most responses were late. Late retries wait behind those requests, and a first attempt
 // that would be late is rejected at once.
--- a/libs/sidecar/include/azureladder/sidecar/forwarded_request.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/forwarded_request.hpp
@@ -38,6 +38,9 @@
     std::string m_route;
     std::uint32_t m_priority = 0;
     routing::request_kind m_kind = routing::request_kind::non_idempotent;
+
+    /// A backend server makes the request during the execution of another one.
+    bool m_is_call = false;
 };
 
 using forwarded_request_ptr = std::shared_ptr<const forwarded_request>;
--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -124,6 +124,9 @@
     /// Calls that the local backend server makes during its executions.
     routing::nested_calls m_nested_calls;
 
+    /// Origins of the requests that arrived for the local backend server.
+    routing::origins_by_route m_request_origins;
+
     /// Set while the server counts as cold until its next announcement.
     time_point m_cold_until_announced;
 
--- a/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
@@ -59,6 +59,9 @@
 
     /// Calls that the backend server makes per execution, by called service.
     routing::calls_by_service m_calls_per_execution;
+
+    /// Routes (`route_hash`) of the backend server that only calls of other servers use.
+    std::vector<std::uint32_t> m_called_routes;
 };
 
 struct ping_frame
--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -68,7 +68,7 @@
     const local_backend& backend = *context.m_state.m_backend;
     execution.m_started = true;
     execution.m_started_at = context.m_now;
-    if (execution.m_request->m_priority != routing::call_priority)
+    if (!execution.m_request->m_is_call)
         routing::record_execution(context.m_state.m_nested_calls);
     json fields = execution_fields(execution);
     fields["backend"] = backend.m_announcement.m_id;
@@ -288,6 +288,8 @@
             return;
         }
     }
+    routing::record_origin(state.m_request_origins, routing::route_hash(request.m_route),
+                           request.m_caller_service, state.m_options.m_call_detection);
     update_limits(context);
     backend_execution execution;
     execution.m_id = state.m_next_execution++;
@@ -299,10 +301,11 @@
     execution.m_frame = frame.m_id;
     execution.m_request = frame.m_request;
     execution.m_deadline = context.m_now + duration(frame.m_remaining_us) - delay;
-    const routing::admission_request wanted{
+    routing::admission_request wanted{
         execution.m_id,       request.m_route,
         request.m_priority,   context.m_now + duration(frame.m_target_us) - delay,
         execution.m_deadline, frame.m_is_retry};
+    wanted.m_is_call = request.m_is_call;
     const auto decision = routing::admit(state.m_admission_controller, wanted, context.m_now,
                                          state.m_options.m_admission_options);
     if (decision.m_admission == routing::admission::refuse) {
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -20,7 +20,7 @@
 routing::calls_by_service calls_of(const node_state& state, const open_request& request,
                                    const std::string& node)
 {
-    if (request.m_request->m_priority == routing::call_priority)
+    if (request.m_request->m_is_call)
         return {};
     if (node == state.m_options.m_node)
         return routing::calls_per_execution(state.m_nested_calls);
@@ -167,6 +167,17 @@
     peer->second.m_sent_since_status = 0;
 }
 
+/// Whether only calls of backend servers use a route, as the gates of its service report.
+bool is_call_route(node_state& state, const std::string& service, const std::string& route)
+{
+    const std::uint32_t hash = routing::route_hash(route);
+    const auto& peers = state.m_peer_index.peers_of(state.m_peers, service);
+    return std::any_of(peers.begin(), peers.end(), [&](const auto* peer) {
+        const auto& routes = peer->second.m_status.m_called_routes;
+        return std::find(routes.begin(), routes.end(), hash) != routes.end();
+    });
+}
+
 /// Whether a stopping node accepts a new request: it is not too late, and the process does not end
 /// before the latency objective of the request.
 bool accepts_while_stopping(const node_state& state, duration latency_objective, time_point now)
@@ -234,6 +245,7 @@
     forwarded->m_priority = route->m_priority;
     forwarded->m_kind = route->m_kind;
     forwarded->m_caller_service = local_service(state);
+    forwarded->m_is_call = is_call_route(state, service->m_service, route->m_name);
 
     open_request request;
     request.m_caller = arrived.m_caller;
@@ -252,7 +264,7 @@
     request.m_is_retry = age > duration::zero();
     request.m_target = context.m_now + std::min(remaining, route->m_latency_objective - age);
     auto& budget = state.m_retry_budgets[request.m_request->m_service];
-    if (route->m_priority == routing::call_priority)
+    if (request.m_request->m_is_call)
         routing::record_call(state.m_nested_calls, request.m_request->m_service);
     else
         routing::record_request(
--- a/libs/sidecar/src/peer_frame_fields.hpp
+++ b/libs/sidecar/src/peer_frame_fields.hpp
@@ -34,7 +34,7 @@
 {
     return std::tie(value.m_service, value.m_server_incarnation, value.m_report, value.m_leaving,
                     value.m_key_utilization, value.m_owns_keys, value.m_departed_servers,
-                    value.m_calls_per_execution);
+                    value.m_calls_per_execution, value.m_called_routes);
 }
 
 template <class Value>
@@ -42,7 +42,8 @@
 {
     return std::tie(value.m_request_id, value.m_method, value.m_target, value.m_host,
                     value.m_headers, value.m_body, value.m_caller_service, value.m_key,
-                    value.m_service, value.m_route, value.m_priority, value.m_kind);
+                    value.m_service, value.m_route, value.m_priority, value.m_kind,
+                    value.m_is_call);
 }
 
 template <class Value>
--- a/libs/sidecar/src/peers.cpp
+++ b/libs/sidecar/src/peers.cpp
@@ -57,11 +57,24 @@
     peer.m_connect_backoff = state.m_options.m_min_connect_backoff;
 }
 
+/// Whether some peer runs a server of another service than this node.
+bool has_other_services(const node_state& state)
+{
+    const std::string service = local_service(state);
+    return std::any_of(state.m_peers.begin(), state.m_peers.end(), [&](const auto& entry) {
+        const std::string& other = entry.second.m_status.m_service;
+        return !other.empty() && other != service;
+    });
+}
+
 status_frame make_status(const node_state& state, std::uint64_t sequence, time_point now)
 {
     status_frame frame;
     frame.m_sequence = sequence;
     frame.m_status = status_of(state, now);
+    if (has_other_services(state))
+        frame.m_status.m_called_routes =
+            routing::called_routes(state.m_request_origins, state.m_options.m_call_detection);
     frame.m_documents = received_revisions(state);
     const std::string service = local_keyed_service(state);
     const auto table = state.m_tables.find(service);
--- a/libs/sidecar/tests/cluster_test.cpp
+++ b/libs/sidecar/tests/cluster_test.cpp
@@ -142,16 +142,17 @@
 TEST(sidecar_cluster, repeats_stay_within_the_budget_beside_a_flood_of_calls)
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-        sidecar_cluster cluster({8, 0, seed});
+        sidecar_cluster cluster({8, 2, seed});
         cluster.run_for(startup_time);
         cluster.reject_requests(0.55);
         std::mt19937_64 random(seed);
-        const auto random_node = [&] { return "orders-" + std::to_string(random() % 8); };
+        const auto nodes = cluster.nodes();
+        const auto calling_node = [&] { return "orders-" + std::to_string(random() % 8); };
         std::size_t requests = 0;
         for (int i = 0; i < 800; ++i, ++requests) {
-            cluster.send(random_node(), "orders");
+            cluster.send(nodes[random() % nodes.size()], "orders");
             for (int call = 0; call < 3; ++call)
-                cluster.send_call(random_node());
+                cluster.send_call(calling_node());
             cluster.run_for(milliseconds(10));
         }
         cluster.run_for(seconds(2));
--- a/libs/sidecar/tests/sidecar_cluster.cpp
+++ b/libs/sidecar/tests/sidecar_cluster.cpp
@@ -37,7 +37,6 @@
     routing::route calls = make_route("orders", routing::request_kind::idempotent);
     calls.m_name = "calls";
     calls.m_host = "orders-calls";
-    calls.m_priority = routing::call_priority;
     result->m_routes.push_back(calls);
     result->m_services["orders"].m_name = "orders";
     result->m_services["shelf"].m_name = "shelf";
