--- a/libs/key_ranges/include/azureladder/key_ranges/range_entry.hpp
+++ b/libs/key_ranges/include/azureladder/key_ranges/range_entry.hpp
@@ -48,6 +48,10 @@
     /// Handover token from the release by the previous lease holder, sent along with the next
     /// grant; empty if there is none.
     std::string m_handover;
+
+    /// Era of the store in which the owner was confirmed. Leases are granted only on ranges that
+    /// are confirmed in the era of the table.
+    std::uint64_t m_era = 0;
 };
 
 bool operator==(const range_entry& a, const range_entry& b);
--- a/libs/key_ranges/src/range_table.cpp
+++ b/libs/key_ranges/src/range_table.cpp
@@ -10,7 +10,7 @@
     const auto fields = [](const range_entry& entry) {
         return std::tie(entry.m_from, entry.m_to, entry.m_owner, entry.m_server_incarnation,
                         entry.m_fencing_token, entry.m_state, entry.m_previous_owner,
-                        entry.m_handover);
+                        entry.m_handover, entry.m_era);
     };
     return fields(a) == fields(b);
 }
@@ -71,6 +71,7 @@
     moved.m_server_incarnation = owner.m_server_incarnation;
     moved.m_fencing_token = table.m_next_fencing_token++;
     moved.m_handover = handover;
+    moved.m_era = whole.m_era;
     parts.push_back(moved);
     if (to < whole.m_to) {
         parts.push_back(whole);
@@ -161,7 +162,8 @@
                            merged.back().m_owner == owner && entry.m_state == range_state::active &&
                            merged.back().m_state == range_state::active &&
                            !entry.m_server_incarnation.empty() &&
-                           merged.back().m_server_incarnation == entry.m_server_incarnation;
+                           merged.back().m_server_incarnation == entry.m_server_incarnation &&
+                           merged.back().m_era == entry.m_era;
         if (!joins) {
             merged.push_back(entry);
             continue;
--- a/libs/key_ranges/src/range_table_json.cpp
+++ b/libs/key_ranges/src/range_table_json.cpp
@@ -10,9 +10,11 @@
 
 namespace {
 
-/// Fields of each entry; the last three are left out together when they have their default values.
+/// Fields of each entry; those behind the first four are left out when all have their default
+/// values, and the era also when it alone has.
 constexpr std::size_t short_entry_fields = 4;
 constexpr std::size_t long_entry_fields = 7;
+constexpr std::size_t entry_fields_with_era = 8;
 
 std::optional<range_owner> parse_owner(const json& row)
 {
@@ -23,7 +25,8 @@
 
 std::optional<range_entry> parse_entry(const json& row, const std::vector<range_owner>& owners)
 {
-    if (!row.is_array() || (row.size() != short_entry_fields && row.size() != long_entry_fields))
+    if (!row.is_array() || (row.size() != short_entry_fields && row.size() != long_entry_fields &&
+                            row.size() != entry_fields_with_era))
         return std::nullopt;
     for (std::size_t i = 0; i < short_entry_fields; ++i) {
         if (!row[i].is_number_unsigned())
@@ -50,6 +53,11 @@
     entry.m_state = *state;
     entry.m_previous_owner = row[5].get<std::string>();
     entry.m_handover = row[6].get<std::string>();
+    if (row.size() == entry_fields_with_era) {
+        if (!row[7].is_number_unsigned())
+            return std::nullopt;
+        entry.m_era = row[7].get<std::uint64_t>();
+    }
     return entry;
 }
 
@@ -57,10 +65,12 @@
 {
     json row = {entry.m_from, entry.m_to, owner, entry.m_fencing_token};
     if (entry.m_state != range_state::active || !entry.m_previous_owner.empty() ||
-        !entry.m_handover.empty()) {
+        !entry.m_handover.empty() || entry.m_era != 0) {
         row.push_back(std::string(find_enum_name(range_state_names, entry.m_state)));
         row.push_back(entry.m_previous_owner);
         row.push_back(entry.m_handover);
+        if (entry.m_era != 0)
+            row.push_back(entry.m_era);
     }
     return row;
 }
--- a/libs/sidecar/include/azureladder/sidecar/effects.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/effects.hpp
@@ -103,6 +103,13 @@
     std::string m_text;
 };
 
+/// Tells the store client of an era that a peer has reported. Responses of former eras are of no
+/// use any more.
+struct enter_store_era
+{
+    std::uint64_t m_era = 0;
+};
+
 struct read_table
 {
     std::string m_service;
@@ -111,6 +118,8 @@
 struct write_table
 {
     std::string m_service;
+
+    /// Revision with the era that the write belongs to; number 0 if the table must not exist in it.
     std::uint64_t m_expected_revision = 0;
     std::string m_text;
 };
@@ -145,10 +154,10 @@
 {
 };
 
-using effect =
-    std::variant<forward_response, respond_to_caller, connect_node, close_link, send_frame,
-                 start_execution, cancel_execution, grant_keys, release_keys, decode_configuration,
-                 read_table, write_table, store_departures, record_request, log_line, stop_process>;
+using effect = std::variant<forward_response, respond_to_caller, connect_node, close_link,
+                            send_frame, start_execution, cancel_execution, grant_keys, release_keys,
+                            decode_configuration, enter_store_era, read_table, write_table,
+                            store_departures, record_request, log_line, stop_process>;
 
 using effects = std::vector<effect>;
 
--- a/libs/sidecar/include/azureladder/sidecar/events.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/events.hpp
@@ -154,7 +154,7 @@
     departed_servers m_departed;
 };
 
-/// The operator's documents were read from the store.
+/// The operator's documents were read from the store. Revisions include the era.
 struct operator_documents
 {
     std::uint64_t m_revision = 0;
@@ -177,13 +177,25 @@
     std::shared_ptr<const routing::routing_configuration> m_configuration;
 };
 
-/// A read of a range table from the store ended. Revision 0: the table does not exist.
+/// A response of the store belongs to a newer era than all earlier ones.
+struct store_era_seen
+{
+    std::uint64_t m_era = 0;
+};
+
+/// A read of a range table from the store ended.
 struct table_read
 {
     std::string m_service;
     bool m_succeeded = false;
+
+    /// Revision with the era of the store (`store_revision`); number 0 if the table does not exist
+    /// in this era.
     std::uint64_t m_revision = 0;
     std::string m_text;
+
+    /// Newest table of a former era, if the store has one and none of this era.
+    std::string m_former_text;
     time_point m_sent_at;
 };
 
@@ -199,7 +211,8 @@
     std::string m_service;
     write_result m_result = write_result::unknown;
 
-    /// Revision of the table in the store, and its text after a conflict if the store returned it.
+    /// Revision of the table in the store with the era, and its text after a conflict if the store
+    /// returned it.
     std::uint64_t m_revision = 0;
     std::string m_text;
     time_point m_sent_at;
@@ -219,10 +232,10 @@
 {
 };
 
-using event =
-    std::variant<caller_request, caller_disconnected, link_opened, link_closed, connect_failed,
-                 frame_received, execution_ended, key_command_ended, backend_announced,
-                 backend_removed, departures_read, operator_documents, configuration_decoded,
-                 table_read, table_written, nodes_listed, timer_tick, stop_requested>;
+using event = std::variant<caller_request, caller_disconnected, link_opened, link_closed,
+                           connect_failed, frame_received, execution_ended, key_command_ended,
+                           backend_announced, backend_removed, departures_read, operator_documents,
+                           configuration_decoded, store_era_seen, table_read, table_written,
+                           nodes_listed, timer_tick, stop_requested>;
 
 } // namespace azureladder::sidecar
--- a/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -32,6 +33,9 @@
     /// Some ranges are being taken over.
     bool m_has_takeovers = false;
 
+    /// Some ranges are not confirmed in the era of the table.
+    bool m_has_unconfirmed = false;
+
     /// Owners named by refusals. A hint is used only if its fencing token is newer than that of the
     /// table.
     std::vector<owner_hint> m_hints;
@@ -86,6 +90,18 @@
     time_point m_received_at;
 };
 
+/// Table of a newer era than the one in effect, before this node has claimed its ranges in it.
+struct table_of_new_era
+{
+    /// Revision number 0 if the table does not exist yet.
+    std::uint64_t m_revision = 0;
+    key_ranges::range_table m_table;
+    time_point m_confirmed_at;
+
+    /// Time of the claim. Owners claim one after the other to avoid conflicts.
+    time_point m_claim_at;
+};
+
 /// Key ranges of the local backend server and pending changes of the range table.
 struct key_ownership
 {
@@ -128,6 +144,8 @@
 
     /// The newest read found no table in the store.
     bool m_table_absent = false;
+
+    std::optional<table_of_new_era> m_new_era;
 };
 
 } // namespace azureladder::sidecar
--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -56,14 +56,23 @@
 /// Configuration and evacuations in effect at this node.
 struct active_configuration
 {
+    /// Newest store revision of the configuration that was decoded. Peers compare versions, since
+    /// the store may return to an earlier version.
     std::uint64_t m_revision = 0;
     std::string m_text;
     std::shared_ptr<const routing::routing_configuration> m_configuration;
 
     /// Revision of the evacuations, which change independently of the configuration.
     std::uint64_t m_evacuations_revision = 0;
+
+    /// Evacuations of this revision, and those in effect: with the retained ones.
+    std::set<std::string> m_listed_evacuations;
     std::set<std::string> m_evacuated_zones;
 
+    /// Evacuations that the store of a new era does not list yet, with the time until which they
+    /// stay in effect. The operator writes what the store has lost again.
+    std::map<std::string, time_point> m_retained_evacuations;
+
     /// Newest revision whose change was missed by the watch. Peers are told of it once it is in
     /// effect.
     std::uint64_t m_missed_revision = 0;
@@ -91,6 +100,10 @@
 
     active_configuration m_active_configuration;
 
+    /// Newest known era of the store, and the time at which this node learned of it.
+    std::uint64_t m_store_era = 0;
+    time_point m_store_era_known_at;
+
     /// Requests of callers, and the budgets and histories of their services and routes.
     std::map<std::uint64_t, open_request> m_requests;
     std::map<std::uint64_t, std::uint64_t> m_caller_of_frame;
--- a/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
@@ -81,6 +81,9 @@
 
     /// Age in microseconds of the newest confirmation of each range table, by document name.
     std::map<std::string, std::int64_t> m_confirmation_age_us;
+
+    /// Newest era of the store that the sender knows.
+    std::uint64_t m_store_era = 0;
 };
 
 struct request_frame
--- a/libs/sidecar/src/documents.cpp
+++ b/libs/sidecar/src/documents.cpp
@@ -1,6 +1,9 @@
 #include "step_context.hpp"
 
 #include <azureladder/key_ranges/range_table_json.hpp>
+#include <azureladder/key_ranges/store_revision.hpp>
+
+#include <algorithm>
 
 namespace azureladder::sidecar {
 
@@ -17,6 +20,10 @@
 constexpr duration owner_table_fetch_delay = milliseconds(250);
 constexpr duration table_fetch_delay = milliseconds(2000);
 
+/// Time for which an evacuation that the store of a new era does not list stays in effect. The
+/// operator writes it again; until then its servers must not receive requests.
+constexpr duration evacuation_retention = seconds(5);
+
 /// Timeout after which a document is requested again.
 constexpr duration document_timeout = milliseconds(500);
 
@@ -42,21 +49,50 @@
     return service == local_keyed_service(state) ? owner_table_fetch_delay : table_fetch_delay;
 }
 
-void set_evacuations(step_context& context, std::uint64_t revision, std::set<std::string> zones)
+/// Revision by which peers compare configurations: the operator's version, since the store may
+/// return to an earlier one. 0 without a configuration.
+std::uint64_t configuration_revision(const active_configuration& known)
+{
+    return known.m_configuration ? known.m_configuration->m_version + 1 : 0;
+}
+
+/// Puts the listed and the retained evacuations in effect.
+void apply_evacuations(step_context& context)
 {
     active_configuration& known = context.m_state.m_active_configuration;
-    known.m_evacuations_revision = revision;
+    std::set<std::string> zones = known.m_listed_evacuations;
+    for (const auto& [zone, until] : known.m_retained_evacuations)
+        zones.insert(zone);
     if (zones == known.m_evacuated_zones)
         return;
     known.m_evacuated_zones = std::move(zones);
     log(context, log_level::info, "evacuations_changed",
-        {{"zones", known.m_evacuated_zones}, {"revision", revision}});
+        {{"zones", known.m_evacuated_zones}, {"revision", known.m_evacuations_revision}});
     local_backend* backend = context.m_state.m_backend ? &*context.m_state.m_backend : nullptr;
     if (backend != nullptr && known.m_evacuated_zones.count(context.m_state.m_options.m_zone) == 0)
         // A server may be cold after an evacuation. Its next announcement reports whether it is.
         context.m_state.m_cold_until_announced = context.m_now;
 }
 
+/// Puts the evacuations of a newer revision in effect. Those that the store lost with its former
+/// era are retained for a while.
+void update_evacuations(step_context& context, std::uint64_t revision, std::set<std::string> zones)
+{
+    active_configuration& known = context.m_state.m_active_configuration;
+    const bool is_new_era =
+        known.m_evacuations_revision != 0 &&
+        key_ranges::era_of(revision) > key_ranges::era_of(known.m_evacuations_revision);
+    if (is_new_era) {
+        for (const auto& zone : known.m_evacuated_zones)
+            known.m_retained_evacuations[zone] = context.m_now + evacuation_retention;
+    }
+    for (const auto& zone : zones)
+        known.m_retained_evacuations.erase(zone);
+    known.m_evacuations_revision = revision;
+    known.m_listed_evacuations = std::move(zones);
+    apply_evacuations(context);
+}
+
 void request_document(step_context& context, const std::string& name, outdated_document& outdated)
 {
     outdated.m_requested_at = context.m_now;
@@ -80,8 +116,8 @@
 document_revisions received_revisions(const node_state& state)
 {
     document_revisions revisions;
-    if (state.m_active_configuration.m_revision != 0)
-        revisions[configuration_document] = state.m_active_configuration.m_revision;
+    if (state.m_active_configuration.m_configuration)
+        revisions[configuration_document] = configuration_revision(state.m_active_configuration);
     if (state.m_active_configuration.m_evacuations_revision != 0)
         revisions[evacuations_document] = state.m_active_configuration.m_evacuations_revision;
     for (const auto& [service, table] : state.m_tables)
@@ -97,26 +133,43 @@
     if (read.m_configuration_text && read.m_configuration_revision > known.m_revision)
         emit(context,
              decode_configuration{read.m_configuration_revision, *read.m_configuration_text});
+    on_store_era(context, key_ranges::era_of(read.m_revision));
     const bool changed =
-        read.m_evacuated_zones != known.m_evacuated_zones || known.m_evacuations_revision == 0;
+        read.m_evacuated_zones != known.m_listed_evacuations || known.m_evacuations_revision == 0;
     if (changed && read.m_revision > known.m_evacuations_revision)
-        set_evacuations(context, read.m_revision, read.m_evacuated_zones);
+        update_evacuations(context, read.m_revision, read.m_evacuated_zones);
     if (read.m_missed_by_watch)
         broadcast_status(context);
 }
 
+void check_retained_evacuations(step_context& context)
+{
+    auto& retained = context.m_state.m_active_configuration.m_retained_evacuations;
+    if (retained.empty())
+        return;
+    for (auto it = retained.begin(); it != retained.end();)
+        it = context.m_now < it->second ? std::next(it) : retained.erase(it);
+    apply_evacuations(context);
+}
+
 void on_configuration_decoded(step_context& context, const configuration_decoded& decoded)
 {
     active_configuration& known = context.m_state.m_active_configuration;
-    if (decoded.m_revision <= known.m_revision || !decoded.m_configuration)
+    if (!decoded.m_configuration)
         return;
     const auto& configuration = *decoded.m_configuration;
+    const bool is_newer_revision = decoded.m_revision > known.m_revision;
+    known.m_revision = std::max(known.m_revision, decoded.m_revision);
     if (known.m_configuration && configuration.m_version < known.m_configuration->m_version) {
-        log(context, log_level::warning, "older_configuration_ignored",
-            {{"version", configuration.m_version}, {"in_force", known.m_configuration->m_version}});
+        if (is_newer_revision)
+            log(context, log_level::warning, "older_configuration_ignored",
+                {{"version", configuration.m_version},
+                 {"in_force", known.m_configuration->m_version}});
         return;
     }
-    known.m_revision = decoded.m_revision;
+    if (known.m_configuration && configuration.m_version == known.m_configuration->m_version &&
+        !is_newer_revision)
+        return;
     known.m_text = decoded.m_text;
     known.m_configuration = decoded.m_configuration;
     context.m_state.m_outdated_documents.erase(configuration_document);
@@ -178,11 +231,11 @@
     document_frame frame;
     frame.m_name = name;
     if (name == configuration_document) {
-        frame.m_revision = state.m_active_configuration.m_revision;
+        frame.m_revision = configuration_revision(state.m_active_configuration);
         frame.m_text = state.m_active_configuration.m_text;
     } else if (name == evacuations_document) {
         frame.m_revision = state.m_active_configuration.m_evacuations_revision;
-        frame.m_text = dump_json(json(state.m_active_configuration.m_evacuated_zones));
+        frame.m_text = dump_json(json(state.m_active_configuration.m_listed_evacuations));
     } else if (is_table(name)) {
         const auto found = state.m_tables.find(table_service(name));
         if (found == state.m_tables.end())
@@ -243,8 +296,9 @@
 {
     node_state& state = context.m_state;
     if (frame.m_name == configuration_document) {
-        if (frame.m_revision > state.m_active_configuration.m_revision)
-            emit(context, decode_configuration{frame.m_revision, frame.m_text});
+        if (frame.m_revision > configuration_revision(state.m_active_configuration))
+            emit(context,
+                 decode_configuration{state.m_active_configuration.m_revision, frame.m_text});
         return;
     }
     if (frame.m_name == evacuations_document) {
@@ -259,7 +313,7 @@
                 names.insert(zone.get<std::string>());
         }
         if (frame.m_revision > state.m_active_configuration.m_evacuations_revision)
-            set_evacuations(context, frame.m_revision, std::move(names));
+            update_evacuations(context, frame.m_revision, std::move(names));
         return;
     }
     if (is_table(frame.m_name))
--- a/libs/sidecar/src/peer_frame_fields.hpp
+++ b/libs/sidecar/src/peer_frame_fields.hpp
@@ -75,7 +75,7 @@
 auto fields_of(Value& value, const status_frame* /*type*/)
 {
     return std::tie(value.m_sequence, value.m_status, value.m_documents,
-                    value.m_confirmation_age_us);
+                    value.m_confirmation_age_us, value.m_store_era);
 }
 
 template <class Value>
--- a/libs/sidecar/src/peers.cpp
+++ b/libs/sidecar/src/peers.cpp
@@ -76,6 +76,7 @@
         frame.m_status.m_called_routes =
             routing::called_routes(state.m_request_origins, state.m_options.m_call_detection);
     frame.m_documents = received_revisions(state);
+    frame.m_store_era = state.m_store_era;
     const std::string service = local_keyed_service(state);
     const auto table = state.m_tables.find(service);
     if (table != state.m_tables.end() && table->second.m_confirmed_at != time_point{})
@@ -312,6 +313,7 @@
     const auto found = state.m_peers.find(node->second);
     if (found == state.m_peers.end() || found->second.m_link != link)
         return;
+    on_store_era(context, frame.m_store_era);
     peer_state& peer = found->second;
     const bool was_open = peer.m_status.m_report.m_open;
     if (peer.m_status.m_service != frame.m_status.m_service)
--- a/libs/sidecar/src/range_leases.cpp
+++ b/libs/sidecar/src/range_leases.cpp
@@ -2,6 +2,7 @@
 
 #include <azureladder/key_ranges/fencing_token.hpp>
 #include <azureladder/key_ranges/lease_rules.hpp>
+#include <azureladder/key_ranges/store_revision.hpp>
 
 #include <algorithm>
 #include <vector>
@@ -74,9 +75,10 @@
     const std::string incarnation = local_owner_incarnation(state);
     if (table == state.m_tables.end() || incarnation.empty())
         return result;
+    const std::uint64_t era = key_ranges::era_of(table->second.m_revision);
     for (const auto& entry : table->second.m_table.m_entries) {
         if (entry.m_owner != state.m_options.m_node || entry.m_server_incarnation != incarnation ||
-            entry.m_state != key_ranges::range_state::active)
+            entry.m_state != key_ranges::range_state::active || entry.m_era != era)
             continue;
         for (auto& part : without_transfers(entry, state.m_ownership.m_transfers))
             result.push_back(std::move(part));
@@ -208,6 +210,18 @@
            now < lease.m_granted_at + state.m_options.m_leases.m_lease_duration - serving_margin;
 }
 
+std::vector<key_ranges::range_claim> entitled_ranges(const node_state& state, time_point now)
+{
+    std::vector<key_ranges::range_claim> result;
+    const auto table = state.m_tables.find(local_keyed_service(state));
+    if (table == state.m_tables.end() ||
+        !key_ranges::may_renew_lease(table->second.m_confirmed_at, now, state.m_options.m_leases))
+        return result;
+    for (const auto& lease : required_leases(state))
+        result.push_back({lease.m_from, lease.m_to});
+    return result;
+}
+
 void clear_range_leases(step_context& context)
 {
     // Transfers are retained until the table shows their end, because the store may still apply a
--- a/libs/sidecar/src/range_tables.cpp
+++ b/libs/sidecar/src/range_tables.cpp
@@ -2,6 +2,7 @@
 
 #include <azureladder/key_ranges/lease_rules.hpp>
 #include <azureladder/key_ranges/range_table_json.hpp>
+#include <azureladder/key_ranges/store_revision.hpp>
 #include <azureladder/sidecar/step.hpp>
 
 #include <algorithm>
@@ -226,6 +227,8 @@
         key_ranges::take_over_ranges(table, owner, self);
     key_ranges::finish_takeovers(table, self.m_node, finished_takeovers(context));
     key_ranges::bind_incarnation(table, self);
+    if (may_confirm_ranges(state, context.m_now))
+        key_ranges::confirm_ranges(table, self, state.m_store_era);
     for (const auto& owner : owners_to_bind(context, members, table))
         key_ranges::bind_incarnation(table, owner);
     return table;
@@ -249,7 +252,8 @@
 bool may_need_change(const node_state& state, const eligible_members& members,
                      const received_table& table, time_point now)
 {
-    if (table.m_has_takeovers || has_transfer_to_write(state, now))
+    if (table.m_has_takeovers || has_transfer_to_write(state, now) ||
+        (table.m_has_unconfirmed && may_confirm_ranges(state, now)))
         return true;
     return std::any_of(table.m_owners.begin(), table.m_owners.end(), [&](const auto& owner) {
         const auto& [node, incarnations] = owner;
@@ -266,7 +270,11 @@
 {
     table.m_owners.clear();
     table.m_has_takeovers = false;
+    table.m_has_unconfirmed = false;
+    const std::uint64_t era = key_ranges::era_of(table.m_revision);
     for (const auto& entry : table.m_table.m_entries) {
+        if (entry.m_era != era)
+            table.m_has_unconfirmed = true;
         auto& incarnations = table.m_owners[entry.m_owner];
         if (entry.m_state == range_state::active)
             incarnations.insert(entry.m_server_incarnation);
@@ -275,18 +283,6 @@
     }
 }
 
-void write_proposed_table(step_context& context, const std::string& service,
-                          std::uint64_t expected_revision, range_table table, const char* reason)
-{
-    key_ownership& keys = context.m_state.m_ownership;
-    keys.m_writing = true;
-    keys.m_proposed = std::move(table);
-    log(context, log_level::info, "table_proposed",
-        {{"service", service}, {"expected_revision", expected_revision}, {"reason", reason}});
-    emit(context,
-         write_table{service, expected_revision, key_ranges::to_json_text(keys.m_proposed)});
-}
-
 /// Creates the first table, divided among the members connected by then. Only the first member by
 /// name writes it.
 void create_table(step_context& context, const std::string& service)
@@ -301,7 +297,8 @@
     members.reserve(owners.size());
     for (const auto& [node, incarnation] : owners)
         members.push_back({node, incarnation});
-    write_proposed_table(context, service, 0, key_ranges::make_range_table(members), "created");
+    write_proposed_table(context, service, key_ranges::store_revision(state.m_store_era, 0),
+                         key_ranges::make_range_table(members), "created");
 }
 
 /// The reachable owner that comes first by name. It reads the store on behalf of all owners.
@@ -359,7 +356,9 @@
     key_ownership& keys = state.m_ownership;
     if (keys.m_reading || keys.m_writing || context.m_now < keys.m_next_read_at)
         return;
-    if (table != nullptr) {
+    const bool is_of_former_era = table != nullptr && !keys.m_new_era &&
+                                  key_ranges::era_of(table->m_revision) < state.m_store_era;
+    if (table != nullptr && !is_of_former_era) {
         const duration validity = state.m_options.m_leases.m_confirmation_validity;
         const duration age = context.m_now - table->m_confirmed_at;
         if (age <= validity / 3)
@@ -426,9 +425,29 @@
     return owners;
 }
 
+void write_proposed_table(step_context& context, const std::string& service,
+                          std::uint64_t expected_revision, range_table table, const char* reason)
+{
+    key_ownership& keys = context.m_state.m_ownership;
+    keys.m_writing = true;
+    keys.m_proposed = std::move(table);
+    log(context, log_level::info, "table_proposed",
+        {{"service", service}, {"expected_revision", expected_revision}, {"reason", reason}});
+    emit(context,
+         write_table{service, expected_revision, key_ranges::to_json_text(keys.m_proposed)});
+}
+
 void install_table(step_context& context, const std::string& service, std::uint64_t revision,
                    const key_ranges::range_table& table, time_point confirmed_at,
                    const char* source)
+{
+    if (!retain_for_claim(context, service, revision, table, confirmed_at))
+        put_table_in_effect(context, service, revision, table, confirmed_at, source);
+}
+
+void put_table_in_effect(step_context& context, const std::string& service, std::uint64_t revision,
+                         const key_ranges::range_table& table, time_point confirmed_at,
+                         const char* source)
 {
     node_state& state = context.m_state;
     received_table& installed = state.m_tables[service];
@@ -497,7 +516,10 @@
         return;
     }
     keys.m_next_read_at = context.m_now + with_jitter(context, options.m_store_retry / 2);
-    keys.m_table_absent = read.m_revision == 0;
+    on_store_era(context, key_ranges::era_of(read.m_revision));
+    keys.m_table_absent = key_ranges::number_of(read.m_revision) == 0;
+    if (keys.m_table_absent && begin_table_of_new_era(context, read))
+        return;
     if (!keys.m_table_absent) {
         install_table(context, read.m_service, read.m_revision, read.m_text, read.m_sent_at,
                       "store");
@@ -521,8 +543,15 @@
          {"revision", written.m_revision}});
     if (written.m_result == write_result::written) {
         keys.m_table_absent = false;
-        install_table(context, written.m_service, written.m_revision, keys.m_proposed,
-                      written.m_sent_at, "own write");
+        put_table_in_effect(context, written.m_service, written.m_revision, keys.m_proposed,
+                            written.m_sent_at, "own write");
+        if (keys.m_new_era) {
+            // Another owner may have written meanwhile.
+            const table_of_new_era newer = std::move(*keys.m_new_era);
+            keys.m_new_era.reset();
+            install_table(context, written.m_service, newer.m_revision, newer.m_table,
+                          newer.m_confirmed_at, "new era");
+        }
         // Nodes of other services are redirected by refusals.
         send_table_to_owners(context, written.m_service);
         return;
@@ -567,8 +596,10 @@
         if (!keys.m_delegated_transfers.empty())
             remove_obsolete_delegations(context, table->m_table);
     }
-    if (keys.m_writing || keys.m_reading || context.m_now < keys.m_next_write_at)
+    if (keys.m_writing || keys.m_reading || context.m_now < keys.m_next_write_at ||
+        claim_ranges(context, service))
         return;
+    table = local_table(state);
     if (table == nullptr) {
         if (keys.m_table_absent)
             create_table(context, service);
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -84,6 +84,7 @@
     state.m_last_tick = context.m_now;
     check_peers(context);
     check_outdated_documents(context);
+    check_retained_evacuations(context);
     check_backend_executions(context);
     check_tables(context);
     check_range_leases(context);
@@ -135,6 +136,7 @@
     void operator()(const departures_read& e) { on_departures_read(m_context, e); }
     void operator()(const operator_documents& e) { on_operator_documents(m_context, e); }
     void operator()(const configuration_decoded& e) { on_configuration_decoded(m_context, e); }
+    void operator()(const store_era_seen& e) { on_store_era(m_context, e.m_era); }
     void operator()(const table_read& e) { on_table_read(m_context, e); }
     void operator()(const table_written& e) { on_table_written(m_context, e); }
     void operator()(const nodes_listed& e) { on_nodes_listed(m_context, e); }
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <azureladder/key_ranges/range_table_recovery.hpp>
 #include <azureladder/sidecar/effects.hpp>
 #include <azureladder/sidecar/events.hpp>
 #include <azureladder/sidecar/node_state.hpp>
@@ -148,6 +149,29 @@
 void on_document(step_context& context, std::uint64_t link, const document_frame& frame);
 void check_outdated_documents(step_context& context);
 
+/// Ends the retention of evacuations that the operator has not written again.
+void check_retained_evacuations(step_context& context);
+
+// Eras of the store.
+
+/// Records an era of the store. In a newer one this node claims its key ranges again.
+void on_store_era(step_context& context, std::uint64_t era);
+
+/// Whether every lease of a former era has expired, so that ranges may be confirmed in this one.
+bool may_confirm_ranges(const node_state& state, time_point now);
+
+/// Retains a table of a newer era than the one in effect, until this node has claimed its ranges in
+/// it. Returns false if there is nothing to claim.
+bool retain_for_claim(step_context& context, const std::string& service, std::uint64_t revision,
+                      const key_ranges::range_table& table, time_point confirmed_at);
+
+/// Begins to claim ranges in an era for which the store has no table yet. Returns false if no table
+/// of a former era is known.
+bool begin_table_of_new_era(step_context& context, const table_read& read);
+
+/// Claims the ranges of this node in a retained table. Returns whether one is still retained.
+bool claim_ranges(step_context& context, const std::string& service);
+
 // Key ranges: tables, leases and transfers.
 void on_table_read(step_context& context, const table_read& read);
 void on_table_written(step_context& context, const table_written& written);
@@ -159,6 +183,16 @@
                    const key_ranges::range_table& table, time_point confirmed_at,
                    const char* source);
 
+/// Like `install_table`, without regard to ranges that this node may have to claim first.
+void put_table_in_effect(step_context& context, const std::string& service, std::uint64_t revision,
+                         const key_ranges::range_table& table, time_point confirmed_at,
+                         const char* source);
+
+/// Writes a table if the store has the expected revision.
+void write_proposed_table(step_context& context, const std::string& service,
+                          std::uint64_t expected_revision, key_ranges::range_table table,
+                          const char* reason);
+
 /// Parses and installs a whole table.
 void install_table(step_context& context, const std::string& service, std::uint64_t revision,
                    const std::string& text, time_point confirmed_at, const char* source);
@@ -173,6 +207,9 @@
 void check_range_transfers(step_context& context);
 void clear_range_leases(step_context& context);
 
+/// Ranges on which the table entitles this node to grant leases now, without those in transfer.
+std::vector<key_ranges::range_claim> entitled_ranges(const node_state& state, time_point now);
+
 /// Whether the local backend server has a valid lease for a key.
 bool has_key_lease(const node_state& state, std::uint32_t key, time_point now);
 
--- a/libs/sidecar/tests/missed_documents_test.cpp
+++ b/libs/sidecar/tests/missed_documents_test.cpp
@@ -42,7 +42,7 @@
     configuration->m_version = 2;
     EXPECT_EQ(
         broadcast_revision(step(state, configuration_decoded{8, "new", configuration}, start_time)),
-        8U);
+        configuration->m_version + 1);
 }
 
 // Guards against turns that two of the connected nodes take, or none.
--- a/libs/sidecar/tests/ownership_faults_test.cpp
+++ b/libs/sidecar/tests/ownership_faults_test.cpp
@@ -185,6 +185,10 @@
 
     void inject_fault(const std::string& node)
     {
+        if (m_store_returns_to_earlier_states && random_below(6) == 0) {
+            m_cluster.return_store_to_earlier_state(random_duration(0, 8000));
+            return;
+        }
         switch (random_below(13)) {
         case 0:
             kill(node, random_duration(20, 600));
@@ -263,6 +267,8 @@
                         : (kind < 9 ? random_duration(100, 900) : random_duration(900, 3000));
     }
 
+    void run(duration bound);
+
     std::mt19937_64 m_random;
     sidecar_cluster m_cluster;
     std::vector<std::string> m_owners;
@@ -270,14 +276,12 @@
     std::string m_kill_target;
     bool m_kill_after_write = false;
     std::uint64_t m_hot_range_start = 65536;
+    bool m_store_returns_to_earlier_states = false;
 };
 
-} // namespace
-
-// Guards against two lease holders of a key, double executions and false refusals during series of
-// faults of servers, nodes, connections and the store, and against keys that stay unserved
-// afterwards.
-TEST_P(ownership_faults, each_key_has_one_lease_holder_and_is_served_again)
+/// Injects a series of faults and expects that each key has one lease holder at most meanwhile, and
+/// is served again within `bound` after the end of the faults.
+void ownership_faults::run(duration bound)
 {
     m_cluster.run_for(startup_time);
     m_cluster.lose_responses(0.02);
@@ -300,7 +304,7 @@
             << "round " << round << ": " << m_cluster.violations().front();
     }
     end_faults();
-    send_requests(recovery_bound());
+    send_requests(bound);
     std::vector<std::string> sent;
     for (std::uint32_t key = 0; key < 65536; key += 1024) {
         sent.push_back(m_cluster.send("orders-0", "shelf", key));
@@ -312,6 +316,27 @@
     ASSERT_TRUE(m_cluster.violations().empty()) << m_cluster.violations().front();
 }
 
+} // namespace
+
+// Guards against two lease holders of a key, double executions and false refusals during series of
+// faults of servers, nodes, connections and the store, and against keys that stay unserved
+// afterwards.
+TEST_P(ownership_faults, each_key_has_one_lease_holder_and_is_served_again)
+{
+    run(recovery_bound());
+}
+
+// Guards against the same when the store returns to earlier states meanwhile, so that changes of
+// the range table that owners act on are lost. Ranges that nobody can claim wait until the leases
+// of the former era have expired.
+TEST_P(ownership_faults, each_key_has_one_lease_holder_although_the_store_loses_writes)
+{
+    m_store_returns_to_earlier_states = true;
+    const node_options options;
+    run(recovery_bound() +
+        (key_ranges::takeover_time(time_point{}, options.m_leases) - time_point{}));
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, ownership_faults, testing::ValuesIn(fault_seeds(failed_seeds)));
 
 } // namespace azureladder::sidecar
--- a/libs/sidecar/tests/sidecar_cluster.cpp
+++ b/libs/sidecar/tests/sidecar_cluster.cpp
@@ -1,5 +1,7 @@
 #include "sidecar_cluster.hpp"
 
+#include <azureladder/key_ranges/store_revision.hpp>
+
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
@@ -172,9 +174,10 @@
 
 void sidecar_cluster::deliver_operator_documents(const std::string& node)
 {
-    handle_event(node, configuration_decoded{5, "text", m_configuration});
+    handle_event(node, configuration_decoded{key_ranges::store_revision(m_store.era(), 5), "text",
+                                             m_configuration});
     operator_documents documents;
-    documents.m_revision = m_operator_revision;
+    documents.m_revision = key_ranges::store_revision(m_store.era(), m_operator_revision);
     documents.m_evacuated_zones = m_evacuated;
     handle_event(node, documents);
 }
@@ -235,6 +238,29 @@
         at(store_delay, [this, node] { read_store(node); });
 }
 
+void sidecar_cluster::return_store_to_earlier_state(duration age)
+{
+    m_store.go_back(m_now - age);
+    m_departures.clear();
+    // The numbers of the operator's writes are assigned again.
+    m_operator_revision = std::max<std::uint64_t>(m_operator_revision, 4) - 3;
+    for (const auto& node : nodes()) {
+        at(store_delay + duration(static_cast<duration::rep>(m_random() % 400'000)), [this, node] {
+            if (m_store_partitions.count(node) == 0 && m_machines.at(node).m_state)
+                deliver_operator_documents(node);
+        });
+    }
+}
+
+bool sidecar_cluster::accept_store_response(const std::string& node, std::uint64_t request_era,
+                                            std::uint64_t response_era)
+{
+    if (response_era > m_machines.at(node).m_state->m_store_era)
+        handle_event(node, store_era_seen{response_era});
+    return response_era == request_era && m_machines.at(node).m_state &&
+           m_machines.at(node).m_state->m_store_era == request_era;
+}
+
 void sidecar_cluster::reset_links(const std::string& node)
 {
     std::vector<std::uint64_t> closed;
@@ -304,14 +330,23 @@
     } else if (random_share() < m_late_write_share) {
         delay = milliseconds(700);
         at(milliseconds(1000 + m_random() % 5000),
-           [this, wanted, sent_at = m_now] { m_store.write(wanted, sent_at); });
+           [this, wanted, sent_at = m_now] { m_store.write(wanted, sent_at, m_now); });
     } else {
-        result = m_store.write(wanted, m_now);
+        result = m_store.write(wanted, m_now, m_now);
     }
     const std::uint64_t incarnation = m_machines.at(node).m_incarnation;
-    at(delay, [this, node, incarnation, result] {
-        if (is_up(node, incarnation))
-            handle_event(node, result);
+    const std::uint64_t request_era = key_ranges::era_of(wanted.m_expected_revision);
+    const std::uint64_t response_era = m_store.era();
+    at(delay, [this, node, incarnation, request_era, response_era, result] {
+        if (!is_up(node, incarnation))
+            return;
+        const bool is_answered = result.m_result != write_result::unknown;
+        table_written unknown;
+        unknown.m_service = result.m_service;
+        unknown.m_sent_at = result.m_sent_at;
+        const bool is_of_use =
+            !is_answered || accept_store_response(node, request_era, response_era);
+        handle_event(node, is_of_use ? result : unknown);
     });
 }
 
@@ -371,7 +406,19 @@
     } else if (const auto* reading = std::get_if<read_table>(&wanted)) {
         table_read result = m_store.read(reading->m_service, m_now);
         result.m_succeeded = !store_unreachable;
-        later(store_unreachable ? duration(milliseconds(700)) : store_delay, result);
+        // The store's response names its era, and the node asked for the table of the era it knows.
+        const std::uint64_t request_era = m_machines.at(node).m_state->m_store_era;
+        const std::uint64_t response_era = m_store.era();
+        at(store_unreachable ? duration(milliseconds(700)) : store_delay,
+           [this, node, incarnation, request_era, response_era, result]() mutable {
+               if (!is_up(node, incarnation))
+                   return;
+               if (result.m_succeeded && !accept_store_response(node, request_era, response_era)) {
+                   result.m_succeeded = false;
+                   result.m_revision = key_ranges::store_revision(request_era, 0);
+               }
+               handle_event(node, result);
+           });
     } else if (const auto* writing = std::get_if<write_table>(&wanted)) {
         write(node, *writing);
     }
--- a/libs/sidecar/tests/sidecar_cluster.hpp
+++ b/libs/sidecar/tests/sidecar_cluster.hpp
@@ -83,6 +83,10 @@
     /// Makes the store unreachable for a node, or reachable again.
     void partition_store(const std::string& node, bool is_partitioned);
 
+    /// The store returns to its state of `age` ago, in a new era. Nodes learn of it one after the
+    /// other. The recorded departures are gone.
+    void return_store_to_earlier_state(duration age);
+
     /// Sets the evacuated zones.
     void evacuate(const std::set<std::string>& zones);
 
@@ -183,6 +187,11 @@
     void execute(const std::string& node, const start_execution& wanted);
     void deliver_operator_documents(const std::string& node);
     void read_store(const std::string& node);
+
+    /// Whether the response to a request is of use to a node that took the store to be in
+    /// `request_era`. Tells the node of the era of the response if that is newer.
+    bool accept_store_response(const std::string& node, std::uint64_t request_era,
+                               std::uint64_t response_era);
     bool is_up(const std::string& node, std::uint64_t incarnation) const;
     bool is_partitioned(const std::string& a, const std::string& b) const;
     void check_lease_holders();
--- a/libs/sidecar_runtime/include/azureladder/sidecar_runtime/protocol_codec.hpp
+++ b/libs/sidecar_runtime/include/azureladder/sidecar_runtime/protocol_codec.hpp
@@ -97,6 +97,9 @@
     virtual std::variant<routing::routing_configuration, decode_error>
     decode_routing_configuration(const std::string& text) const = 0;
 
+    /// Era of the store, which rises when the store returns to an earlier state; 0 without one.
+    virtual std::uint64_t store_era(const http_response& response) const = 0;
+
     virtual http_request encode_item_read(const std::string& key) const = 0;
 
     /// `stale` permits a result that is some seconds old, which costs less.
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -77,6 +77,10 @@
     void execute(const sidecar::grant_keys& command) { m_key_commands.grant(command); }
     void execute(const sidecar::release_keys& command) { m_key_commands.release(command); }
     void execute(const sidecar::decode_configuration& command);
+    void execute(const sidecar::enter_store_era& command)
+    {
+        m_store_client.enter_era(command.m_era);
+    }
     void execute(const sidecar::read_table& command) { m_store_client.read_table(command); }
     void execute(const sidecar::write_table& command) { m_store_client.write_table(command); }
     void execute(const sidecar::store_departures& command)
--- a/libs/sidecar_runtime/src/store_client.cpp
+++ b/libs/sidecar_runtime/src/store_client.cpp
@@ -1,5 +1,9 @@
 #include "store_client.hpp"
 
+#include "store_keys.hpp"
+
+#include <azureladder/key_ranges/store_revision.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -7,13 +11,6 @@
 
 namespace {
 
-constexpr const char* node_key_prefix = "azureladder/nodes/";
-constexpr const char* table_key_prefix = "azureladder/keys/";
-
-/// Suffix, after the key of a node's record, of the key for departures that the node acknowledged.
-/// The list of nodes includes these items, so reading them needs no additional call.
-constexpr std::string_view departures_suffix = "/departures";
-
 bool is_departures_key(std::string_view key)
 {
     return key.size() > departures_suffix.size() &&
@@ -34,11 +31,6 @@
 /// Added to the wait time of a watch for its timeout.
 constexpr milliseconds watch_response_margin{2000};
 
-bool is_success(const exchange_outcome& outcome)
-{
-    return outcome.m_result == exchange_result::answered && outcome.m_response.m_status == 200;
-}
-
 /// Text member of an object; null if it is missing or not a text.
 const std::string* text_member(const json& object, const char* name)
 {
@@ -46,13 +38,6 @@
     return found == object.end() ? nullptr : found->get_ptr<const std::string*>();
 }
 
-std::string failure_cause(const exchange_outcome& outcome)
-{
-    return outcome.m_result == exchange_result::answered
-               ? "status " + std::to_string(outcome.m_response.m_status)
-               : outcome.m_cause;
-}
-
 } // namespace
 
 store_client::store_client(asio::io_context& io, const clock& time, const protocol_codec& codec,
@@ -116,17 +101,60 @@
                                    outcome.m_response.m_status != 503 &&
                                    outcome.m_response.m_status != 429;
             update_reachability(reachable, failure_cause(outcome));
-            on_response(outcome);
+            if (is_of_former_era(outcome))
+                on_response({exchange_result::incomplete, {}, "response of a former era"});
+            else
+                on_response(outcome);
         });
 }
 
+bool store_client::is_of_former_era(const exchange_outcome& outcome)
+{
+    if (outcome.m_result != exchange_result::answered)
+        return false;
+    const std::uint64_t era = m_codec.store_era(outcome.m_response);
+    if (era > m_era) {
+        enter_era(era);
+        m_on_event(sidecar::store_era_seen{era});
+    }
+    return era < m_era;
+}
+
+void store_client::enter_era(std::uint64_t era)
+{
+    if (era <= m_era)
+        return;
+    m_era = era;
+    m_revision = 0;
+    m_configuration_revision = 0;
+    m_departures_revision = 0;
+    // The store may have lost this node's record and its lease, which are written again. The
+    // documents are read again, because the watch's revision has no meaning any more.
+    ++m_watch_number;
+    m_is_watching = false;
+    if (m_watch_connection)
+        m_watch_connection->close();
+    load_operator_documents("");
+    ++m_record_number;
+    run_after(with_jitter(m_options.m_retry_delay), [this, number = m_record_number] {
+        if (number == m_record_number)
+            create_lease();
+    });
+}
+
 void store_client::load_operator_documents(const std::string& after_key)
 {
     if (after_key.empty())
         m_loading_zones.clear();
     call(m_codec.encode_list(m_codec.operator_key_prefix(), after_key, false),
-         m_options.m_call_timeout, [this](const exchange_outcome& outcome) {
-             const auto reload = [this] { load_operator_documents(""); };
+         m_options.m_call_timeout,
+         [this, number = m_watch_number](const exchange_outcome& outcome) {
+             if (number != m_watch_number)
+                 return;
+             const auto reload = [this, number] {
+                 if (number == m_watch_number)
+                     load_operator_documents("");
+             };
              if (!is_success(outcome)) {
                  run_after(with_jitter(m_options.m_retry_delay), reload);
                  return;
@@ -178,8 +206,9 @@
 void store_client::report_operator_documents(std::uint64_t revision, bool missed_by_watch)
 {
     sidecar::operator_documents documents;
-    documents.m_revision = revision;
-    documents.m_configuration_revision = m_configuration_revision;
+    documents.m_revision = key_ranges::store_revision(m_era, revision);
+    documents.m_configuration_revision =
+        key_ranges::store_revision(m_era, m_configuration_revision);
     if (m_configuration_changed)
         documents.m_configuration_text = m_configuration_text;
     m_configuration_changed = false;
@@ -198,7 +227,10 @@
     m_watch_connection->exchange(
         m_codec.encode_watch(m_codec.operator_key_prefix(), m_revision, m_options.m_watch_wait),
         m_options.m_watch_wait + watch_response_margin, nullptr,
-        [this](const exchange_outcome& outcome) { on_watch(outcome); });
+        [this, number = m_watch_number](const exchange_outcome& outcome) {
+            if (number == m_watch_number && !is_of_former_era(outcome) && number == m_watch_number)
+                on_watch(outcome);
+        });
 }
 
 void store_client::on_watch(const exchange_outcome& outcome)
@@ -209,7 +241,10 @@
         // A list shows immediately whether events were missed, since a broken watch may be detected
         // late.
         update_reachability(false, failure_cause(outcome));
-        run_after(with_jitter(watch_delay), [this] { load_operator_documents(""); });
+        run_after(with_jitter(watch_delay), [this, number = m_watch_number] {
+            if (number == m_watch_number)
+                load_operator_documents("");
+        });
         return;
     }
     const auto decoded = m_codec.decode_store_items(outcome.m_response);
@@ -223,7 +258,10 @@
     m_revision = std::max(m_revision, items->m_revision);
     if (!items->m_items.empty())
         report_operator_documents(m_revision);
-    run_after(watch_delay, [this] { watch(); });
+    run_after(watch_delay, [this, number = m_watch_number] {
+        if (number == m_watch_number)
+            watch();
+    });
 }
 
 void store_client::schedule_check()
@@ -293,7 +331,9 @@
 void store_client::create_lease()
 {
     call(m_codec.encode_lease_creation(m_options.m_record_ttl), m_options.m_call_timeout,
-         [this](const exchange_outcome& outcome) {
+         [this, number = m_record_number](const exchange_outcome& outcome) {
+             if (number != m_record_number)
+                 return;
              const auto decoded = is_success(outcome) ? m_codec.decode_lease_id(outcome.m_response)
                                                       : std::variant<std::uint64_t, decode_error>(
                                                             decode_error{failure_cause(outcome)});
@@ -307,17 +347,19 @@
 void store_client::write_record(std::uint64_t lease)
 {
     const json record = {{"node", m_options.m_node}, {"address", m_options.m_peer_address}};
-    call(m_codec.encode_put(node_key_prefix + m_options.m_node, dump_json(record), std::nullopt,
-                            lease),
-         m_options.m_call_timeout, [this, lease](const exchange_outcome& outcome) {
+    call(m_codec.encode_put(std::string(node_key_prefix) + m_options.m_node, dump_json(record),
+                            std::nullopt, lease),
+         m_options.m_call_timeout,
+         [this, lease, number = m_record_number](const exchange_outcome& outcome) {
+             if (number != m_record_number)
+                 return;
              if (is_success(outcome)) {
                  m_on_log_line(log_level::info, "node_record_written", {{"lease", lease}});
                  // Listing follows the write, so that of two nodes that start at the same time the
                  // later writer lists the other.
                  m_has_listed_nodes = true;
                  list_nodes(false, "");
-                 run_after(m_options.m_lease_renewal_interval,
-                           [this, lease] { renew_lease(lease); });
+                 schedule_lease_renewal(m_options.m_lease_renewal_interval, lease);
              } else {
                  retry_record();
              }
@@ -329,23 +371,34 @@
     // Other nodes can be listed even if this node's record could not be written.
     if (!std::exchange(m_has_listed_nodes, true))
         list_nodes(false, "");
-    run_after(with_jitter(m_options.m_retry_delay * 2), [this] { create_lease(); });
+    run_after(with_jitter(m_options.m_retry_delay * 2), [this, number = m_record_number] {
+        if (number == m_record_number)
+            create_lease();
+    });
+}
+
+void store_client::schedule_lease_renewal(milliseconds delay, std::uint64_t lease)
+{
+    run_after(delay, [this, lease, number = m_record_number] {
+        if (number == m_record_number)
+            renew_lease(lease);
+    });
 }
 
 void store_client::renew_lease(std::uint64_t lease)
 {
     call(m_codec.encode_lease_renewal(lease), m_options.m_call_timeout,
-         [this, lease](const exchange_outcome& outcome) {
+         [this, lease, number = m_record_number](const exchange_outcome& outcome) {
+             if (number != m_record_number)
+                 return;
              if (is_success(outcome)) {
-                 run_after(m_options.m_lease_renewal_interval,
-                           [this, lease] { renew_lease(lease); });
+                 schedule_lease_renewal(m_options.m_lease_renewal_interval, lease);
              } else if (outcome.m_result == exchange_result::answered &&
                         outcome.m_response.m_status == 404) {
                  m_on_log_line(log_level::warning, "node_record_lost", {{"lease", lease}});
                  create_lease();
              } else {
-                 run_after(with_jitter(m_options.m_retry_delay),
-                           [this, lease] { renew_lease(lease); });
+                 schedule_lease_renewal(with_jitter(m_options.m_retry_delay), lease);
              }
          });
 }
@@ -354,8 +407,8 @@
 {
     if (after_key.empty())
         m_loading_nodes.clear();
-    call(m_codec.encode_list(node_key_prefix, after_key, stale), m_options.m_call_timeout,
-         [this, stale](const exchange_outcome& outcome) {
+    call(m_codec.encode_list(std::string(node_key_prefix), after_key, stale),
+         m_options.m_call_timeout, [this, stale](const exchange_outcome& outcome) {
              const auto decoded = m_codec.decode_store_items(outcome.m_response);
              const auto* page = std::get_if<store_read_response>(&decoded);
              if (!is_success(outcome) || page == nullptr) {
@@ -397,140 +450,4 @@
     });
 }
 
-std::string store_client::departures_key() const
-{
-    return node_key_prefix + m_options.m_node + std::string(departures_suffix);
-}
-
-void store_client::apply_departures(const store_item& item)
-{
-    if (item.m_key != departures_key() || item.m_revision <= m_departures_revision)
-        return;
-    m_departures_revision = item.m_revision;
-    const auto incarnations = sidecar::parse_departed_servers(item.m_value);
-    if (incarnations)
-        m_on_event(sidecar::departures_read{*incarnations});
-    else
-        m_on_log_line(log_level::warning, "departures_unreadable", {{"key", item.m_key}});
-}
-
-void store_client::write_departures(const sidecar::store_departures& command)
-{
-    m_departures_text = sidecar::to_text(command.m_departed);
-    if (!m_is_writing_departures)
-        put_departures();
-}
-
-void store_client::put_departures()
-{
-    m_is_writing_departures = true;
-    // A write without a response may take effect late. The expected revision prevents it from
-    // replacing a newer text.
-    call(m_codec.encode_put(departures_key(), m_departures_text, m_departures_revision, 0),
-         m_options.m_call_timeout,
-         [this, text = m_departures_text](const exchange_outcome& outcome) {
-             on_departures_put(text, outcome);
-         });
-}
-
-void store_client::on_departures_put(const std::string& text, const exchange_outcome& outcome)
-{
-    store_put_response put_response;
-    if (outcome.m_result == exchange_result::answered)
-        put_response = m_codec.decode_put_response(outcome.m_response);
-    if (put_response.m_result == sidecar::write_result::written) {
-        m_departures_revision = put_response.m_revision;
-        m_on_log_line(log_level::info, "departures_written",
-                      {{"revision", put_response.m_revision}});
-        m_is_writing_departures = false;
-        if (m_departures_text == text)
-            run_departure_callbacks();
-        else
-            put_departures();
-        return;
-    }
-    if (put_response.m_result == sidecar::write_result::conflict &&
-        !put_response.m_current_items.empty()) {
-        // The reducer merges the stored departures with its own and requests another write if the
-        // stored text is incomplete.
-        m_is_writing_departures = false;
-        apply_departures(put_response.m_current_items.front());
-        if (!m_is_writing_departures)
-            run_departure_callbacks();
-        return;
-    }
-    if (put_response.m_result == sidecar::write_result::conflict)
-        m_departures_revision = 0;
-    m_on_log_line(log_level::warning, "departures_not_written",
-                  {{"cause", failure_cause(outcome)}});
-    run_after(with_jitter(m_options.m_retry_delay), [this] { put_departures(); });
-}
-
-void store_client::call_after_departures_written(std::function<void()> action)
-{
-    if (!m_is_writing_departures) {
-        action();
-        return;
-    }
-    const auto pending = std::make_shared<std::function<void()>>(std::move(action));
-    const auto run_once = [pending] {
-        if (const auto callback = std::exchange(*pending, nullptr))
-            callback();
-    };
-    m_departure_callbacks.push_back(run_once);
-    run_after(m_options.m_departure_write_timeout, run_once);
-}
-
-void store_client::run_departure_callbacks()
-{
-    for (const auto& run_once : std::exchange(m_departure_callbacks, {}))
-        run_once();
-}
-
-void store_client::read_table(const sidecar::read_table& command)
-{
-    const time_point sent_at = m_clock.now();
-    call(m_codec.encode_item_read(table_key_prefix + command.m_service), m_options.m_call_timeout,
-         [this, sent_at, service = command.m_service](const exchange_outcome& outcome) {
-             sidecar::table_read result;
-             result.m_service = service;
-             result.m_sent_at = sent_at;
-             if (outcome.m_result == exchange_result::answered) {
-                 result.m_succeeded = outcome.m_response.m_status == 404;
-                 const auto decoded_items = m_codec.decode_store_items(outcome.m_response);
-                 const auto* items = std::get_if<store_read_response>(&decoded_items);
-                 if (is_success(outcome) && items != nullptr && items->m_items.size() == 1) {
-                     result.m_succeeded = true;
-                     result.m_revision = items->m_items.front().m_revision;
-                     result.m_text = items->m_items.front().m_value;
-                 }
-             }
-             m_on_event(std::move(result));
-         });
-}
-
-void store_client::write_table(const sidecar::write_table& command)
-{
-    const time_point sent_at = m_clock.now();
-    call(m_codec.encode_put(table_key_prefix + command.m_service, command.m_text,
-                            command.m_expected_revision, 0),
-         m_options.m_call_timeout,
-         [this, sent_at, service = command.m_service](const exchange_outcome& outcome) {
-             sidecar::table_written written;
-             written.m_service = service;
-             written.m_sent_at = sent_at;
-             if (outcome.m_result == exchange_result::answered) {
-                 const store_put_response put_response =
-                     m_codec.decode_put_response(outcome.m_response);
-                 written.m_result = put_response.m_result;
-                 written.m_revision = put_response.m_revision;
-                 if (!put_response.m_current_items.empty()) {
-                     written.m_revision = put_response.m_current_items.front().m_revision;
-                     written.m_text = put_response.m_current_items.front().m_value;
-                 }
-             }
-             m_on_event(std::move(written));
-         });
-}
-
 } // namespace azureladder::sidecar_runtime
--- a/libs/sidecar_runtime/src/store_client.hpp
+++ b/libs/sidecar_runtime/src/store_client.hpp
@@ -82,6 +82,10 @@
     /// Calls `action` when no write of departures is pending, or after m_departure_write_timeout.
     void call_after_departures_written(std::function<void()> action);
 
+    /// Learns of an era of the store from a peer. Responses of former eras are dropped, and what
+    /// this node has written is written again.
+    void enter_era(std::uint64_t era);
+
     /// Number of calls since the start.
     std::uint64_t call_count() const { return m_call_count; }
 
@@ -93,6 +97,12 @@
     milliseconds with_jitter(milliseconds delay);
     void update_reachability(bool reachable, const std::string& cause);
 
+    /// Whether a response belongs to an era that has ended. Enters the era of a newer one.
+    bool is_of_former_era(const exchange_outcome& outcome);
+
+    /// Adds the newest table of a former era to a read that found none of this one, and reports it.
+    void read_former_table(const sidecar::table_read& read);
+
     void load_operator_documents(const std::string& after_key);
     void apply_item(const store_item& item);
     void report_operator_documents(std::uint64_t revision, bool missed_by_watch = false);
@@ -109,6 +119,7 @@
     void create_lease();
     void write_record(std::uint64_t lease);
     void retry_record();
+    void schedule_lease_renewal(milliseconds delay, std::uint64_t lease);
     void renew_lease(std::uint64_t lease);
     void list_nodes(bool stale, const std::string& after_key);
     void schedule_node_lists();
@@ -134,6 +145,14 @@
     /// A watch was sent and has no outcome yet.
     bool m_is_watching = false;
 
+    /// Newest known era of the store. Revisions below are numbers within it.
+    std::uint64_t m_era = 0;
+
+    /// Increased in each era, so that pending calls and timers of the watch and of the node's
+    /// record end.
+    std::uint64_t m_watch_number = 0;
+    std::uint64_t m_record_number = 0;
+
     std::uint64_t m_revision = 0;
     std::string m_configuration_text;
     std::uint64_t m_configuration_revision = 0;
--- /dev/null
+++ b/libs/sidecar_runtime/src/store_client_departures.cpp
@@ -0,0 +1,99 @@
+#include "store_client.hpp"
+
+#include "store_keys.hpp"
+
+#include <utility>
+
+namespace azureladder::sidecar_runtime {
+
+std::string store_client::departures_key() const
+{
+    return std::string(node_key_prefix) + m_options.m_node + std::string(departures_suffix);
+}
+
+void store_client::apply_departures(const store_item& item)
+{
+    if (item.m_key != departures_key() || item.m_revision <= m_departures_revision)
+        return;
+    m_departures_revision = item.m_revision;
+    const auto incarnations = sidecar::parse_departed_servers(item.m_value);
+    if (incarnations)
+        m_on_event(sidecar::departures_read{*incarnations});
+    else
+        m_on_log_line(log_level::warning, "departures_unreadable", {{"key", item.m_key}});
+}
+
+void store_client::write_departures(const sidecar::store_departures& command)
+{
+    m_departures_text = sidecar::to_text(command.m_departed);
+    if (!m_is_writing_departures)
+        put_departures();
+}
+
+void store_client::put_departures()
+{
+    m_is_writing_departures = true;
+    // A write without a response may take effect late. The expected revision prevents it from
+    // replacing a newer text.
+    call(m_codec.encode_put(departures_key(), m_departures_text, m_departures_revision, 0),
+         m_options.m_call_timeout,
+         [this, text = m_departures_text](const exchange_outcome& outcome) {
+             on_departures_put(text, outcome);
+         });
+}
+
+void store_client::on_departures_put(const std::string& text, const exchange_outcome& outcome)
+{
+    store_put_response put_response;
+    if (outcome.m_result == exchange_result::answered)
+        put_response = m_codec.decode_put_response(outcome.m_response);
+    if (put_response.m_result == sidecar::write_result::written) {
+        m_departures_revision = put_response.m_revision;
+        m_on_log_line(log_level::info, "departures_written",
+                      {{"revision", put_response.m_revision}});
+        m_is_writing_departures = false;
+        if (m_departures_text == text)
+            run_departure_callbacks();
+        else
+            put_departures();
+        return;
+    }
+    if (put_response.m_result == sidecar::write_result::conflict &&
+        !put_response.m_current_items.empty()) {
+        // The reducer merges the stored departures with its own and requests another write if the
+        // stored text is incomplete.
+        m_is_writing_departures = false;
+        apply_departures(put_response.m_current_items.front());
+        if (!m_is_writing_departures)
+            run_departure_callbacks();
+        return;
+    }
+    if (put_response.m_result == sidecar::write_result::conflict)
+        m_departures_revision = 0;
+    m_on_log_line(log_level::warning, "departures_not_written",
+                  {{"cause", failure_cause(outcome)}});
+    run_after(with_jitter(m_options.m_retry_delay), [this] { put_departures(); });
+}
+
+void store_client::call_after_departures_written(std::function<void()> action)
+{
+    if (!m_is_writing_departures) {
+        action();
+        return;
+    }
+    const auto pending = std::make_shared<std::function<void()>>(std::move(action));
+    const auto run_once = [pending] {
+        if (const auto callback = std::exchange(*pending, nullptr))
+            callback();
+    };
+    m_departure_callbacks.push_back(run_once);
+    run_after(m_options.m_departure_write_timeout, run_once);
+}
+
+void store_client::run_departure_callbacks()
+{
+    for (const auto& run_once : std::exchange(m_departure_callbacks, {}))
+        run_once();
+}
+
+} // namespace azureladder::sidecar_runtime
