Split the admission controller by responsibility

The queue order and the prediction of waits get their own files, before both gain rules for overload. No change of behaviour; routing_test passes.

--- a/libs/routing/src/admission_controller.cpp
+++ b/libs/routing/src/admission_controller.cpp
@@ -1,4 +1,5 @@
-#include <azureladder/routing/admission_controller.hpp>
+#include "admission_prediction.hpp"
+#include "admission_queue.hpp"
 
 #include <azureladder/routing/scaled_duration.hpp>
 
@@ -11,9 +12,6 @@
 
 namespace {
 
-/// Window of the rate limit for cold backend servers.
-constexpr duration cold_window = seconds(1);
-
 duration blended_mean(duration mean, duration sample, double weight)
 {
     if (mean == duration::zero())
@@ -21,37 +19,6 @@
     return scaled(mean, 1.0 - weight) + scaled(sample, weight);
 }
 
-/// Fraction of its distance to the default that a moving average has lost by `now`: a tenth of the
-/// rest for each second after `m_decay_after`.
-double decayed_share(time_point last_sample, time_point now, const admission_options& options)
-{
-    const duration beyond = now - last_sample - options.m_decay_after;
-    if (beyond <= duration::zero())
-        return 0.0;
-    return 1.0 - std::pow(0.9, std::chrono::duration<double>(beyond).count());
-}
-
-duration decayed_mean(duration mean, time_point last_sample, time_point now,
-                      const admission_options& options)
-{
-    if (mean == duration::zero())
-        return options.m_default_service_time;
-    const double share = decayed_share(last_sample, now, options);
-    return scaled(mean, 1.0 - share) +
-           scaled(std::min(mean, options.m_default_service_time), share);
-}
-
-bool is_more_urgent(const admission_request& a, const admission_request& b)
-{
-    if (a.m_is_call != b.m_is_call)
-        return a.m_is_call;
-    if (a.m_priority != b.m_priority)
-        return a.m_priority < b.m_priority;
-    if (a.m_is_late != b.m_is_late)
-        return b.m_is_late;
-    return a.m_target < b.m_target;
-}
-
 std::size_t max_starts_in_cold_window(const admission_controller& state,
                                       const admission_options& options)
 {
@@ -75,40 +42,6 @@
     state.m_recent_starts.push_back(now);
 }
 
-/// Mean expected execution time of the running requests.
-duration mean_running_service_time(const admission_controller& state, time_point now,
-                                   const admission_options& options)
-{
-    if (state.m_running.empty())
-        return duration::zero();
-    duration sum{};
-    for (const auto& [id, running] : state.m_running)
-        sum += expected_service_time(state, running.m_route, now, options);
-    return sum / static_cast<std::int64_t>(state.m_running.size());
-}
-
-/// Predicted time until `request` would start. One running request has to end for each request
-/// ahead of it and one for the request itself; `m_limit` requests are executed concurrently.
-duration predicted_wait(const admission_controller& state, const admission_request& request,
-                        time_point now, const admission_options& options)
-{
-    duration work = mean_running_service_time(state, now, options);
-    std::size_t ahead = 0;
-    for (const auto& waiting : state.m_waiting) {
-        if (is_more_urgent(request, waiting))
-            continue;
-        work += expected_service_time(state, waiting.m_route, now, options);
-        ++ahead;
-    }
-    duration wait{};
-    if (state.m_running.size() >= state.m_limit)
-        wait = work / std::max<std::uint32_t>(state.m_limit, 1);
-    if (state.m_cold_rate_per_s > 0.0)
-        wait = std::max(
-            wait, scaled(cold_window, static_cast<double>(ahead + 1) / state.m_cold_rate_per_s));
-    return wait;
-}
-
 /// Request that all other requests precede.
 const admission_request least_urgent_request{
     0, {}, UINT32_MAX, time_point::max(), time_point::max(), false, true};
@@ -137,17 +70,6 @@
     return std::clamp(wait, options.m_min_retry_after, options.m_max_retry_after);
 }
 
-admission_decision enqueue(admission_controller& state, const admission_request& request,
-                           duration wait, time_point now)
-{
-    if (state.m_waiting.empty())
-        state.m_queue_nonempty_since = now;
-    const auto place =
-        std::upper_bound(state.m_waiting.begin(), state.m_waiting.end(), request, is_more_urgent);
-    state.m_waiting.insert(place, request);
-    return {admission::wait, wait};
-}
-
 } // namespace
 
 std::uint32_t route_hash(std::string_view route)
@@ -157,15 +79,6 @@
     return code.checksum();
 }
 
-duration expected_service_time(const admission_controller& state, const std::string& route,
-                               time_point now, const admission_options& options)
-{
-    const auto found = state.m_service_times.find(route);
-    if (found == state.m_service_times.end())
-        return decayed_mean(state.m_mean_service_time, state.m_last_sample_at, now, options);
-    return decayed_mean(found->second.m_mean, found->second.m_last_sample_at, now, options);
-}
-
 admission_decision admit(admission_controller& state, const admission_request& request,
                          time_point now, const admission_options& options)
 {
@@ -213,26 +126,6 @@
     return result;
 }
 
-std::vector<admission_request> remove_unanswerable_requests(admission_controller& state,
-                                                            time_point now,
-                                                            const admission_options& options)
-{
-    std::vector<admission_request> result;
-    const auto is_unanswerable = [&](const admission_request& request) {
-        return now + expected_service_time(state, request.m_route, now, options) / 2 >
-               request.m_deadline;
-    };
-    for (auto it = state.m_waiting.begin(); it != state.m_waiting.end();) {
-        if (is_unanswerable(*it)) {
-            result.push_back(*it);
-            it = state.m_waiting.erase(it);
-        } else {
-            ++it;
-        }
-    }
-    return result;
-}
-
 void finish_execution(admission_controller& state, std::uint64_t id, duration elapsed,
                       execution_outcome outcome, time_point now, const admission_options& options)
 {
@@ -256,16 +149,6 @@
     state.m_last_sample_at = now;
 }
 
-bool remove_waiting_request(admission_controller& state, std::uint64_t id)
-{
-    const auto found = std::find_if(state.m_waiting.begin(), state.m_waiting.end(),
-                                    [&](const auto& request) { return request.m_id == id; });
-    if (found == state.m_waiting.end())
-        return false;
-    state.m_waiting.erase(found);
-    return true;
-}
-
 load_report make_load_report(const admission_controller& state, bool open, time_point now,
                              const admission_options& options)
 {
--- /dev/null
+++ b/libs/routing/src/admission_prediction.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <azureladder/routing/admission_controller.hpp>
+
+namespace azureladder::routing {
+
+/// Window of the rate limit for cold backend servers.
+inline constexpr duration cold_window = seconds(1);
+
+/// Fraction of its distance to the default that a moving average has lost by `now`: a tenth of the
+/// rest for each second after `m_decay_after`.
+double decayed_share(time_point last_sample, time_point now, const admission_options& options);
+
+/// Moving average by `now`; the default before the first sample.
+duration decayed_mean(duration mean, time_point last_sample, time_point now,
+                      const admission_options& options);
+
+/// Mean expected execution time of the running requests; zero if there are none.
+duration mean_running_service_time(const admission_controller& state, time_point now,
+                                   const admission_options& options);
+
+/// Predicted time until `request` would start. One running request has to end for each request
+/// ahead of it and one for the request itself; `m_limit` requests are executed concurrently.
+duration predicted_wait(const admission_controller& state, const admission_request& request,
+                        time_point now, const admission_options& options);
+
+} // namespace azureladder::routing
--- /dev/null
+++ b/libs/routing/src/admission_queue.cpp
@@ -0,0 +1,59 @@
+#include "admission_queue.hpp"
+
+#include <algorithm>
+
+namespace azureladder::routing {
+
+bool is_more_urgent(const admission_request& a, const admission_request& b)
+{
+    if (a.m_is_call != b.m_is_call)
+        return a.m_is_call;
+    if (a.m_priority != b.m_priority)
+        return a.m_priority < b.m_priority;
+    if (a.m_is_late != b.m_is_late)
+        return b.m_is_late;
+    return a.m_target < b.m_target;
+}
+
+admission_decision enqueue(admission_controller& state, const admission_request& request,
+                           duration wait, time_point now)
+{
+    if (state.m_waiting.empty())
+        state.m_queue_nonempty_since = now;
+    const auto place =
+        std::upper_bound(state.m_waiting.begin(), state.m_waiting.end(), request, is_more_urgent);
+    state.m_waiting.insert(place, request);
+    return {admission::wait, wait};
+}
+
+std::vector<admission_request> remove_unanswerable_requests(admission_controller& state,
+                                                            time_point now,
+                                                            const admission_options& options)
+{
+    std::vector<admission_request> result;
+    const auto is_unanswerable = [&](const admission_request& request) {
+        return now + expected_service_time(state, request.m_route, now, options) / 2 >
+               request.m_deadline;
+    };
+    for (auto it = state.m_waiting.begin(); it != state.m_waiting.end();) {
+        if (is_unanswerable(*it)) {
+            result.push_back(*it);
+            it = state.m_waiting.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    return result;
+}
+
+bool remove_waiting_request(admission_controller& state, std::uint64_t id)
+{
+    const auto found = std::find_if(state.m_waiting.begin(), state.m_waiting.end(),
+                                    [&](const auto& request) { return request.m_id == id; });
+    if (found == state.m_waiting.end())
+        return false;
+    state.m_waiting.erase(found);
+    return true;
+}
+
+} // namespace azureladder::routing
