Let waiting requests that became late yield to others

Callers saw: under overload the earliest target went first, also when it could no longer be met, so that requests were served one after the other just too late.

Cause: lateness was decided once, at admission. Late requests also counted as a standing queue and in the wait that peers see.

Change: waiting requests are examined before one of them starts; those that can't meet their target wait behind the others, by deadline. Only requests that can meet their target count as a standing queue and in the reported wait.

Changed test: queues_retries_behind_requests_that_can_meet_their_target gives the first retry the earlier deadline, since late requests are now ordered by deadline; its checks are the same.

--- a/libs/routing/include/azureladder/routing/admission_controller.hpp
+++ b/libs/routing/include/azureladder/routing/admission_controller.hpp
@@ -58,10 +58,20 @@
     std::map<std::uint64_t, admission_request> m_running;
 
     /// Waiting requests, the most urgent first: calls, then by priority, then those that can meet
-    /// their target before those that can't, then by target, then by arrival.
+    /// their target before those that can't, then by target (late ones by deadline), then by
+    /// arrival.
     std::vector<admission_request> m_waiting;
 
-    /// Time at which the queue last became non-empty.
+    /// Number of waiting requests that became late in the queue and yielded to others.
+    std::uint64_t m_demoted_count = 0;
+
+    /// Time of the last of them.
+    time_point m_last_demoted_at;
+
+    /// Number of late requests that were started.
+    std::uint64_t m_late_start_count = 0;
+
+    /// Time since which requests that can meet their target are waiting.
     time_point m_queue_nonempty_since;
 
     /// Moving averages of the execution time by route.
--- a/libs/routing/include/azureladder/routing/admission_options.hpp
+++ b/libs/routing/include/azureladder/routing/admission_options.hpp
@@ -28,9 +28,16 @@
     /// short if its expected execution time is at most half of the mean of the running requests.
     double m_short_max_deadline_share = 0.7;
 
-    /// Time for which the queue has to be non-empty to count as a standing queue. Such a queue
-    /// isn't caused by a burst: the load exceeds the capacity, and a longer queue doesn't increase
-    /// the throughput but makes all responses late. Well above the mean execution times.
+    /// Share of its expected execution time that a waiting request needs before its target; with
+    /// less, it counts as late and waits behind those that can meet theirs. Below 1, since
+    /// executions are shorter than their mean most of the time and three times as long for the
+    /// rest.
+    double m_min_target_share = 0.75;
+
+    /// Time for which requests that can meet their target have to wait without a gap to count as a
+    /// standing queue. Such a queue isn't caused by a burst: the load exceeds the capacity, and a
+    /// longer queue doesn't increase the throughput but makes all responses late. Well above the
+    /// mean execution times.
     duration m_standing_queue_after = milliseconds(500);
 
     /// Longest predicted wait in a standing queue, as a fraction of the time to the target. Long
--- a/libs/routing/include/azureladder/routing/admission_request.hpp
+++ b/libs/routing/include/azureladder/routing/admission_request.hpp
@@ -28,8 +28,9 @@
     /// Whether the request is a retry; its target counts from the first attempt.
     bool m_is_retry = false;
 
-    /// Whether the request was admitted although it will miss its target. It waits behind all
-    /// requests of the same priority that can meet theirs. Set by the admission controller.
+    /// Whether the request will miss its target, since its admission or since it waits too long. It
+    /// waits behind all requests of the same priority that can meet theirs. Set by the admission
+    /// controller.
     bool m_is_late = false;
 
     /// Whether a backend server makes the request during the execution of another one, which holds
--- a/libs/routing/include/azureladder/routing/load_report.hpp
+++ b/libs/routing/include/azureladder/routing/load_report.hpp
@@ -48,7 +48,8 @@
     /// a poor estimate for a single route: a server that runs many short calls would appear fast.
     route_service_times m_route_times;
 
-    /// Predicted time until a request starts that is less urgent than all waiting ones.
+    /// Predicted time until a request starts that can meet its target and is less urgent than all
+    /// waiting ones that can.
     duration m_predicted_wait{};
 
     /// Share of recent executions that failed, 0 to 1.
--- a/libs/routing/src/admission_controller.cpp
+++ b/libs/routing/src/admission_controller.cpp
@@ -39,12 +39,17 @@
 void start(admission_controller& state, const admission_request& request, time_point now)
 {
     state.m_running[request.m_id] = request;
+    state.m_late_start_count += request.m_is_late ? 1 : 0;
     state.m_recent_starts.push_back(now);
 }
 
-/// Request that all other requests precede.
-const admission_request least_urgent_request{
-    0, {}, UINT32_MAX, time_point::max(), time_point::max(), false, true};
+/// Request that all waiting requests precede, except for late ones of the least urgent priority.
+admission_request least_urgent_request(const admission_controller& state)
+{
+    const std::uint32_t priority =
+        state.m_waiting.empty() ? UINT32_MAX : state.m_waiting.back().m_priority;
+    return {0, {}, priority, time_point::max(), time_point::max()};
+}
 
 /// Mean execution times of the recently executed routes, the longest first.
 route_service_times slowest_routes(const admission_controller& state, time_point now,
@@ -97,20 +102,20 @@
     const duration allowed =
         is_short ? scaled(request.m_deadline - now, options.m_short_max_deadline_share)
                  : scaled(request.m_target - now, options.m_max_target_share);
-    const bool in_standing_queue = !state.m_waiting.empty() && now - state.m_queue_nonempty_since >
+    const bool in_standing_queue = is_queued_in_time(state) && now - state.m_queue_nonempty_since >
                                                                    options.m_standing_queue_after;
     const bool is_queue_short =
         is_short || !in_standing_queue ||
         wait <= scaled(request.m_target - now, options.m_standing_queue_max_target_share);
     if (wait + service <= allowed && is_queue_short)
-        return enqueue(state, request, wait, now);
+        return enqueue(state, request, wait, now, options);
     // A retry is unlikely to get another attempt, so a late response is better than none.
     admission_request late = request;
     late.m_is_late = true;
     const duration late_wait = predicted_wait(state, late, now, options);
     if (request.m_is_retry && !in_standing_queue &&
         late_wait + service <= scaled(request.m_deadline - now, options.m_late_max_deadline_share))
-        return enqueue(state, late, late_wait, now);
+        return enqueue(state, late, late_wait, now, options);
     return {admission::refuse, recommended_retry_delay(wait, options)};
 }
 
@@ -118,6 +123,9 @@
                                                       const admission_options& options)
 {
     std::vector<admission_request> result;
+    if (state.m_waiting.empty() || !may_start(state, now, options))
+        return result;
+    demote_late_requests(state, now, options);
     while (!state.m_waiting.empty() && may_start(state, now, options)) {
         result.push_back(state.m_waiting.front());
         state.m_waiting.erase(state.m_waiting.begin());
@@ -160,7 +168,7 @@
     report.m_service_time =
         decayed_mean(state.m_mean_service_time, state.m_last_sample_at, now, options);
     report.m_route_times = slowest_routes(state, now, options);
-    report.m_predicted_wait = predicted_wait(state, least_urgent_request, now, options);
+    report.m_predicted_wait = predicted_wait(state, least_urgent_request(state), now, options);
     report.m_failure_share =
         state.m_failure_share * (1.0 - decayed_share(state.m_last_outcome_at, now, options));
     report.m_cold_rate_per_s = state.m_cold_rate_per_s;
--- a/libs/routing/src/admission_queue.cpp
+++ b/libs/routing/src/admission_queue.cpp
@@ -1,5 +1,7 @@
 #include "admission_queue.hpp"
 
+#include <azureladder/routing/scaled_duration.hpp>
+
 #include <algorithm>
 
 namespace azureladder::routing {
@@ -12,13 +14,41 @@
         return a.m_priority < b.m_priority;
     if (a.m_is_late != b.m_is_late)
         return b.m_is_late;
-    return a.m_target < b.m_target;
+    return a.m_is_late ? a.m_deadline < b.m_deadline : a.m_target < b.m_target;
+}
+
+void demote_late_requests(admission_controller& state, time_point now,
+                          const admission_options& options)
+{
+    std::size_t count = 0;
+    for (auto& request : state.m_waiting) {
+        if (request.m_is_late || request.m_is_call ||
+            now + scaled(expected_service_time(state, request.m_route, now, options),
+                         options.m_min_target_share) <=
+                request.m_target)
+            continue;
+        request.m_is_late = true;
+        ++count;
+    }
+    if (count == 0)
+        return;
+    std::stable_sort(state.m_waiting.begin(), state.m_waiting.end(), is_more_urgent);
+    state.m_last_demoted_at = now;
+    state.m_demoted_count += count;
+}
+
+bool is_queued_in_time(const admission_controller& state)
+{
+    return std::any_of(state.m_waiting.begin(), state.m_waiting.end(),
+                       [](const auto& request) { return !request.m_is_late; });
 }
 
 admission_decision enqueue(admission_controller& state, const admission_request& request,
-                           duration wait, time_point now)
+                           duration wait, time_point now, const admission_options& options)
 {
-    if (state.m_waiting.empty())
+    // A queue that became empty because its requests were too late has not been short.
+    if (!request.m_is_late && !is_queued_in_time(state) &&
+        now - state.m_last_demoted_at > options.m_standing_queue_after)
         state.m_queue_nonempty_since = now;
     const auto place =
         std::upper_bound(state.m_waiting.begin(), state.m_waiting.end(), request, is_more_urgent);
--- a/libs/routing/tests/admission_controller_test.cpp
+++ b/libs/routing/tests/admission_controller_test.cpp
@@ -44,8 +44,8 @@
     EXPECT_EQ(state.m_running.size(), 2U);
 }
 
-// Guards against calls that wait behind new requests of the same or a more urgent priority: the slot
-// of the calling request stays occupied, and its work is wasted if the call fails.
+// Guards against calls that wait behind new requests of the same or a more urgent priority: the
+// slot of the calling request stays occupied, and its work is wasted if the call fails.
 TEST(admission_controller, starts_calls_before_new_requests)
 {
     admission_controller state = make_admission_controller(1, "r", milliseconds(50));
@@ -71,7 +71,7 @@
     const admission_options options;
     admit(state, make_request(1, "r", 1, milliseconds(1000), milliseconds(2000)), start_time,
           options);
-    admission_request retry = make_request(2, "r", 1, milliseconds(-50), milliseconds(800));
+    admission_request retry = make_request(2, "r", 1, milliseconds(-50), milliseconds(450));
     EXPECT_EQ(admit(state, retry, start_time, options).m_admission, admission::refuse);
     retry.m_is_retry = true;
     EXPECT_EQ(admit(state, retry, start_time, options).m_admission, admission::wait);
@@ -88,6 +88,31 @@
     EXPECT_EQ(admit(state, retry, start_time, options).m_admission, admission::refuse);
 }
 
+// Guards against a request that has become too late in the queue and delays the next one until that
+// is too late as well. The late ones follow by deadline.
+TEST(admission_controller, requests_that_became_late_yield_to_others)
+{
+    admission_controller state = make_admission_controller(1, "r", milliseconds(100));
+    const admission_options options;
+    admit(state, make_request(1, "r", 1, milliseconds(1000), milliseconds(2000)), start_time,
+          options);
+    admit(state, make_request(2, "r", 1, milliseconds(400), milliseconds(3000)), start_time,
+          options);
+    admit(state, make_request(3, "r", 1, milliseconds(410), milliseconds(2500)), start_time,
+          options);
+    admit(state, make_request(4, "r", 1, milliseconds(600), milliseconds(3000)), start_time,
+          options);
+    std::vector<std::uint64_t> started;
+    for (std::uint64_t id = 1; started.size() < 3; id = started.back()) {
+        const time_point now = start_time + milliseconds(400);
+        finish_execution(state, id, milliseconds(100), execution_outcome::succeeded, now, options);
+        for (const auto& request : start_waiting_requests(state, now, options))
+            started.push_back(request.m_id);
+    }
+    EXPECT_EQ(started, (std::vector<std::uint64_t>{4, 3, 2}));
+    EXPECT_EQ(state.m_demoted_count, 2U);
+}
+
 // Guards against a queue that stays as long as the targets allow while the load exceeds the
 // capacity. On a large site half of the responses were late because of it, at the same throughput.
 TEST(admission_controller, keeps_the_queue_short_under_sustained_overload)
--- /dev/null
+++ b/libs/routing/tests/overload_test.cpp
@@ -0,0 +1,34 @@
+#include "overload_model.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+
+namespace azureladder::routing {
+
+namespace {
+
+/// Arrivals at `base_share` of the capacity, and at `burst_share` from second 2 to second 7.
+modelled_load burst(double base_share, double burst_share)
+{
+    modelled_load load;
+    const double capacity = 12 / 0.230;
+    load.m_arrivals_per_s = [=](duration at) {
+        return capacity * (at >= seconds(2) && at < seconds(7) ? burst_share : base_share);
+    };
+    return load;
+}
+
+} // namespace
+
+// Guards against a queue in which every request is served just too late: the requests that are
+// served in time are at least as many as the server can execute, before, during and after a burst.
+TEST(overload, serves_as_many_in_time_as_the_capacity_allows)
+{
+    for (const double base : {0.7, 0.9}) {
+        const auto outcome = replay(burst(base, 2.0), {});
+        EXPECT_GE(outcome.m_in_time, std::lround(12 / 0.230 * (5 * base + 5))) << base;
+    }
+}
+
+} // namespace azureladder::routing
--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -66,13 +66,17 @@
 void begin_execution(step_context& context, backend_execution& execution)
 {
     const local_backend& backend = *context.m_state.m_backend;
+    const auto& running = context.m_state.m_admission_controller.m_running;
+    const auto admitted = running.find(execution.m_id);
     execution.m_started = true;
     execution.m_started_at = context.m_now;
     if (!execution.m_request->m_is_call)
         routing::record_execution(context.m_state.m_nested_calls);
     json fields = execution_fields(execution);
     fields["backend"] = backend.m_announcement.m_id;
-    fields["running"] = context.m_state.m_admission_controller.m_running.size();
+    fields["running"] = running.size();
+    if (admitted != running.end() && admitted->second.m_is_late)
+        fields["late"] = true;
     log(context, log_level::info, "execution_started", std::move(fields));
     emit(context,
          start_execution{execution.m_id, execution.m_request, backend.m_announcement.m_id,
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -570,6 +570,9 @@
     m_metrics.set_gauge("gate_waiting",
                         static_cast<double>(m_state.m_admission_controller.m_waiting.size()));
     m_metrics.set_gauge("gate_limit", m_state.m_admission_controller.m_limit);
+    m_metrics.set_counter("gate_demoted_total", m_state.m_admission_controller.m_demoted_count);
+    m_metrics.set_counter("gate_late_starts_total",
+                          m_state.m_admission_controller.m_late_start_count);
     m_metrics.set_gauge("peers", static_cast<double>(m_state.m_peers.size()));
     m_metrics.set_counter("store_calls_total", m_store_client.call_count());
     m_metrics.set_counter("log_lines_dropped_total", m_log.dropped_lines());
