Queue late requests only if the leftover capacity serves them

Callers saw: a first attempt that could not meet its target was refused even while the server had capacity to spare, and retries were queued as late without regard to the arrivals that overtake them until their deadline.

Cause: the decision distinguished first attempts from retries, and not by what the server has left over.

Change: the gate measures the arrivals that could meet their target and derives the leftover capacity. Late requests, first attempts or not, are queued if it serves them in half of the time to their deadline, and refused at once otherwise. An ingress that can try another gate for a request that can still be in time asks the gate not to queue it as late (new field m_accepts_late of request_frame).

Changed test: queues_retries_behind_requests_that_can_meet_their_target becomes queues_late_requests_behind_..., since the rule no longer depends on the retry; it checks refusal for a request that may go to another gate and refusal when nothing is left over.

--- a/libs/routing/include/azureladder/routing/admission_controller.hpp
+++ b/libs/routing/include/azureladder/routing/admission_controller.hpp
@@ -35,6 +35,9 @@
     /// Predicted time until the request starts; for a rejection, the recommended time to the next
     /// attempt.
     duration m_predicted_wait{};
+
+    /// Whether a waiting request is expected to miss its target.
+    bool m_is_late = false;
 };
 
 /// Moving average of the execution time of one route's requests.
@@ -44,6 +47,16 @@
     time_point m_last_sample_at;
 };
 
+/// Decaying sums of the recent arrivals of requests that could meet their target.
+struct offered_load
+{
+    double m_requests = 0.0;
+
+    /// Their expected execution times in seconds.
+    double m_work = 0.0;
+    time_point m_at;
+};
+
 /// Admission controller of one backend server: its limits, its running and waiting requests, and
 /// the moving averages of its executions.
 struct admission_controller
@@ -68,9 +81,15 @@
     /// Time of the last of them.
     time_point m_last_demoted_at;
 
+    /// Number of requests that were late when they were queued.
+    std::uint64_t m_queued_late_count = 0;
+
     /// Number of late requests that were started.
     std::uint64_t m_late_start_count = 0;
 
+    /// Arrivals that the leftover capacity is derived from.
+    offered_load m_offered;
+
     /// Time since which requests that can meet their target are waiting.
     time_point m_queue_nonempty_since;
 
--- a/libs/routing/include/azureladder/routing/admission_options.hpp
+++ b/libs/routing/include/azureladder/routing/admission_options.hpp
@@ -44,11 +44,19 @@
     /// enough for several completions, so that the server's slots stay in use.
     double m_standing_queue_max_target_share = 0.15;
 
-    /// Largest predicted sum of wait and execution time for retries that can't meet their target,
+    /// Largest predicted sum of wait and execution time for requests that can't meet their target,
     /// as a fraction of the time to their deadline. Half, so that few of them are overtaken by
     /// other requests until their deadline.
     double m_late_max_deadline_share = 0.5;
 
+    /// Time constant of the measured arrivals that the leftover capacity is derived from. Some
+    /// dozens of arrivals at most servers, and below the length of bursts.
+    duration m_offered_load_time = seconds(1);
+
+    /// Smallest share of the capacity that counts as left over. Below it, the statistical error of
+    /// the arrivals exceeds the share.
+    double m_min_leftover_share = 0.05;
+
     /// Request rate to a cold backend server, as a multiple of the configured cold rate. The
     /// operator's limit is 1.5 times that rate plus a few requests.
     double m_cold_rate_factor = 1.15;
--- a/libs/routing/include/azureladder/routing/admission_request.hpp
+++ b/libs/routing/include/azureladder/routing/admission_request.hpp
@@ -36,6 +36,10 @@
     /// Whether a backend server makes the request during the execution of another one, which holds
     /// a slot until it has the response. Calls go before all other requests.
     bool m_is_call = false;
+
+    /// Whether the request may be queued although it will miss its target. Otherwise it is refused,
+    /// so that its ingress can try another gate.
+    bool m_accepts_late = true;
 };
 
 } // namespace azureladder::routing
--- a/libs/routing/src/admission_controller.cpp
+++ b/libs/routing/src/admission_controller.cpp
@@ -92,6 +92,8 @@
     const duration service = expected_service_time(state, request.m_route, now, options);
     if (now + service / 2 > request.m_deadline)
         return {admission::refuse, options.m_min_retry_after};
+    if (now + scaled(service, options.m_min_target_share) <= request.m_target)
+        record_offered(state, service, now, options);
     if (state.m_waiting.empty() && may_start(state, now, options)) {
         start(state, request, now);
         return {admission::start, duration::zero()};
@@ -109,12 +111,13 @@
         wait <= scaled(request.m_target - now, options.m_standing_queue_max_target_share);
     if (wait + service <= allowed && is_queue_short)
         return enqueue(state, request, wait, now, options);
-    // A retry is unlikely to get another attempt, so a late response is better than none.
+    // A late response is better than none.
     admission_request late = request;
     late.m_is_late = true;
-    const duration late_wait = predicted_wait(state, late, now, options);
-    if (request.m_is_retry && !in_standing_queue &&
-        late_wait + service <= scaled(request.m_deadline - now, options.m_late_max_deadline_share))
+    const duration late_wait = predicted_late_wait(state, late, now, options);
+    const duration late_allowed =
+        scaled(request.m_deadline - now, options.m_late_max_deadline_share) - service;
+    if (request.m_accepts_late && late_wait <= late_allowed)
         return enqueue(state, late, late_wait, now, options);
     return {admission::refuse, recommended_retry_delay(wait, options)};
 }
--- a/libs/routing/src/admission_prediction.cpp
+++ b/libs/routing/src/admission_prediction.cpp
@@ -67,4 +67,45 @@
     return wait;
 }
 
+namespace {
+
+double offered_weight(const admission_controller& state, time_point now,
+                      const admission_options& options)
+{
+    return std::exp(-std::chrono::duration<double>(now - state.m_offered.m_at) /
+                    std::chrono::duration<double>(options.m_offered_load_time));
+}
+
+} // namespace
+
+void record_offered(admission_controller& state, duration service, time_point now,
+                    const admission_options& options)
+{
+    const double weight = offered_weight(state, now, options);
+    state.m_offered.m_requests = state.m_offered.m_requests * weight + 1.0;
+    state.m_offered.m_work =
+        state.m_offered.m_work * weight + std::chrono::duration<double>(service).count();
+    state.m_offered.m_at = now;
+}
+
+double leftover_share(const admission_controller& state, time_point now,
+                      const admission_options& options)
+{
+    const double per_s = offered_weight(state, now, options) /
+                         std::chrono::duration<double>(options.m_offered_load_time).count();
+    double used = state.m_offered.m_work * per_s / std::max<std::uint32_t>(state.m_limit, 1);
+    if (state.m_cold_rate_per_s > 0.0)
+        used = std::max(used, state.m_offered.m_requests * per_s / state.m_cold_rate_per_s);
+    return std::clamp(1.0 - used, 0.0, 1.0);
+}
+
+duration predicted_late_wait(const admission_controller& state, const admission_request& late,
+                             time_point now, const admission_options& options)
+{
+    const double share = leftover_share(state, now, options);
+    if (share < options.m_min_leftover_share)
+        return duration::max();
+    return scaled(predicted_wait(state, late, now, options), 1.0 / share);
+}
+
 } // namespace azureladder::routing
--- a/libs/routing/src/admission_prediction.hpp
+++ b/libs/routing/src/admission_prediction.hpp
@@ -24,4 +24,17 @@
 duration predicted_wait(const admission_controller& state, const admission_request& request,
                         time_point now, const admission_options& options);
 
+/// Adds a request that could meet its target if it started now.
+void record_offered(admission_controller& state, duration service, time_point now,
+                    const admission_options& options);
+
+/// Share of the capacity that recent requests that could meet their target did not use, 0 to 1.
+double leftover_share(const admission_controller& state, time_point now,
+                      const admission_options& options);
+
+/// Predicted time until a late request would start with the leftover capacity;
+/// `duration::max()` if too little is left.
+duration predicted_late_wait(const admission_controller& state, const admission_request& late,
+                             time_point now, const admission_options& options);
+
 } // namespace azureladder::routing
--- a/libs/routing/src/admission_queue.cpp
+++ b/libs/routing/src/admission_queue.cpp
@@ -53,7 +53,8 @@
     const auto place =
         std::upper_bound(state.m_waiting.begin(), state.m_waiting.end(), request, is_more_urgent);
     state.m_waiting.insert(place, request);
-    return {admission::wait, wait};
+    state.m_queued_late_count += request.m_is_late ? 1 : 0;
+    return {admission::wait, wait, request.m_is_late};
 }
 
 std::vector<admission_request> remove_unanswerable_requests(admission_controller& state,
--- a/libs/routing/tests/admission_controller_test.cpp
+++ b/libs/routing/tests/admission_controller_test.cpp
@@ -62,19 +62,20 @@
     EXPECT_EQ(started.front().m_id, 4U);
 }
 
-// Guards against retries that delay requests that can still meet their target: under sustained
-// overload most responses were late. Late retries wait behind those requests, and a first attempt
-// that would be late is rejected at once.
-TEST(admission_controller, queues_retries_behind_requests_that_can_meet_their_target)
+// Guards against late requests that delay those that can still meet their target: under sustained
+// overload most responses were late. Late ones wait behind the others. They are rejected at once if
+// the ingress can try another gate, or if they would wait too long with the leftover capacity.
+TEST(admission_controller, queues_late_requests_behind_those_that_can_meet_their_target)
 {
     admission_controller state = make_admission_controller(1, "r", milliseconds(100));
     const admission_options options;
     admit(state, make_request(1, "r", 1, milliseconds(1000), milliseconds(2000)), start_time,
           options);
-    admission_request retry = make_request(2, "r", 1, milliseconds(-50), milliseconds(450));
-    EXPECT_EQ(admit(state, retry, start_time, options).m_admission, admission::refuse);
-    retry.m_is_retry = true;
-    EXPECT_EQ(admit(state, retry, start_time, options).m_admission, admission::wait);
+    admission_request late = make_request(2, "r", 1, milliseconds(-50), milliseconds(450));
+    late.m_accepts_late = false;
+    EXPECT_EQ(admit(state, late, start_time, options).m_admission, admission::refuse);
+    late.m_accepts_late = true;
+    EXPECT_EQ(admit(state, late, start_time, options).m_admission, admission::wait);
     const auto fresh = make_request(3, "r", 1, milliseconds(400), milliseconds(1500));
     const auto decision = admit(state, fresh, start_time, options);
     EXPECT_EQ(decision.m_admission, admission::wait);
@@ -82,10 +83,16 @@
     finish_execution(state, 1, milliseconds(100), execution_outcome::succeeded, start_time,
                      options);
     EXPECT_EQ(start_waiting_requests(state, start_time, options).front().m_id, 3U);
-    // Another retry would have to wait too long behind the others.
-    retry.m_id = 4;
-    retry.m_deadline = start_time + milliseconds(500);
-    EXPECT_EQ(admit(state, retry, start_time, options).m_admission, admission::refuse);
+    // Another one would have to wait too long behind the others.
+    late.m_id = 4;
+    late.m_deadline = start_time + milliseconds(500);
+    EXPECT_EQ(admit(state, late, start_time, options).m_admission, admission::refuse);
+    // Nothing is left for late requests, whatever their deadline.
+    for (std::uint64_t id = 5; id < 15; ++id)
+        admit(state, make_request(id, "r", 1, milliseconds(400), milliseconds(1500)), start_time,
+              options);
+    late.m_deadline = start_time + seconds(60);
+    EXPECT_EQ(admit(state, late, start_time, options).m_admission, admission::refuse);
 }
 
 // Guards against a request that has become too late in the queue and delays the next one until that
--- a/libs/routing/tests/overload_test.cpp
+++ b/libs/routing/tests/overload_test.cpp
@@ -31,4 +31,12 @@
     }
 }
 
+// Guards against refusals of callers whose late response the capacity allows: some executions take
+// three times as long as most, so queues form below the capacity, but they drain.
+TEST(overload, refuses_nobody_below_the_capacity)
+{
+    for (const double share : {0.8, 0.9})
+        EXPECT_EQ(replay(burst(share, share), {}).m_refusals, 0U) << share;
+}
+
 } // namespace azureladder::routing
--- a/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
@@ -98,6 +98,10 @@
 
     /// Time of sending by the sender's clock in microseconds; 0 if unknown.
     std::int64_t m_sent_us = 0;
+
+    /// Whether the gate may queue the request although it will miss its target. False while the
+    /// ingress can try another gate, which may be in time.
+    bool m_accepts_late = true;
 };
 
 struct cancel_frame
--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -310,6 +310,7 @@
         request.m_priority,   context.m_now + duration(frame.m_target_us) - delay,
         execution.m_deadline, frame.m_is_retry};
     wanted.m_is_call = request.m_is_call;
+    wanted.m_accepts_late = frame.m_accepts_late;
     const auto decision = routing::admit(state.m_admission_controller, wanted, context.m_now,
                                          state.m_options.m_admission_options);
     if (decision.m_admission == routing::admission::refuse) {
@@ -327,6 +328,8 @@
     fields["predicted_wait_ms"] = to_ms(decision.m_predicted_wait);
     fields["running"] = state.m_admission_controller.m_running.size();
     fields["waiting"] = state.m_admission_controller.m_waiting.size();
+    if (decision.m_is_late)
+        fields["late"] = true;
     log(context, log_level::info, "request_waits", std::move(fields));
 }
 
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// Refusals by nodes after which a request is refused, which bounds its delay.
-constexpr std::uint32_t max_refusals = 3;
-
 /// Ping timeout after which idempotent requests at a node are sent to another one too. Longer than
 /// the timeout after which the node receives no new requests, because one execution is wasted.
 constexpr duration repeat_timeout = milliseconds(600);
--- a/libs/sidecar/src/ingress_dispatch.cpp
+++ b/libs/sidecar/src/ingress_dispatch.cpp
@@ -17,6 +17,20 @@
 /// Owner hints retained per table. More simultaneous transfers are rare.
 constexpr std::size_t max_hints = 32;
 
+/// Whether a gate that refuses the request is the last one that is tried, or none can meet its
+/// target any more.
+bool accepts_late(step_context& context, const open_request& request)
+{
+    node_state& state = context.m_state;
+    if (request.m_refusals + 1 >= max_refusals || is_bound_to_owner(state, request) ||
+        request.m_target <= context.m_now)
+        return true;
+    const std::string& service = request.m_request->m_service;
+    const std::size_t nodes = state.m_peer_index.peers_of(state.m_peers, service).size() +
+                              (local_service(state) == service ? 1 : 0);
+    return request.m_failed_nodes.size() + 1 >= nodes;
+}
+
 } // namespace
 
 void send_request(step_context& context, open_request& request, const std::string& node)
@@ -49,6 +63,7 @@
     frame.m_target_us = (request.m_target - context.m_now).count();
     frame.m_is_retry = request.m_is_retry;
     frame.m_sent_us = to_us(context.m_now);
+    frame.m_accepts_late = accepts_late(context, request);
     request.m_attempts.push_back(std::move(attempt));
     send_to_node(context, node, std::move(frame));
 }
--- a/libs/sidecar/src/ingress_internal.hpp
+++ b/libs/sidecar/src/ingress_internal.hpp
@@ -9,6 +9,9 @@
 /// Value of Retry-After when no refusal had one.
 inline constexpr duration default_retry_after = milliseconds(250);
 
+/// Refusals by nodes after which a request is refused, which bounds its delay.
+inline constexpr std::uint32_t max_refusals = 3;
+
 // Completion of requests.
 json request_fields(const open_request& request);
 
--- a/libs/sidecar/src/peer_frame_fields.hpp
+++ b/libs/sidecar/src/peer_frame_fields.hpp
@@ -82,7 +82,7 @@
 auto fields_of(Value& value, const request_frame* /*type*/)
 {
     return std::tie(value.m_id, value.m_request, value.m_remaining_us, value.m_target_us,
-                    value.m_is_retry, value.m_sent_us);
+                    value.m_is_retry, value.m_sent_us, value.m_accepts_late);
 }
 
 template <class Value>
--- a/libs/sidecar/tests/ingress_test.cpp
+++ b/libs/sidecar/tests/ingress_test.cpp
@@ -22,6 +22,30 @@
     EXPECT_NE(second.first, first.first);
 }
 
+// Guards against a request that is queued as late at the first gate while another one may execute
+// it in time.
+TEST(ingress, only_the_last_gate_may_queue_a_request_as_late)
+{
+    node_state state = make_connected_node({"a", "b"});
+    const auto accepts_late = [](const effects& done) {
+        for (const auto& effect : done) {
+            const auto* sent = std::get_if<send_frame>(&effect);
+            if (sent != nullptr && std::holds_alternative<request_frame>(sent->m_frame))
+                return std::get<request_frame>(sent->m_frame).m_accepts_late;
+        }
+        ADD_FAILURE() << "no request sent";
+        return false;
+    };
+    const auto done = step(state, make_request(), start_time);
+    EXPECT_FALSE(accepts_late(done));
+    refusal_frame refusal;
+    refusal.m_id = sent_request(done).second;
+    refusal.m_reason = refusal_reason::overloaded;
+    refusal.m_report.m_open = true;
+    EXPECT_TRUE(
+        accepts_late(step(state, frame_received{sent_request(done).first, refusal}, start_time)));
+}
+
 // Guards against a log line without the target of a request: its field had the same name as the
 // field for the node that writes the line, and so was overwritten.
 TEST(ingress, log_line_of_a_sent_request_contains_the_target_node)
--- a/libs/sidecar/tests/peer_frame_codec_test.cpp
+++ b/libs/sidecar/tests/peer_frame_codec_test.cpp
@@ -22,7 +22,7 @@
     request->m_route = "r";
     request->m_priority = 2;
     request->m_kind = routing::request_kind::non_idempotent;
-    return {7, request, 1'500'000, 600'000, true};
+    return {7, request, 1'500'000, 600'000, true, 0, false};
 }
 
 template <class Frame>
@@ -45,6 +45,7 @@
     EXPECT_EQ(received.m_id, sent.m_id);
     EXPECT_EQ(received.m_remaining_us, sent.m_remaining_us);
     EXPECT_TRUE(received.m_is_retry);
+    EXPECT_FALSE(received.m_accepts_late);
     EXPECT_EQ(received.m_request->m_target, sent.m_request->m_target);
     EXPECT_EQ(received.m_request->m_body, sent.m_request->m_body);
     EXPECT_EQ(received.m_request->m_headers[0].m_value, sent.m_request->m_headers[0].m_value);
