--- a/libs/routing/include/azureladder/routing/admission_request.hpp
+++ b/libs/routing/include/azureladder/routing/admission_request.hpp
@@ -28,13 +28,18 @@
     /// Whether the request is a retry; its target counts from the first attempt.
     bool m_is_retry = false;
 
-    /// Whether the request was admitted although it will miss its target. It waits behind all
-    /// requests of the same priority that can meet theirs. Set by the admission controller.
+    /// Whether the request will miss its target, since its admission or since it waits too long. It
+    /// waits behind all requests of the same priority that can meet theirs. Set by the admission
+    /// controller.
     bool m_is_late = false;
 
     /// Whether a backend server makes the request during the execution of another one, which holds
     /// a slot until it has the response. Calls go before all other requests.
     bool m_is_call = false;
+
+    /// Whether the request may be queued although it will miss its target. Otherwise it is refused,
+    /// so that its ingress can try another gate.
+    bool m_accepts_late = true;
 };
 
 } // namespace azureladder::routing
