--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -17,12 +17,6 @@
 /// Interval of the reducer's timer ticks, a fraction of its shortest timeout.
 constexpr milliseconds tick_interval{25};
 
-constexpr milliseconds peer_connect_timeout{500};
-
-/// Time in the send queue of a peer connection above which a frame is logged. Callers notice a
-/// delay of half a second.
-constexpr milliseconds logged_frame_wait{250};
-
 constexpr seconds traffic_report_interval{10};
 
 /// Shortest time between two reads of the settings because of an announcement of another service.
@@ -97,13 +91,6 @@
     return options;
 }
 
-std::string retry_after_value(duration wait)
-{
-    char text[32];
-    std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(wait).count());
-    return text;
-}
-
 } // namespace
 
 node_runtime::impl::impl(const sidecar_settings& settings, std::string settings_path,
@@ -175,63 +162,6 @@
         }));
 }
 
-http_session::callbacks node_runtime::impl::caller_callbacks()
-{
-    http_session::callbacks callbacks;
-    callbacks.m_on_request = [this](const auto& session, std::uint64_t number,
-                                    const http_request& request) {
-        return on_caller_request({session, number}, request);
-    };
-    callbacks.m_on_disconnect = [this](const http_session& session, std::uint64_t number) {
-        on_caller_disconnected(session, number);
-    };
-    callbacks.m_may_overlap = [this](const http_request& request) {
-        const auto read = m_codec.decode_caller_request(request);
-        const auto* arrived = std::get_if<sidecar::caller_request>(&read);
-        return arrived != nullptr && is_idempotent(arrived->m_request);
-    };
-    callbacks.m_limits = [this] {
-        return m_state.m_active_configuration.m_configuration
-                   ? m_state.m_active_configuration.m_configuration->m_limits
-                   : routing::client_limits{};
-    };
-    callbacks.m_is_draining = [this] { return m_state.m_stopping; };
-    callbacks.m_on_rejected = [this](int status, const std::string& cause) {
-        report(log_level::info, "request_rejected", {{"status", status}, {"cause", cause}});
-    };
-    callbacks.m_request_budget = &m_request_budget;
-    callbacks.m_on_write = [this](bool is_started) {
-        if (is_started)
-            ++m_writing_sessions;
-        else
-            --m_writing_sessions;
-    };
-    return callbacks;
-}
-
-http_session::callbacks node_runtime::impl::default_callbacks(
-    std::function<void(const caller_exchange&, const http_request&)> on_request)
-{
-    http_session::callbacks callbacks;
-    callbacks.m_on_request = [handle = std::move(on_request)](const auto& session,
-                                                              std::uint64_t number,
-                                                              const http_request& request) {
-        handle({session, number}, request);
-        return false;
-    };
-    callbacks.m_on_disconnect = [](const http_session& /*session*/, std::uint64_t /*number*/) {};
-    callbacks.m_limits = [] { return routing::client_limits{}; };
-    callbacks.m_is_draining = [] { return false; };
-    callbacks.m_on_rejected = [this](int status, const std::string& cause) {
-        report(log_level::warning, "control_request_rejected",
-               {{"status", status}, {"cause", cause}});
-    };
-    callbacks.m_request_budget = &m_request_budget;
-    // An announcement of a backend server is valid although its sender does not wait any longer.
-    callbacks.m_drops_abandoned_requests = false;
-    return callbacks;
-}
-
 void node_runtime::impl::run()
 {
     m_log.write(log_level::info, "node_started",
@@ -311,99 +241,11 @@
     }
 }
 
-bool node_runtime::impl::is_request_of_disconnected_caller(const sidecar::event& input_event) const
-{
-    const auto* arrived = std::get_if<sidecar::caller_request>(&input_event);
-    if (arrived == nullptr)
-        return false;
-    const auto exchange = m_exchange_of_caller.find(arrived->m_caller);
-    return exchange == m_exchange_of_caller.end() ||
-           !exchange->second.m_session->is_caller_connected();
-}
-
 void node_runtime::impl::execute_effect(const sidecar::effect& command)
 {
     std::visit([this](const auto& value) { execute(value); }, command);
 }
 
-void node_runtime::impl::respond(std::uint64_t caller, const http_response& response)
-{
-    const auto found = m_exchange_of_caller.find(caller);
-    if (found == m_exchange_of_caller.end())
-        return;
-    const caller_exchange exchange = std::move(found->second);
-    m_caller_of_exchange.erase({exchange.m_session.get(), exchange.m_number});
-    m_exchange_of_caller.erase(found);
-    exchange.m_session->respond(exchange.m_number, response);
-}
-
-void node_runtime::impl::execute(const sidecar::forward_response& command)
-{
-    const sidecar::server_response& response = *command.m_response;
-    respond(command.m_caller, {response.m_status, response.m_headers, response.m_body});
-}
-
-void node_runtime::impl::execute(const sidecar::respond_to_caller& command)
-{
-    http_response response;
-    response.m_status = command.m_status;
-    response.m_headers = {{"Content-Type", "text/plain"}};
-    if (command.m_retry_after > duration::zero())
-        response.m_headers.push_back({"Retry-After", retry_after_value(command.m_retry_after)});
-    response.m_body = command.m_reason + "\n";
-    respond(command.m_caller, response);
-}
-
-void node_runtime::impl::execute(const sidecar::connect_node& command)
-{
-    const auto address = parse_endpoint(command.m_address);
-    if (!address) {
-        enqueue(sidecar::connect_failed{command.m_node});
-        return;
-    }
-    const auto socket = std::make_shared<tcp::socket>(m_io);
-    const auto timer = std::make_shared<asio::steady_timer>(m_io, peer_connect_timeout);
-    timer->async_wait([socket](error_code error) {
-        error_code ignored;
-        if (!error)
-            socket->close(ignored);
-    });
-    socket->async_connect(to_tcp_endpoint(*address),
-                          [this, socket, timer, node = command.m_node](error_code error) {
-                              timer->cancel();
-                              if (error || !socket->is_open()) {
-                                  enqueue(sidecar::connect_failed{node});
-                                  return;
-                              }
-                              const std::uint64_t link = add_link(std::move(*socket));
-                              enqueue(sidecar::link_opened{link, node});
-                          });
-}
-
-void node_runtime::impl::execute(const sidecar::close_link& command)
-{
-    close_link(command.m_link);
-}
-
-void node_runtime::impl::close_link(std::uint64_t link)
-{
-    const auto found = m_links.find(link);
-    if (found == m_links.end())
-        return;
-    const auto link_to_close = found->second;
-    m_links.erase(found);
-    link_to_close->close();
-    m_events.remove_frames(link);
-    enqueue(sidecar::link_closed{link});
-}
-
-void node_runtime::impl::execute(const sidecar::send_frame& command)
-{
-    const auto found = m_links.find(command.m_link);
-    if (found != m_links.end())
-        found->second->send(command.m_frame);
-}
-
 void node_runtime::impl::execute(const sidecar::decode_configuration& command)
 {
     auto decoded = m_codec.decode_routing_configuration(command.m_text);
@@ -478,181 +320,6 @@
     });
 }
 
-bool node_runtime::impl::on_caller_request(const caller_exchange& exchange,
-                                           const http_request& request)
-{
-    auto read = m_codec.decode_caller_request(request);
-    if (const auto* error = std::get_if<decode_error>(&read)) {
-        report(log_level::info, "request_malformed", {{"status", 400}, {"cause", error->m_reason}});
-        exchange.m_session->respond(
-            exchange.m_number, {400, {{"Content-Type", "text/plain"}}, error->m_reason + "\n"});
-        return true;
-    }
-    auto& arrived = std::get<sidecar::caller_request>(read);
-    arrived.m_caller = m_next_caller_id++;
-    m_exchange_of_caller[arrived.m_caller] = exchange;
-    m_caller_of_exchange[{exchange.m_session.get(), exchange.m_number}] = arrived.m_caller;
-    const bool result = is_idempotent(arrived.m_request);
-    enqueue(std::move(arrived));
-    return result;
-}
-
-void node_runtime::impl::on_caller_disconnected(const http_session& session, std::uint64_t number)
-{
-    const auto found = m_caller_of_exchange.find({&session, number});
-    if (found == m_caller_of_exchange.end()) {
-        m_metrics.add_counter("disconnects_before_dispatch_total", 1, {});
-        return;
-    }
-    const std::uint64_t caller = found->second;
-    m_caller_of_exchange.erase(found);
-    m_exchange_of_caller.erase(caller);
-    enqueue(sidecar::caller_disconnected{caller});
-}
-
-bool node_runtime::impl::is_idempotent(const sidecar::forwarded_request& request) const
-{
-    const auto& configuration = m_state.m_active_configuration.m_configuration;
-    const routing::route* route =
-        configuration ? routing::find_route(*configuration, request.m_host, request.m_target)
-                      : nullptr;
-    return route != nullptr && route->m_kind == routing::request_kind::idempotent;
-}
-
-void node_runtime::impl::on_registry_request(const caller_exchange& exchange,
-                                             const http_request& request)
-{
-    auto message = m_codec.decode_registry_message(request);
-    if (const auto* error = std::get_if<decode_error>(&message)) {
-        report(log_level::warning, "announcement_unreadable", {{"cause", error->m_reason}});
-        exchange.m_session->respond(
-            exchange.m_number, {400, {{"Content-Type", "text/plain"}}, error->m_reason + "\n"});
-        return;
-    }
-    if (auto* announced = std::get_if<sidecar::backend_announced>(&message)) {
-        if (announced->m_announcement.m_service != m_state.m_options.m_service)
-            refresh_service();
-        enqueue(std::move(*announced));
-    } else {
-        auto& removed = std::get<sidecar::backend_removed>(message);
-        removed.m_received_ms = m_clock.wall_time_us() / 1000;
-        enqueue(removed);
-    }
-    process_events();
-    // The response acknowledges the removal of a server, which must be stored first so that a
-    // restarted process can read it.
-    m_store_client.call_after_departures_written([exchange] {
-        exchange.m_session->respond(exchange.m_number,
-                                    {200, {{"Content-Type", "application/json"}}, "{}"});
-    });
-}
-
-void node_runtime::impl::on_readiness_probe(const caller_exchange& exchange,
-                                            const http_request& request)
-{
-    const int status =
-        !m_codec.is_readiness_probe(request) ? 404 : (sidecar::is_ready(m_state) ? 200 : 503);
-    exchange.m_session->respond(exchange.m_number,
-                                {status, {{"Content-Type", "text/plain"}}, "\n"});
-}
-
-void node_runtime::impl::on_metrics_request(const caller_exchange& exchange)
-{
-    exchange.m_session->respond(
-        exchange.m_number, {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_text()});
-}
-
-std::string node_runtime::impl::metrics_text()
-{
-    m_metrics.set_gauge("open_requests", static_cast<double>(m_state.m_requests.size()));
-    m_metrics.set_gauge("gate_running",
-                        static_cast<double>(m_state.m_admission_controller.m_running.size()));
-    m_metrics.set_gauge("gate_waiting",
-                        static_cast<double>(m_state.m_admission_controller.m_waiting.size()));
-    m_metrics.set_gauge("gate_limit", m_state.m_admission_controller.m_limit);
-    m_metrics.set_gauge("peers", static_cast<double>(m_state.m_peers.size()));
-    m_metrics.set_counter("store_calls_total", m_store_client.call_count());
-    m_metrics.set_counter("log_lines_dropped_total", m_log.dropped_lines());
-    for (const auto& [event, count] : m_event_counts)
-        m_metrics.set_counter("events_total", count, {{"event", event}});
-    for (std::size_t kind = 0; kind < m_peer_traffic.size(); ++kind) {
-        const frame_traffic& traffic = m_peer_traffic[kind];
-        const telemetry::metric_labels labels{
-            {"kind", std::string(sidecar::frame_kind_names[kind])}};
-        m_metrics.set_counter("peer_frames_sent_total", traffic.m_frames, labels);
-        m_metrics.set_counter("peer_bytes_sent_total", traffic.m_bytes, labels);
-        m_metrics.set_counter("peer_send_queue_wait_us_total",
-                              static_cast<std::uint64_t>(traffic.m_total_wait.count()), labels);
-    }
-    return m_metrics.prometheus_text();
-}
-
-void node_runtime::impl::accept_peers()
-{
-    m_peer_acceptor.async_accept([this](error_code error, tcp::socket socket) {
-        if (!error)
-            enqueue(sidecar::link_opened{add_link(std::move(socket)), ""});
-        accept_peers();
-    });
-}
-
-std::uint64_t node_runtime::impl::add_link(tcp::socket socket)
-{
-    const std::uint64_t id = m_next_link_id++;
-    const auto link =
-        std::make_shared<peer_link>(std::move(socket), id, m_clock, m_bulk_pacer, m_link_callbacks);
-    m_links[id] = link;
-    link->start();
-    return id;
-}
-
-void node_runtime::impl::on_frame_sent(std::uint64_t link, const peer_link::sent_frame& frame)
-{
-    frame_traffic& traffic = m_peer_traffic[frame.m_kind];
-    ++traffic.m_frames;
-    traffic.m_bytes += frame.m_bytes;
-    traffic.m_total_wait += frame.m_waited;
-    traffic.m_max_wait = std::max(traffic.m_max_wait, frame.m_waited);
-    if (frame.m_waited < logged_frame_wait)
-        return;
-    const auto peer = m_state.m_node_of_link.find(link);
-    m_log.write(log_level::warning, "frame_delayed",
-                {{"kind", std::string(sidecar::frame_kind_names[frame.m_kind])},
-                 {"peer", peer == m_state.m_node_of_link.end() ? std::string() : peer->second},
-                 {"bytes", frame.m_bytes},
-                 {"waited_ms", to_ms(frame.m_waited)},
-                 {"queued_bytes", frame.m_queued_bytes}});
-}
-
-void node_runtime::impl::resume_held_back_links()
-{
-    const auto links = std::move(m_held_back_links);
-    m_held_back_links.clear();
-    for (const std::uint64_t id : links) {
-        const auto link = m_links.find(id);
-        if (link != m_links.end())
-            link->second->resume();
-    }
-}
-
-void node_runtime::impl::log_peer_traffic()
-{
-    json kinds = json::object();
-    for (std::size_t kind = 0; kind < m_peer_traffic.size(); ++kind) {
-        frame_traffic& traffic = m_peer_traffic[kind];
-        const std::uint64_t frames = traffic.m_frames - m_reported_traffic[kind].m_frames;
-        if (frames == 0)
-            continue;
-        kinds[std::string(sidecar::frame_kind_names[kind])] = {
-            {"frames", frames},
-            {"bytes", traffic.m_bytes - m_reported_traffic[kind].m_bytes},
-            {"max_wait_ms", to_ms(traffic.m_max_wait)}};
-        traffic.m_max_wait = {};
-    }
-    m_reported_traffic = m_peer_traffic;
-    m_log.write(log_level::info, "peer_traffic", {{"peers", m_links.size()}, {"sent", kinds}});
-}
-
 void node_runtime::impl::tick()
 {
     enqueue(sidecar::timer_tick{});
