Bound the memory and the connections of all clients together

Callers saw a node that exceeded memory_mb, or that accepted no announcement, probe or request, while a group of clients held bytes or connections. Only the body of an unfinished request was limited over all connections. Not counted were the memory of header fields (96 bytes each beside their text), read buffers, complete requests without a response, and responses that are not read. Each response stayed in memory behind its connection, because assigning an empty string keeps the capacity. 2,500 connections at each address could use up all descriptors, and the peer address accepted without a pause and a limit.

- All of these bytes count against two budgets, 20 % (requests) and 15 % (responses) of memory_mb.
Bytes that wait for a client weigh more the longer they wait, and the worst holder gives way.
Requests in execution do not.
- One connection handles 256 KiB of requests in a pass of the event loop.
Announcements and probes have at most 64 KiB.
- azureladder_clients_dropped_total counts dropped connections.

--- a/libs/sidecar_runtime/include/azureladder/sidecar_runtime/http_message.hpp
+++ b/libs/sidecar_runtime/include/azureladder/sidecar_runtime/http_message.hpp
@@ -24,6 +24,10 @@
     std::string m_body;
 };
 
+/// Memory of a header field beside its text, in a parser or in a list of fields. Thousands of short
+/// fields take many times their bytes on the wire.
+inline constexpr std::size_t field_overhead_bytes = 96;
+
 /// Compares header names, which are case-insensitive.
 bool same_header_name(std::string_view a, std::string_view b);
 
--- a/libs/sidecar_runtime/src/byte_budget.cpp
+++ b/libs/sidecar_runtime/src/byte_budget.cpp
@@ -2,19 +2,37 @@
 
 #include "byte_reservation.hpp"
 
-#include <algorithm>
-
 namespace azureladder::sidecar_runtime {
 
-bool byte_budget::make_room(const byte_reservation& growing)
+namespace {
+
+/// Time after which bytes that wait for a client count twice.
+constexpr std::chrono::milliseconds waiting_unit{100};
+
+/// Bytes of a reservation, weighted with the time for which they have waited for a client.
+std::size_t weight(const byte_reservation& held, std::chrono::steady_clock::time_point now)
+{
+    const auto since = held.waiting_since();
+    if (!since || now <= *since)
+        return held.bytes();
+    return held.bytes() * (1 + static_cast<std::size_t>((now - *since) / waiting_unit));
+}
+
+} // namespace
+
+bool byte_budget::make_room(const byte_reservation& growing,
+                            std::chrono::steady_clock::time_point now)
 {
     while (m_used_bytes > m_max_bytes) {
-        const auto largest =
-            std::max_element(m_reservations.begin(), m_reservations.end(),
-                             [](const auto* a, const auto* b) { return a->bytes() < b->bytes(); });
-        if (largest == m_reservations.end() || (*largest)->bytes() <= growing.bytes())
+        byte_reservation* worst = nullptr;
+        for (auto* held : m_reservations) {
+            if (held->is_revocable() &&
+                (worst == nullptr || weight(*held, now) > weight(*worst, now)))
+                worst = held;
+        }
+        if (worst == nullptr || weight(*worst, now) <= weight(growing, now))
             return false;
-        (*largest)->revoke();
+        worst->revoke();
     }
     return true;
 }
--- a/libs/sidecar_runtime/src/byte_budget.hpp
+++ b/libs/sidecar_runtime/src/byte_budget.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <set>
 
@@ -8,8 +9,9 @@
 class byte_reservation;
 
 /// Limit of the bytes of several owners together. An owner that needs more bytes than are left
-/// makes the largest reservation fail, which may be its own, so that a few large owners
-/// do not fail many small ones.
+/// makes the worst reservation fail, which may be its own, so that a few large owners do not fail
+/// many small ones. The worst is the largest, where bytes that wait for a client count more the
+/// longer they wait: clients that make no progress give way to ordinary ones.
 class byte_budget
 {
 public:
@@ -22,9 +24,9 @@
 private:
     friend class byte_reservation;
 
-    /// Revokes larger reservations until the limit is met. Returns false if `growing` is the
-    /// largest one itself.
-    bool make_room(const byte_reservation& growing);
+    /// Revokes worse reservations until the limit is met. Returns false if `growing` is the worst
+    /// one itself.
+    bool make_room(const byte_reservation& growing, std::chrono::steady_clock::time_point now);
 
     std::size_t m_max_bytes;
     std::size_t m_used_bytes = 0;
--- a/libs/sidecar_runtime/src/byte_reservation.cpp
+++ b/libs/sidecar_runtime/src/byte_reservation.cpp
@@ -18,11 +18,11 @@
     m_budget.m_used_bytes -= m_bytes;
 }
 
-bool byte_reservation::resize(std::size_t bytes)
+bool byte_reservation::resize(std::size_t bytes, time_point now)
 {
     const std::size_t former_bytes = std::exchange(m_bytes, bytes);
     m_budget.m_used_bytes += bytes - former_bytes;
-    if (bytes <= former_bytes || m_budget.make_room(*this))
+    if (bytes <= former_bytes || m_budget.make_room(*this, now))
         return true;
     m_budget.m_used_bytes -= bytes - former_bytes;
     m_bytes = former_bytes;
--- a/libs/sidecar_runtime/src/client_connection.cpp
+++ b/libs/sidecar_runtime/src/client_connection.cpp
@@ -28,9 +28,6 @@
 /// Limit of all bytes read in one exchange. A page of the store has about 1.5 MB.
 constexpr std::size_t max_exchange_bytes = 4 * 1024 * 1024;
 
-/// Memory of a header field beside its text, in the parser or in a list of fields.
-constexpr std::size_t field_overhead_bytes = 96;
-
 /// Largest read buffer that is kept between exchanges. It has room for an ordinary response.
 constexpr std::size_t max_kept_buffer_bytes = 16 * 1024;
 
--- a/libs/sidecar_runtime/src/http_session.cpp
+++ b/libs/sidecar_runtime/src/http_session.cpp
@@ -33,6 +33,10 @@
 constexpr std::size_t max_exchanges = 16;
 constexpr std::size_t max_exchange_bytes = 256U * 1024;
 
+/// Memory of requests that are read from one connection in one pass of the event loop. Beyond it
+/// the other connections come first.
+constexpr std::size_t max_pass_memory = 256U * 1024;
+
 /// Longest time to read the body of a request, and to write an interim response.
 constexpr std::chrono::seconds transfer_timeout{30};
 
@@ -48,6 +52,14 @@
     return 400;
 }
 
+std::size_t memory_of(const http::fields& fields)
+{
+    std::size_t bytes = 0;
+    for (const auto& field : fields)
+        bytes += field.name_string().size() + field.value().size() + field_overhead_bytes;
+    return bytes;
+}
+
 http_request to_request(http::request<http::string_body>& message)
 {
     http_request request;
@@ -80,6 +92,7 @@
         return;
     }
     m_phase = phase::response;
+    m_idle_since = std::chrono::steady_clock::now();
     update_timeout();
     wait_for_input();
 }
@@ -105,7 +118,7 @@
     if (m_is_waiting || m_is_closed || m_is_input_ended || m_buffer.size() >= max_buffered_bytes())
         return;
     // Connections are many, and few of them carry long bodies.
-    if (m_buffer.size() == 0 && m_buffer.capacity() > max_read_ahead_bytes)
+    if (m_buffer.size() == 0 && m_buffer.capacity() > read_bytes)
         m_buffer.shrink_to_fit();
     m_is_waiting = true;
     m_stream.socket().async_wait(tcp::socket::wait_read,
@@ -167,18 +180,28 @@
     if (m_parser && m_parser->is_header_done())
         continue_if_expected();
     bool may_have_more = true;
+    std::size_t pass_memory = 0;
     while (may_have_more && !m_is_closed) {
         read_available();
         const bool is_full = m_buffer.size() >= max_buffered_bytes();
         bool has_progress = false;
-        while (!m_is_closed && may_read_request() && m_buffer.size() > 0 && parse_request())
+        while (!m_is_closed && pass_memory < max_pass_memory && may_read_request() &&
+               m_buffer.size() > 0 && parse_request()) {
             has_progress = true;
-        if (!m_is_closed && !reserve_body())
+            if (!m_parser && !m_exchanges.empty())
+                pass_memory += m_exchanges.back().m_request_memory;
+        }
+        if (!m_is_closed && !m_is_closing && !reserve_input())
             reject(out_of_memory_status);
-        may_have_more = is_full && has_progress;
+        may_have_more = is_full && has_progress && pass_memory < max_pass_memory;
     }
     if (m_is_closed)
         return;
+    if (pass_memory >= max_pass_memory) {
+        update_timeout();
+        asio::post(m_stream.get_executor(), [self] { self->process_input(); });
+        return;
+    }
     if (m_is_input_ended) {
         on_end_of_input();
         return;
@@ -195,6 +218,8 @@
         m_parser->header_limit(limits.m_max_header_bytes);
         m_parser->body_limit(limits.m_max_body_bytes);
         m_is_continue_sent = false;
+        m_header_memory = 0;
+        m_request_started_at = std::chrono::steady_clock::now();
     }
     if (m_parser->is_header_done()) {
         if (!continue_if_expected())
@@ -217,8 +242,11 @@
         reject(status_for_error(http::error::header_limit));
         return false;
     }
-    if (m_parser->is_header_done())
+    if (m_parser->is_header_done()) {
+        if (m_header_memory == 0)
+            m_header_memory = memory_of(m_parser->get());
         continue_if_expected();
+    }
     return used > 0;
 }
 
@@ -266,6 +294,8 @@
     added.m_bytes = added.m_request.m_body.size();
     for (const auto& field : added.m_request.m_headers)
         added.m_bytes += field.m_name.size() + field.m_value.size();
+    added.m_request_memory =
+        added.m_bytes + added.m_request.m_headers.size() * field_overhead_bytes;
     m_parser.reset();
     m_is_last_request_read = !added.m_keep_alive;
     const std::uint64_t number = added.m_number;
@@ -275,28 +305,62 @@
         m_handlers.m_on_disconnect(*this, number);
         return;
     }
+    if (!reserve_requests()) {
+        m_exchanges.pop_back();
+        reject(out_of_memory_status);
+        return;
+    }
     dispatch_ready();
 }
 
-bool http_session::reserve_body()
+bool http_session::reserve_input()
 {
-    const std::size_t bytes = m_parser ? m_parser->get().body().capacity() : 0;
-    if (!m_handlers.m_request_budget || (bytes == 0 && !m_reservation))
+    const std::size_t bytes =
+        m_parser ? m_buffer.capacity() + m_header_memory + m_parser->get().body().capacity()
+        : m_buffer.size() > 0 ? m_buffer.capacity()
+                              : 0;
+    if (m_handlers.m_request_budget == nullptr || (bytes == 0 && !m_input_memory))
         return true;
-    if (!m_reservation) {
-        m_reservation.emplace(*m_handlers.m_request_budget, [this] {
+    if (!m_input_memory) {
+        m_input_memory.emplace(*m_handlers.m_request_budget, [this] {
             const auto self = shared_from_this();
             reject(out_of_memory_status);
         });
     }
-    return m_reservation->resize(bytes);
+    m_input_memory->set_waiting_since(m_parser ? std::optional(m_request_started_at)
+                                               : std::nullopt);
+    return m_input_memory->resize(bytes, std::chrono::steady_clock::now());
+}
+
+bool http_session::reserve_requests()
+{
+    if (m_handlers.m_request_budget == nullptr)
+        return true;
+    std::size_t bytes = 0;
+    for (const auto& pending : m_exchanges)
+        bytes += pending.m_request_memory;
+    if (!m_request_memory)
+        m_request_memory.emplace(*m_handlers.m_request_budget, [this] { end_later(); });
+    m_request_memory->set_revocable(m_is_writing);
+    m_request_memory->set_waiting_since(m_is_writing ? std::optional(m_write_started_at)
+                                                     : std::nullopt);
+    return m_request_memory->resize(bytes, std::chrono::steady_clock::now());
+}
+
+void http_session::release_input()
+{
+    m_parser.reset();
+    m_header_memory = 0;
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+    m_input_memory.reset();
 }
 
 void http_session::reject(int status)
 {
     if (m_handlers.m_on_rejected)
         m_handlers.m_on_rejected(status, "the request is malformed or exceeds a limit");
-    m_reservation.reset();
+    release_input();
     exchange rejected;
     rejected.m_number = m_next_number++;
     rejected.m_keep_alive = false;
@@ -304,7 +368,6 @@
     rejected.m_response.emplace();
     rejected.m_response->m_status = status;
     rejected.m_response->m_body = "request is malformed or exceeds a size limit\n";
-    m_parser.reset();
     m_is_last_request_read = true;
     m_exchanges.push_back(std::move(rejected));
     write_ready();
@@ -352,8 +415,7 @@
     if (m_timer.expiry() > asio::steady_timer::clock_type::now())
         return;
     m_is_last_request_read = true;
-    m_parser.reset();
-    m_reservation.reset();
+    release_input();
     if (m_exchanges.empty() || m_is_closing)
         end();
     else
--- a/libs/sidecar_runtime/src/http_session.hpp
+++ b/libs/sidecar_runtime/src/http_session.hpp
@@ -28,6 +28,8 @@
 class http_session : public std::enable_shared_from_this<http_session>
 {
 public:
+    using session_time = std::chrono::steady_clock::time_point;
+
     struct callbacks
     {
         /// A complete request was read. The handler calls respond() once with its number, now or
@@ -44,6 +46,9 @@
         /// request has its response or its connection is closed. May be null.
         std::function<void(int status, const std::string& cause)> m_on_rejected;
 
+        /// The connection is about to be closed for the sake of others. May be null.
+        std::function<void(const char* cause)> m_on_dropped;
+
         /// The connection is closed.
         std::function<void(const http_session&)> m_on_closed;
 
@@ -64,9 +69,10 @@
         /// was read. For requests that have no use without their response.
         bool m_drops_abandoned_requests = true;
 
-        /// Memory of the bodies of unfinished requests. Null for no limit of all connections
-        /// together.
+        /// Memory of requests that are being read or have no response yet, and of responses that
+        /// are not sent. Null for no limit of all connections together.
         byte_budget* m_request_budget = nullptr;
+        byte_budget* m_response_budget = nullptr;
     };
 
     http_session(tcp::socket socket, const callbacks& handlers);
@@ -77,6 +83,19 @@
     /// have been answered.
     void respond(std::uint64_t number, const http_response& response);
 
+    /// Since when the connection waits for its client, which sends no complete request or does not
+    /// read a response. Nothing while the node owes a response.
+    std::optional<session_time> waiting_since() const;
+
+    /// Whether the client has had a response and begun no further request.
+    bool is_idle_after_response() const;
+
+    /// Closes the connection at once.
+    void end();
+
+    /// Same for the sake of other connections.
+    void drop(const char* cause);
+
     /// Whether the caller has not closed the connection. Reads bytes that it has sent after its
     /// request, because a close is visible behind them only.
     bool is_caller_connected();
@@ -90,6 +109,10 @@
         std::uint64_t m_number = 0;
         http_request m_request;
         std::size_t m_bytes = 0;
+
+        /// Memory of the request until it has its response, and of the response until it is sent.
+        std::size_t m_request_memory = 0;
+        std::size_t m_response_memory = 0;
         bool m_is_head_request = false;
         bool m_keep_alive = true;
 
@@ -121,7 +144,7 @@
 
     /// Builds the message to send. Throws std::exception for a status or header that HTTP does not
     /// allow.
-    void build_response(const http_response& response, bool is_head_request, bool keep_alive);
+    void build_response(http_response response, bool is_head_request, bool keep_alive);
 
     /// Parses buffered bytes. Returns false when more bytes are needed.
     bool parse_request();
@@ -135,8 +158,18 @@
 
     void add_request();
 
-    /// Reserves the memory of the body that is being read. Returns false when it exceeds the limit.
-    bool reserve_body();
+    /// Reserves the memory of the request that is being read. Returns false when it exceeds the
+    /// limit.
+    bool reserve_input();
+
+    /// Reserves the memory of all requests without a response, or of all responses. Returns false
+    /// when it exceeds the limit.
+    bool reserve_requests();
+    bool reserve_responses();
+
+    /// Has the connection closed by a later handler.
+    void end_later();
+    void release_input();
     void reject(int status);
     void on_end_of_input();
     void dispatch_ready();
@@ -149,14 +182,21 @@
     /// Discards input until the caller closes the connection, because closing with unread bytes
     /// could destroy the last response on its way.
     void close_gracefully();
-    void end();
 
     boost::beast::tcp_stream m_stream;
     asio::steady_timer m_timer;
     const callbacks& m_handlers;
     boost::beast::flat_buffer m_buffer;
     std::optional<request_parser> m_parser;
-    std::optional<byte_reservation> m_reservation;
+    std::optional<byte_reservation> m_input_memory;
+    std::optional<byte_reservation> m_request_memory;
+    std::optional<byte_reservation> m_response_memory;
+
+    /// Memory of the header fields of the request that is being read.
+    std::size_t m_header_memory = 0;
+    session_time m_request_started_at;
+    session_time m_write_started_at;
+    session_time m_idle_since;
     std::deque<exchange> m_exchanges;
     std::uint64_t m_next_number = 1;
     boost::beast::http::response<boost::beast::http::string_body> m_response;
@@ -171,6 +211,7 @@
     bool m_is_processing = false;
     bool m_is_writing = false;
     bool m_is_continue_sent = false;
+    bool m_has_sent_response = false;
     bool m_is_closing = false;
     bool m_is_closed = false;
 };
--- a/libs/sidecar_runtime/src/node_runtime_http.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_http.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// Limit of the body of an announcement, a readiness probe or a request for metrics. Announcements
+/// have a few hundred bytes.
+constexpr std::uint64_t max_control_body_bytes = 64U * 1024;
+
 std::string retry_after_value(duration wait)
 {
     char text[32];
@@ -40,6 +44,8 @@
         report(log_level::info, "request_rejected", {{"status", status}, {"cause", cause}});
     };
     callbacks.m_request_budget = &m_request_budget;
+    callbacks.m_response_budget = &m_caller_response_budget;
+    callbacks.m_on_dropped = [this](const char* cause) { count_dropped_client(cause); };
     callbacks.m_on_write = [this](bool is_started) {
         if (is_started)
             ++m_writing_sessions;
@@ -60,13 +66,19 @@
         return false;
     };
     callbacks.m_on_disconnect = [](const http_session& /*session*/, std::uint64_t /*number*/) {};
-    callbacks.m_limits = [] { return routing::client_limits{}; };
+    callbacks.m_limits = [] {
+        routing::client_limits limits;
+        limits.m_max_body_bytes = max_control_body_bytes;
+        return limits;
+    };
     callbacks.m_is_draining = [] { return false; };
     callbacks.m_on_rejected = [this](int status, const std::string& cause) {
         report(log_level::warning, "control_request_rejected",
                {{"status", status}, {"cause", cause}});
     };
     callbacks.m_request_budget = &m_request_budget;
+    callbacks.m_response_budget = &m_caller_response_budget;
+    callbacks.m_on_dropped = [this](const char* cause) { count_dropped_client(cause); };
     // An announcement of a backend server is valid although its sender does not wait any longer.
     callbacks.m_drops_abandoned_requests = false;
     return callbacks;
@@ -110,6 +122,11 @@
     respond(command.m_caller, response);
 }
 
+void node_runtime::impl::count_dropped_client(const char* cause)
+{
+    m_metrics.add_counter("clients_dropped_total", 1, {{"cause", cause}});
+}
+
 bool node_runtime::impl::on_caller_request(const caller_exchange& exchange,
                                            const http_request& request)
 {
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -47,8 +47,10 @@
 /// Status of a request whose handling failed. It says nothing about an execution.
 constexpr int failed_handler_status = 500;
 
-/// Fraction for the bodies of unfinished requests.
+/// Fractions for requests until their response is ready, and for responses that wait for slow
+/// callers.
 constexpr double request_share = 0.2;
+constexpr double caller_response_share = 0.15;
 
 /// Fraction for responses that are retained until their ingress must have received them.
 constexpr double retained_response_share = 0.15;
@@ -99,6 +101,8 @@
       m_clock(time), m_backend_response_budget(memory_share(settings, backend_response_share)),
       m_store_response_budget(memory_share(settings, store_response_share)),
       m_request_budget(memory_share(settings, request_share)),
+      m_caller_response_budget(memory_share(settings, caller_response_share)),
+      m_connection_limits(connection_limits_for(descriptor_limit())),
       m_options(make_node_options(settings)),
       m_log(time, {m_options.m_node, m_options.m_incarnation}, STDOUT_FILENO),
       m_state(sidecar::make_node(m_options, time.now(), random_u64())),
@@ -114,7 +118,8 @@
               report(level, event, fields);
           },
           [this] { return sidecar::check_turn_of(m_state); }),
-      m_peer_acceptor(m_io), m_tick_timer(m_io), m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
+      m_peer_acceptor(m_io), m_peer_accept_timer(m_io), m_tick_timer(m_io),
+      m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
 {
     std::signal(SIGPIPE, SIG_IGN);
     m_link_callbacks.m_on_frame = [this](std::uint64_t link, sidecar::peer_frame frame) {
@@ -143,23 +148,26 @@
     m_peer_acceptor.set_option(asio::socket_base::reuse_address(true));
     m_peer_acceptor.bind(peer_address);
     m_peer_acceptor.listen();
-    m_caller_listener =
-        std::make_unique<http_listener>(m_io, m_settings.m_caller_address, caller_callbacks());
+    m_caller_listener = std::make_unique<http_listener>(
+        m_io, m_settings.m_caller_address, caller_callbacks(), m_connection_limits.m_callers);
     m_registry_listener = std::make_unique<http_listener>(
         m_io, m_settings.m_registry_address,
         default_callbacks([this](const auto& exchange, const http_request& request) {
             on_registry_request(exchange, request);
-        }));
+        }),
+        m_connection_limits.m_control);
     m_ready_listener = std::make_unique<http_listener>(
         m_io, m_settings.m_ready_address,
         default_callbacks([this](const auto& exchange, const http_request& request) {
             on_readiness_probe(exchange, request);
-        }));
+        }),
+        m_connection_limits.m_control);
     m_metrics_listener = std::make_unique<http_listener>(
         m_io, m_settings.m_metrics_address,
         default_callbacks([this](const auto& exchange, const http_request& /*request*/) {
             on_metrics_request(exchange);
-        }));
+        }),
+        m_connection_limits.m_control);
 }
 
 void node_runtime::impl::run()
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -2,6 +2,7 @@
 
 #include "backend_connection_pool.hpp"
 #include "byte_budget.hpp"
+#include "connection_limits.hpp"
 #include "event_queue.hpp"
 #include "http_listener.hpp"
 #include "key_command_sender.hpp"
@@ -94,6 +95,9 @@
     void on_readiness_probe(const caller_exchange& exchange, const http_request& request);
     void on_metrics_request(const caller_exchange& exchange);
 
+    /// Counts a connection that was closed for the sake of others.
+    void count_dropped_client(const char* cause);
+
     bool is_idempotent(const sidecar::forwarded_request& request) const;
 
     http_session::callbacks caller_callbacks();
@@ -101,6 +105,10 @@
     default_callbacks(std::function<void(const caller_exchange&, const http_request&)> on_request);
 
     void accept_peers();
+
+    /// Closes the oldest of the accepted links that have not named their node, if they are too
+    /// many.
+    void limit_unidentified_links();
     std::uint64_t add_link(tcp::socket socket);
     void close_link(std::uint64_t link);
     void on_frame_sent(std::uint64_t link, const peer_link::sent_frame& frame);
@@ -133,8 +141,11 @@
     byte_budget m_backend_response_budget;
     byte_budget m_store_response_budget;
 
-    /// Memory of the bodies of unfinished requests of callers.
+    /// Memory of requests of all HTTP connections until they have a response, and of responses that
+    /// are not sent.
     byte_budget m_request_budget;
+    byte_budget m_caller_response_budget;
+    connection_limits m_connection_limits;
     asio::io_context m_io{1};
     const sidecar::node_options m_options;
     json_line_log m_log;
@@ -149,11 +160,15 @@
     peer_link::callbacks m_link_callbacks;
     std::map<std::uint64_t, std::shared_ptr<peer_link>> m_links;
     std::uint64_t m_next_link_id = 1;
+
+    /// Accepted links whose node was not known yet when they were last looked at.
+    std::set<std::uint64_t> m_unidentified_links;
     std::map<std::uint64_t, caller_exchange> m_exchange_of_caller;
     std::map<std::pair<const http_session*, std::uint64_t>, std::uint64_t> m_caller_of_exchange;
     std::uint64_t m_next_caller_id = 1;
 
     tcp::acceptor m_peer_acceptor;
+    asio::steady_timer m_peer_accept_timer;
     std::unique_ptr<http_listener> m_caller_listener;
     std::unique_ptr<http_listener> m_registry_listener;
     std::unique_ptr<http_listener> m_ready_listener;
--- a/libs/sidecar_runtime/src/node_runtime_peers.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_peers.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Delay after a failed accept, for example when file descriptors are exhausted.
+constexpr milliseconds accept_retry_delay{20};
+
 constexpr milliseconds peer_connect_timeout{500};
 
 /// Time in the send queue of a peer connection above which a frame is logged. Callers notice a
@@ -67,12 +70,39 @@
 void node_runtime::impl::accept_peers()
 {
     m_peer_acceptor.async_accept([this](error_code error, tcp::socket socket) {
-        if (!error)
-            enqueue(sidecar::link_opened{add_link(std::move(socket)), ""});
+        if (error) {
+            m_peer_accept_timer.expires_after(accept_retry_delay);
+            m_peer_accept_timer.async_wait([this](error_code cancelled) {
+                if (!cancelled)
+                    accept_peers();
+            });
+            return;
+        }
+        limit_unidentified_links();
+        const std::uint64_t link = add_link(std::move(socket));
+        m_unidentified_links.insert(link);
+        enqueue(sidecar::link_opened{link, ""});
         accept_peers();
     });
 }
 
+void node_runtime::impl::limit_unidentified_links()
+{
+    if (m_unidentified_links.size() < m_connection_limits.m_unidentified_peers)
+        return;
+    for (auto link = m_unidentified_links.begin(); link != m_unidentified_links.end();) {
+        const bool is_settled =
+            m_links.count(*link) == 0 || m_state.m_node_of_link.count(*link) != 0;
+        link = is_settled ? m_unidentified_links.erase(link) : std::next(link);
+    }
+    if (m_unidentified_links.size() < m_connection_limits.m_unidentified_peers)
+        return;
+    const std::uint64_t oldest = *m_unidentified_links.begin();
+    m_unidentified_links.erase(oldest);
+    close_link(oldest);
+    count_dropped_client("peer_connections");
+}
+
 std::uint64_t node_runtime::impl::add_link(tcp::socket socket)
 {
     const std::uint64_t id = m_next_link_id++;
