Take responses with an invalid status as failures of the backend server

Callers got 504 at the end of the route's timeout when a backend server answered 000, 099 or 101 or sent interim responses without end, because every status below 200 counted as an interim response; statuses from 600 to 999 reached the caller. These responses, and more than 16 interim ones, fail the exchange now, and the request is treated according to its kind.

--- a/libs/sidecar_runtime/src/client_connection.cpp
+++ b/libs/sidecar_runtime/src/client_connection.cpp
@@ -39,6 +39,17 @@
 /// Subtracted from the server's Keep-Alive timeout, so that a request does not meet the close.
 constexpr std::chrono::milliseconds keep_alive_margin{1000};
 
+/// Limit of the interim responses of one exchange. Without it, a server could hold an exchange
+/// until its deadline.
+constexpr int max_interim_responses = 16;
+
+/// Whether a status may be sent in response to these requests (RFC 9110, section 15). 101 is not
+/// among them, since no request asks for another protocol.
+bool is_valid_status(unsigned status)
+{
+    return status >= 100 && status <= 599 && status != 101;
+}
+
 template <class Fields>
 std::size_t memory_of_fields(const Fields& fields)
 {
@@ -155,6 +166,7 @@
     m_stream.expires_after(m_timeout);
     m_deadline = std::chrono::steady_clock::now() + m_timeout;
     m_bytes_read = 0;
+    m_interim_responses = 0;
     http::async_write(m_stream, m_request,
                       [self = shared_from_this()](error_code error, std::size_t sent) {
                           self->m_is_request_written = !error;
@@ -246,11 +258,20 @@
 bool client_connection::try_complete()
 {
     auto& message = m_parser->get();
-    if (message.result_int() < 200)
-        return false;
+    const unsigned status = message.result_int();
+    if (!is_valid_status(status)) {
+        fail_exchange(exchange_result::incomplete, "invalid status " + std::to_string(status));
+        return true;
+    }
+    if (status < 200) {
+        if (++m_interim_responses <= max_interim_responses)
+            return false;
+        fail_exchange(exchange_result::incomplete, "too many interim responses");
+        return true;
+    }
     exchange_outcome outcome;
     outcome.m_result = exchange_result::answered;
-    outcome.m_response.m_status = static_cast<int>(message.result_int());
+    outcome.m_response.m_status = static_cast<int>(status);
     for (const auto& field : message) {
         const auto name = field.name_string();
         const auto value = field.value();
--- a/libs/sidecar_runtime/src/client_connection.hpp
+++ b/libs/sidecar_runtime/src/client_connection.hpp
@@ -120,6 +120,8 @@
     /// Bytes read in this exchange, including responses that the filter rejected.
     std::size_t m_bytes_read = 0;
 
+    int m_interim_responses = 0;
+
     /// Memory of the parsed header section.
     std::size_t m_header_bytes = 0;
 
