Limit new requests while their calls find no capacity

Callers saw: requests failed with a 500 of a server that had executed them, because its calls to an overloaded service failed.

Cause: a gate started requests without regard to the services that their executions call.

Change: gates report how long a call would wait (m_call_wait of load_report). Calls themselves are not limited, start before waiting requests that are not calls, and may wait beyond their target.

--- a/libs/routing/include/azureladder/routing/admission_controller.hpp
+++ b/libs/routing/include/azureladder/routing/admission_controller.hpp
@@ -64,6 +64,10 @@
     /// Maximum number of concurrent requests; 0 while the backend server accepts none.
     std::uint32_t m_limit = 0;
 
+    /// Share of the limit for requests that are not calls, 0 to 1; below 1 while the services that
+    /// their executions call are short of capacity (`call_shortage`).
+    double m_new_request_share = 1.0;
+
     /// Request rate in 1/s that the backend server supports while cold; 0 if it is not cold.
     double m_cold_rate_per_s = 0.0;
 
--- a/libs/routing/include/azureladder/routing/admission_options.hpp
+++ b/libs/routing/include/azureladder/routing/admission_options.hpp
@@ -24,7 +24,7 @@
     /// target. Below 1, since half of the executions take longer than the mean.
     double m_max_target_share = 0.9;
 
-    /// The same limit for short requests, as a fraction of the time to their deadline. A request is
+    /// The same limit for short requests and calls, as a fraction of the time to their deadline. A request is
     /// short if its expected execution time is at most half of the mean of the running requests.
     double m_short_max_deadline_share = 0.7;
 
@@ -67,6 +67,10 @@
     /// Time after its last execution for which a route is included in load reports.
     duration m_route_report_period = seconds(20);
 
+    /// Largest wait in a load report; stands for all longer ones, and for new requests that may not
+    /// start at all.
+    duration m_max_reported_wait = seconds(10);
+
     /// Range of the retry delay that a rejection recommends.
     duration m_min_retry_after = milliseconds(50);
     duration m_max_retry_after = seconds(2);
--- a/libs/routing/include/azureladder/routing/load_report.hpp
+++ b/libs/routing/include/azureladder/routing/load_report.hpp
@@ -52,6 +52,9 @@
     /// waiting ones that can.
     duration m_predicted_wait{};
 
+    /// Predicted time until a call starts that is less urgent than all waiting calls.
+    duration m_call_wait{};
+
     /// Share of recent executions that failed, 0 to 1.
     double m_failure_share = 0.0;
 
--- a/libs/routing/src/admission_controller.cpp
+++ b/libs/routing/src/admission_controller.cpp
@@ -26,9 +26,10 @@
         std::max(1.0, std::floor(state.m_cold_rate_per_s * options.m_cold_rate_factor)));
 }
 
-bool may_start(admission_controller& state, time_point now, const admission_options& options)
+bool may_start(admission_controller& state, bool is_call, time_point now,
+               const admission_options& options)
 {
-    if (state.m_running.size() >= state.m_limit)
+    if (is_at_limit(state, is_call))
         return false;
     while (!state.m_recent_starts.empty() && now - state.m_recent_starts.front() > cold_window)
         state.m_recent_starts.pop_front();
@@ -94,13 +95,16 @@
         return {admission::refuse, options.m_min_retry_after};
     if (now + scaled(service, options.m_min_target_share) <= request.m_target)
         record_offered(state, service, now, options);
-    if (state.m_waiting.empty() && may_start(state, now, options)) {
+    const bool is_next =
+        state.m_waiting.empty() || (request.m_is_call && !state.m_waiting.front().m_is_call);
+    if (is_next && may_start(state, request.m_is_call, now, options)) {
         start(state, request, now);
         return {admission::start, duration::zero()};
     }
     const duration wait = predicted_wait(state, request, now, options);
-    // Short requests delay the others little, and often a running request depends on them.
-    const bool is_short = service * 2 <= mean_running_service_time(state, now, options);
+    // Short requests delay the others little. A rejected call wastes the execution that made it.
+    const bool is_short =
+        request.m_is_call || service * 2 <= mean_running_service_time(state, now, options);
     const duration allowed =
         is_short ? scaled(request.m_deadline - now, options.m_short_max_deadline_share)
                  : scaled(request.m_target - now, options.m_max_target_share);
@@ -109,7 +113,7 @@
     const bool is_queue_short =
         is_short || !in_standing_queue ||
         wait <= scaled(request.m_target - now, options.m_standing_queue_max_target_share);
-    if (wait + service <= allowed && is_queue_short)
+    if (wait <= allowed - service && is_queue_short)
         return enqueue(state, request, wait, now, options);
     // A late response is better than none.
     admission_request late = request;
@@ -126,10 +130,14 @@
                                                       const admission_options& options)
 {
     std::vector<admission_request> result;
-    if (state.m_waiting.empty() || !may_start(state, now, options))
+    const auto may_start_next = [&] {
+        return !state.m_waiting.empty() &&
+               may_start(state, state.m_waiting.front().m_is_call, now, options);
+    };
+    if (!may_start_next())
         return result;
     demote_late_requests(state, now, options);
-    while (!state.m_waiting.empty() && may_start(state, now, options)) {
+    while (may_start_next()) {
         result.push_back(state.m_waiting.front());
         state.m_waiting.erase(state.m_waiting.begin());
         start(state, result.back(), now);
@@ -171,7 +179,14 @@
     report.m_service_time =
         decayed_mean(state.m_mean_service_time, state.m_last_sample_at, now, options);
     report.m_route_times = slowest_routes(state, now, options);
-    report.m_predicted_wait = predicted_wait(state, least_urgent_request(state), now, options);
+    report.m_predicted_wait =
+        std::min(predicted_wait(state, least_urgent_request(state), now, options),
+                 options.m_max_reported_wait);
+    admission_request call = least_urgent_request(state);
+    call.m_is_call = true;
+    call.m_priority = UINT32_MAX;
+    report.m_call_wait =
+        std::min(predicted_wait(state, call, now, options), options.m_max_reported_wait);
     report.m_failure_share =
         state.m_failure_share * (1.0 - decayed_share(state.m_last_outcome_at, now, options));
     report.m_cold_rate_per_s = state.m_cold_rate_per_s;
--- a/libs/routing/src/admission_prediction.cpp
+++ b/libs/routing/src/admission_prediction.cpp
@@ -36,6 +36,32 @@
     return decayed_mean(found->second.m_mean, found->second.m_last_sample_at, now, options);
 }
 
+namespace {
+
+/// Slots that requests of this kind (calls or others) may use. At least one, unless no server can
+/// execute their calls, so that the end of a shortage is noticed.
+std::uint32_t usable_slots(const admission_controller& state, bool is_call)
+{
+    if (is_call || state.m_new_request_share >= 1.0)
+        return state.m_limit;
+    if (state.m_new_request_share <= 0.0)
+        return 0;
+    return std::max(1U, static_cast<std::uint32_t>(state.m_limit * state.m_new_request_share));
+}
+
+} // namespace
+
+bool is_at_limit(const admission_controller& state, bool is_call)
+{
+    if (state.m_running.size() >= state.m_limit)
+        return true;
+    if (is_call || state.m_new_request_share >= 1.0)
+        return false;
+    const auto count = std::count_if(state.m_running.begin(), state.m_running.end(),
+                                     [](const auto& running) { return !running.second.m_is_call; });
+    return count >= static_cast<std::ptrdiff_t>(usable_slots(state, is_call));
+}
+
 duration mean_running_service_time(const admission_controller& state, time_point now,
                                    const admission_options& options)
 {
@@ -50,6 +76,9 @@
 duration predicted_wait(const admission_controller& state, const admission_request& request,
                         time_point now, const admission_options& options)
 {
+    const std::uint32_t slots = usable_slots(state, request.m_is_call);
+    if (slots == 0 && state.m_limit > 0)
+        return duration::max();
     duration work = mean_running_service_time(state, now, options);
     std::size_t ahead = 0;
     for (const auto& waiting : state.m_waiting) {
@@ -59,8 +88,8 @@
         ++ahead;
     }
     duration wait{};
-    if (state.m_running.size() >= state.m_limit)
-        wait = work / std::max<std::uint32_t>(state.m_limit, 1);
+    if (is_at_limit(state, request.m_is_call))
+        wait = work / std::max<std::uint32_t>(slots, 1);
     if (state.m_cold_rate_per_s > 0.0)
         wait = std::max(
             wait, scaled(cold_window, static_cast<double>(ahead + 1) / state.m_cold_rate_per_s));
@@ -93,7 +122,8 @@
 {
     const double per_s = offered_weight(state, now, options) /
                          std::chrono::duration<double>(options.m_offered_load_time).count();
-    double used = state.m_offered.m_work * per_s / std::max<std::uint32_t>(state.m_limit, 1);
+    const std::uint32_t slots = usable_slots(state, false);
+    double used = state.m_offered.m_work * per_s / std::max<std::uint32_t>(slots, 1);
     if (state.m_cold_rate_per_s > 0.0)
         used = std::max(used, state.m_offered.m_requests * per_s / state.m_cold_rate_per_s);
     return std::clamp(1.0 - used, 0.0, 1.0);
@@ -103,9 +133,10 @@
                              time_point now, const admission_options& options)
 {
     const double share = leftover_share(state, now, options);
-    if (share < options.m_min_leftover_share)
+    const duration wait = predicted_wait(state, late, now, options);
+    if (share < options.m_min_leftover_share || wait == duration::max())
         return duration::max();
-    return scaled(predicted_wait(state, late, now, options), 1.0 / share);
+    return scaled(wait, 1.0 / share);
 }
 
 } // namespace azureladder::routing
--- a/libs/routing/src/admission_prediction.hpp
+++ b/libs/routing/src/admission_prediction.hpp
@@ -15,12 +15,16 @@
 duration decayed_mean(duration mean, time_point last_sample, time_point now,
                       const admission_options& options);
 
+/// Whether the slots for requests of this kind (calls or others) are in use.
+bool is_at_limit(const admission_controller& state, bool is_call);
+
 /// Mean expected execution time of the running requests; zero if there are none.
 duration mean_running_service_time(const admission_controller& state, time_point now,
                                    const admission_options& options);
 
 /// Predicted time until `request` would start. One running request has to end for each request
-/// ahead of it and one for the request itself; `m_limit` requests are executed concurrently.
+/// ahead of it and one for the request itself; `m_limit` requests are executed concurrently, or the
+/// share of it that may be used. `duration::max()` if none may be used.
 duration predicted_wait(const admission_controller& state, const admission_request& request,
                         time_point now, const admission_options& options);
 
--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -5,6 +5,7 @@
 #include <azureladder/routing/admission_options.hpp>
 #include <azureladder/routing/attempt_age.hpp>
 #include <azureladder/routing/call_detection.hpp>
+#include <azureladder/routing/call_shortage.hpp>
 #include <azureladder/routing/retry_budget.hpp>
 #include <azureladder/routing/server_selection.hpp>
 #include <azureladder/sidecar/staggered_delay.hpp>
@@ -32,6 +33,7 @@
     routing::retry_budget_options m_retry;
     routing::attempt_age_options m_attempt_age;
     routing::call_detection_options m_call_detection;
+    routing::call_shortage_options m_call_shortage;
     key_ranges::key_lease_options m_leases;
 
     /// Interval between pings of a peer; the busy interval applies while requests to it are open.
--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -124,6 +124,9 @@
     /// Calls that the local backend server makes during its executions.
     routing::nested_calls m_nested_calls;
 
+    /// Time since which calls are scarce or sufficient.
+    time_point m_call_shortage_since;
+
     /// Origins of the requests that arrived for the local backend server.
     routing::origins_by_route m_request_origins;
 
--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -56,6 +56,7 @@
          {"running", context.m_state.m_admission_controller.m_running.size()},
          {"waiting", context.m_state.m_admission_controller.m_waiting.size()},
          {"limit", context.m_state.m_admission_controller.m_limit},
+         {"new_request_share", context.m_state.m_admission_controller.m_new_request_share},
          {"retry_after_ms", to_ms(retry_after)}});
     refusal_frame refusal{frame, reason, retry_after.count(), own_load_report(context), {}};
     if (reason == refusal_reason::not_owner && request.m_key)
--- a/libs/sidecar/src/peer_frame_fields.hpp
+++ b/libs/sidecar/src/peer_frame_fields.hpp
@@ -26,7 +26,7 @@
 {
     return std::tie(value.m_open, value.m_running, value.m_waiting, value.m_limit,
                     value.m_service_time, value.m_failure_share, value.m_cold_rate_per_s,
-                    value.m_predicted_wait, value.m_route_times);
+                    value.m_predicted_wait, value.m_route_times, value.m_call_wait);
 }
 
 template <class Value>
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -84,6 +84,7 @@
     state.m_last_tick = context.m_now;
     check_peers(context);
     check_outdated_documents(context);
+    check_called_services(context);
     check_backend_executions(context);
     check_tables(context);
     check_range_leases(context);
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -92,6 +92,9 @@
 void apply_departures(step_context& context);
 void check_backend_executions(step_context& context);
 
+/// Limits the slots for new requests to what the load reports of the called services allow.
+void check_called_services(step_context& context);
+
 /// Restarts the time in which requests over lost connections can be resumed, of open requests and
 /// of executions. Neither side could resume them while this process stood still.
 void restart_resume_windows(step_context& context);
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -570,6 +570,8 @@
     m_metrics.set_gauge("gate_waiting",
                         static_cast<double>(m_state.m_admission_controller.m_waiting.size()));
     m_metrics.set_gauge("gate_limit", m_state.m_admission_controller.m_limit);
+    m_metrics.set_gauge("gate_new_request_share",
+                        m_state.m_admission_controller.m_new_request_share);
     m_metrics.set_counter("gate_demoted_total", m_state.m_admission_controller.m_demoted_count);
     m_metrics.set_counter("gate_queued_late_total",
                           m_state.m_admission_controller.m_queued_late_count);
