--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -85,6 +85,7 @@
     check_peers(context);
     check_outdated_documents(context);
     check_retained_evacuations(context);
+    check_called_services(context);
     check_backend_executions(context);
     check_tables(context);
     check_range_leases(context);
