Bound the memory of peer frames over all connections

A group of clients at the peer address could make the node hold 80 MiB for each connection with frames that never end, and 32 MiB could be queued for each slow peer. A read buffer also stayed allocated after a long frame, because assigning an empty string keeps the capacity. Frames that have arrived in part and frames to send have a budget of 20 % of memory_mb each now; the link with most of it is closed, and its requests are resumed or fail as after any loss of a connection.

--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -52,6 +52,10 @@
 constexpr double request_share = 0.2;
 constexpr double caller_response_share = 0.15;
 
+/// Fraction for frames of peers that have arrived in part, and for those to send. As large as that
+/// of requests, so that each accepted request can be sent.
+constexpr double peer_frame_share = 0.2;
+
 /// Fraction for responses that are retained until their ingress must have received them.
 constexpr double retained_response_share = 0.15;
 
@@ -102,6 +106,8 @@
       m_store_response_budget(memory_share(settings, store_response_share)),
       m_request_budget(memory_share(settings, request_share)),
       m_caller_response_budget(memory_share(settings, caller_response_share)),
+      m_peer_input_budget(memory_share(settings, peer_frame_share)),
+      m_peer_output_budget(memory_share(settings, peer_frame_share)),
       m_connection_limits(connection_limits_for(descriptor_limit())),
       m_options(make_node_options(settings)),
       m_log(time, {m_options.m_node, m_options.m_incarnation}, STDOUT_FILENO),
@@ -142,6 +148,8 @@
     m_link_callbacks.m_on_held_back = [this](std::uint64_t link) {
         m_held_back_links.insert(link);
     };
+    m_link_callbacks.m_input_budget = &m_peer_input_budget;
+    m_link_callbacks.m_output_budget = &m_peer_output_budget;
     m_bulk_pacer = make_bulk_pacer(m_settings.m_link_mbps);
     const tcp::endpoint peer_address = to_tcp_endpoint(m_settings.m_peer_address);
     m_peer_acceptor.open(peer_address.protocol());
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -145,6 +145,10 @@
     /// are not sent.
     byte_budget m_request_budget;
     byte_budget m_caller_response_budget;
+
+    /// Memory of frames of all peers that have arrived in part, and of frames to send.
+    byte_budget m_peer_input_budget;
+    byte_budget m_peer_output_budget;
     connection_limits m_connection_limits;
     asio::io_context m_io{1};
     const sidecar::node_options m_options;
--- a/libs/sidecar_runtime/src/peer_link.cpp
+++ b/libs/sidecar_runtime/src/peer_link.cpp
@@ -1,5 +1,8 @@
 #include "peer_link.hpp"
 
+#include "byte_budget.hpp"
+
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include <netinet/in.h>
@@ -89,6 +92,8 @@
         m_reader.m_malformed_frames = 0;
         if (!is_valid)
             return asio::error::invalid_argument;
+        if (!m_is_closed && !reserve_input())
+            return asio::error::no_buffer_space;
         total += size;
         if (size < buffer.size())
             break;
@@ -104,7 +109,7 @@
     if (cancel != nullptr && remove_queued_request(m_queue, cancel->m_id))
         return;
     push_frame(m_queue, frame, m_clock.now());
-    if (m_queue.m_bytes > max_queued_bytes)
+    if (m_queue.m_bytes > max_queued_bytes || !reserve_output())
         close_and_report();
     else
         resume();
@@ -150,6 +155,8 @@
         close_and_report();
         return;
     }
+    // A reservation that shrinks can't fail.
+    static_cast<void>(reserve_output());
     const time_point now = m_clock.now();
     for (std::size_t i = 0; i < written.m_completed.size(); ++i) {
         const queued_frame& frame = written.m_completed[i];
@@ -162,6 +169,8 @@
 void peer_link::close()
 {
     m_is_closed = true;
+    m_input_memory.reset();
+    m_output_memory.reset();
     // The connection is discarded, so an error while closing has no effect.
     error_code ignored;
     // Frames that were not delivered are resumed, sent again or dropped elsewhere. A reset keeps
@@ -170,6 +179,31 @@
     m_socket.close(ignored);
 }
 
+bool peer_link::reserve(std::optional<byte_reservation>& held, byte_budget* budget,
+                        std::size_t bytes)
+{
+    if (budget == nullptr || (bytes == 0 && !held))
+        return true;
+    if (!held) {
+        held.emplace(*budget, [this] {
+            // Other links are being handled here.
+            asio::post(m_socket.get_executor(),
+                       [self = shared_from_this()] { self->close_and_report(); });
+        });
+    }
+    return held->resize(bytes);
+}
+
+bool peer_link::reserve_input()
+{
+    return reserve(m_input_memory, m_handlers.m_input_budget, buffered_bytes(m_reader));
+}
+
+bool peer_link::reserve_output()
+{
+    return reserve(m_output_memory, m_handlers.m_output_budget, m_queue.m_bytes);
+}
+
 void peer_link::close_and_report()
 {
     if (m_is_closed)
--- a/libs/sidecar_runtime/src/peer_link.hpp
+++ b/libs/sidecar_runtime/src/peer_link.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "asio_types.hpp"
+#include "byte_reservation.hpp"
 #include "frame_queue.hpp"
 #include "piece_reader.hpp"
 
@@ -8,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace azureladder::sidecar_runtime {
@@ -43,6 +45,11 @@
 
         /// The pacer holds back bulk data of the link, which resume() sends later.
         std::function<void(std::uint64_t link)> m_on_held_back;
+
+        /// Memory of frames of all links that have arrived in part, and of frames to send. A link
+        /// that gives way to others is closed. Null for no limit of all links together.
+        byte_budget* m_input_budget = nullptr;
+        byte_budget* m_output_budget = nullptr;
     };
 
     /// The clock, the pacer and the callbacks must outlive the link.
@@ -77,6 +84,11 @@
     void on_written(const frame_write& written, error_code error);
     void close_and_report();
 
+    /// Reserves memory of a budget. Returns false when it exceeds the limit.
+    bool reserve(std::optional<byte_reservation>& held, byte_budget* budget, std::size_t bytes);
+    bool reserve_input();
+    bool reserve_output();
+
     tcp::socket m_socket;
     std::uint64_t m_id;
     const clock& m_clock;
@@ -85,6 +97,8 @@
     piece_reader m_reader;
     frame_queue m_queue;
     frame_write m_write;
+    std::optional<byte_reservation> m_input_memory;
+    std::optional<byte_reservation> m_output_memory;
     bool m_is_closed = false;
 };
 
--- a/libs/sidecar_runtime/src/piece_reader.cpp
+++ b/libs/sidecar_runtime/src/piece_reader.cpp
@@ -51,12 +51,20 @@
     bytes.erase(0, offset);
     // Releases the memory of a long frame.
     if (bytes.empty() && bytes.capacity() > 2 * max_piece_bytes)
-        bytes = {};
+        std::string().swap(bytes);
     return decode_result::done;
 }
 
 } // namespace
 
+std::size_t buffered_bytes(const piece_reader& reader)
+{
+    std::size_t bytes = 0;
+    for (const auto& frame : reader.m_frames)
+        bytes += frame.empty() ? 0 : frame.capacity();
+    return bytes;
+}
+
 bool read_pieces(piece_reader& reader, std::string_view bytes,
                  const std::function<bool(sidecar::peer_frame)>& on_frame)
 {
--- a/libs/sidecar_runtime/src/piece_reader.hpp
+++ b/libs/sidecar_runtime/src/piece_reader.hpp
@@ -26,6 +26,9 @@
     std::size_t m_malformed_frames = 0;
 };
 
+/// Memory of the frames that have arrived in part.
+std::size_t buffered_bytes(const piece_reader& reader);
+
 /// Calls `on_frame` for each frame that `bytes` complete, until it returns false. Returns false
 /// when the bytes are invalid.
 bool read_pieces(piece_reader& reader, std::string_view bytes,
--- a/tests/hostile/hostile_clients_test.cpp
+++ b/tests/hostile/hostile_clients_test.cpp
@@ -303,6 +303,22 @@
     expect_bounds();
 }
 
+// Guards against frames without end at the peer address: each connection could hold 80 MiB.
+TEST_F(hostile_clients, unfinished_peer_frames_stay_within_the_memory)
+{
+    constexpr std::size_t piece_bytes = 8192;
+    // A piece of the bulk stream begins with its stream and length, a frame with its length.
+    const std::string piece_head("\x02\x00\x20\x00", 4);
+    client_script script;
+    script.m_head =
+        piece_head + std::string("\x04\x00\x00\x00", 4) + std::string(piece_bytes - 4, 'f');
+    script.m_repeated = piece_head + std::string(piece_bytes, 'f');
+    script.m_count = 120;
+    const client_group group(m_node.ports().m_peer, group_clients, script);
+    group.wait_until_settled();
+    expect_bounds();
+}
+
 INSTANTIATE_TEST_SUITE_P(addresses, silent_group, testing::ValuesIn(addresses),
                          [](const auto& info) { return info.param.m_name; });
 
