Reject the input of a connection at most once

A connection whose input found no memory while an earlier request was executed got another queued 503 for each further part of its input, so a client could make the queue grow. Bytes behind the last request are discarded without a response. An idle connection keeps a read buffer of up to 8 KiB instead of 4, so that ordinary requests do not allocate it again.

--- a/libs/sidecar_runtime/src/http_session.cpp
+++ b/libs/sidecar_runtime/src/http_session.cpp
@@ -20,6 +20,10 @@
 
 constexpr std::size_t read_bytes = 4096;
 
+/// Largest buffer of a connection without input. It has room for two reads, so that ordinary
+/// requests do not allocate it again.
+constexpr std::size_t max_idle_buffer_bytes = 2 * read_bytes;
+
 /// Limit of bytes that are read ahead while no further request is read. A disconnect behind more
 /// bytes is not detected.
 constexpr std::size_t max_read_ahead_bytes = 16U * 1024;
@@ -118,7 +122,7 @@
     if (m_is_waiting || m_is_closed || m_is_input_ended || m_buffer.size() >= max_buffered_bytes())
         return;
     // Connections are many, and few of them carry long bodies.
-    if (m_buffer.size() == 0 && m_buffer.capacity() > read_bytes)
+    if (m_buffer.size() == 0 && m_buffer.capacity() > max_idle_buffer_bytes)
         m_buffer.shrink_to_fit();
     m_is_waiting = true;
     m_stream.socket().async_wait(tcp::socket::wait_read,
@@ -358,6 +362,11 @@
 
 void http_session::reject(int status)
 {
+    // Bytes behind the last request have no response of their own.
+    if (m_is_last_request_read) {
+        release_input();
+        return;
+    }
     if (m_handlers.m_on_rejected)
         m_handlers.m_on_rejected(status, "the request is malformed or exceeds a limit");
     release_input();
--- a/libs/sidecar_runtime/tests/client_limits_test.cpp
+++ b/libs/sidecar_runtime/tests/client_limits_test.cpp
@@ -90,6 +90,34 @@
     EXPECT_EQ(dropped, "connections");
 }
 
+// Guards against a rejection for each further part of the input, which all stay in memory while an
+// earlier request is executed.
+TEST(http_session, rejects_input_without_memory_once)
+{
+    byte_budget budget(6000);
+    asio::io_context io;
+    const std::uint16_t port =
+        tcp::acceptor(io, {asio::ip::make_address("127.0.0.1"), 0}).local_endpoint().port();
+    int rejections = 0;
+    http_session::callbacks callbacks;
+    callbacks.m_on_request = [](const auto&, std::uint64_t, const http_request&) { return true; };
+    callbacks.m_on_disconnect = [](const http_session&, std::uint64_t) {};
+    callbacks.m_on_rejected = [&](int, const std::string&) { ++rejections; };
+    callbacks.m_limits = [] { return routing::client_limits{}; };
+    callbacks.m_is_draining = [] { return false; };
+    callbacks.m_request_budget = &budget;
+    http_listener listener(io, {"127.0.0.1", port}, callbacks);
+    tcp::socket client(io);
+    client.connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::write(client, asio::buffer("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n", 31));
+    io.run_for(milliseconds(30));
+    for (int i = 0; i < 5; ++i) {
+        asio::write(client, asio::buffer(std::string(12'000, 'x')));
+        io.run_for(milliseconds(30));
+    }
+    EXPECT_EQ(rejections, 1);
+}
+
 // Guards against listeners that together leave no descriptors for the store and the backend server.
 TEST(connection_limits, leave_a_part_of_the_descriptors)
 {
