Place keys by the measured speed of backend servers

Owners moved keys only above a utilization of 0.7.

Each owner now reports means over seconds of its utilization and of the latency relative to the target. Each owner computes the same plan from these reports and moves its own part, so that many decisions at the same time do not meet at one target. Moves have thresholds, a settling time and a bound on the number of ranges. The setting placement_by_speed (default true) turns it off.

A hot range takes 10 to 15 s to settle, so the goal to move it before its queue exceeds the target is not reached. Not measured in a deployment.

--- a/libs/key_ranges/include/azureladder/key_ranges/key_load.hpp
+++ b/libs/key_ranges/include/azureladder/key_ranges/key_load.hpp
@@ -35,4 +35,10 @@
                                                     std::uint32_t to, double min_load,
                                                     double max_load);
 
+/// Finds the part of the range from `from` to `to` whose load is at least `min_load` and at most
+/// `max_load` and whose move adds the fewest ranges to a table: the whole range, or a part at one
+/// of its ends.
+std::optional<key_subrange> find_outer_subrange(const key_load& load, std::uint32_t from,
+                                                std::uint32_t to, double min_load, double max_load);
+
 } // namespace azureladder::key_ranges
--- a/libs/key_ranges/src/key_load.cpp
+++ b/libs/key_ranges/src/key_load.cpp
@@ -56,4 +56,29 @@
     return best;
 }
 
+std::optional<key_subrange> find_outer_subrange(const key_load& load, std::uint32_t from,
+                                                std::uint32_t to, double min_load, double max_load)
+{
+    if (load.m_counts.empty() || from > to || to > max_key || min_load <= 0.0)
+        return std::nullopt;
+    const double whole = load_between(load, from, to);
+    if (whole < min_load)
+        return std::nullopt;
+    if (whole <= max_load)
+        return key_subrange{from, to, whole};
+    double sum = 0.0;
+    for (std::uint32_t end = from; sum < min_load; ++end) {
+        sum += load.m_counts[end];
+        if (sum >= min_load && sum <= max_load)
+            return key_subrange{from, end, sum};
+    }
+    sum = 0.0;
+    for (std::uint32_t start = to; sum < min_load; --start) {
+        sum += load.m_counts[start];
+        if (sum >= min_load && sum <= max_load)
+            return key_subrange{start, to, sum};
+    }
+    return std::nullopt;
+}
+
 } // namespace azureladder::key_ranges
--- a/libs/sidecar/include/azureladder/sidecar/backend_execution.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/backend_execution.hpp
@@ -26,6 +26,13 @@
     bool m_started = false;
     time_point m_started_at;
 
+    /// Time of arrival, and time that was left to the target then.
+    time_point m_arrived_at;
+    duration m_time_to_target{};
+
+    /// The caller has made an earlier attempt at the request.
+    bool m_is_retry = false;
+
     /// Time of loss of the connection to the origin; unset while it is up.
     time_point m_link_lost_at;
 
--- a/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/key_ownership.hpp
@@ -3,6 +3,7 @@
 #include <azureladder/base/time.hpp>
 #include <azureladder/key_ranges/grant_history.hpp>
 #include <azureladder/key_ranges/key_load.hpp>
+#include <azureladder/key_ranges/owner_load.hpp>
 #include <azureladder/key_ranges/range_table_change.hpp>
 #include <azureladder/sidecar/grant_connection.hpp>
 #include <azureladder/sidecar/peer_frame.hpp>
@@ -106,6 +107,11 @@
     key_ranges::key_load m_load;
     double m_arrival_count = 0.0;
 
+    /// Load and speed of the local backend server by requests with keys, and the earliest time of
+    /// the next moves because of them.
+    key_ranges::owner_load m_owner_load;
+    time_point m_next_placement_at;
+
     /// Time at which this node first received a table with a range that it is taking over, by
     /// fencing token.
     std::map<std::uint64_t, time_point> m_takeover_started_at;
--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <azureladder/base/time.hpp>
+#include <azureladder/key_ranges/key_placement.hpp>
 #include <azureladder/key_ranges/lease_rules.hpp>
 #include <azureladder/routing/admission_options.hpp>
 #include <azureladder/routing/attempt_age.hpp>
@@ -97,6 +98,25 @@
     /// Factor of the decaying request counts at each balance interval.
     float m_load_decay = 0.7F;
 
+    /// Whether keys are moved from servers on which requests miss their targets to faster ones,
+    /// also below `m_balance_min_utilization`.
+    bool m_places_keys_by_speed = true;
+
+    key_ranges::key_placement_options m_key_placement;
+
+    /// Factors of an owner's sums of executions and of arrivals at each balance interval: they
+    /// cover about 4.6 s and 2 s. A server's speed fluctuates for 400 ms at a time.
+    double m_execution_decay = 0.87;
+    double m_arrival_decay = 0.7;
+
+    /// Executions after which an owner knows its mean execution time and latency.
+    double m_min_owner_executions = 10.0;
+
+    /// Time after a move in which an owner plans no other one: the means show the effect then. An
+    /// owner that receives more than it can execute waits for the shorter time only.
+    duration m_placement_settle_time = milliseconds(4000);
+    duration m_overload_settle_time = milliseconds(1200);
+
     /// Number of ranges of one service above which adjacent ranges are merged, or that number for
     /// each owner if this is more. Merging replaces the fencing tokens and so ends transfers in
     /// progress.
--- a/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <azureladder/base/enum_names.hpp>
+#include <azureladder/key_ranges/owner_load.hpp>
 #include <azureladder/routing/load_report.hpp>
 #include <azureladder/routing/nested_calls.hpp>
 #include <azureladder/sidecar/departed_servers.hpp>
@@ -62,6 +63,9 @@
 
     /// Routes (`route_hash`) of the backend server that only calls of other servers use.
     std::vector<std::uint32_t> m_called_routes;
+
+    /// Means over several seconds of the requests for the node's key ranges.
+    key_ranges::owner_report m_owner_report;
 };
 
 struct ping_frame
--- a/libs/sidecar/src/backend_announcements.cpp
+++ b/libs/sidecar/src/backend_announcements.cpp
@@ -117,6 +117,7 @@
              {"cold_ms", to_ms(announced.m_cold_time_left)}});
         if (state.m_backend)
             clear_range_leases(context);
+        state.m_ownership.m_owner_load = {};
         state.m_backend.emplace();
         state.m_ownership.m_next_table_check_at = context.m_now;
         state.m_admission_controller.m_failure_share = 0.0;
--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -157,8 +157,11 @@
                                   timed_out ? routing::execution_outcome::failed
                                             : routing::execution_outcome::abandoned,
                                   context.m_now, state.m_options.m_admission_options);
-        if (timed_out && state.m_backend)
-            record_unanswered_execution(context, *state.m_backend);
+        if (timed_out) {
+            record_keyed_execution(context, execution);
+            if (state.m_backend)
+                record_unanswered_execution(context, *state.m_backend);
+        }
     } else {
         routing::remove_waiting_request(state.m_admission_controller, execution.m_id);
     }
@@ -283,6 +286,7 @@
     if (request.m_key && !local_keyed_service(state).empty()) {
         key_ranges::record_key_request(state.m_ownership.m_load, *request.m_key);
         state.m_ownership.m_arrival_count += 1.0;
+        key_ranges::record_arrival(state.m_ownership.m_owner_load);
         if (!has_key_lease(state, *request.m_key, context.m_now)) {
             refuse(context, link, frame.m_id, request, refusal_reason::not_owner, {});
             return;
@@ -301,6 +305,9 @@
     execution.m_frame = frame.m_id;
     execution.m_request = frame.m_request;
     execution.m_deadline = context.m_now + duration(frame.m_remaining_us) - delay;
+    execution.m_arrived_at = context.m_now;
+    execution.m_time_to_target = duration(frame.m_target_us) - delay;
+    execution.m_is_retry = frame.m_is_retry;
     routing::admission_request wanted{
         execution.m_id,       request.m_route,
         request.m_priority,   context.m_now + duration(frame.m_target_us) - delay,
@@ -377,6 +384,8 @@
             : (failed ? routing::execution_outcome::failed : routing::execution_outcome::succeeded);
     routing::finish_execution(state.m_admission_controller, ended.m_execution, elapsed, outcome,
                               context.m_now, state.m_options.m_admission_options);
+    if (outcome == routing::execution_outcome::succeeded)
+        record_keyed_execution(context, execution);
     json fields = execution_fields(execution);
     fields["result"] = std::string(find_enum_name(execution_result_names, ended.m_result));
     fields["elapsed_us"] = elapsed.count();
--- a/libs/sidecar/src/execution_results.cpp
+++ b/libs/sidecar/src/execution_results.cpp
@@ -73,6 +73,22 @@
     backend.m_next_probe_at = context.m_now + probe_interval;
 }
 
+void record_keyed_execution(const step_context& context, const backend_execution& execution)
+{
+    if (!execution.m_request->m_key || local_keyed_service(context.m_state).empty())
+        return;
+    const auto seconds_since = [&](time_point since) {
+        return std::chrono::duration<double>(context.m_now - since).count();
+    };
+    key_ranges::owner_load& load = context.m_state.m_ownership.m_owner_load;
+    key_ranges::record_execution(load, seconds_since(execution.m_started_at));
+    // The target of a retry counts from the first attempt, which says nothing about this server.
+    if (!execution.m_is_retry && execution.m_time_to_target > duration::zero())
+        key_ranges::record_latency(
+            load, seconds_since(execution.m_arrived_at) /
+                      std::chrono::duration<double>(execution.m_time_to_target).count());
+}
+
 void remove_execution(step_context& context, std::uint64_t id)
 {
     const auto found = context.m_state.m_executions.find(id);
--- a/libs/sidecar/src/execution_results.hpp
+++ b/libs/sidecar/src/execution_results.hpp
@@ -24,4 +24,8 @@
 void send_execution_result(step_context& context, backend_execution& execution,
                            const execution_ended& ended);
 
+/// Records the execution time and the latency of a request with a key. They decide about the
+/// placement of keys.
+void record_keyed_execution(const step_context& context, const backend_execution& execution);
+
 } // namespace azureladder::sidecar
--- a/libs/sidecar/src/peer_frame_fields.hpp
+++ b/libs/sidecar/src/peer_frame_fields.hpp
@@ -29,12 +29,18 @@
                     value.m_predicted_wait, value.m_route_times);
 }
 
+template <class Value>
+auto fields_of(Value& value, const key_ranges::owner_report* /*type*/)
+{
+    return std::tie(value.m_utilization, value.m_utilization_per_request, value.m_latency);
+}
+
 template <class Value>
 auto fields_of(Value& value, const node_status* /*type*/)
 {
     return std::tie(value.m_service, value.m_server_incarnation, value.m_report, value.m_leaving,
                     value.m_key_utilization, value.m_owns_keys, value.m_departed_servers,
-                    value.m_calls_per_execution, value.m_called_routes);
+                    value.m_calls_per_execution, value.m_called_routes, value.m_owner_report);
 }
 
 template <class Value>
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -186,6 +186,10 @@
 /// Utilization of the local backend server by requests for its key ranges; 1 is its full capacity.
 double key_utilization(const node_state& state, time_point now);
 
+/// Means of the requests for the key ranges of the local backend server; unknown while keys are not
+/// placed by speed.
+key_ranges::owner_report owner_report(const node_state& state);
+
 /// Members that may own ranges of a service: incarnations of their servers by node name.
 std::map<std::string, std::string> eligible_owners(const node_state& state,
                                                    const std::string& service, time_point now);
--- a/libs/sidecar/tests/peer_frame_codec_test.cpp
+++ b/libs/sidecar/tests/peer_frame_codec_test.cpp
@@ -85,6 +85,8 @@
     EXPECT_EQ(round_trip(status).m_status.m_report.m_predicted_wait, duration(milliseconds(40)));
     ASSERT_EQ(round_trip(status).m_status.m_report.m_route_times.size(), 1U);
     EXPECT_EQ(round_trip(status).m_status.m_report.m_route_times[0].m_route, 5U);
+    status.m_status.m_owner_report.m_latency = 0.5;
+    EXPECT_EQ(round_trip(status).m_status.m_owner_report.m_latency, 0.5);
     EXPECT_EQ(round_trip(document_frame{"d", 4, "{}", -1}).m_text, "{}");
 }
 
--- a/libs/sidecar_runtime/include/azureladder/sidecar_runtime/sidecar_settings.hpp
+++ b/libs/sidecar_runtime/include/azureladder/sidecar_runtime/sidecar_settings.hpp
@@ -58,6 +58,9 @@
     /// Memory of the process in MB, of which received responses use a part only. The default is
     /// that of the smallest VM.
     std::int64_t m_memory_mb = 160;
+
+    /// Whether keys are moved to faster backend servers when requests miss their targets.
+    bool m_placement_by_speed = true;
 };
 
 /// Parses and validates settings. Appends errors to `errors`; the result is then incomplete.
--- a/libs/sidecar_runtime/tests/sidecar_settings_test.cpp
+++ b/libs/sidecar_runtime/tests/sidecar_settings_test.cpp
@@ -15,7 +15,7 @@
     "ready_address": "10.0.0.1:3", "peer_address": "10.0.0.1:4",
     "metrics_address": "10.0.0.1:5", "store_address": "10.0.0.2:6",
     "stop_grace": "6s", "drain": "2000ms", "retry_ratio": 0.2, "retry_slack": 630, "link_mbps": 10.5,
-    "memory_mb": 512
+    "memory_mb": 512, "placement_by_speed": false
 })";
 
 } // namespace
@@ -31,6 +31,7 @@
     EXPECT_EQ(settings.m_link_mbps, 10.5);
     EXPECT_EQ(settings.m_retry_slack, 630.0);
     EXPECT_EQ(settings.m_memory_mb, 512);
+    EXPECT_FALSE(settings.m_placement_by_speed);
 }
 
 // Guards against a node that starts with invalid settings.
@@ -46,7 +47,8 @@
              {"10.5", "\"fast\"", "link_mbps"},
              {"10.5", "-1", "link_mbps"},
              {"512", "63", "memory_mb"},
-             {"512", "\"512\"", "memory_mb"}}) {
+             {"512", "\"512\"", "memory_mb"},
+             {"false", "\"no\"", "placement_by_speed"}}) {
         std::string text = valid_settings;
         text.replace(text.find(from), from.size(), to);
         std::vector<field_error> errors;
