Send bodies above 16 KiB to a gate only when it requests them

Callers of uploads got refusals and late responses: an ingress sent the whole body with each request, so each refusal cost a transfer, and at a gate behind 10 Mbit/s requests waited seconds for the bodies of others and were refused as arrived_late. Calls to the same gates shared the link.

A request_frame now states the length of a body that travels apart. The gate decides admission as before and sends a body_request when a slot is free or is expected to be by the time the body has arrived; the ingress answers with a body frame on the bulk stream, and the execution starts when it has arrived. Bodies in transfer are limited to what the link of the gate delivers in 200 ms, all bodies at a gate to 10 % of memory_mb. Requests whose bodies were not requested take no slot. A request that would wait for too many bodies ahead of its own is refused at once. Execution times do not include the transfer. A request without its body can't have been executed: the ingress sends it elsewhere when the gate is lost or does not answer pings, and answers 503 instead of 502 or 504.

No deployment was measured.

--- a/libs/routing/include/azureladder/routing/admission_controller.hpp
+++ b/libs/routing/include/azureladder/routing/admission_controller.hpp
@@ -5,6 +5,7 @@
 #include <azureladder/routing/admission_request.hpp>
 #include <azureladder/routing/load_report.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -61,7 +62,7 @@
     /// their target before those that can't, then by target, then by arrival.
     std::vector<admission_request> m_waiting;
 
-    /// Time at which the queue last became non-empty.
+    /// Time at which the queue last became non-empty, without requests that are held back.
     time_point m_queue_nonempty_since;
 
     /// Moving averages of the execution time by route.
@@ -77,6 +78,10 @@
 
     /// Start times of recent requests for the rate limit during a cold start, oldest first.
     std::deque<time_point> m_recent_starts;
+
+    /// Running requests that await their bodies. They count as recent starts until they are
+    /// executed, because all of them may be executed in the same second.
+    std::size_t m_awaited_bodies = 0;
 };
 
 /// Starts, queues or rejects a request. A started request counts as running until `finish`.
@@ -105,6 +110,15 @@
 void finish_execution(admission_controller& state, std::uint64_t id, duration elapsed,
                       execution_outcome outcome, time_point now, const admission_options& options);
 
+/// Holds a waiting request back, or lets it start.
+void set_held_back(admission_controller& state, std::uint64_t id, bool is_held_back,
+                   time_point now);
+
+/// Records that the body of a request has arrived. A running request is executed from now on, a
+/// waiting one gets `deadline`, in which the time for the transfer is not deducted any more.
+void record_arrived_body(admission_controller& state, std::uint64_t id, time_point deadline,
+                         time_point now);
+
 /// Removes a waiting request. Returns false if the request is not waiting.
 bool remove_waiting_request(admission_controller& state, std::uint64_t id);
 
--- a/libs/routing/include/azureladder/routing/admission_request.hpp
+++ b/libs/routing/include/azureladder/routing/admission_request.hpp
@@ -35,6 +35,14 @@
     /// Whether a backend server makes the request during the execution of another one, which holds
     /// a slot until it has the response. Calls go before all other requests.
     bool m_is_call = false;
+
+    /// Whether the body has not arrived yet. The request then holds its slot without being executed
+    /// until `record_arrived_body`.
+    bool m_awaits_body = false;
+
+    /// Whether the request may not start yet, because its body was not requested: link or memory
+    /// do not allow it. It takes no slot and does not hold up the requests behind it.
+    bool m_is_held_back = false;
 };
 
 } // namespace azureladder::routing
--- a/libs/routing/src/admission_controller.cpp
+++ b/libs/routing/src/admission_controller.cpp
@@ -65,14 +65,24 @@
         return false;
     while (!state.m_recent_starts.empty() && now - state.m_recent_starts.front() > cold_window)
         state.m_recent_starts.pop_front();
-    return state.m_cold_rate_per_s <= 0.0 ||
-           state.m_recent_starts.size() < max_starts_in_cold_window(state, options);
+    return state.m_cold_rate_per_s <= 0.0 || state.m_recent_starts.size() + state.m_awaited_bodies <
+                                                 max_starts_in_cold_window(state, options);
+}
+
+/// Whether a waiting request may start.
+bool has_startable(const admission_controller& state)
+{
+    return std::any_of(state.m_waiting.begin(), state.m_waiting.end(),
+                       [](const auto& request) { return !request.m_is_held_back; });
 }
 
 void start(admission_controller& state, const admission_request& request, time_point now)
 {
     state.m_running[request.m_id] = request;
-    state.m_recent_starts.push_back(now);
+    if (request.m_awaits_body)
+        ++state.m_awaited_bodies;
+    else
+        state.m_recent_starts.push_back(now);
 }
 
 /// Mean expected execution time of the running requests.
@@ -140,7 +150,7 @@
 admission_decision enqueue(admission_controller& state, const admission_request& request,
                            duration wait, time_point now)
 {
-    if (state.m_waiting.empty())
+    if (!request.m_is_held_back && !has_startable(state))
         state.m_queue_nonempty_since = now;
     const auto place =
         std::upper_bound(state.m_waiting.begin(), state.m_waiting.end(), request, is_more_urgent);
@@ -174,7 +184,10 @@
     const duration service = expected_service_time(state, request.m_route, now, options);
     if (now + service / 2 > request.m_deadline)
         return {admission::refuse, options.m_min_retry_after};
-    if (state.m_waiting.empty() && may_start(state, now, options)) {
+    const bool is_queue_empty = !has_startable(state);
+    if (is_queue_empty && may_start(state, now, options)) {
+        if (request.m_is_held_back)
+            return enqueue(state, request, duration::zero(), now);
         start(state, request, now);
         return {admission::start, duration::zero()};
     }
@@ -184,8 +197,8 @@
     const duration allowed =
         is_short ? scaled(request.m_deadline - now, options.m_short_max_deadline_share)
                  : scaled(request.m_target - now, options.m_max_target_share);
-    const bool in_standing_queue = !state.m_waiting.empty() && now - state.m_queue_nonempty_since >
-                                                                   options.m_standing_queue_after;
+    const bool in_standing_queue =
+        !is_queue_empty && now - state.m_queue_nonempty_since > options.m_standing_queue_after;
     const bool is_queue_short =
         is_short || !in_standing_queue ||
         wait <= scaled(request.m_target - now, options.m_standing_queue_max_target_share);
@@ -205,9 +218,14 @@
                                                       const admission_options& options)
 {
     std::vector<admission_request> result;
-    while (!state.m_waiting.empty() && may_start(state, now, options)) {
-        result.push_back(state.m_waiting.front());
-        state.m_waiting.erase(state.m_waiting.begin());
+    auto next = state.m_waiting.begin();
+    while (next != state.m_waiting.end() && may_start(state, now, options)) {
+        if (next->m_is_held_back) {
+            ++next;
+            continue;
+        }
+        result.push_back(*next);
+        next = state.m_waiting.erase(next);
         start(state, result.back(), now);
     }
     return result;
@@ -240,6 +258,8 @@
     if (found == state.m_running.end())
         return;
     const std::string route = found->second.m_route;
+    if (found->second.m_awaits_body)
+        --state.m_awaited_bodies;
     state.m_running.erase(found);
     if (outcome == execution_outcome::abandoned)
         return;
@@ -256,6 +276,47 @@
     state.m_last_sample_at = now;
 }
 
+namespace {
+
+admission_request* find_waiting(admission_controller& state, std::uint64_t id)
+{
+    const auto found = std::find_if(state.m_waiting.begin(), state.m_waiting.end(),
+                                    [&](const auto& request) { return request.m_id == id; });
+    return found == state.m_waiting.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+void set_held_back(admission_controller& state, std::uint64_t id, bool is_held_back, time_point now)
+{
+    admission_request* request = find_waiting(state, id);
+    if (request == nullptr || request->m_is_held_back == is_held_back)
+        return;
+    if (!is_held_back && !has_startable(state))
+        state.m_queue_nonempty_since = now;
+    request->m_is_held_back = is_held_back;
+}
+
+void record_arrived_body(admission_controller& state, std::uint64_t id, time_point deadline,
+                         time_point now)
+{
+    const auto running = state.m_running.find(id);
+    if (running != state.m_running.end()) {
+        if (!running->second.m_awaits_body)
+            return;
+        running->second.m_awaits_body = false;
+        --state.m_awaited_bodies;
+        state.m_recent_starts.push_back(now);
+        return;
+    }
+    set_held_back(state, id, false, now);
+    admission_request* request = find_waiting(state, id);
+    if (request == nullptr)
+        return;
+    request->m_awaits_body = false;
+    request->m_deadline = deadline;
+}
+
 bool remove_waiting_request(admission_controller& state, std::uint64_t id)
 {
     const auto found = std::find_if(state.m_waiting.begin(), state.m_waiting.end(),
--- a/libs/sidecar/include/azureladder/sidecar/backend_execution.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/backend_execution.hpp
@@ -5,11 +5,31 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 
 namespace azureladder::sidecar {
 
+/// Where the body of a request is.
+enum class body_place
+{
+    /// In the request itself.
+    in_request,
+
+    /// At the ingress, and not requested.
+    at_ingress,
+
+    /// On its way after it was requested.
+    in_transfer,
+
+    /// At this node, until the execution has ended.
+    here,
+
+    /// Not needed any more.
+    released
+};
+
 /// A request that is queued for or executed by the local backend server.
 struct backend_execution
 {
@@ -22,7 +42,17 @@
     std::uint64_t m_frame = 0;
 
     forwarded_request_ptr m_request;
+    /// Body that travels apart from the request: its place, its length, the time of the latest
+    /// request for it, and the body itself from its arrival to the start of the execution.
+    body_place m_body_place = body_place::in_request;
+    std::size_t m_body_bytes = 0;
+    time_point m_body_requested_at;
+    std::shared_ptr<const std::string> m_body;
+
     time_point m_deadline;
+
+    /// The request was sent to the backend server. A request that holds a slot while its body is in
+    /// transfer has not started.
     bool m_started = false;
     time_point m_started_at;
 
--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -4,6 +4,7 @@
 #include <azureladder/key_ranges/lease_rules.hpp>
 #include <azureladder/routing/admission_options.hpp>
 #include <azureladder/routing/attempt_age.hpp>
+#include <azureladder/routing/body_transfers.hpp>
 #include <azureladder/routing/call_detection.hpp>
 #include <azureladder/routing/retry_budget.hpp>
 #include <azureladder/routing/server_selection.hpp>
@@ -28,6 +29,11 @@
     std::string m_peer_address;
 
     routing::admission_options m_admission_options;
+    routing::body_transfer_options m_body_transfers;
+
+    /// Size of a body above which it is sent to another node only when that node requests it.
+    /// Shorter ones cost less than the round trip.
+    std::size_t m_separate_body_bytes = 16U * 1024;
     routing::server_selection_options m_server_selection;
     routing::retry_budget_options m_retry;
     routing::attempt_age_options m_attempt_age;
--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -14,6 +14,7 @@
 #include <azureladder/sidecar/open_request.hpp>
 #include <azureladder/sidecar/peer_index.hpp>
 #include <azureladder/sidecar/peer_state.hpp>
+#include <azureladder/sidecar/separate_bodies.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -115,6 +116,7 @@
     std::map<std::uint64_t, backend_execution> m_executions;
     std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> m_execution_of_frame;
     std::uint64_t m_next_execution = 1;
+    separate_bodies m_separate_bodies;
 
     /// Memory of the responses that ended executions retain, and these executions in the order of
     /// their ends.
--- a/libs/sidecar/include/azureladder/sidecar/open_request.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/open_request.hpp
@@ -5,6 +5,7 @@
 #include <azureladder/sidecar/request_attempt.hpp>
 #include <azureladder/sidecar/server_response.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -50,4 +51,12 @@
     server_response_ptr m_failed_response;
 };
 
+/// Whether a backend server may have executed a request.
+inline bool may_have_been_executed(const open_request& request)
+{
+    return request.m_executions > 0 ||
+           std::any_of(request.m_attempts.begin(), request.m_attempts.end(),
+                       [](const auto& attempt) { return !attempt.m_lacks_body; });
+}
+
 } // namespace azureladder::sidecar
--- a/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -98,6 +99,10 @@
 
     /// Time of sending by the sender's clock in microseconds; 0 if unknown.
     std::int64_t m_sent_us = 0;
+
+    /// Length of the body if it is not part of `m_request`: the receiver requests it when it needs
+    /// it, and does not execute the request before it has arrived. 0 otherwise.
+    std::uint64_t m_body_bytes = 0;
 };
 
 struct cancel_frame
@@ -129,7 +134,8 @@
     unknown_request,
     cancelled,
     arrived_late,
-    origin_silent
+    origin_silent,
+    body_mismatch
 };
 
 inline constexpr enum_name<refusal_reason> refusal_reason_names[] = {
@@ -142,6 +148,7 @@
     {refusal_reason::cancelled, "cancelled"},
     {refusal_reason::arrived_late, "arrived_late"},
     {refusal_reason::origin_silent, "origin_silent"},
+    {refusal_reason::body_mismatch, "body_mismatch"},
 };
 
 /// Current owner of a key range, in case the table of the receiver is older.
@@ -216,14 +223,28 @@
     std::vector<released_keys> m_released;
 };
 
-using peer_frame = std::variant<hello_frame, ping_frame, status_frame, request_frame, cancel_frame,
-                                resume_frame, response_frame, refusal_frame, failure_frame,
-                                document_request_frame, document_frame, released_keys_frame>;
+/// Requests the body of a request that was sent without it.
+struct body_request_frame
+{
+    std::uint64_t m_id = 0;
+};
+
+struct body_frame
+{
+    std::uint64_t m_id = 0;
+    std::shared_ptr<const std::string> m_body;
+};
+
+using peer_frame =
+    std::variant<hello_frame, ping_frame, status_frame, request_frame, cancel_frame, resume_frame,
+                 response_frame, refusal_frame, failure_frame, document_request_frame,
+                 document_frame, released_keys_frame, body_request_frame, body_frame>;
 
 /// Names of the frame kinds in the order of the variant, for logs and metrics.
 inline constexpr std::string_view frame_kind_names[] = {
-    "hello",    "ping",    "status",  "request",          "cancel",   "resume",
-    "response", "refusal", "failure", "document_request", "document", "released_keys"};
+    "hello",    "ping",          "status",       "request", "cancel",
+    "resume",   "response",      "refusal",      "failure", "document_request",
+    "document", "released_keys", "body_request", "body"};
 
 inline constexpr std::size_t frame_kind_count = std::variant_size_v<peer_frame>;
 static_assert(std::size(frame_kind_names) == frame_kind_count);
--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -1,4 +1,6 @@
+#include "backend_executions_internal.hpp"
 #include "execution_results.hpp"
+#include "request_bodies.hpp"
 #include "step_context.hpp"
 
 #include <azureladder/sidecar/step.hpp>
@@ -27,125 +29,49 @@
 /// callers have disconnected. It pings every 250 ms while it has requests here.
 constexpr duration max_origin_silence = milliseconds(800);
 
-json execution_fields(const backend_execution& execution)
-{
-    return {{"request", execution.m_request->m_request_id},
-            {"origin", execution.m_origin},
-            {"route", execution.m_request->m_route}};
-}
-
-/// Owner of a key according to the range table, unless it is this node.
-std::optional<owner_hint> other_owner(const node_state& state, const std::string& service,
-                                      std::uint32_t key)
-{
-    const auto table = state.m_tables.find(service);
-    if (table == state.m_tables.end())
-        return std::nullopt;
-    const auto* entry = key_ranges::find_range(table->second.m_table, key);
-    if (entry == nullptr || entry->m_owner == state.m_options.m_node)
-        return std::nullopt;
-    return owner_hint{entry->m_from, entry->m_to, entry->m_owner, entry->m_fencing_token};
-}
-
-void refuse(step_context& context, std::uint64_t link, std::uint64_t frame,
-            const forwarded_request& request, refusal_reason reason, duration retry_after)
-{
-    log(context, log_level::info, "request_refused",
-        {{"request", request.m_request_id},
-         {"reason", std::string(find_enum_name(refusal_reason_names, reason))},
-         {"running", context.m_state.m_admission_controller.m_running.size()},
-         {"waiting", context.m_state.m_admission_controller.m_waiting.size()},
-         {"limit", context.m_state.m_admission_controller.m_limit},
-         {"retry_after_ms", to_ms(retry_after)}});
-    refusal_frame refusal{frame, reason, retry_after.count(), own_load_report(context), {}};
-    if (reason == refusal_reason::not_owner && request.m_key)
-        refusal.m_owner = other_owner(context.m_state, request.m_service, *request.m_key);
-    send_on_link(context, link, std::move(refusal));
-}
-
-void begin_execution(step_context& context, backend_execution& execution)
-{
-    const local_backend& backend = *context.m_state.m_backend;
-    execution.m_started = true;
-    execution.m_started_at = context.m_now;
-    if (!execution.m_request->m_is_call)
-        routing::record_execution(context.m_state.m_nested_calls);
-    json fields = execution_fields(execution);
-    fields["backend"] = backend.m_announcement.m_id;
-    fields["running"] = context.m_state.m_admission_controller.m_running.size();
-    log(context, log_level::info, "execution_started", std::move(fields));
-    emit(context,
-         start_execution{execution.m_id, execution.m_request, backend.m_announcement.m_id,
-                         backend.m_announcement.m_address, execution.m_deadline - context.m_now});
-}
-
-void refuse_waiting(step_context& context, std::uint64_t id, refusal_reason reason,
-                    duration retry_after)
-{
-    const auto found = context.m_state.m_executions.find(id);
-    if (found == context.m_state.m_executions.end())
-        return;
-    const backend_execution execution = found->second;
-    remove_execution(context, id);
-    if (execution.m_link_lost_at == time_point{})
-        refuse(context, execution.m_link, execution.m_frame, *execution.m_request, reason,
-               retry_after);
-}
-
-} // namespace
-
-void start_waiting(step_context& context)
-{
-    node_state& state = context.m_state;
-    const auto& options = state.m_options.m_admission_options;
-    for (const auto& request : routing::remove_unanswerable_requests(state.m_admission_controller,
-                                                                     context.m_now, options))
-        refuse_waiting(context, request.m_id, refusal_reason::overloaded,
-                       options.m_min_retry_after);
-    if (!state.m_backend)
-        return;
-    for (const auto& request :
-         routing::start_waiting_requests(state.m_admission_controller, context.m_now, options)) {
-        const auto found = state.m_executions.find(request.m_id);
-        if (found == state.m_executions.end())
-            continue;
-        const auto& key = found->second.m_request->m_key;
-        if (key && !local_keyed_service(state).empty() &&
-            !has_key_lease(state, *key, context.m_now)) {
-            routing::finish_execution(state.m_admission_controller, request.m_id, {},
-                                      routing::execution_outcome::abandoned, context.m_now,
-                                      options);
-            refuse_waiting(context, request.m_id, refusal_reason::not_owner, {});
-            continue;
-        }
-        begin_execution(context, found->second);
-    }
-}
-
-namespace {
-
 /// Refuses the waiting requests of ingresses from which nothing has been heard for a while.
 void refuse_requests_of_silent_origins(step_context& context)
 {
     const node_state& state = context.m_state;
     std::vector<std::uint64_t> silent;
-    for (const auto& waiting : state.m_admission_controller.m_waiting) {
-        const auto execution = state.m_executions.find(waiting.m_id);
+    const auto is_silent = [&](std::uint64_t id) {
+        const auto execution = state.m_executions.find(id);
         if (execution == state.m_executions.end())
-            continue;
+            return false;
         const auto link = state.m_accepted_links.find(execution->second.m_link);
-        if (link != state.m_accepted_links.end() &&
-            context.m_now - link->second.m_last_frame_at > max_origin_silence)
+        return link != state.m_accepted_links.end() &&
+               context.m_now - link->second.m_last_frame_at > max_origin_silence;
+    };
+    for (const auto& waiting : state.m_admission_controller.m_waiting) {
+        if (is_silent(waiting.m_id))
             silent.push_back(waiting.m_id);
     }
-    for (const std::uint64_t id : silent) {
-        routing::remove_waiting_request(context.m_state.m_admission_controller, id);
-        refuse_waiting(context, id, refusal_reason::origin_silent, {});
+    for (const std::uint64_t id : executions_without_bodies(state)) {
+        if (is_silent(id))
+            silent.push_back(id);
+    }
+    for (const std::uint64_t id : silent)
+        refuse_unstarted(context, id, refusal_reason::origin_silent, {});
+}
+
+/// Refuses the requests that hold a slot and whose bodies arrive too late for an execution.
+void refuse_late_bodies(step_context& context)
+{
+    const node_state& state = context.m_state;
+    const auto& options = state.m_options.m_admission_options;
+    for (const std::uint64_t id : executions_without_bodies(state)) {
+        const auto& waiting = state.m_admission_controller.m_running.at(id);
+        const duration service = routing::expected_service_time(
+            state.m_admission_controller, waiting.m_route, context.m_now, options);
+        const auto execution = state.m_executions.find(id);
+        if (execution != state.m_executions.end() &&
+            context.m_now + service / 2 > execution->second.m_deadline)
+            refuse_unstarted(context, id, refusal_reason::overloaded, options.m_min_retry_after);
     }
 }
 
 /// Stops an execution or a waiting request, without a result for its origin.
-void stop_execution(step_context& context, const backend_execution& execution)
+void stop_execution(step_context& context, backend_execution& execution)
 {
     node_state& state = context.m_state;
     if (execution.m_started) {
@@ -160,8 +86,9 @@
         if (timed_out && state.m_backend)
             record_unanswered_execution(context, *state.m_backend);
     } else {
-        routing::remove_waiting_request(state.m_admission_controller, execution.m_id);
+        remove_unstarted(state, execution.m_id, context.m_now);
     }
+    set_body_place(state, execution, body_place::released);
     json fields = execution_fields(execution);
     fields["origin_lost"] = execution.m_link_lost_at != time_point{};
     fields["started"] = execution.m_started;
@@ -187,9 +114,10 @@
 void refuse_all_waiting(step_context& context, refusal_reason reason)
 {
     const auto waiting = context.m_state.m_admission_controller.m_waiting;
-    context.m_state.m_admission_controller.m_waiting.clear();
     for (const auto& request : waiting)
-        refuse_waiting(context, request.m_id, reason, {});
+        refuse_unstarted(context, request.m_id, reason, {});
+    for (const std::uint64_t id : executions_without_bodies(context.m_state))
+        refuse_unstarted(context, id, reason, {});
 }
 
 /// Request rate limit of the backend server during its cold start; 0 when it is not cold.
@@ -306,6 +234,12 @@
         request.m_priority,   context.m_now + duration(frame.m_target_us) - delay,
         execution.m_deadline, frame.m_is_retry};
     wanted.m_is_call = request.m_is_call;
+    if (frame.m_body_bytes > 0 &&
+        is_refused_for_its_body(state, wanted, frame.m_body_bytes, context.m_now)) {
+        refuse(context, link, frame.m_id, request, refusal_reason::overloaded,
+               body_retry_delay(state));
+        return;
+    }
     const auto decision = routing::admit(state.m_admission_controller, wanted, context.m_now,
                                          state.m_options.m_admission_options);
     if (decision.m_admission == routing::admission::refuse) {
@@ -315,11 +249,20 @@
     }
     state.m_execution_of_frame[frame_key] = execution.m_id;
     auto& placed = state.m_executions[execution.m_id] = std::move(execution);
+    add_separate_body(state, placed, frame.m_body_bytes);
     if (decision.m_admission == routing::admission::start) {
         begin_execution(context, placed);
         return;
     }
-    json fields = execution_fields(placed);
+    const std::uint64_t id = placed.m_id;
+    // Requests the body, now if link and memory allow it.
+    if (lacks_body(placed))
+        start_waiting(context);
+    const auto waiting = state.m_executions.find(id);
+    if (waiting == state.m_executions.end() ||
+        waiting->second.m_body_place == body_place::in_transfer)
+        return;
+    json fields = execution_fields(waiting->second);
     fields["predicted_wait_ms"] = to_ms(decision.m_predicted_wait);
     fields["running"] = state.m_admission_controller.m_running.size();
     fields["waiting"] = state.m_admission_controller.m_waiting.size();
@@ -359,6 +302,10 @@
     execution.m_link_lost_at = {};
     if (execution.m_result)
         send_on_link(context, link, *execution.m_result);
+    // A body that was in transfer is lost with the earlier connection.
+    on_body_link_lost(state, execution, context.m_now);
+    if (lacks_body(execution))
+        start_waiting(context);
 }
 
 void on_execution_ended(step_context& context, const execution_ended& ended)
@@ -385,6 +332,7 @@
     if (!ended.m_cause.empty())
         fields["cause"] = ended.m_cause;
     log(context, log_level::info, "execution_ended", std::move(fields));
+    set_body_place(state, execution, body_place::released);
 
     update_backend_health(context, ended);
     const bool own = execution.m_link == loopback_link;
@@ -413,9 +361,11 @@
 void on_origin_link_lost(step_context& context, std::uint64_t link)
 {
     for (auto& [id, execution] : context.m_state.m_executions) {
-        if (execution.m_link == link && link != loopback_link &&
-            execution.m_link_lost_at == time_point{})
-            execution.m_link_lost_at = context.m_now;
+        if (execution.m_link != link || link == loopback_link ||
+            execution.m_link_lost_at != time_point{})
+            continue;
+        execution.m_link_lost_at = context.m_now;
+        on_body_link_lost(context.m_state, execution, context.m_now);
     }
 }
 
@@ -445,6 +395,7 @@
     if (state.m_backend && state.m_backend->m_silent)
         refuse_all_waiting(context, refusal_reason::no_server);
     refuse_requests_of_silent_origins(context);
+    refuse_late_bodies(context);
     start_waiting(context);
     std::vector<std::uint64_t> ended;
     std::vector<std::uint64_t> orphaned;
--- a/libs/sidecar/src/execution_results.cpp
+++ b/libs/sidecar/src/execution_results.cpp
@@ -1,5 +1,7 @@
 #include "execution_results.hpp"
 
+#include "request_bodies.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -79,6 +81,7 @@
     if (found == context.m_state.m_executions.end())
         return;
     release_result(context.m_state, found->second);
+    set_body_place(context.m_state, found->second, body_place::released);
     context.m_state.m_execution_of_frame.erase({found->second.m_origin, found->second.m_frame});
     context.m_state.m_executions.erase(found);
 }
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -47,11 +47,31 @@
     return take_retry(context, request, node);
 }
 
+/// Sends a request to another node after an attempt that its node can't have executed, unless
+/// another attempt is open.
+void after_unexecuted_attempt(step_context& context, open_request& request, std::uint64_t frame,
+                              const std::string& cause)
+{
+    request.m_failed_nodes.insert(end_attempt(context, request, frame));
+    ++request.m_refusals;
+    request.m_last_cause = cause;
+    if (!request.m_attempts.empty())
+        return;
+    if (request.m_refusals >= max_refusals)
+        finish_unserved(context, request);
+    else
+        dispatch(context, request);
+}
+
 /// Retries or ends a request after an attempt that failed or whose outcome is unknown, unless
 /// another attempt is open.
 void after_failed_attempt(step_context& context, open_request& request, std::uint64_t frame,
                           const std::string& cause)
 {
+    if (attempt_of(request, frame).m_lacks_body) {
+        after_unexecuted_attempt(context, request, frame, cause);
+        return;
+    }
     const std::string node = end_attempt(context, request, frame);
     ++request.m_executions;
     request.m_last_cause = cause;
@@ -156,6 +176,26 @@
     send_request(context, request, node);
 }
 
+/// Moves a request that an unresponsive node can't have executed to another node, if one is open.
+/// Nothing is taken from the retry budget, since the node can't execute it any more.
+void move_unexecuted_attempt(step_context& context, std::uint64_t frame)
+{
+    open_request* request = find_request(context, frame);
+    if (request == nullptr || request->m_refusals >= max_refusals)
+        return;
+    const request_attempt& attempt = attempt_of(*request, frame);
+    request->m_failed_nodes.insert(attempt.m_node);
+    const std::string node = select_node(context, *request);
+    if (node.empty())
+        return;
+    log_unresponsive_node(context, "attempt_given_up", *request, attempt);
+    send_cancel(context, *request, attempt);
+    end_attempt(context, *request, frame);
+    ++request->m_refusals;
+    if (request->m_attempts.empty())
+        send_request(context, *request, node);
+}
+
 void update_load_report(step_context& context, const std::string& node,
                         const routing::load_report& report)
 {
@@ -407,6 +447,7 @@
     std::vector<std::uint64_t> late;
     std::vector<std::uint64_t> lost_frames;
     std::vector<std::uint64_t> unresponsive;
+    std::vector<std::uint64_t> movable_frames;
     for (const auto& [caller, request] : state.m_requests) {
         if (now >= request.m_deadline) {
             late.push_back(caller);
@@ -415,14 +456,17 @@
         for (const auto& attempt : request.m_attempts) {
             if (is_node_unreachable(state, attempt, now))
                 lost_frames.push_back(attempt.m_frame);
+            else if (attempt.m_lacks_body && is_node_unresponsive(state, attempt, now) &&
+                     !is_bound_to_owner(state, request))
+                movable_frames.push_back(attempt.m_frame);
         }
         if (!request.m_attempts.empty() && !has_responsive_attempt(state, request, now) &&
-            may_repeat_elsewhere(state, request))
+            may_have_been_executed(request) && may_repeat_elsewhere(state, request))
             unresponsive.push_back(caller);
     }
     for (const std::uint64_t caller : late) {
         open_request& request = state.m_requests.at(caller);
-        const bool may_have_run = !request.m_attempts.empty() || request.m_executions > 0;
+        const bool may_have_run = may_have_been_executed(request);
         cancel_attempts(context, request);
         if (may_have_run)
             finish_with_status(context, request, 504, "timed_out", {});
@@ -431,6 +475,8 @@
     }
     for (const std::uint64_t caller : unresponsive)
         repeat_elsewhere(context, state.m_requests.at(caller));
+    for (const std::uint64_t frame : movable_frames)
+        move_unexecuted_attempt(context, frame);
     for (const std::uint64_t frame : lost_frames) {
         open_request* request = find_request(context, frame);
         if (request == nullptr)
--- a/libs/sidecar/src/ingress_dispatch.cpp
+++ b/libs/sidecar/src/ingress_dispatch.cpp
@@ -17,6 +17,13 @@
 /// Owner hints retained per table. More simultaneous transfers are rare.
 constexpr std::size_t max_hints = 32;
 
+forwarded_request_ptr without_body(const forwarded_request& request)
+{
+    auto result = std::make_shared<forwarded_request>(request);
+    result->m_body = {};
+    return result;
+}
+
 } // namespace
 
 void send_request(step_context& context, open_request& request, const std::string& node)
@@ -45,6 +52,13 @@
     request_frame frame;
     frame.m_id = attempt.m_frame;
     frame.m_request = request.m_request;
+    const std::size_t body_bytes = request.m_request->m_body.size();
+    // A request to this node itself needs no transfer.
+    if (node != state.m_options.m_node && body_bytes > state.m_options.m_separate_body_bytes) {
+        frame.m_request = without_body(*request.m_request);
+        frame.m_body_bytes = body_bytes;
+        attempt.m_lacks_body = true;
+    }
     frame.m_remaining_us = (request.m_deadline - context.m_now).count();
     frame.m_target_us = (request.m_target - context.m_now).count();
     frame.m_is_retry = request.m_is_retry;
@@ -53,6 +67,23 @@
     send_to_node(context, node, std::move(frame));
 }
 
+void on_body_request(step_context& context, std::uint64_t link, const std::string& node,
+                     const body_request_frame& frame)
+{
+    open_request* request = find_request(context, frame.m_id);
+    if (request == nullptr || attempt_of(*request, frame.m_id).m_node != node) {
+        // The request has ended, and its cancel may have been lost with a connection. The gate
+        // holds a slot for it.
+        send_on_link(context, link, cancel_frame{frame.m_id});
+        return;
+    }
+    attempt_of(*request, frame.m_id).m_lacks_body = false;
+    // The frame shares the body with the request, which keeps it until the result has arrived.
+    send_on_link(context, link,
+                 body_frame{frame.m_id, std::shared_ptr<const std::string>(
+                                            request->m_request, &request->m_request->m_body)});
+}
+
 void wait_for_owner(step_context& context, open_request& request, const char* cause)
 {
     const duration limit = routing::scaled(request.m_latency_objective,
--- a/libs/sidecar/src/peer_frame_codec.cpp
+++ b/libs/sidecar/src/peer_frame_codec.cpp
@@ -221,7 +221,7 @@
                        [](const auto& entry) { return is_utf8(entry.first); });
 }
 
-/// Whether the fields of a frame that are written to JSON texts are UTF-8.
+/// Whether the fields of a frame that are written to JSON texts are UTF-8, and lengths possible.
 struct content_check
 {
     bool operator()(const hello_frame& frame) const
@@ -236,6 +236,11 @@
                has_utf8_keys(frame.m_status.m_departed_servers);
     }
 
+    bool operator()(const request_frame& frame) const
+    {
+        return frame.m_body_bytes <= max_frame_bytes;
+    }
+
     bool operator()(const refusal_frame& frame) const
     {
         return !frame.m_owner || is_utf8(frame.m_owner->m_owner);
--- a/libs/sidecar/src/peer_frame_fields.hpp
+++ b/libs/sidecar/src/peer_frame_fields.hpp
@@ -82,7 +82,7 @@
 auto fields_of(Value& value, const request_frame* /*type*/)
 {
     return std::tie(value.m_id, value.m_request, value.m_remaining_us, value.m_target_us,
-                    value.m_is_retry, value.m_sent_us);
+                    value.m_is_retry, value.m_sent_us, value.m_body_bytes);
 }
 
 template <class Value>
@@ -142,4 +142,16 @@
     return std::tie(value.m_service, value.m_released);
 }
 
+template <class Value>
+auto fields_of(Value& value, const body_request_frame* /*type*/)
+{
+    return std::tie(value.m_id);
+}
+
+template <class Value>
+auto fields_of(Value& value, const body_frame* /*type*/)
+{
+    return std::tie(value.m_id, value.m_body);
+}
+
 } // namespace azureladder::sidecar
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -30,6 +30,11 @@
         }
         void operator()(const released_keys_frame& f) { on_released_keys(m_context, m_node, f); }
         void operator()(const document_frame& f) { on_document(m_context, m_link, f); }
+        void operator()(const body_request_frame& f)
+        {
+            on_body_request(m_context, m_link, m_node, f);
+        }
+        void operator()(const body_frame& f) { on_body(m_context, m_node, f); }
     };
     std::visit(visitor{context, link, node}, frame);
 }
@@ -106,8 +111,9 @@
         (!idle && elapsed < state.m_options.m_max_stop_time))
         return;
     for (const auto& [caller, request] : state.m_requests) {
-        const bool may_have_run = !request.m_attempts.empty() || request.m_executions > 0;
-        emit(context, respond_to_caller{caller, may_have_run ? 502 : 503, "node is stopping", {}});
+        emit(context,
+             respond_to_caller{
+                 caller, may_have_been_executed(request) ? 502 : 503, "node is stopping", {}});
     }
     state.m_requests.clear();
     state.m_has_stopped = true;
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -52,6 +52,8 @@
 void on_response(step_context& context, const response_frame& frame);
 void on_refusal(step_context& context, const refusal_frame& frame);
 void on_failure(step_context& context, const failure_frame& frame);
+void on_body_request(step_context& context, std::uint64_t link, const std::string& node,
+                     const body_request_frame& frame);
 void on_peer_link_lost(step_context& context, const std::string& node);
 void on_peer_connected(step_context& context, const std::string& node);
 void retry_waiting_requests(step_context& context);
@@ -63,6 +65,7 @@
 void on_cancel(step_context& context, const std::string& origin, std::uint64_t frame);
 void on_resume(step_context& context, std::uint64_t link, const std::string& origin,
                std::uint64_t frame);
+void on_body(step_context& context, const std::string& origin, const body_frame& frame);
 void on_execution_ended(step_context& context, const execution_ended& ended);
 
 /// Removes the backend server after a different server has responded at its address.
--- a/libs/sidecar/tests/cluster_test.cpp
+++ b/libs/sidecar/tests/cluster_test.cpp
@@ -490,13 +490,13 @@
 {
 };
 
-TEST_P(sidecar_faults, guarantees_hold_under_faults)
+/// Runs the series of faults of a seed. Stops at the first violation.
+void run_faults(sidecar_cluster& cluster, std::uint64_t seed)
 {
-    sidecar_cluster cluster({3, 4, GetParam()});
-    std::mt19937_64 random(GetParam() * 77);
+    std::mt19937_64 random(seed * 77);
     cluster.run_for(startup_time);
     cluster.lose_responses(0.05);
-    cluster.delay_grants(GetParam() % 2 == 0 ? 0.1 : 0.0);
+    cluster.delay_grants(seed % 2 == 0 ? 0.1 : 0.0);
     const auto nodes = cluster.nodes();
     const auto random_node = [&] { return nodes[random() % nodes.size()]; };
     std::map<std::string, bool> down;
@@ -556,6 +556,42 @@
     }
 }
 
+TEST_P(sidecar_faults, guarantees_hold_under_faults)
+{
+    sidecar_cluster cluster({3, 4, GetParam()});
+    run_faults(cluster, GetParam());
+}
+
+// Guards against executions without the body or with two executions, false refusals, and slots or
+// totals that are not released, when faults hit requests between their admission and the arrival
+// of their bodies.
+TEST_P(sidecar_faults, guarantees_hold_under_faults_with_bodies)
+{
+    sidecar_cluster cluster({3, 4, GetParam()});
+    cluster.send_bodies();
+    run_faults(cluster, GetParam());
+    if (HasFatalFailure())
+        return;
+    const auto nodes = cluster.nodes();
+    for (const auto& node : nodes) {
+        for (const auto& other : nodes)
+            cluster.partition(node, other, false);
+    }
+    cluster.run_for(seconds(10));
+    for (const auto& node : nodes) {
+        if (!cluster.is_running(node))
+            continue;
+        const node_state& state = cluster.state(node);
+        EXPECT_EQ(state.m_separate_bodies.m_unrequested, 0U) << node;
+        EXPECT_EQ(state.m_separate_bodies.m_in_transfer.size(), 0U) << node;
+        EXPECT_EQ(state.m_separate_bodies.m_missing_bytes, 0U) << node;
+        EXPECT_EQ(state.m_separate_bodies.m_memory_bytes, 0U) << node;
+        EXPECT_EQ(state.m_admission_controller.m_awaited_bodies, 0U) << node;
+        EXPECT_EQ(state.m_admission_controller.m_running.size(), 0U) << node;
+    }
+    EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
+}
+
 INSTANTIATE_TEST_SUITE_P(seeds, sidecar_faults, testing::ValuesIn(fault_seeds(failed_seeds)));
 
 } // namespace azureladder::sidecar
--- a/libs/sidecar/tests/peer_frame_codec_test.cpp
+++ b/libs/sidecar/tests/peer_frame_codec_test.cpp
@@ -88,6 +88,21 @@
     EXPECT_EQ(round_trip(document_frame{"d", 4, "{}", -1}).m_text, "{}");
 }
 
+// Guards against a gate that executes a request without its body, because the length is lost.
+TEST(peer_frame_codec, preserves_bodies_that_travel_apart)
+{
+    request_frame request = make_request();
+    request.m_body_bytes = 360'000;
+    EXPECT_EQ(round_trip(request).m_body_bytes, 360'000U);
+    EXPECT_EQ(round_trip(body_request_frame{9}).m_id, 9U);
+    const body_frame body{9, std::make_shared<std::string>("\0body", 5)};
+    EXPECT_EQ(*round_trip(body).m_body, *body.m_body);
+    request.m_body_bytes = max_frame_bytes + 1;
+    peer_frame decoded;
+    std::size_t used = 0;
+    EXPECT_EQ(decode_frame(encode_frame(request), decoded, used), frame_state::malformed);
+}
+
 // Guards against errors on frames that a socket read returns partially, and on invalid bytes.
 TEST(peer_frame_codec, waits_for_complete_frames_and_rejects_invalid_ones)
 {
--- a/libs/sidecar/tests/sidecar_cluster.cpp
+++ b/libs/sidecar/tests/sidecar_cluster.cpp
@@ -10,6 +10,9 @@
 
 constexpr duration tick = milliseconds(25);
 constexpr duration link_delay = milliseconds(4);
+
+/// Rate of a link of 10 Mbit/s for bodies, in bytes a second.
+constexpr double body_rate = 750'000;
 constexpr duration store_delay = milliseconds(4);
 constexpr duration announcement_interval = milliseconds(870);
 
@@ -132,6 +135,7 @@
     options.m_peer_address = node + ":0";
     options.m_max_ranges = m_max_ranges;
     options.m_max_ranges_per_owner = 0;
+    options.m_body_transfers.m_bytes_per_s = body_rate;
     wanted.m_incarnation = options.m_incarnation;
     wanted.m_state = std::make_unique<node_state>(make_node(options, m_now, m_random()));
     const std::uint64_t incarnation = wanted.m_incarnation;
@@ -287,7 +291,14 @@
     if (found == m_links.end() || is_partitioned(found->second.m_node, found->second.m_peer))
         return;
     const link_end end = found->second;
-    at(link_delay, [this, end, frame] {
+    duration delay = link_delay;
+    if (const auto* body = std::get_if<body_frame>(&frame)) {
+        // Shorter bodies overtake longer ones, which the order of frames on a link does not permit,
+        // but bodies over several links do.
+        const double transfer_s = static_cast<double>(body->m_body->size()) / body_rate;
+        delay += std::chrono::duration_cast<duration>(std::chrono::duration<double>(transfer_s));
+    }
+    at(delay, [this, end, frame] {
         if (m_links.count(end.m_other) != 0)
             handle_event(end.m_peer, frame_received{end.m_other, frame});
     });
@@ -401,6 +412,11 @@
     request.m_request.m_host = host;
     request.m_request.m_target = "/x";
     request.m_request.m_key = key;
+    if (m_sends_bodies && request.m_caller % 3 != 0) {
+        request.m_request.m_body =
+            id + std::string(20'000 + request.m_caller * 7919 % 120'000, 'b');
+        m_body_of_request[id] = request.m_request.m_body;
+    }
     request.m_remaining = milliseconds(1500);
     handle_event(node, request);
     return id;
--- a/libs/sidecar/tests/sidecar_cluster.hpp
+++ b/libs/sidecar/tests/sidecar_cluster.hpp
@@ -53,6 +53,9 @@
     /// Lets backend servers reject a share of the requests.
     void reject_requests(double share) { m_rejected_share = share; }
 
+    /// Gives two of three requests sent from now on a body of 20 to 140 KB.
+    void send_bodies() { m_sends_bodies = true; }
+
     /// Closes the connection of the caller of an open request.
     void disconnect_caller(const std::string& request);
 
@@ -214,6 +217,8 @@
     duration m_execution_time = milliseconds(60);
     std::map<std::string, int> m_status;
     std::map<std::string, bool> m_is_idempotent;
+    bool m_sends_bodies = false;
+    std::map<std::string, std::string> m_body_of_request;
     double m_lost_response_share = 0.0;
     double m_rejected_share = 0.0;
     std::map<std::string, std::size_t> m_arrivals;
--- a/libs/sidecar/tests/sidecar_cluster_backends.cpp
+++ b/libs/sidecar/tests/sidecar_cluster_backends.cpp
@@ -51,6 +51,9 @@
     const int status = this->status(request.m_request_id);
     if (!m_is_idempotent[request.m_request_id] && status == 503)
         m_violations.push_back("executed after a refusal: " + request.m_request_id);
+    const auto body = m_body_of_request.find(request.m_request_id);
+    if (request.m_body != (body == m_body_of_request.end() ? std::string() : body->second))
+        m_violations.push_back("executed without its body: " + request.m_request_id);
     const std::pair<std::uint64_t, std::uint64_t> run{incarnation, wanted.m_execution};
     server.m_running[run] = request.m_request_id;
     if (server.m_running.size() > fake_backend::slots)
--- a/libs/sidecar_runtime/src/frame_queue.cpp
+++ b/libs/sidecar_runtime/src/frame_queue.cpp
@@ -90,7 +90,8 @@
     if (std::holds_alternative<sidecar::document_frame>(frame))
         return frame_stream::bulk;
     if (std::holds_alternative<sidecar::request_frame>(frame) ||
-        std::holds_alternative<sidecar::response_frame>(frame))
+        std::holds_alternative<sidecar::response_frame>(frame) ||
+        std::holds_alternative<sidecar::body_frame>(frame))
         return bytes > max_request_stream_bytes ? frame_stream::bulk : frame_stream::requests;
     return frame_stream::control;
 }
@@ -100,6 +101,8 @@
     queued_frame queued;
     if (const auto* request = std::get_if<sidecar::request_frame>(&frame))
         queued.m_request = request->m_id;
+    if (const auto* body = std::get_if<sidecar::body_frame>(&frame))
+        queued.m_body_of = body->m_id;
     queued.m_kind = frame.index();
     queued.m_queued_at = now;
     queued.m_bytes = sidecar::encode_frame(frame);
@@ -115,12 +118,15 @@
     stream.m_frames.push_back(std::move(queued));
 }
 
-bool remove_queued_request(frame_queue& queue, std::uint64_t request)
+namespace {
+
+/// Removes the first queued frame for which `is_wanted` returns true. Returns false when there is
+/// none or it is partly taken.
+template <class Predicate>
+bool remove_frame(frame_queue& queue, Predicate is_wanted)
 {
     for (auto& stream : queue.m_streams) {
-        const auto found =
-            std::find_if(stream.m_frames.begin(), stream.m_frames.end(),
-                         [&](const queued_frame& queued) { return queued.m_request == request; });
+        const auto found = std::find_if(stream.m_frames.begin(), stream.m_frames.end(), is_wanted);
         if (found == stream.m_frames.end())
             continue;
         if (found == stream.m_frames.begin() && stream.m_taken_bytes > 0)
@@ -132,6 +138,20 @@
     return false;
 }
 
+} // namespace
+
+bool remove_queued_request(frame_queue& queue, std::uint64_t request)
+{
+    return remove_frame(queue,
+                        [&](const queued_frame& queued) { return queued.m_request == request; });
+}
+
+bool remove_queued_body(frame_queue& queue, std::uint64_t request)
+{
+    return remove_frame(queue,
+                        [&](const queued_frame& queued) { return queued.m_body_of == request; });
+}
+
 frame_write take_write(frame_queue& queue, bulk_pacer& pacer, time_point now)
 {
     frame_write write;
--- a/libs/sidecar_runtime/src/frame_queue.hpp
+++ b/libs/sidecar_runtime/src/frame_queue.hpp
@@ -20,6 +20,9 @@
     /// Id of the request that the frame carries; empty for other frames.
     std::optional<std::uint64_t> m_request;
 
+    /// Id of the request whose body the frame carries; empty for other frames.
+    std::optional<std::uint64_t> m_body_of;
+
     /// Name of the document that the frame carries, empty for other frames, and the revision since
     /// which it has the changes.
     std::string m_document;
@@ -69,6 +72,9 @@
 /// Removes a queued request. Returns false when it is not queued or partly taken.
 bool remove_queued_request(frame_queue& queue, std::uint64_t request);
 
+/// Removes the queued body of a request. Returns false when it is not queued or partly taken.
+bool remove_queued_body(frame_queue& queue, std::uint64_t request);
+
 /// Takes the bytes of the next write, about two pieces. Empty when nothing is queued, or only bulk
 /// data that the pacer holds back.
 frame_write take_write(frame_queue& queue, bulk_pacer& pacer, time_point now);
--- a/libs/sidecar_runtime/src/frame_stream.hpp
+++ b/libs/sidecar_runtime/src/frame_stream.hpp
@@ -18,7 +18,7 @@
     /// Requests and responses.
     requests,
 
-    /// Documents, and requests and responses with long bodies.
+    /// Documents, bodies, and requests and responses with long bodies.
     bulk
 };
 
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -59,6 +59,17 @@
 /// Fraction for responses that are retained until their ingress must have received them.
 constexpr double retained_response_share = 0.15;
 
+/// Part of the link on which the node receives bodies for its backend server. The rest is left to
+/// calls, pings and requests of callers: at 14 uploads of 60 KB a second these need 6.7 of 10
+/// Mbit/s, so the limit of bulk data that a node sends would refuse some of them.
+constexpr double body_link_share = 0.85;
+
+constexpr double bytes_per_s_and_mbps = 1e6 / 8;
+
+/// Fraction for the bodies that the node receives for its backend server. Their copies for sending
+/// take as much again.
+constexpr double body_share = 0.1;
+
 std::size_t memory_share(const sidecar_settings& settings, double share)
 {
     constexpr double bytes_per_mb = 1e6;
@@ -83,6 +94,9 @@
     options.m_retry.m_tokens_per_request = settings.m_retry_ratio * retry_ratio_share;
     options.m_retry.m_max_total_tokens = settings.m_retry_slack * retry_slack_share;
     options.m_drain_start_window = milliseconds(settings.m_drain_ms) / 2;
+    options.m_body_transfers.m_bytes_per_s =
+        settings.m_link_mbps * bytes_per_s_and_mbps * body_link_share;
+    options.m_body_transfers.m_max_bytes = memory_share(settings, body_share);
     options.m_max_retained_bytes = memory_share(settings, retained_response_share);
     sidecar::set_max_stop_time(options, milliseconds(settings.m_stop_grace_ms) - stop_margin);
     return options;
@@ -569,6 +583,10 @@
                         static_cast<double>(m_state.m_admission_controller.m_running.size()));
     m_metrics.set_gauge("gate_waiting",
                         static_cast<double>(m_state.m_admission_controller.m_waiting.size()));
+    m_metrics.set_gauge("gate_bodies_in_transfer",
+                        static_cast<double>(m_state.m_separate_bodies.m_in_transfer.size()));
+    m_metrics.set_gauge("gate_body_bytes",
+                        static_cast<double>(m_state.m_separate_bodies.m_memory_bytes));
     m_metrics.set_gauge("gate_limit", m_state.m_admission_controller.m_limit);
     m_metrics.set_gauge("peers", static_cast<double>(m_state.m_peers.size()));
     m_metrics.set_counter("store_calls_total", m_store_client.call_count());
--- a/libs/sidecar_runtime/src/peer_link.cpp
+++ b/libs/sidecar_runtime/src/peer_link.cpp
@@ -101,8 +101,12 @@
     if (m_is_closed)
         return;
     const auto* cancel = std::get_if<sidecar::cancel_frame>(&frame);
-    if (cancel != nullptr && remove_queued_request(m_queue, cancel->m_id))
-        return;
+    if (cancel != nullptr) {
+        // The peer has the request if its body is queued, and needs the cancel.
+        remove_queued_body(m_queue, cancel->m_id);
+        if (remove_queued_request(m_queue, cancel->m_id))
+            return;
+    }
     push_frame(m_queue, frame, m_clock.now());
     if (m_queue.m_bytes > max_queued_bytes)
         close_and_report();
--- a/libs/sidecar_runtime/tests/peer_link_test.cpp
+++ b/libs/sidecar_runtime/tests/peer_link_test.cpp
@@ -140,6 +140,25 @@
     EXPECT_EQ(std::get<sidecar::request_frame>(links.m_received[requests[0]]).m_id, 2U);
 }
 
+// Guards against the transfer of a body whose caller has disconnected, and against a cancel that is
+// dropped with the body although the peer has the request.
+TEST(peer_link, queued_body_is_dropped_when_its_request_is_cancelled)
+{
+    link_pair links;
+    links.m_sender->send(make_large_document());
+    links.run();
+    const auto body = std::make_shared<std::string>(60'000, 'b');
+    links.m_sender->send(sidecar::body_frame{1, body});
+    links.m_sender->send(sidecar::body_frame{2, body});
+    links.m_sender->send(sidecar::cancel_frame{1});
+    links.m_receiver->start();
+    links.run();
+    ASSERT_EQ(links.received_count<sidecar::body_frame>(), 1U);
+    EXPECT_EQ(links.received_count<sidecar::cancel_frame>(), 1U);
+    const auto position = links.received_order<sidecar::body_frame>()[0];
+    EXPECT_EQ(std::get<sidecar::body_frame>(links.m_received[position]).m_id, 2U);
+}
+
 // Guards against starting a request although its cancel has arrived behind it.
 TEST(peer_link, frames_that_have_arrived_are_read_in_one_pass)
 {
