Test a key that moves while the body of its request is in transfer

Guards against an execution at a server without the lease, which would reject the request at the cost of a retry.

--- a/libs/sidecar/tests/request_bodies_test.cpp
+++ b/libs/sidecar/tests/request_bodies_test.cpp
@@ -1,4 +1,5 @@
 #include "connected_node.hpp"
+#include "sidecar_cluster.hpp"
 
 #include <gtest/gtest.h>
 
@@ -253,6 +254,39 @@
     }
 }
 
+// Guards against an execution at a server that has lost the lease on the key while the body was in
+// transfer. The server would reject it, and the attempt counts against the budget of retries.
+TEST(request_bodies, request_whose_key_moves_during_the_transfer_is_not_sent_to_the_server)
+{
+    std::size_t started_without_lease = 0;
+    std::size_t refused = 0;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        sidecar_cluster cluster({1, 3, seed});
+        cluster.run_for(seconds(8));
+        cluster.send_bodies();
+        cluster.observe([&](const std::string& node, const effect& wanted) {
+            const auto* start = std::get_if<start_execution>(&wanted);
+            if (start != nullptr && start->m_request->m_key &&
+                !cluster.backend(node).has_lease(*start->m_request->m_key, cluster.now()))
+                ++started_without_lease;
+            const auto* line = std::get_if<log_line>(&wanted);
+            if (line != nullptr && line->m_event == "request_refused" &&
+                line->m_fields.at("reason") == "not_owner")
+                ++refused;
+        });
+        for (std::uint32_t i = 0; i < 100; ++i) {
+            if (i == 50)
+                cluster.backend("shelf-1").m_draining = true;
+            cluster.send("orders-0", "shelf", i * 653);
+            cluster.run_for(milliseconds(10));
+        }
+        cluster.run_for(seconds(3));
+        EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
+    }
+    EXPECT_EQ(started_without_lease, 0U);
+    EXPECT_GT(refused, 0U);
+}
+
 // Guards against bursts to a cold server: bodies that arrive together must not exceed its rate.
 TEST(request_bodies, requests_that_await_their_bodies_count_against_the_cold_rate)
 {
