--- a/libs/routing/include/azureladder/routing/admission_request.hpp
+++ b/libs/routing/include/azureladder/routing/admission_request.hpp
@@ -40,6 +40,14 @@
     /// Whether the request may be queued although it will miss its target. Otherwise it is refused,
     /// so that its ingress can try another gate.
     bool m_accepts_late = true;
+
+    /// Whether the body has not arrived yet. The request then holds its slot without being executed
+    /// until `record_arrived_body`.
+    bool m_awaits_body = false;
+
+    /// Whether the request may not start yet, because its body was not requested: link or memory
+    /// do not allow it. It takes no slot and does not hold up the requests behind it.
+    bool m_is_held_back = false;
 };
 
 } // namespace azureladder::routing
--- a/libs/routing/src/admission_controller.cpp
+++ b/libs/routing/src/admission_controller.cpp
@@ -33,15 +33,18 @@
         return false;
     while (!state.m_recent_starts.empty() && now - state.m_recent_starts.front() > cold_window)
         state.m_recent_starts.pop_front();
-    return state.m_cold_rate_per_s <= 0.0 ||
-           state.m_recent_starts.size() < max_starts_in_cold_window(state, options);
+    return state.m_cold_rate_per_s <= 0.0 || state.m_recent_starts.size() + state.m_awaited_bodies <
+                                                 max_starts_in_cold_window(state, options);
 }
 
 void start(admission_controller& state, const admission_request& request, time_point now)
 {
     state.m_running[request.m_id] = request;
     state.m_late_start_count += request.m_is_late ? 1 : 0;
-    state.m_recent_starts.push_back(now);
+    if (request.m_awaits_body)
+        ++state.m_awaited_bodies;
+    else
+        state.m_recent_starts.push_back(now);
 }
 
 /// Request that all waiting requests precede, except for late ones of the least urgent priority.
@@ -95,9 +98,12 @@
         return {admission::refuse, options.m_min_retry_after};
     if (now + scaled(service, options.m_min_target_share) <= request.m_target)
         record_offered(state, service, now, options);
+    const auto first = first_startable(state);
     const bool is_next =
-        state.m_waiting.empty() || (request.m_is_call && !state.m_waiting.front().m_is_call);
+        first == state.m_waiting.cend() || (request.m_is_call && !first->m_is_call);
     if (is_next && may_start(state, request.m_is_call, now, options)) {
+        if (request.m_is_held_back)
+            return enqueue(state, request, duration::zero(), now, options);
         start(state, request, now);
         return {admission::start, duration::zero()};
     }
@@ -131,15 +137,16 @@
 {
     std::vector<admission_request> result;
     const auto may_start_next = [&] {
-        return !state.m_waiting.empty() &&
-               may_start(state, state.m_waiting.front().m_is_call, now, options);
+        const auto next = first_startable(state);
+        return next != state.m_waiting.cend() && may_start(state, next->m_is_call, now, options);
     };
     if (!may_start_next())
         return result;
     demote_late_requests(state, now, options);
     while (may_start_next()) {
-        result.push_back(state.m_waiting.front());
-        state.m_waiting.erase(state.m_waiting.begin());
+        const auto next = first_startable(state);
+        result.push_back(*next);
+        state.m_waiting.erase(next);
         start(state, result.back(), now);
     }
     return result;
@@ -152,6 +159,8 @@
     if (found == state.m_running.end())
         return;
     const std::string route = found->second.m_route;
+    if (found->second.m_awaits_body)
+        --state.m_awaited_bodies;
     state.m_running.erase(found);
     if (outcome == execution_outcome::abandoned)
         return;
--- a/libs/routing/src/admission_queue.hpp
+++ b/libs/routing/src/admission_queue.hpp
@@ -14,9 +14,12 @@
 void demote_late_requests(admission_controller& state, time_point now,
                           const admission_options& options);
 
-/// Whether a request that can meet its target is waiting.
+/// Whether a request that can meet its target is waiting and is not held back.
 bool is_queued_in_time(const admission_controller& state);
 
+/// The most urgent waiting request that is not held back; the end of the queue if there is none.
+std::vector<admission_request>::const_iterator first_startable(const admission_controller& state);
+
 /// Adds a request to the queue. `wait` is its predicted wait.
 admission_decision enqueue(admission_controller& state, const admission_request& request,
                            duration wait, time_point now, const admission_options& options);
--- a/libs/sidecar_runtime/src/node_runtime_http.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_http.cpp
@@ -218,6 +218,10 @@
                         static_cast<double>(m_state.m_admission_controller.m_running.size()));
     m_metrics.set_gauge("gate_waiting",
                         static_cast<double>(m_state.m_admission_controller.m_waiting.size()));
+    m_metrics.set_gauge("gate_bodies_in_transfer",
+                        static_cast<double>(m_state.m_separate_bodies.m_in_transfer.size()));
+    m_metrics.set_gauge("gate_body_bytes",
+                        static_cast<double>(m_state.m_separate_bodies.m_memory_bytes));
     m_metrics.set_gauge("gate_limit", m_state.m_admission_controller.m_limit);
     m_metrics.set_gauge("gate_new_request_share",
                         m_state.m_admission_controller.m_new_request_share);
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -59,6 +59,17 @@
 /// Fraction for responses that are retained until their ingress must have received them.
 constexpr double retained_response_share = 0.15;
 
+/// Part of the link on which the node receives bodies for its backend server. The rest is left to
+/// calls, pings and requests of callers: at 14 uploads of 60 KB a second these need 6.7 of 10
+/// Mbit/s, so the limit of bulk data that a node sends would refuse some of them.
+constexpr double body_link_share = 0.85;
+
+constexpr double bytes_per_s_and_mbps = 1e6 / 8;
+
+/// Fraction for the bodies that the node receives for its backend server. Their copies for sending
+/// take as much again.
+constexpr double body_share = 0.1;
+
 std::size_t memory_share(const sidecar_settings& settings, double share)
 {
     constexpr double bytes_per_mb = 1e6;
