Predict the waits at cold servers and spread their retries

Callers saw: after a simultaneous restart, requests waited at cold servers for up to a second longer than predicted and were late, and refused callers returned in waves.

Cause: the predicted wait was the queue length divided by the cold rate, also when the starts of the last second had used the rate up. The retry delay was the same for all callers that were refused together.

Change: the prediction follows the starts of the last second. Successive refusals of a cold server name retry times as far apart as its starts, up to 0.32 of the time to the deadline.

--- a/libs/routing/include/azureladder/routing/admission_controller.hpp
+++ b/libs/routing/include/azureladder/routing/admission_controller.hpp
@@ -91,6 +91,10 @@
     /// Number of late requests that were started.
     std::uint64_t m_late_start_count = 0;
 
+    /// Earliest time at which the caller of the next request that is refused by a cold server is
+    /// asked to retry.
+    time_point m_next_retry_at;
+
     /// Arrivals that the leftover capacity is derived from.
     offered_load m_offered;
 
--- a/libs/routing/include/azureladder/routing/admission_options.hpp
+++ b/libs/routing/include/azureladder/routing/admission_options.hpp
@@ -24,8 +24,9 @@
     /// target. Below 1, since half of the executions take longer than the mean.
     double m_max_target_share = 0.9;
 
-    /// The same limit for short requests and calls, as a fraction of the time to their deadline. A request is
-    /// short if its expected execution time is at most half of the mean of the running requests.
+    /// The same limit for short requests and calls, as a fraction of the time to their deadline. A
+    /// request is short if its expected execution time is at most half of the mean of the running
+    /// requests.
     double m_short_max_deadline_share = 0.7;
 
     /// Share of its expected execution time that a waiting request needs before its target; with
@@ -74,6 +75,10 @@
     /// Range of the retry delay that a rejection recommends.
     duration m_min_retry_after = milliseconds(50);
     duration m_max_retry_after = seconds(2);
+
+    /// Longest retry delay as a fraction of the time to the deadline. Callers do not wait for more
+    /// than a third of it.
+    double m_max_retry_deadline_share = 0.32;
 };
 
 } // namespace azureladder::routing
--- a/libs/routing/src/admission_controller.cpp
+++ b/libs/routing/src/admission_controller.cpp
@@ -1,5 +1,6 @@
 #include "admission_prediction.hpp"
 #include "admission_queue.hpp"
+#include "admission_refusal.hpp"
 
 #include <azureladder/routing/scaled_duration.hpp>
 
@@ -19,13 +20,6 @@
     return scaled(mean, 1.0 - weight) + scaled(sample, weight);
 }
 
-std::size_t max_starts_in_cold_window(const admission_controller& state,
-                                      const admission_options& options)
-{
-    return static_cast<std::size_t>(
-        std::max(1.0, std::floor(state.m_cold_rate_per_s * options.m_cold_rate_factor)));
-}
-
 bool may_start(admission_controller& state, bool is_call, time_point now,
                const admission_options& options)
 {
@@ -71,11 +65,6 @@
     return {result.begin(), result.begin() + static_cast<std::ptrdiff_t>(count)};
 }
 
-duration recommended_retry_delay(duration wait, const admission_options& options)
-{
-    return std::clamp(wait, options.m_min_retry_after, options.m_max_retry_after);
-}
-
 } // namespace
 
 std::uint32_t route_hash(std::string_view route)
@@ -123,7 +112,7 @@
         scaled(request.m_deadline - now, options.m_late_max_deadline_share) - service;
     if (request.m_accepts_late && late_wait <= late_allowed)
         return enqueue(state, late, late_wait, now, options);
-    return {admission::refuse, recommended_retry_delay(wait, options)};
+    return refuse(state, request, wait, now, options);
 }
 
 std::vector<admission_request> start_waiting_requests(admission_controller& state, time_point now,
--- a/libs/routing/src/admission_prediction.cpp
+++ b/libs/routing/src/admission_prediction.cpp
@@ -38,6 +38,24 @@
 
 namespace {
 
+/// Time until the rate limit of a cold server allows a start after `ahead` others. A start becomes
+/// possible when an earlier one leaves the window.
+duration cold_wait(const admission_controller& state, std::size_t ahead, time_point now,
+                   const admission_options& options)
+{
+    const auto& starts = state.m_recent_starts;
+    const auto first = std::find_if(starts.begin(), starts.end(),
+                                    [&](time_point at) { return now - at <= cold_window; });
+    const auto recent = static_cast<std::size_t>(starts.end() - first);
+    const std::size_t limit = max_starts_in_cold_window(state, options);
+    if (recent + ahead < limit)
+        return duration::zero();
+    const std::size_t leaving = ahead + recent - limit;
+    if (leaving < recent)
+        return cold_window - (now - *(first + static_cast<std::ptrdiff_t>(leaving)));
+    return scaled(cold_window, static_cast<double>(leaving + 1) / static_cast<double>(limit));
+}
+
 /// Slots that requests of this kind (calls or others) may use. At least one, unless no server can
 /// execute their calls, so that the end of a shortage is noticed.
 std::uint32_t usable_slots(const admission_controller& state, bool is_call)
@@ -62,6 +80,13 @@
     return count >= static_cast<std::ptrdiff_t>(usable_slots(state, is_call));
 }
 
+std::size_t max_starts_in_cold_window(const admission_controller& state,
+                                      const admission_options& options)
+{
+    return static_cast<std::size_t>(
+        std::max(1.0, std::floor(state.m_cold_rate_per_s * options.m_cold_rate_factor)));
+}
+
 duration mean_running_service_time(const admission_controller& state, time_point now,
                                    const admission_options& options)
 {
@@ -91,8 +116,7 @@
     if (is_at_limit(state, request.m_is_call))
         wait = work / std::max<std::uint32_t>(slots, 1);
     if (state.m_cold_rate_per_s > 0.0)
-        wait = std::max(
-            wait, scaled(cold_window, static_cast<double>(ahead + 1) / state.m_cold_rate_per_s));
+        wait = std::max(wait, cold_wait(state, ahead, now, options));
     return wait;
 }
 
--- a/libs/routing/src/admission_prediction.hpp
+++ b/libs/routing/src/admission_prediction.hpp
@@ -7,6 +7,10 @@
 /// Window of the rate limit for cold backend servers.
 inline constexpr duration cold_window = seconds(1);
 
+/// Largest number of starts in a window.
+std::size_t max_starts_in_cold_window(const admission_controller& state,
+                                      const admission_options& options);
+
 /// Fraction of its distance to the default that a moving average has lost by `now`: a tenth of the
 /// rest for each second after `m_decay_after`.
 double decayed_share(time_point last_sample, time_point now, const admission_options& options);
--- a/libs/routing/tests/overload_test.cpp
+++ b/libs/routing/tests/overload_test.cpp
@@ -39,4 +39,16 @@
         EXPECT_EQ(replay(burst(share, share), {}).m_refusals, 0U) << share;
 }
 
+// Guards against servers that all start cold and get the requests of the restart in waves: callers
+// are told to return as fast as the server starts requests, and those that return are served in
+// time. The bounds are the cold rate for 8 s with the load of the last 2 s, and the starts of 1 s.
+TEST(overload, accepts_requests_as_fast_as_a_cold_server_takes_them)
+{
+    modelled_load load = burst(0.6, 0.6);
+    load.m_cold_rate_per_s = [](duration at) { return at < seconds(8) ? 11.0 : 0.0; };
+    const auto outcome = replay(load, {});
+    EXPECT_GE(outcome.m_in_time, std::lround(8 * 11 + 2 * 0.6 * 12 / 0.230));
+    EXPECT_LE(outcome.m_most_retries_at_once, 11U);
+}
+
 } // namespace azureladder::routing
