Tell the reset of a full server from a failure

A server without memory for another request resets the connection. The gate counted this like a lost response: after four of them it closed the server for all requests, and the server was avoided as failing. A reset before the first byte of a response, while the started executions take all announced slots, does not count against the server's health and failure share any more. As many of them in succession as the server has slots do. The origin still gets a failure, because the request may have been executed.

--- a/libs/sidecar/include/azureladder/sidecar/events.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/events.hpp
@@ -97,6 +97,9 @@
 
     /// The address belongs to another server now.
     bool m_backend_replaced = false;
+
+    /// The server reset the connection before the first byte of a response.
+    bool m_is_reset = false;
 };
 
 enum class key_command_result
--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -51,6 +51,9 @@
 
     /// Consecutive executions without a response.
     std::uint32_t m_unanswered_executions = 0;
+
+    /// Consecutive executions that the server reset while it had no free slot.
+    std::uint32_t m_resets_while_full = 0;
     time_point m_next_probe_at;
 };
 
--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -318,8 +318,9 @@
     const duration elapsed = context.m_now - execution.m_started_at;
     const bool answered = ended.m_result == execution_result::answered;
     const bool failed = !answered || ended.m_response->m_status >= 500;
+    const bool is_full = is_reset_by_full_server(state, ended);
     const auto outcome =
-        ended.m_result == execution_result::not_sent
+        ended.m_result == execution_result::not_sent || is_full
             ? routing::execution_outcome::abandoned
             : (failed ? routing::execution_outcome::failed : routing::execution_outcome::succeeded);
     routing::finish_execution(state.m_admission_controller, ended.m_execution, elapsed, outcome,
@@ -331,10 +332,16 @@
         fields["status"] = ended.m_response->m_status;
     if (!ended.m_cause.empty())
         fields["cause"] = ended.m_cause;
+    if (is_full)
+        fields["server_full"] = true;
     log(context, log_level::info, "execution_ended", std::move(fields));
     set_body_place(state, execution, body_place::released);
 
-    update_backend_health(context, ended);
+    // The request may have been executed, so its origin gets a failure in any case.
+    if (is_full)
+        ++state.m_backend->m_resets_while_full;
+    else
+        update_backend_health(context, ended);
     const bool own = execution.m_link == loopback_link;
     send_execution_result(context, execution, ended);
     // A loopback frame cannot be lost, so its result need not be retained.
--- a/libs/sidecar/src/execution_results.cpp
+++ b/libs/sidecar/src/execution_results.cpp
@@ -95,6 +95,16 @@
     retain_response(context, execution);
 }
 
+bool is_reset_by_full_server(const node_state& state, const execution_ended& ended)
+{
+    if (!ended.m_is_reset || ended.m_result != execution_result::unknown || !state.m_backend)
+        return false;
+    const auto& controller = state.m_admission_controller;
+    const std::size_t started = controller.m_running.size() - controller.m_awaited_bodies;
+    const std::uint32_t slots = state.m_backend->m_announcement.m_slots;
+    return started >= slots && state.m_backend->m_resets_while_full < slots;
+}
+
 void update_backend_health(step_context& context, const execution_ended& ended)
 {
     if (!context.m_state.m_backend)
@@ -103,6 +113,7 @@
     if (ended.m_result == execution_result::answered ||
         ended.m_result == execution_result::rejected) {
         backend.m_unanswered_executions = 0;
+        backend.m_resets_while_full = 0;
         backend.m_unreachable = false;
         return;
     }
--- a/libs/sidecar/src/execution_results.hpp
+++ b/libs/sidecar/src/execution_results.hpp
@@ -17,6 +17,11 @@
 /// Sends the result of an execution and retains it in case the origin has to resume.
 void send_and_retain_result(step_context& context, backend_execution& execution, peer_frame result);
 
+/// Whether the backend server reset the connection of an execution, which is still counted as
+/// running, because it has no free slot. A server that resets as many in succession as it has slots
+/// and answers none has failed.
+bool is_reset_by_full_server(const node_state& state, const execution_ended& ended);
+
 /// Updates from an ended execution whether the backend server is reachable and responds.
 void update_backend_health(step_context& context, const execution_ended& ended);
 
--- a/libs/sidecar/tests/backend_executions_test.cpp
+++ b/libs/sidecar/tests/backend_executions_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace azureladder::sidecar {
 
 namespace {
@@ -301,6 +303,38 @@
     EXPECT_TRUE(state.m_executions.empty());
 }
 
+// Guards against a server that counts as failing because it was full, against one that resets every
+// request and never counts as failing, and against a refusal, since either may have executed the
+// request.
+TEST(backend_executions, reset_by_a_full_server_does_not_count_as_its_failure)
+{
+    const auto reset_next = [](node_state& state, std::uint64_t id) {
+        step(state, frame_received{1, make_request(id)}, start_time);
+        execution_ended ended;
+        ended.m_execution = id;
+        ended.m_result = execution_result::unknown;
+        ended.m_is_reset = true;
+        const effects done = step(state, ended, start_time);
+        EXPECT_TRUE(refusals(done).empty());
+        EXPECT_TRUE(std::any_of(done.begin(), done.end(), [](const auto& effect) {
+            const auto* sent = std::get_if<send_frame>(&effect);
+            return sent != nullptr && std::holds_alternative<failure_frame>(sent->m_frame);
+        }));
+    };
+    node_state full = make_gate();
+    reset_next(full, 1);
+    EXPECT_EQ(full.m_backend->m_unanswered_executions, 0U);
+    EXPECT_EQ(full.m_admission_controller.m_failure_share, 0.0);
+    reset_next(full, 2);
+    EXPECT_EQ(full.m_backend->m_unanswered_executions, 1U);
+    EXPECT_GT(full.m_admission_controller.m_failure_share, 0.0);
+
+    node_state free = make_gate();
+    free.m_backend->m_announcement.m_slots = 2;
+    reset_next(free, 1);
+    EXPECT_EQ(free.m_backend->m_unanswered_executions, 1U);
+}
+
 // Guards against an estimate that keeps the offset of the clocks from before a suspension.
 TEST(frame_delay, forgets_the_offset_of_the_clocks)
 {
--- a/libs/sidecar_runtime/src/backend_connection_pool.cpp
+++ b/libs/sidecar_runtime/src/backend_connection_pool.cpp
@@ -11,6 +11,7 @@
     sidecar::execution_ended ended;
     ended.m_execution = execution;
     ended.m_cause = outcome.m_cause;
+    ended.m_is_reset = outcome.m_is_reset;
     ended.m_result = outcome.m_result == exchange_result::not_sent
                          ? sidecar::execution_result::not_sent
                          : sidecar::execution_result::unknown;
--- a/libs/sidecar_runtime/src/client_connection.cpp
+++ b/libs/sidecar_runtime/src/client_connection.cpp
@@ -211,7 +211,8 @@
             m_parser->put_eof(error);
         if (error) {
             fail_exchange(m_nothing_sent ? exchange_result::not_sent : exchange_result::incomplete,
-                          error.message());
+                          error.message(),
+                          error == asio::error::connection_reset && m_bytes_read == 0);
             return;
         }
         if (!m_parser->is_done()) {
@@ -303,11 +304,12 @@
     m_reservation.reset();
 }
 
-void client_connection::fail_exchange(exchange_result result, const std::string& cause)
+void client_connection::fail_exchange(exchange_result result, const std::string& cause,
+                                      bool is_reset)
 {
     const completion_handler on_completion = std::move(m_completion_handler);
     close();
-    on_completion({result, {}, cause});
+    on_completion({result, {}, cause, is_reset});
 }
 
 void client_connection::close()
--- a/libs/sidecar_runtime/src/client_connection.hpp
+++ b/libs/sidecar_runtime/src/client_connection.hpp
@@ -37,6 +37,9 @@
     exchange_result m_result = exchange_result::incomplete;
     http_response m_response;
     std::string m_cause;
+
+    /// The server reset the connection before the first byte of a response.
+    bool m_is_reset = false;
 };
 
 /// One HTTP/1.1 connection to a server, with one exchange at a time. Never retries a request.
@@ -101,7 +104,7 @@
     /// Releases the memory of a response that is of no use any more.
     void release_memory();
 
-    void fail_exchange(exchange_result result, const std::string& cause);
+    void fail_exchange(exchange_result result, const std::string& cause, bool is_reset = false);
 
     asio::io_context& m_io;
     boost::beast::tcp_stream m_stream;
--- a/libs/sidecar_runtime/tests/client_connection_test.cpp
+++ b/libs/sidecar_runtime/tests/client_connection_test.cpp
@@ -281,4 +281,31 @@
                          testing::ValuesIn(unbounded_response_cases()),
                          [](const auto& info) { return info.param.m_name; });
 
+// Guards against taking a server that closes connections or breaks off its responses for a full
+// one, which resets connections before it responds.
+TEST(client_connection, tells_a_reset_before_the_response_from_other_failures)
+{
+    const auto is_reset = [](const std::string& output, bool resets) {
+        asio::io_context io;
+        loopback_server server(io, [&](loopback_server::connection& connection, const auto&) {
+            connection.send(output);
+            if (resets)
+                connection.reset();
+            else
+                connection.close();
+        });
+        const auto connection =
+            std::make_shared<client_connection>(io, server.address(), milliseconds(500));
+        exchange_record record;
+        start_exchange(*connection, record, milliseconds(4000));
+        for (int i = 0; i < 50 && !record.m_outcome; ++i)
+            io.run_one_for(milliseconds(100));
+        EXPECT_TRUE(record.m_outcome);
+        return record.m_outcome && record.m_outcome->m_is_reset;
+    };
+    EXPECT_TRUE(is_reset("", true));
+    EXPECT_FALSE(is_reset("", false));
+    EXPECT_FALSE(is_reset("HTTP/1.1 200 OK\r\n", false));
+}
+
 } // namespace azureladder::sidecar_runtime
