Weigh latency by the time to the target when selecting servers

Callers saw: in rostering, the fast servers get 20 to 30 times the calls of the slow ones, and shift-confirm executes in 223 to 760 ms depending on the server. Differences in cost were compared with the lowest cost, some ten milliseconds for short calls, so that all ingresses followed the servers that were fast a moment ago.

The scale is now at least 0.6 of the time left to the request's target. Another zone has to save 0.15 of that time instead of 60 ms. The cost includes the transfer of the body over the slower link; nodes report link_mbps to each other. Failures count as before. The setting selection_by_target (default true) turns the first two off.

Not measured in a deployment.

--- a/libs/routing/src/server_selection.cpp
+++ b/libs/routing/src/server_selection.cpp
@@ -17,8 +17,38 @@
                                                                 : options.m_default_service_time;
 }
 
+duration failure_cost(const load_report& report, const server_selection_options& options)
+{
+    return scaled(options.m_failure_penalty, report.m_failure_share);
+}
+
 } // namespace
 
+server_selection_options options_for_target(const server_selection_options& options,
+                                            duration time_left)
+{
+    server_selection_options result = options;
+    if (!options.m_uses_target)
+        return result;
+    time_left = std::max(time_left, duration::zero());
+    result.m_min_temperature = scaled(time_left, options.m_target_temperature);
+    result.m_cross_zone_penalty = std::max(options.m_min_cross_zone_penalty,
+                                           scaled(time_left, options.m_cross_zone_target_share));
+    return result;
+}
+
+duration transfer_time(std::size_t bytes, double own_link_mbps, double peer_link_mbps)
+{
+    double mbps = std::min(own_link_mbps, peer_link_mbps);
+    if (mbps <= 0.0)
+        mbps = std::max(own_link_mbps, peer_link_mbps);
+    if (mbps <= 0.0)
+        return duration::zero();
+    // One Mbit/s is one bit per microsecond.
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::micro>(static_cast<double>(bytes) * 8.0 / mbps));
+}
+
 void set_service_times(std::vector<server_candidate>& candidates, std::uint32_t route)
 {
     duration sum{};
@@ -71,7 +101,8 @@
     duration cost = scaled(service_time(candidate, options), 1.0 + 0.5 * utilization * utilization);
     cost += scaled(expected_wait(candidate, options), freshness);
     cost += candidate.m_round_trip_time;
-    cost += scaled(options.m_failure_penalty, report.m_failure_share);
+    cost += candidate.m_transfer_time;
+    cost += failure_cost(report, options);
     if (!candidate.m_same_zone)
         cost += options.m_cross_zone_penalty;
     return cost;
@@ -94,8 +125,10 @@
     if (best == duration::max())
         return candidates.size();
     const bool local_only = best_local <= best_remote;
-    const double scale =
+    const double narrow_scale =
         std::max(1.0, static_cast<double>(best.count()) * options.m_softmax_temperature);
+    const double scale =
+        std::max({1.0, narrow_scale, static_cast<double>(options.m_min_temperature.count())});
     std::vector<double> weights(candidates.size(), 0.0);
     double sum = 0.0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
@@ -106,7 +139,12 @@
         // executions are short.
         const double capacity = std::max<std::uint32_t>(report.m_limit, 1) /
                                 std::max(1.0, static_cast<double>(costs[i].count()));
-        weights[i] = capacity * std::exp(-static_cast<double>((costs[i] - best).count()) / scale);
+        // Failures always count by the lower temperature. They cost callers more than latency.
+        const duration failures = failure_cost(report, options);
+        const double difference = static_cast<double>((costs[i] - best).count());
+        const double failed =
+            std::clamp(static_cast<double>(failures.count()), 0.0, std::max(difference, 0.0));
+        weights[i] = capacity * std::exp(-(difference - failed) / scale - failed / narrow_scale);
         sum += weights[i];
     }
     // The upper 53 bits give a uniformly distributed number in [0, 1).
--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -28,6 +28,9 @@
     /// Address at which other nodes connect to this one, "IP:PORT".
     std::string m_peer_address;
 
+    /// Bandwidth of the VM's link in Mbit/s; 0 if unknown.
+    double m_link_mbps = 0.0;
+
     routing::admission_options m_admission_options;
     routing::server_selection_options m_server_selection;
     routing::retry_budget_options m_retry;
--- a/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
@@ -66,6 +66,9 @@
 
     /// Means over several seconds of the requests for the node's key ranges.
     key_ranges::owner_report m_owner_report;
+
+    /// Bandwidth of the VM's link in Mbit/s; 0 if unknown.
+    double m_link_mbps = 0.0;
 };
 
 struct ping_frame
--- a/libs/sidecar/src/ingress_dispatch.cpp
+++ b/libs/sidecar/src/ingress_dispatch.cpp
@@ -141,24 +141,29 @@
     candidates.reserve(peers.size() + 1);
     nodes.reserve(peers.size() + 1);
     const auto add = [&](const std::string& node, const node_status& status, duration age,
-                         bool same_zone, duration distance, std::uint32_t sent) {
+                         bool same_zone, duration distance, std::uint32_t sent, duration transfer) {
         if (status.m_service != request.m_request->m_service ||
             request.m_failed_nodes.count(node) != 0)
             return;
-        candidates.push_back({status.m_report, {}, sent, age, same_zone, distance});
+        candidates.push_back({status.m_report, {}, sent, age, same_zone, distance, transfer});
         nodes.push_back(&node);
     };
     if (local_service(state) == request.m_request->m_service)
-        add(state.m_options.m_node, status_of(state, context.m_now), {}, true, {}, 0);
+        add(state.m_options.m_node, status_of(state, context.m_now), {}, true, {}, 0, {});
     for (const auto* entry : peers) {
         const auto& [node, peer] = *entry;
         if (is_usable(state, peer, context.m_now) && !peer.m_status.m_leaving)
             add(node, peer.m_status, context.m_now - peer.m_reported_at,
-                peer.m_zone == state.m_options.m_zone, peer.m_round_trip, peer.m_sent_since_status);
+                peer.m_zone == state.m_options.m_zone, peer.m_round_trip, peer.m_sent_since_status,
+                routing::transfer_time(request.m_request->m_body.size(),
+                                       state.m_options.m_link_mbps, peer.m_status.m_link_mbps));
     }
     routing::set_service_times(candidates, routing::route_hash(request.m_request->m_route));
     const std::size_t chosen =
-        routing::select_server(candidates, state.m_options.m_server_selection, state.m_random());
+        routing::select_server(candidates,
+                               routing::options_for_target(state.m_options.m_server_selection,
+                                                           request.m_target - context.m_now),
+                               state.m_random());
     return chosen == candidates.size() ? std::string() : *nodes[chosen];
 }
 
--- a/libs/sidecar/src/peer_frame_fields.hpp
+++ b/libs/sidecar/src/peer_frame_fields.hpp
@@ -40,7 +40,8 @@
 {
     return std::tie(value.m_service, value.m_server_incarnation, value.m_report, value.m_leaving,
                     value.m_key_utilization, value.m_owns_keys, value.m_departed_servers,
-                    value.m_calls_per_execution, value.m_called_routes, value.m_owner_report);
+                    value.m_calls_per_execution, value.m_called_routes, value.m_owner_report,
+                    value.m_link_mbps);
 }
 
 template <class Value>
--- a/libs/sidecar/src/peers.cpp
+++ b/libs/sidecar/src/peers.cpp
@@ -133,6 +133,7 @@
                                   state.m_options.m_admission_options);
     status.m_leaving = state.m_stopping;
     status.m_key_utilization = key_utilization(state, now);
+    status.m_link_mbps = state.m_options.m_link_mbps;
     status.m_owner_report = owner_report(state);
     status.m_owns_keys = !state.m_ownership.m_leases.empty();
     status.m_departed_servers = state.m_departed_servers;
--- a/libs/sidecar_runtime/include/azureladder/sidecar_runtime/sidecar_settings.hpp
+++ b/libs/sidecar_runtime/include/azureladder/sidecar_runtime/sidecar_settings.hpp
@@ -61,6 +61,10 @@
 
     /// Whether keys are moved to faster backend servers when requests miss their targets.
     bool m_placement_by_speed = true;
+
+    /// Whether the time left to a request's target decides how much latency a server has to save to
+    /// get the request.
+    bool m_selection_by_target = true;
 };
 
 /// Parses and validates settings. Appends errors to `errors`; the result is then incomplete.
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -83,6 +83,8 @@
     options.m_retry.m_tokens_per_request = settings.m_retry_ratio * retry_ratio_share;
     options.m_retry.m_max_total_tokens = settings.m_retry_slack * retry_slack_share;
     options.m_drain_start_window = milliseconds(settings.m_drain_ms) / 2;
+    options.m_server_selection.m_uses_target = settings.m_selection_by_target;
+    options.m_link_mbps = settings.m_link_mbps;
     options.m_places_keys_by_speed = settings.m_placement_by_speed;
     options.m_max_retained_bytes = memory_share(settings, retained_response_share);
     sidecar::set_max_stop_time(options, milliseconds(settings.m_stop_grace_ms) - stop_margin);
--- a/libs/sidecar_runtime/src/sidecar_settings.cpp
+++ b/libs/sidecar_runtime/src/sidecar_settings.cpp
@@ -86,6 +86,7 @@
     read_number(document, reader, "link_mbps", max_link_mbps, settings.m_link_mbps);
     reader.read_integer("memory_mb", min_memory_mb, max_memory_mb, settings.m_memory_mb);
     reader.read_boolean("placement_by_speed", settings.m_placement_by_speed);
+    reader.read_boolean("selection_by_target", settings.m_selection_by_target);
     return settings;
 }
 
--- a/libs/sidecar_runtime/tests/sidecar_settings_test.cpp
+++ b/libs/sidecar_runtime/tests/sidecar_settings_test.cpp
@@ -15,7 +15,8 @@
     "ready_address": "10.0.0.1:3", "peer_address": "10.0.0.1:4",
     "metrics_address": "10.0.0.1:5", "store_address": "10.0.0.2:6",
     "stop_grace": "6s", "drain": "2000ms", "retry_ratio": 0.2, "retry_slack": 630, "link_mbps": 10.5,
-    "memory_mb": 512, "placement_by_speed": false
+    "memory_mb": 512, "placement_by_speed": false,
+    "selection_by_target": false
 })";
 
 } // namespace
@@ -32,6 +33,7 @@
     EXPECT_EQ(settings.m_retry_slack, 630.0);
     EXPECT_EQ(settings.m_memory_mb, 512);
     EXPECT_FALSE(settings.m_placement_by_speed);
+    EXPECT_FALSE(settings.m_selection_by_target);
 }
 
 // Guards against a node that starts with invalid settings.
