--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -30,6 +30,9 @@
     /// Address at which other nodes connect to this one, "IP:PORT".
     std::string m_peer_address;
 
+    /// Bandwidth of the VM's link in Mbit/s; 0 if unknown.
+    double m_link_mbps = 0.0;
+
     routing::admission_options m_admission_options;
     routing::body_transfer_options m_body_transfers;
 
