--- a/libs/routing/include/azureladder/routing/route.hpp
+++ b/libs/routing/include/azureladder/routing/route.hpp
@@ -42,6 +42,9 @@
     /// Services that share the requests of the route, by weight.
     std::vector<weighted_service> m_services;
 
+    /// Requests need no key of an organisation.
+    bool m_allows_anonymous = false;
+
     /// The operator's entry can't be used. Its requests are refused as not executed, since another
     /// route, or none, would be wrong for them.
     bool m_is_unusable = false;
--- a/libs/routing/include/azureladder/routing/routing_configuration.hpp
+++ b/libs/routing/include/azureladder/routing/routing_configuration.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <azureladder/routing/client_limits.hpp>
+#include <azureladder/routing/organisation.hpp>
 #include <azureladder/routing/route.hpp>
 #include <azureladder/routing/service_definition.hpp>
 
@@ -15,7 +16,7 @@
 /// Entry of a configuration that can't be used as it is written.
 struct configuration_defect
 {
-    /// Name of the route or service; empty if the entry has none.
+    /// Name of the route, service or organisation; empty if the entry has none.
     std::string m_entry;
     std::string m_cause;
 };
@@ -35,6 +36,16 @@
     /// of them.
     bool m_has_unmatchable_routes = false;
 
+    /// Requests need the key of an organisation, unless their route allows anonymous requests.
+    bool m_has_organisations = false;
+
+    /// Organisations by name, and names of organisations by key.
+    std::map<std::string, organisation, std::less<>> m_organisations;
+    std::map<std::string, std::string, std::less<>> m_organisation_of_key;
+
+    /// The keys of some organisations can't be read. An unknown key may belong to one of them.
+    bool m_has_unreadable_keys = false;
+
     /// Indices into `m_routes` by host, longest prefix first. Filled by `index_routes`.
     std::map<std::string, std::vector<std::size_t>, std::less<>> m_routes_by_host;
 };
--- a/libs/sidecar/include/azureladder/sidecar/events.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/events.hpp
@@ -29,6 +29,13 @@
 
     /// Timeout that the caller sent, if any.
     std::optional<duration> m_remaining;
+
+    /// Key of an organisation, if the caller sent one.
+    std::optional<std::string> m_api_key;
+
+    /// Headers that are forwarded only while the configuration has no organisations: those with
+    /// keys, and those that name an organisation to backend servers.
+    header_fields m_organisation_headers;
 };
 
 /// The caller closed its connection before the response was sent.
--- a/libs/sidecar/include/azureladder/sidecar/forwarded_request.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/forwarded_request.hpp
@@ -41,6 +41,11 @@
 
     /// A backend server makes the request during the execution of another one.
     bool m_is_call = false;
+
+    /// Organisation of the caller; empty without one. Its priority takes precedence over that of
+    /// the route, and is 0 without an organisation.
+    std::string m_organisation;
+    std::uint32_t m_organisation_priority = 0;
 };
 
 using forwarded_request_ptr = std::shared_ptr<const forwarded_request>;
--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -5,6 +5,7 @@
 #include <azureladder/routing/admission_options.hpp>
 #include <azureladder/routing/attempt_age.hpp>
 #include <azureladder/routing/call_detection.hpp>
+#include <azureladder/routing/quota.hpp>
 #include <azureladder/routing/retry_budget.hpp>
 #include <azureladder/routing/server_selection.hpp>
 #include <azureladder/sidecar/staggered_delay.hpp>
@@ -34,6 +35,15 @@
     routing::call_detection_options m_call_detection;
     key_ranges::key_lease_options m_leases;
 
+    routing::quota_options m_quota;
+
+    /// Share of a request's target latency for which the ingress waits for a token of a quota.
+    double m_quota_wait_share = 0.25;
+
+    /// Time after the start of a process in which it counts for organisations only if no older one
+    /// is reachable. Until its peers have connected to it, they use another counting node.
+    duration m_quota_start_delay = milliseconds(5000);
+
     /// Interval between pings of a peer; the busy interval applies while requests to it are open.
     duration m_idle_ping_interval = milliseconds(1000);
     duration m_busy_ping_interval = milliseconds(250);
--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -14,6 +14,7 @@
 #include <azureladder/sidecar/open_request.hpp>
 #include <azureladder/sidecar/peer_index.hpp>
 #include <azureladder/sidecar/peer_state.hpp>
+#include <azureladder/sidecar/quota_counting.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -101,6 +102,9 @@
     /// By route.
     std::map<std::string, routing::deadline_history> m_deadline_histories;
 
+    /// Organisations of the callers.
+    quota_counting m_quotas;
+
     /// Peers and connections.
     peer_map m_peers;
     peer_index m_peer_index;
--- a/libs/sidecar/include/azureladder/sidecar/open_request.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/open_request.hpp
@@ -2,6 +2,7 @@
 
 #include <azureladder/base/time.hpp>
 #include <azureladder/sidecar/forwarded_request.hpp>
+#include <azureladder/sidecar/quota_token.hpp>
 #include <azureladder/sidecar/request_attempt.hpp>
 #include <azureladder/sidecar/server_response.hpp>
 
@@ -46,6 +47,9 @@
     bool m_waits_for_owner = false;
     time_point m_retry_owner_at;
 
+    /// Token of the organisation's quota.
+    quota_token m_quota;
+
     /// Newest 5xx response of a backend server, returned to the caller if no attempt succeeds.
     server_response_ptr m_failed_response;
 };
--- a/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
@@ -3,6 +3,7 @@
 #include <azureladder/base/enum_names.hpp>
 #include <azureladder/routing/load_report.hpp>
 #include <azureladder/routing/nested_calls.hpp>
+#include <azureladder/routing/quota.hpp>
 #include <azureladder/sidecar/departed_servers.hpp>
 #include <azureladder/sidecar/forwarded_request.hpp>
 #include <azureladder/sidecar/server_response.hpp>
@@ -62,6 +63,10 @@
 
     /// Routes (`route_hash`) of the backend server that only calls of other servers use.
     std::vector<std::uint32_t> m_called_routes;
+
+    /// The node has run long enough to count the requests of organisations. Others count only while
+    /// no such node is reachable.
+    bool m_counts_quotas = false;
 };
 
 struct ping_frame
@@ -216,14 +221,66 @@
     std::vector<released_keys> m_released;
 };
 
+/// Asks the node that counts the requests of an organisation for a token of its quota.
+struct quota_request_frame
+{
+    /// Id of the request at the sender.
+    std::uint64_t m_id = 0;
+    std::string m_organisation;
+
+    /// Limit in the sender's configuration, used if the receiver does not know the organisation.
+    routing::quota_limit m_limit;
+};
+
+enum class quota_answer
+{
+    granted,
+
+    /// The request is beyond the quota.
+    refused,
+
+    /// The receiver reaches another node that counts for the organisation.
+    not_counting
+};
+
+inline constexpr enum_name<quota_answer> quota_answer_names[] = {
+    {quota_answer::granted, "granted"},
+    {quota_answer::refused, "refused"},
+    {quota_answer::not_counting, "not_counting"},
+};
+
+struct quota_answer_frame
+{
+    std::uint64_t m_id = 0;
+    std::string m_organisation;
+    quota_answer m_answer = quota_answer::not_counting;
+
+    /// Time of the grant by the clock of the counting node in microseconds.
+    std::int64_t m_granted_us = 0;
+
+    /// Time after which a refused request may be granted a token.
+    std::int64_t m_retry_after_us = 0;
+};
+
+/// Returns the token of a request that no backend server has executed or will execute.
+struct quota_return_frame
+{
+    std::string m_organisation;
+
+    /// Time of the grant, as the counting node has stated it.
+    std::int64_t m_granted_us = 0;
+};
+
 using peer_frame = std::variant<hello_frame, ping_frame, status_frame, request_frame, cancel_frame,
                                 resume_frame, response_frame, refusal_frame, failure_frame,
-                                document_request_frame, document_frame, released_keys_frame>;
+                                document_request_frame, document_frame, released_keys_frame,
+                                quota_request_frame, quota_answer_frame, quota_return_frame>;
 
 /// Names of the frame kinds in the order of the variant, for logs and metrics.
 inline constexpr std::string_view frame_kind_names[] = {
     "hello",    "ping",    "status",  "request",          "cancel",   "resume",
-    "response", "refusal", "failure", "document_request", "document", "released_keys"};
+    "response", "refusal", "failure", "document_request", "document", "released_keys",
+    "quota_request", "quota_answer", "quota_return"};
 
 inline constexpr std::size_t frame_kind_count = std::variant_size_v<peer_frame>;
 static_assert(std::size(frame_kind_names) == frame_kind_count);
--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -302,9 +302,12 @@
     execution.m_request = frame.m_request;
     execution.m_deadline = context.m_now + duration(frame.m_remaining_us) - delay;
     routing::admission_request wanted{
-        execution.m_id,       request.m_route,
-        request.m_priority,   context.m_now + duration(frame.m_target_us) - delay,
-        execution.m_deadline, frame.m_is_retry};
+        execution.m_id,
+        request.m_route,
+        routing::combined_priority(request.m_organisation_priority, request.m_priority),
+        context.m_now + duration(frame.m_target_us) - delay,
+        execution.m_deadline,
+        frame.m_is_retry};
     wanted.m_is_call = request.m_is_call;
     const auto decision = routing::admit(state.m_admission_controller, wanted, context.m_now,
                                          state.m_options.m_admission_options);
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -232,6 +232,12 @@
                            default_retry_after);
         return;
     }
+    auto forwarded = std::make_shared<forwarded_request>(arrived.m_request);
+    if (const auto refusal = identify_caller(*configuration, *route, arrived, *forwarded)) {
+        refuse_new_request(context, arrived, refusal->m_status, refusal->m_reason,
+                           refusal->m_status == 503 ? default_retry_after : duration{});
+        return;
+    }
     const routing::weighted_service* service =
         routing::next_service(state.m_service_selections[route->m_name], route->m_services);
     if (service == nullptr) {
@@ -239,7 +245,6 @@
                            default_retry_after);
         return;
     }
-    auto forwarded = std::make_shared<forwarded_request>(arrived.m_request);
     forwarded->m_service = service->m_service;
     forwarded->m_route = route->m_name;
     forwarded->m_priority = route->m_priority;
@@ -272,7 +277,7 @@
             routing::max_tokens(state.m_options.m_retry, state.m_peers.size() + 1));
     const auto [place, added] = state.m_requests.emplace(arrived.m_caller, std::move(request));
     if (added)
-        dispatch(context, place->second);
+        take_quota_and_dispatch(context, place->second);
 }
 
 void on_caller_disconnected(step_context& context, const caller_disconnected& left)
@@ -283,6 +288,8 @@
     open_request& request = found->second;
     const std::string gate =
         request.m_attempts.empty() ? std::string() : request.m_attempts.back().m_node;
+    if (request.m_attempts.empty() && request.m_executions == 0)
+        return_quota_token(context, request);
     const bool is_cancel_sent = cancel_attempts(context, request);
     log_end(context, request, "caller_left", 0, {{"gate", gate}, {"cancel_sent", is_cancel_sent}});
     context.m_state.m_requests.erase(found);
--- a/libs/sidecar/src/ingress_completion.cpp
+++ b/libs/sidecar/src/ingress_completion.cpp
@@ -9,9 +9,12 @@
 
 json request_fields(const open_request& request)
 {
-    return {{"request", request.m_request->m_request_id},
-            {"route", request.m_request->m_route},
-            {"service", request.m_request->m_service}};
+    json fields = {{"request", request.m_request->m_request_id},
+                   {"route", request.m_request->m_route},
+                   {"service", request.m_request->m_service}};
+    if (!request.m_request->m_organisation.empty())
+        fields["organisation"] = request.m_request->m_organisation;
+    return fields;
 }
 
 open_request* find_request(step_context& context, std::uint64_t frame)
@@ -108,6 +111,8 @@
         finish_with_response(context, request, request.m_failed_response);
         return;
     }
+    if (status == 503)
+        return_quota_token(context, request);
     log_end(context, request, outcome, status);
     const std::string reason =
         request.m_last_cause.empty() ? outcome : outcome + (": " + request.m_last_cause);
--- a/libs/sidecar/src/ingress_internal.hpp
+++ b/libs/sidecar/src/ingress_internal.hpp
@@ -2,6 +2,7 @@
 
 #include "step_context.hpp"
 
+#include <optional>
 #include <string>
 
 namespace azureladder::sidecar {
@@ -67,4 +68,27 @@
 void send_request(step_context& context, open_request& request, const std::string& node);
 void dispatch(step_context& context, open_request& request);
 
+// Organisations.
+
+/// Status and reason for the refusal of a request by the key that it carries.
+struct caller_refusal
+{
+    int m_status = 401;
+    std::string m_reason;
+};
+
+/// Sets the organisation of a request by its key, and the headers that depend on it. Returns the
+/// refusal if the request may not be served. Without organisations in the configuration, it
+/// forwards the headers as they are.
+std::optional<caller_refusal> identify_caller(const routing::routing_configuration& configuration,
+                                              const routing::route& route,
+                                              const caller_request& arrived,
+                                              forwarded_request& forwarded);
+
+/// Dispatches a new request once its organisation's quota grants it a token. May end the request.
+void take_quota_and_dispatch(step_context& context, open_request& request);
+
+/// Returns the token of a request that certainly was not executed to its counting node.
+void return_quota_token(step_context& context, open_request& request);
+
 } // namespace azureladder::sidecar
--- a/libs/sidecar/src/peer_frame_codec.cpp
+++ b/libs/sidecar/src/peer_frame_codec.cpp
@@ -196,6 +196,11 @@
     read_enumerator(row, value, refusal_reason_names);
 }
 
+void read_value(const msgpack::object& row, quota_answer& value)
+{
+    read_enumerator(row, value, quota_answer_names);
+}
+
 void read_value(const msgpack::object& row, routing::request_kind& value)
 {
     read_enumerator(row, value, routing::request_kind_names);
@@ -249,6 +254,20 @@
                });
     }
 
+    bool operator()(const request_frame& frame) const
+    {
+        return is_utf8(frame.m_request->m_organisation);
+    }
+
+    bool operator()(const quota_request_frame& frame) const
+    {
+        return is_utf8(frame.m_organisation);
+    }
+
+    bool operator()(const quota_answer_frame& frame) const { return is_utf8(frame.m_organisation); }
+
+    bool operator()(const quota_return_frame& frame) const { return is_utf8(frame.m_organisation); }
+
     /// HTTP messages with unusable fields are refused where they are written, and the texts of
     /// documents are parsed before they are written on.
     template <class Frame>
--- a/libs/sidecar/src/peer_frame_fields.hpp
+++ b/libs/sidecar/src/peer_frame_fields.hpp
@@ -34,7 +34,7 @@
 {
     return std::tie(value.m_service, value.m_server_incarnation, value.m_report, value.m_leaving,
                     value.m_key_utilization, value.m_owns_keys, value.m_departed_servers,
-                    value.m_calls_per_execution, value.m_called_routes);
+                    value.m_calls_per_execution, value.m_called_routes, value.m_counts_quotas);
 }
 
 template <class Value>
@@ -43,7 +43,7 @@
     return std::tie(value.m_request_id, value.m_method, value.m_target, value.m_host,
                     value.m_headers, value.m_body, value.m_caller_service, value.m_key,
                     value.m_service, value.m_route, value.m_priority, value.m_kind,
-                    value.m_is_call);
+                    value.m_is_call, value.m_organisation, value.m_organisation_priority);
 }
 
 template <class Value>
@@ -142,4 +142,29 @@
     return std::tie(value.m_service, value.m_released);
 }
 
+template <class Value>
+auto fields_of(Value& value, const routing::quota_limit* /*type*/)
+{
+    return std::tie(value.m_rate_per_s, value.m_burst);
+}
+
+template <class Value>
+auto fields_of(Value& value, const quota_request_frame* /*type*/)
+{
+    return std::tie(value.m_id, value.m_organisation, value.m_limit);
+}
+
+template <class Value>
+auto fields_of(Value& value, const quota_answer_frame* /*type*/)
+{
+    return std::tie(value.m_id, value.m_organisation, value.m_answer, value.m_granted_us,
+                    value.m_retry_after_us);
+}
+
+template <class Value>
+auto fields_of(Value& value, const quota_return_frame* /*type*/)
+{
+    return std::tie(value.m_organisation, value.m_granted_us);
+}
+
 } // namespace azureladder::sidecar
--- a/libs/sidecar/src/peers.cpp
+++ b/libs/sidecar/src/peers.cpp
@@ -90,7 +90,8 @@
 {
     const bool open = accepts_requests(state, now) && state.m_admission_controller.m_limit > 0;
     return local_service(state) + '|' + local_owner_incarnation(state) + '|' +
-           (open ? "open" : "closed") + (state.m_stopping ? "|leaving" : "");
+           (open ? "open" : "closed") + (state.m_stopping ? "|leaving" : "") +
+           (counts_quotas(state, now) ? "|quotas" : "");
 }
 
 void drop_link(step_context& context, const std::string& node, peer_state& peer)
@@ -132,6 +133,7 @@
         routing::make_load_report(state.m_admission_controller, accepts_requests(state, now), now,
                                   state.m_options.m_admission_options);
     status.m_leaving = state.m_stopping;
+    status.m_counts_quotas = counts_quotas(state, now);
     status.m_key_utilization = key_utilization(state, now);
     status.m_owns_keys = !state.m_ownership.m_leases.empty();
     status.m_departed_servers = state.m_departed_servers;
@@ -240,6 +242,7 @@
 {
     for (const auto& [node, address] : listed.m_addresses)
         update_peer_address(context, node, address);
+    context.m_state.m_quotas.m_known_nodes = std::max<std::size_t>(listed.m_addresses.size(), 1);
 }
 
 void on_hello(step_context& context, std::uint64_t link, const hello_frame& frame)
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -30,6 +30,9 @@
         }
         void operator()(const released_keys_frame& f) { on_released_keys(m_context, m_node, f); }
         void operator()(const document_frame& f) { on_document(m_context, m_link, f); }
+        void operator()(const quota_request_frame& f) { on_quota_request(m_context, m_link, f); }
+        void operator()(const quota_answer_frame& f) { on_quota_answer(m_context, m_node, f); }
+        void operator()(const quota_return_frame& f) { on_quota_return(m_context, f); }
     };
     std::visit(visitor{context, link, node}, frame);
 }
@@ -88,6 +91,10 @@
     check_tables(context);
     check_range_leases(context);
     check_range_transfers(context);
+    if (has_organisations(state) || !state.m_quotas.m_buckets.empty()) {
+        check_quota_buckets(context);
+        check_quota_waits(context);
+    }
     check_open_requests(context);
 }
 
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -134,6 +134,33 @@
 /// responds to pings.
 bool is_usable(const node_state& state, const peer_state& peer, time_point now);
 
+// Quotas of organisations. One node counts for each of them; the ingresses ask it for tokens.
+inline bool has_organisations(const node_state& state)
+{
+    return state.m_active_configuration.m_configuration &&
+           state.m_active_configuration.m_configuration->m_has_organisations;
+}
+
+const routing::organisation* find_organisation(const node_state& state, const std::string& name);
+
+/// Whether this node precedes those that have started shortly before in counting for organisations.
+bool counts_quotas(const node_state& state, time_point now);
+
+/// Node to ask for tokens of an organisation, as far as this node knows.
+std::string counting_node_of(const node_state& state, const std::string& organisation,
+                             time_point now);
+void on_quota_request(step_context& context, std::uint64_t link, const quota_request_frame& frame);
+void on_quota_answer(step_context& context, const std::string& node,
+                     const quota_answer_frame& frame);
+void on_quota_return(step_context& context, const quota_return_frame& frame);
+
+/// Adds the tokens of the past time to the buckets of this node, or stops counting.
+void check_quota_buckets(step_context& context);
+
+/// Asks again for the tokens of waiting requests, or ends their wait. A request does not wait past
+/// its share of the target latency.
+void check_quota_waits(step_context& context);
+
 // Documents.
 inline constexpr const char* configuration_document = "configuration";
 inline constexpr const char* evacuations_document = "evacuations";
--- a/libs/sidecar/tests/sidecar_cluster.cpp
+++ b/libs/sidecar/tests/sidecar_cluster.cpp
@@ -25,10 +25,12 @@
     result.m_priority = 1;
     result.m_attempt_limit = 2;
     result.m_services = {{service, 1}};
+    result.m_allows_anonymous = true;
     return result;
 }
 
-std::shared_ptr<const routing::routing_configuration> make_configuration()
+std::shared_ptr<const routing::routing_configuration>
+make_configuration(const std::map<std::string, routing::quota_limit>& organisations)
 {
     auto result = std::make_shared<routing::routing_configuration>();
     result->m_version = 1;
@@ -41,6 +43,11 @@
     result->m_services["orders"].m_name = "orders";
     result->m_services["shelf"].m_name = "shelf";
     result->m_services["shelf"].m_is_sharded = true;
+    result->m_has_organisations = !organisations.empty();
+    for (const auto& [name, limit] : organisations) {
+        result->m_organisations[name] = {name, 1, limit};
+        result->m_organisation_of_key[name] = name;
+    }
     routing::index_routes(*result);
     return result;
 }
@@ -49,7 +56,7 @@
 
 sidecar_cluster::sidecar_cluster(const shape& wanted)
     : m_random(wanted.m_seed), m_max_ranges(wanted.m_max_ranges),
-      m_configuration(make_configuration())
+      m_configuration(make_configuration(wanted.m_organisations))
 {
     const auto add = [&](const std::string& service, std::size_t number) {
         const std::string name = service + "-" + std::to_string(number);
@@ -172,7 +179,7 @@
 
 void sidecar_cluster::deliver_operator_documents(const std::string& node)
 {
-    handle_event(node, configuration_decoded{5, "text", m_configuration});
+    handle_event(node, configuration_decoded{m_configuration_revision, "text", m_configuration});
     operator_documents documents;
     documents.m_revision = m_operator_revision;
     documents.m_evacuated_zones = m_evacuated;
@@ -335,7 +342,8 @@
     } else if (const auto* answered = std::get_if<respond_to_caller>(&wanted)) {
         const std::string& id = m_request_of_caller.at(answered->m_caller);
         m_status[id] = answered->m_status;
-        if (answered->m_status == 503 && !m_is_idempotent[id] && executions(id) != 0)
+        if ((answered->m_status == 503 || answered->m_status == 429) && !m_is_idempotent[id] &&
+            executions(id) != 0)
             m_violations.push_back("refused although executed: " + id);
     } else if (std::holds_alternative<stop_process>(wanted)) {
         at(duration::zero(), [this, node, incarnation] {
@@ -383,13 +391,28 @@
     return send_to_host(node, service, service == "shelf", key);
 }
 
+std::string sidecar_cluster::send_with_key(const std::string& node, const std::string& key)
+{
+    return send_to_host(node, "orders", false, {}, key);
+}
+
+void sidecar_cluster::set_limit(const std::string& organisation, const routing::quota_limit& limit)
+{
+    auto changed = std::make_shared<routing::routing_configuration>(*m_configuration);
+    changed->m_organisations[organisation].m_limit = limit;
+    m_configuration = std::move(changed);
+    ++m_configuration_revision;
+    evacuate(m_evacuated);
+}
+
 std::string sidecar_cluster::send_call(const std::string& node)
 {
     return send_to_host(node, "orders-calls", true, {});
 }
 
 std::string sidecar_cluster::send_to_host(const std::string& node, const std::string& host,
-                                          bool is_idempotent, std::optional<std::uint32_t> key)
+                                          bool is_idempotent, std::optional<std::uint32_t> key,
+                                          std::optional<std::string> api_key)
 {
     caller_request request;
     request.m_caller = m_next_id++;
@@ -402,6 +425,7 @@
     request.m_request.m_target = "/x";
     request.m_request.m_key = key;
     request.m_remaining = milliseconds(1500);
+    request.m_api_key = std::move(api_key);
     handle_event(node, request);
     return id;
 }
--- a/libs/sidecar/tests/sidecar_cluster.hpp
+++ b/libs/sidecar/tests/sidecar_cluster.hpp
@@ -32,6 +32,10 @@
 
         /// Number of ranges above which adjacent ranges are merged.
         std::size_t m_max_ranges = node_options().m_max_ranges;
+
+        /// Limits of the organisations by name, which is also their key. None: the configuration
+        /// has no organisations. Routes allow anonymous requests.
+        std::map<std::string, routing::quota_limit> m_organisations;
     };
 
     explicit sidecar_cluster(const shape& wanted);
@@ -46,6 +50,12 @@
     /// Sends a call of the backend server beside a node to the service "orders".
     std::string send_call(const std::string& node);
 
+    /// Sends a request with the key of an organisation to the service "orders".
+    std::string send_with_key(const std::string& node, const std::string& key);
+
+    /// Writes a configuration with another limit of an organisation.
+    void set_limit(const std::string& organisation, const routing::quota_limit& limit);
+
     /// Number of arrivals at backend servers beyond the first of each request, rejected ones
     /// included.
     std::size_t repeated_arrivals() const;
@@ -173,7 +183,8 @@
     };
 
     std::string send_to_host(const std::string& node, const std::string& host, bool is_idempotent,
-                             std::optional<std::uint32_t> key);
+                             std::optional<std::uint32_t> key,
+                             std::optional<std::string> api_key = {});
     void handle_event(const std::string& node, const event& next_event);
     void execute_effect(const std::string& node, const effect& wanted);
     void connect(const std::string& node, const std::string& peer);
@@ -206,6 +217,7 @@
     std::shared_ptr<const routing::routing_configuration> m_configuration;
     std::set<std::string> m_evacuated;
     std::uint64_t m_operator_revision = 10;
+    std::uint64_t m_configuration_revision = 5;
     std::map<std::uint64_t, std::string> m_request_of_caller;
 
     /// Node and caller id of each request, and time at which callers have disconnected.
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -350,6 +350,8 @@
     response.m_headers = {{"Content-Type", "text/plain"}};
     if (command.m_retry_after > duration::zero())
         response.m_headers.push_back({"Retry-After", retry_after_value(command.m_retry_after)});
+    if (command.m_status == 401)
+        response.m_headers.push_back({"WWW-Authenticate", "Token"});
     response.m_body = command.m_reason + "\n";
     respond(command.m_caller, response);
 }
