--- a/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_frame.hpp
@@ -278,9 +278,9 @@
 
 /// Names of the frame kinds in the order of the variant, for logs and metrics.
 inline constexpr std::string_view frame_kind_names[] = {
-    "hello",    "ping",    "status",  "request",          "cancel",   "resume",
-    "response", "refusal", "failure", "document_request", "document", "released_keys",
-    "quota_request", "quota_answer", "quota_return"};
+    "hello",    "ping",          "status",        "request",      "cancel",
+    "resume",   "response",      "refusal",       "failure",      "document_request",
+    "document", "released_keys", "quota_request", "quota_answer", "quota_return"};
 
 inline constexpr std::size_t frame_kind_count = std::variant_size_v<peer_frame>;
 static_assert(std::size(frame_kind_names) == frame_kind_count);
--- a/libs/sidecar/include/azureladder/sidecar/quota_counting.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/quota_counting.hpp
@@ -23,6 +23,9 @@
     /// store does not list them any more.
     std::size_t m_known_nodes = 1;
 
+    /// Time of the newest frame of any peer.
+    time_point m_last_peer_frame_at;
+
     time_point m_next_check_at;
 };
 
--- a/libs/sidecar/src/peer_frame_fields.hpp
+++ b/libs/sidecar/src/peer_frame_fields.hpp
@@ -42,8 +42,8 @@
 {
     return std::tie(value.m_request_id, value.m_method, value.m_target, value.m_host,
                     value.m_headers, value.m_body, value.m_caller_service, value.m_key,
-                    value.m_service, value.m_route, value.m_priority, value.m_kind,
-                    value.m_is_call, value.m_organisation, value.m_organisation_priority);
+                    value.m_service, value.m_route, value.m_priority, value.m_kind, value.m_is_call,
+                    value.m_organisation, value.m_organisation_priority);
 }
 
 template <class Value>
--- a/libs/sidecar/src/quota_counting.cpp
+++ b/libs/sidecar/src/quota_counting.cpp
@@ -17,9 +17,21 @@
 /// Shortest time between pings that check whether a preceding node still responds.
 constexpr duration precedence_ping_interval = milliseconds(250);
 
+/// Silence of all peers together after which this node counts as isolated. It is shorter than
+/// `counting_silence`, so that the node has stopped counting before another one starts.
+constexpr duration isolation_silence = milliseconds(700);
+
+/// Silence of all peers after which a counting node pings some of them at each check of its
+/// buckets. Peers may all have sent their regular pings at the same time.
+constexpr duration probe_silence = milliseconds(200);
+constexpr std::size_t probed_peers = 3;
+
 /// Role of this node for an organisation.
 struct counting_role
 {
+    /// No peer has been heard from. Another node may count soon.
+    bool m_is_isolated = false;
+
     /// Peer that counts instead; null if this node counts.
     peer_state* m_predecessor = nullptr;
 
@@ -41,9 +53,31 @@
     return {counts, routing::counting_weight(organisation, node)};
 }
 
+bool is_isolated(const node_state& state, time_point now)
+{
+    return !state.m_peers.empty() && now - state.m_quotas.m_last_peer_frame_at > isolation_silence;
+}
+
+/// Pings some peers if none has been heard from for a while.
+void probe_peers(step_context& context)
+{
+    if (context.m_now - context.m_state.m_quotas.m_last_peer_frame_at < probe_silence)
+        return;
+    std::size_t probed = 0;
+    for (auto& [node, peer] : context.m_state.m_peers) {
+        if (probed == probed_peers)
+            return;
+        if (peer.m_link == 0 || !peer.m_handshake_complete || peer.m_ping_pending)
+            continue;
+        ping(context, peer);
+        ++probed;
+    }
+}
+
 counting_role role_of(node_state& state, const std::string& organisation, time_point now)
 {
     counting_role role;
+    role.m_is_isolated = is_isolated(state, now);
     const precedence own =
         precedence_of(counts_quotas(state, now), organisation, state.m_options.m_node);
     std::size_t reached = 1;
@@ -125,7 +159,7 @@
     const counting_role role = role_of(state, frame.m_organisation, context.m_now);
     if (!routing::is_limited(limit)) {
         answer.m_answer = quota_answer::granted;
-    } else if (stood_still || role.m_predecessor != nullptr) {
+    } else if (stood_still || role.m_is_isolated || role.m_predecessor != nullptr) {
         // The sender may know sooner than this node that the preceding one does not respond.
         if (role.m_predecessor != nullptr && !role.m_predecessor->m_ping_pending &&
             context.m_now - role.m_predecessor->m_ping_sent_at >= precedence_ping_interval)
@@ -165,6 +199,10 @@
     quotas.m_next_check_at = context.m_now + bucket_check_interval;
     quotas.m_known_nodes = std::max(quotas.m_known_nodes, state.m_peers.size() + 1);
     const auto& options = state.m_options.m_quota;
+    const bool is_counting = std::any_of(quotas.m_buckets.begin(), quotas.m_buckets.end(),
+                                         [](const auto& entry) { return entry.second.m_counts; });
+    if (is_counting)
+        probe_peers(context);
     for (auto it = quotas.m_buckets.begin(); it != quotas.m_buckets.end();) {
         auto& [organisation, bucket] = *it;
         const routing::organisation* known = find_organisation(state, organisation);
@@ -172,12 +210,12 @@
         // window.
         const bool is_old =
             !bucket.m_counts && context.m_now - bucket.m_idle_since > options.m_window * 2;
-        if (is_old || known == nullptr || !routing::is_limited(known->m_limit)) {
+        if (is_old || (known != nullptr && !routing::is_limited(known->m_limit))) {
             it = quotas.m_buckets.erase(it);
             continue;
         }
         const counting_role role = role_of(state, organisation, context.m_now);
-        if (role.m_predecessor != nullptr)
+        if (known == nullptr || role.m_is_isolated || role.m_predecessor != nullptr)
             routing::stop_counting(bucket, context.m_now);
         else if (bucket.m_counts)
             routing::update_counting(bucket, known->m_limit, role.m_share, options, context.m_now);
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -51,6 +51,7 @@
         return;
     }
     const std::string& node = found->second;
+    context.m_state.m_quotas.m_last_peer_frame_at = context.m_now;
     const auto accepted = context.m_state.m_accepted_links.find(received.m_link);
     if (accepted != context.m_state.m_accepted_links.end()) {
         accepted->second.m_last_frame_at = context.m_now;
--- a/libs/sidecar/tests/peer_frame_codec_test.cpp
+++ b/libs/sidecar/tests/peer_frame_codec_test.cpp
@@ -22,6 +22,8 @@
     request->m_route = "r";
     request->m_priority = 2;
     request->m_kind = routing::request_kind::non_idempotent;
+    request->m_organisation = "o";
+    request->m_organisation_priority = 3;
     return {7, request, 1'500'000, 600'000, true};
 }
 
@@ -50,6 +52,22 @@
     EXPECT_EQ(received.m_request->m_headers[0].m_value, sent.m_request->m_headers[0].m_value);
     EXPECT_EQ(received.m_request->m_key, sent.m_request->m_key);
     EXPECT_EQ(received.m_request->m_kind, sent.m_request->m_kind);
+    EXPECT_EQ(received.m_request->m_organisation, "o");
+    EXPECT_EQ(received.m_request->m_organisation_priority, 3U);
+}
+
+TEST(peer_frame_codec, preserves_quota_frames)
+{
+    const auto asked = round_trip(quota_request_frame{7, "o", {1.5, 2.5}});
+    EXPECT_EQ(asked.m_id, 7U);
+    EXPECT_EQ(asked.m_organisation, "o");
+    EXPECT_EQ(asked.m_limit.m_rate_per_s, 1.5);
+    EXPECT_EQ(asked.m_limit.m_burst, 2.5);
+    const auto answer = round_trip(quota_answer_frame{7, "o", quota_answer::refused, 5, 6});
+    EXPECT_EQ(answer.m_answer, quota_answer::refused);
+    EXPECT_EQ(answer.m_granted_us, 5);
+    EXPECT_EQ(answer.m_retry_after_us, 6);
+    EXPECT_EQ(round_trip(quota_return_frame{"o", 5}).m_granted_us, 5);
 }
 
 TEST(peer_frame_codec, preserves_refusals_with_and_without_an_owner)
--- a/libs/sidecar/tests/quota_cluster_test.cpp
+++ b/libs/sidecar/tests/quota_cluster_test.cpp
@@ -28,6 +28,9 @@
                 m_executed[started->m_request->m_organisation].push_back(m_cluster.now());
         });
         m_cluster.run_for(seconds(8));
+        // Fills the bucket of "large", so that a surge can use the whole burst.
+        send_for(seconds(1), large_limit.m_rate_per_s / 1.6);
+        m_cluster.run_for(seconds(2));
     }
 
     sidecar_cluster& cluster() { return m_cluster; }
@@ -59,6 +62,17 @@
         }
     }
 
+    /// Divides the network between some nodes and all others, or ends this.
+    void partition(const std::vector<std::string>& part, bool is_partitioned)
+    {
+        for (const auto& node : m_cluster.nodes()) {
+            if (std::find(part.begin(), part.end(), node) != part.end())
+                continue;
+            for (const auto& other : part)
+                m_cluster.partition(node, other, is_partitioned);
+        }
+    }
+
     /// Largest number of executions of an organisation from `from` on in any window of 5 s.
     std::size_t most_in_window(const std::string& organisation, time_point from = {})
     {
@@ -161,16 +175,24 @@
 {
     quota_cluster run(GetParam());
     const std::string isolated = run.counting_node();
-    run.send_for(seconds(4), large_limit.m_rate_per_s * 3);
-    for (const bool is_partitioned : {true, false}) {
-        for (const auto& node : run.cluster().nodes()) {
-            if (node != isolated)
-                run.cluster().partition(node, isolated, is_partitioned);
-        }
-        run.send_for(seconds(6), large_limit.m_rate_per_s * 3, isolated);
-    }
+    run.send_for(milliseconds(500), large_limit.m_rate_per_s * 5);
+    run.partition({isolated}, true);
+    run.send_for(seconds(2), large_limit.m_rate_per_s * 5, isolated);
+    run.partition({isolated}, false);
+    run.send_for(seconds(6), large_limit.m_rate_per_s * 5, isolated);
+    run.cluster().run_for(seconds(3));
+    run.expect_limits_held();
+}
+
+// Guards against two parts of a divided network that each count the whole limit.
+TEST_P(quota_cluster_test, holds_the_limit_while_the_network_is_divided)
+{
+    quota_cluster run(GetParam());
+    run.partition({"orders-0", "orders-3", "orders-6", "orders-9", "orders-12"}, true);
+    run.send_for(seconds(12), large_limit.m_rate_per_s * 3);
     run.cluster().run_for(seconds(3));
     run.expect_limits_held();
+    EXPECT_GT(run.most_in_window("large"), 5 * large_limit.m_rate_per_s * 0.6);
 }
 
 // Guards against a restarted counting node that grants the burst again, and against two nodes that
@@ -179,14 +201,14 @@
 {
     quota_cluster run(GetParam());
     const std::string restarted = run.counting_node();
-    run.send_for(seconds(1), large_limit.m_rate_per_s * 5);
+    run.send_for(milliseconds(500), large_limit.m_rate_per_s * 5);
     run.cluster().kill_node(restarted);
     run.send_for(milliseconds(1500), large_limit.m_rate_per_s * 5, restarted);
     run.cluster().start_node(restarted);
     run.send_for(seconds(10), large_limit.m_rate_per_s * 5, restarted);
     run.cluster().run_for(seconds(3));
     run.expect_limits_held();
-    EXPECT_EQ(run.small_responses(429), 0U);
+    EXPECT_EQ(run.small_responses(429) + run.small_responses(503), 0U);
 }
 
 // Guards against a counting node that stood still and then grants the tokens of this time as well
@@ -195,9 +217,26 @@
 {
     quota_cluster run(GetParam());
     const std::string frozen = run.counting_node();
-    run.send_for(seconds(2), large_limit.m_rate_per_s * 3);
-    run.cluster().freeze_node(frozen, seconds(3));
-    run.send_for(seconds(8), large_limit.m_rate_per_s * 3, frozen);
+    run.send_for(milliseconds(500), large_limit.m_rate_per_s * 5);
+    run.cluster().freeze_node(frozen, milliseconds(2500));
+    run.send_for(seconds(8), large_limit.m_rate_per_s * 5, frozen);
+    run.cluster().run_for(seconds(3));
+    run.expect_limits_held();
+}
+
+// Guards against many nodes that each count while their processes connect to each other.
+TEST_P(quota_cluster_test, holds_the_limit_after_a_power_loss)
+{
+    quota_cluster run(GetParam());
+    run.send_for(milliseconds(500), large_limit.m_rate_per_s * 5);
+    for (const auto& node : run.cluster().nodes())
+        run.cluster().kill_node(node);
+    run.cluster().run_for(seconds(1));
+    for (const auto& node : run.cluster().nodes()) {
+        run.cluster().start_node(node);
+        run.send_for(milliseconds(50), large_limit.m_rate_per_s * 5);
+    }
+    run.send_for(seconds(8), large_limit.m_rate_per_s * 5);
     run.cluster().run_for(seconds(3));
     run.expect_limits_held();
 }
--- a/libs/sidecar_runtime/include/azureladder/sidecar_runtime/sidecar_settings.hpp
+++ b/libs/sidecar_runtime/include/azureladder/sidecar_runtime/sidecar_settings.hpp
@@ -51,6 +51,12 @@
     /// the ratio.
     double m_retry_slack = 60.0;
 
+    /// Window in milliseconds over which the quotas of organisations hold, and what all nodes
+    /// together may exceed them by in one: a share of the quota, and a number of requests.
+    std::int64_t m_quota_window_ms = 5000;
+    double m_quota_over = 0.1;
+    double m_quota_slack = 20.0;
+
     /// Bandwidth of the VM's link in Mbit/s, of which documents and long bodies between nodes use a
     /// part only; 0 if unknown, for no limit.
     double m_link_mbps = 0.0;
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -82,6 +82,9 @@
     options.m_peer_address = to_string(settings.m_peer_address);
     options.m_retry.m_tokens_per_request = settings.m_retry_ratio * retry_ratio_share;
     options.m_retry.m_max_total_tokens = settings.m_retry_slack * retry_slack_share;
+    options.m_quota.m_window = milliseconds(settings.m_quota_window_ms);
+    options.m_quota.m_over = settings.m_quota_over;
+    options.m_quota.m_slack = settings.m_quota_slack;
     options.m_drain_start_window = milliseconds(settings.m_drain_ms) / 2;
     options.m_max_retained_bytes = memory_share(settings, retained_response_share);
     sidecar::set_max_stop_time(options, milliseconds(settings.m_stop_grace_ms) - stop_margin);
@@ -572,6 +575,7 @@
     m_metrics.set_gauge("gate_waiting",
                         static_cast<double>(m_state.m_admission_controller.m_waiting.size()));
     m_metrics.set_gauge("gate_limit", m_state.m_admission_controller.m_limit);
+    m_metrics.set_gauge("quota_buckets", static_cast<double>(m_state.m_quotas.m_buckets.size()));
     m_metrics.set_gauge("peers", static_cast<double>(m_state.m_peers.size()));
     m_metrics.set_counter("store_calls_total", m_store_client.call_count());
     m_metrics.set_counter("log_lines_dropped_total", m_log.dropped_lines());
--- a/libs/sidecar_runtime/src/sidecar_settings.cpp
+++ b/libs/sidecar_runtime/src/sidecar_settings.cpp
@@ -12,6 +12,8 @@
 constexpr std::int64_t max_time_ms = 600'000;
 constexpr double max_retry_ratio = 10.0;
 constexpr double max_retry_slack = 1e6;
+constexpr double max_quota_over = 10.0;
+constexpr double max_quota_slack = 1e6;
 constexpr double max_link_mbps = 1e6;
 
 /// With less memory, the responses of a dozen exchanges and a page of the store do not fit.
@@ -83,6 +85,12 @@
     read_time(reader, "drain", settings.m_drain_ms);
     read_number(document, reader, "retry_ratio", max_retry_ratio, settings.m_retry_ratio);
     read_number(document, reader, "retry_slack", max_retry_slack, settings.m_retry_slack);
+    // The platform writes null where a deployment has no such bound.
+    if (const auto found = document.find("quota_window");
+        found != document.end() && !found->is_null())
+        read_time(reader, "quota_window", settings.m_quota_window_ms);
+    read_number(document, reader, "quota_over", max_quota_over, settings.m_quota_over);
+    read_number(document, reader, "quota_slack", max_quota_slack, settings.m_quota_slack);
     read_number(document, reader, "link_mbps", max_link_mbps, settings.m_link_mbps);
     reader.read_integer("memory_mb", min_memory_mb, max_memory_mb, settings.m_memory_mb);
     return settings;
--- a/libs/sidecar_runtime/tests/sidecar_settings_test.cpp
+++ b/libs/sidecar_runtime/tests/sidecar_settings_test.cpp
@@ -15,7 +15,7 @@
     "ready_address": "10.0.0.1:3", "peer_address": "10.0.0.1:4",
     "metrics_address": "10.0.0.1:5", "store_address": "10.0.0.2:6",
     "stop_grace": "6s", "drain": "2000ms", "retry_ratio": 0.2, "retry_slack": 630, "link_mbps": 10.5,
-    "memory_mb": 512
+    "quota_window": "4s", "quota_over": 0.25, "quota_slack": 21, "memory_mb": 512
 })";
 
 } // namespace
@@ -31,6 +31,24 @@
     EXPECT_EQ(settings.m_link_mbps, 10.5);
     EXPECT_EQ(settings.m_retry_slack, 630.0);
     EXPECT_EQ(settings.m_memory_mb, 512);
+    EXPECT_EQ(settings.m_quota_window_ms, 4000);
+    EXPECT_EQ(settings.m_quota_over, 0.25);
+    EXPECT_EQ(settings.m_quota_slack, 21.0);
+}
+
+// Guards against a node that does not start where the platform has no bounds for quotas.
+TEST(sidecar_settings, uses_the_defaults_for_null)
+{
+    std::string text = valid_settings;
+    for (const std::string value : {"\"4s\"", "0.25", "21"})
+        text.replace(text.find(value), value.size(), "null");
+    ASSERT_NE(text.find("\"quota_slack\": null"), std::string::npos);
+    std::vector<field_error> errors;
+    const auto settings = parse_settings(text, errors);
+    EXPECT_TRUE(errors.empty());
+    EXPECT_EQ(settings.m_quota_window_ms, 5000);
+    EXPECT_EQ(settings.m_quota_over, 0.1);
+    EXPECT_EQ(settings.m_quota_slack, 20.0);
 }
 
 // Guards against a node that starts with invalid settings.
@@ -45,6 +63,9 @@
              {"630", "-1", "retry_slack"},
              {"10.5", "\"fast\"", "link_mbps"},
              {"10.5", "-1", "link_mbps"},
+             {"\"4s\"", "4", "quota_window"},
+             {"0.25", "-1", "quota_over"},
+             {"21", "\"21\"", "quota_slack"},
              {"512", "63", "memory_mb"},
              {"512", "\"512\"", "memory_mb"}}) {
         std::string text = valid_settings;
