--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -237,9 +237,12 @@
     execution.m_time_to_target = duration(frame.m_target_us) - delay;
     execution.m_is_retry = frame.m_is_retry;
     routing::admission_request wanted{
-        execution.m_id,       request.m_route,
-        request.m_priority,   context.m_now + duration(frame.m_target_us) - delay,
-        execution.m_deadline, frame.m_is_retry};
+        execution.m_id,
+        request.m_route,
+        routing::combined_priority(request.m_organisation_priority, request.m_priority),
+        context.m_now + duration(frame.m_target_us) - delay,
+        execution.m_deadline,
+        frame.m_is_retry};
     wanted.m_is_call = request.m_is_call;
     wanted.m_accepts_late = frame.m_accepts_late;
     if (frame.m_body_bytes > 0 &&
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -35,6 +35,9 @@
             on_body_request(m_context, m_link, m_node, f);
         }
         void operator()(const body_frame& f) { on_body(m_context, m_node, f); }
+        void operator()(const quota_request_frame& f) { on_quota_request(m_context, m_link, f); }
+        void operator()(const quota_answer_frame& f) { on_quota_answer(m_context, m_node, f); }
+        void operator()(const quota_return_frame& f) { on_quota_return(m_context, f); }
     };
     std::visit(visitor{context, link, node}, frame);
 }
@@ -53,6 +56,7 @@
         return;
     }
     const std::string& node = found->second;
+    context.m_state.m_quotas.m_last_peer_frame_at = context.m_now;
     const auto accepted = context.m_state.m_accepted_links.find(received.m_link);
     if (accepted != context.m_state.m_accepted_links.end()) {
         accepted->second.m_last_frame_at = context.m_now;
@@ -95,6 +99,10 @@
     check_tables(context);
     check_range_leases(context);
     check_range_transfers(context);
+    if (has_organisations(state) || !state.m_quotas.m_buckets.empty()) {
+        check_quota_buckets(context);
+        check_quota_waits(context);
+    }
     check_open_requests(context);
 }
 
--- a/libs/sidecar_runtime/src/node_runtime_http.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_http.cpp
@@ -118,6 +118,8 @@
     response.m_headers = {{"Content-Type", "text/plain"}};
     if (command.m_retry_after > duration::zero())
         response.m_headers.push_back({"Retry-After", retry_after_value(command.m_retry_after)});
+    if (command.m_status == 401)
+        response.m_headers.push_back({"WWW-Authenticate", "Token"});
     response.m_body = command.m_reason + "\n";
     respond(command.m_caller, response);
 }
@@ -230,6 +232,7 @@
                           m_state.m_admission_controller.m_queued_late_count);
     m_metrics.set_counter("gate_late_starts_total",
                           m_state.m_admission_controller.m_late_start_count);
+    m_metrics.set_gauge("quota_buckets", static_cast<double>(m_state.m_quotas.m_buckets.size()));
     m_metrics.set_gauge("peers", static_cast<double>(m_state.m_peers.size()));
     m_metrics.set_counter("store_calls_total", m_store_client.call_count());
     m_metrics.set_counter("log_lines_dropped_total", m_log.dropped_lines());
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -93,6 +93,9 @@
     options.m_peer_address = to_string(settings.m_peer_address);
     options.m_retry.m_tokens_per_request = settings.m_retry_ratio * retry_ratio_share;
     options.m_retry.m_max_total_tokens = settings.m_retry_slack * retry_slack_share;
+    options.m_quota.m_window = milliseconds(settings.m_quota_window_ms);
+    options.m_quota.m_over = settings.m_quota_over;
+    options.m_quota.m_slack = settings.m_quota_slack;
     options.m_drain_start_window = milliseconds(settings.m_drain_ms) / 2;
     options.m_server_selection.m_uses_target = settings.m_selection_by_target;
     options.m_link_mbps = settings.m_link_mbps;
