Let owners of low utilization take keys from slow ones

The simulated cluster showed that a server that takes nine times as long as the others kept its keys. Owners took keys only if their requests cost less than 0.9 of the planned cost, and at a low utilization that cost is nearly constant. An owner now also takes keys if its rate is below 0.9 of the planned one. The new test in key_ownership_test failed before this change.

Tests run: key_ranges_test 19, sidecar_test 167, passed.

--- a/libs/key_ranges/include/azureladder/key_ranges/key_placement.hpp
+++ b/libs/key_ranges/include/azureladder/key_ranges/key_placement.hpp
@@ -16,8 +16,9 @@
     /// Cost below which an owner keeps its keys, because its requests meet their targets.
     double m_min_cost = 0.6;
 
-    /// Ratio of an owner's cost to the planned one above which it gives keys away, and the inverse
-    /// ratio below which an owner takes keys. Means over a few seconds deviate by a fifth.
+    /// Ratio of an owner's cost to the planned one above which it gives keys away, and ratio of its
+    /// cost or rate to the planned one below which it takes keys. Means over a few seconds deviate
+    /// by a fifth.
     double m_giver_ratio = 1.4;
     double m_taker_ratio = 0.9;
 
--- a/libs/key_ranges/src/key_placement.cpp
+++ b/libs/key_ranges/src/key_placement.cpp
@@ -222,7 +222,8 @@
     bool has_givers = false;
     for (auto& owner : planned) {
         const double excess = owner.m_rate - owner.m_planned_rate;
-        if (excess < 0.0 && owner.m_cost <= cost * options.m_taker_ratio)
+        if (excess < 0.0 && (owner.m_cost <= cost * options.m_taker_ratio ||
+                             owner.m_rate < owner.m_planned_rate * options.m_taker_ratio))
             owner.m_takes = -excess;
         if (excess > 0.0 && owner.m_cost >= options.m_min_cost &&
             owner.m_cost >= cost * options.m_giver_ratio)
--- a/libs/key_ranges/tests/key_placement_test.cpp
+++ b/libs/key_ranges/tests/key_placement_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <map>
 #include <random>
@@ -164,7 +165,7 @@
     void run(double seconds)
     {
         for (const double end = m_now + seconds; m_now < end; m_now += step_s) {
-            const auto tick = static_cast<std::size_t>(m_now / step_s + 0.5);
+            const auto tick = static_cast<std::size_t>(std::lround(m_now / step_s));
             int arrivals = std::poisson_distribution<>(request_rate * step_s)(m_random);
             while (arrivals-- > 0)
                 arrive();
--- a/libs/sidecar/tests/key_ownership_test.cpp
+++ b/libs/sidecar/tests/key_ownership_test.cpp
@@ -122,6 +122,26 @@
     }
 }
 
+// Guards against a slow server that keeps its keys while its utilization is below 0.7: its requests
+// take half of the time to their target, those on other servers a fifteenth.
+TEST(key_ownership, slow_server_gives_keys_away_below_full_utilization)
+{
+    sidecar_cluster cluster({1, 4, 3});
+    cluster.set_execution_time("shelf-1", milliseconds(550));
+    cluster.run_for(startup_time);
+    const auto send_evenly = [&](int count) {
+        for (int i = 0; i < count; ++i) {
+            cluster.send("orders-0", "shelf", static_cast<std::uint32_t>(i * 20231 % 65536));
+            cluster.run_for(milliseconds(60));
+        }
+    };
+    send_evenly(250);
+    const std::size_t before = cluster.backend("shelf-1").m_executed.size();
+    send_evenly(100);
+    EXPECT_LT(cluster.backend("shelf-1").m_executed.size() - before, 15U);
+    EXPECT_TRUE(cluster.violations().empty()) << cluster.violations().front();
+}
+
 // Guards against a new process that receives from a peer an older table than the one written by the
 // previous process, and grants keys which the previous process has transferred.
 TEST(key_ownership, older_table_of_a_peer_gives_no_key_two_lease_holders)
--- a/libs/sidecar/tests/sidecar_cluster.hpp
+++ b/libs/sidecar/tests/sidecar_cluster.hpp
@@ -92,6 +92,12 @@
     /// Sets the time that a backend server takes for a request.
     void set_execution_time(duration time) { m_execution_time = time; }
 
+    /// Sets the time that the backend server of one node takes for a request.
+    void set_execution_time(const std::string& node, duration time)
+    {
+        m_execution_times[node] = time;
+    }
+
     /// Applies a share of the grants 100 to 3100 ms late.
     void delay_grants(double share) { m_late_grant_share = share; }
 
@@ -212,6 +218,7 @@
     std::map<std::string, std::pair<std::string, std::uint64_t>> m_caller_of_request;
     std::map<std::string, time_point> m_disconnected_at;
     duration m_execution_time = milliseconds(60);
+    std::map<std::string, duration> m_execution_times;
     std::map<std::string, int> m_status;
     std::map<std::string, bool> m_is_idempotent;
     double m_lost_response_share = 0.0;
--- a/libs/sidecar/tests/sidecar_cluster_backends.cpp
+++ b/libs/sidecar/tests/sidecar_cluster_backends.cpp
@@ -55,10 +55,12 @@
     server.m_running[run] = request.m_request_id;
     if (server.m_running.size() > fake_backend::slots)
         m_violations.push_back("more requests than slots at " + node);
-    at(m_execution_time, [this, node, run] { backend(node).m_running.erase(run); });
+    const auto own_time = m_execution_times.find(node);
+    const duration time = own_time == m_execution_times.end() ? m_execution_time : own_time->second;
+    at(time, [this, node, run] { backend(node).m_running.erase(run); });
     if (random_share() < m_lost_response_share) {
         ended.m_result = execution_result::unknown;
-        end_with(ended, m_execution_time);
+        end_with(ended, time);
         return;
     }
     auto response = std::make_shared<server_response>();
@@ -66,7 +68,7 @@
     response->m_body = request.m_request_id;
     ended.m_result = execution_result::answered;
     ended.m_response = std::move(response);
-    end_with(ended, m_execution_time);
+    end_with(ended, time);
 }
 
 void sidecar_cluster::grant(const std::string& node, const grant_keys& command)
