--- a/libs/routing/src/call_detection.cpp
+++ b/libs/routing/src/call_detection.cpp
@@ -25,15 +25,16 @@
                                          const call_detection_options& options)
 {
     std::vector<std::uint32_t> result;
-    for (const auto& [route, counts] : origins) {
+    for (const auto& entry : origins) {
+        const route_origins& counts = entry.second;
         if (counts.m_requests < options.m_min_requests)
             continue;
         const bool has_one_origin = std::any_of(
-            counts.m_by_service.begin(), counts.m_by_service.end(), [&](const auto& entry) {
-                return entry.second >= options.m_min_share * counts.m_requests;
+            counts.m_by_service.begin(), counts.m_by_service.end(), [&](const auto& origin) {
+                return origin.second >= options.m_min_share * counts.m_requests;
             });
         if (has_one_origin)
-            result.push_back(route);
+            result.push_back(entry.first);
     }
     return result;
 }
