--- a/libs/routing/include/azureladder/routing/call_shortage.hpp
+++ b/libs/routing/include/azureladder/routing/call_shortage.hpp
@@ -15,9 +15,9 @@
     /// Age of a load report above which it says nothing.
     duration m_max_report_age = seconds(2);
 
-    /// Mean wait of calls up to which all slots are used. Below the targets of calls (200 to 250 ms).
-    /// With 100 ms, requests were refused whose calls would have been answered; from 200 ms on, more
-    /// executions than slots fail when a called service slows down.
+    /// Mean wait of calls up to which all slots are used. Below the targets of calls (200 to 250
+    /// ms). With 100 ms, requests were refused whose calls would have been answered; from 200 ms
+    /// on, more executions than slots fail when a called service slows down.
     duration m_acceptable_wait = milliseconds(150);
 
     /// Calls per execution below which a called service is not considered: most executions succeed
