--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -20,13 +21,22 @@
 TEMPLATE = os.path.join(REPOSITORY, "deploy", "settings.json.template")
 
 
+# Below the ports from which systems usually choose those of outgoing connections. One of these could
+# take a port between its choice and its use.
+PORT_RANGE = (20000, 32000)
+
+
 def free_ports(count, host="127.0.0.1"):
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((host, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*PORT_RANGE)
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
