--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -347,7 +347,8 @@
     def cold_left_ms(self):
         return max(0, int((self.m_cold_until - time.monotonic()) * 1000))
 
-    async def beat(self):
+    def beat(self):
+        """Sends a heartbeat, and does not wait for its answer."""
         self.m_sequence += 1
         body = json.dumps({"address": f"{self.m_node.m_host}:{self.m_node.m_app_port}",
                            "born": self.m_born,
@@ -355,17 +356,20 @@
                                     "zone": "zone-a", "slots": self.m_slots},
                            "status": {"state": self.m_state, "seq": self.m_sequence,
                                       "cold_remaining": f"{self.cold_left_ms()}ms"}}).encode()
+        asyncio.ensure_future(self.send_beat(self.m_sequence, body))
+
+    async def send_beat(self, _, body):
         try:
             await request(self.m_node.m_host, self.m_node.m_registry_port, "PUT",
                           "/v1/instances/" + self.m_id,
                           {"Host": "control", "Content-Type": "application/json"}, body, 1.0)
-        except (OSError, EOFError, asyncio.TimeoutError):
+        except (OSError, EOFError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             pass
 
     async def beat_loop(self):
         while True:
             if self.m_beats:
-                await self.beat()
+                self.beat()
             await asyncio.sleep(0.87)
 
     async def serve(self, reader, writer):
