Fail a response without length whose connection is reset during the upload

Callers got a part of a body as a complete response with status 200: the backend server answered a long upload at once without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the system reports the failure of a connection once. The pending write received ECONNRESET, and the next read returned 0 as after an orderly close, which ends a body without length.

Change: an end of input after a failed write counts as the failure of that write. EPIPE is excepted: the system reports it when the server had ended its output before the reset, so the body is whole. The request is then treated as after any broken connection: an idempotent one may be repeated, others end with 502.

--- a/libs/sidecar_runtime/src/client_connection.cpp
+++ b/libs/sidecar_runtime/src/client_connection.cpp
@@ -94,6 +94,7 @@
     m_completion_handler = std::move(on_completion);
     m_is_request_written = false;
     m_nothing_sent = false;
+    m_write_error = {};
     m_reusable = false;
     if (m_budget != nullptr) {
         m_reservation.emplace(*m_budget, [this] {
@@ -171,6 +172,7 @@
                       [self = shared_from_this()](error_code error, std::size_t sent) {
                           self->m_is_request_written = !error;
                           self->m_nothing_sent = error && sent == 0;
+                          self->m_write_error = error;
                       });
     start_response_parser();
     read_some();
@@ -211,8 +213,17 @@
                              });
 }
 
+bool client_connection::is_broken_off() const
+{
+    // EPIPE says that the server had ended its output before its side of the connection failed.
+    return m_write_error && m_write_error != asio::error::broken_pipe;
+}
+
 void client_connection::on_read(error_code error)
 {
+    // The system reports the failure of a connection once, here to the write.
+    if (error == asio::error::eof && is_broken_off())
+        error = m_write_error;
     for (;;) {
         if (!error)
             error = parse();
--- a/libs/sidecar_runtime/src/client_connection.hpp
+++ b/libs/sidecar_runtime/src/client_connection.hpp
@@ -94,6 +94,10 @@
     void start_response_parser();
     void read_some();
     void on_read(error_code error);
+
+    /// Whether the connection failed before the server ended its output.
+    bool is_broken_off() const;
+
     error_code parse();
     bool try_complete();
 
@@ -139,6 +143,9 @@
 
     /// The write failed before its first byte. False until the write has completed.
     bool m_nothing_sent = false;
+
+    /// Cause of a write that failed.
+    error_code m_write_error;
     std::uint64_t m_idle_watch_id = 0;
 };
 
--- a/libs/sidecar_runtime/tests/client_connection_test.cpp
+++ b/libs/sidecar_runtime/tests/client_connection_test.cpp
@@ -277,6 +277,70 @@
     }
 }
 
+namespace {
+
+/// Outcome of an upload that exceeds the socket buffers. The server runs `respond` with a response
+/// without length while the upload is being written.
+exchange_outcome
+outcome_of_unread_upload(const std::function<void(loopback_server::connection&)>& respond)
+{
+    asio::io_context io;
+    asio::steady_timer pause(io);
+    // Reads no byte of the upload.
+    tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+    std::shared_ptr<loopback_server::connection> server;
+    acceptor.async_accept([&](error_code, tcp::socket socket) {
+        server = std::make_shared<loopback_server::connection>(std::move(socket));
+        pause.expires_after(milliseconds(20));
+        pause.async_wait([&](error_code) { respond(*server); });
+    });
+    const auto connection = std::make_shared<client_connection>(
+        io, endpoint{"127.0.0.1", acceptor.local_endpoint().port()}, milliseconds(500));
+    http_request request = make_request();
+    request.m_body = std::string(32 * megabyte, 'x');
+    std::optional<exchange_outcome> result;
+    connection->exchange(request, milliseconds(2000), nullptr,
+                         [&](const exchange_outcome& outcome) { result = outcome; });
+    while (!result)
+        io.run_one_for(milliseconds(100));
+    EXPECT_FALSE(connection->is_reusable());
+    return *result;
+}
+
+} // namespace
+
+// Guards against a truncated body that is accepted as complete: a reset is reported to the pending
+// write, and the next read ends like that of an orderly close.
+TEST(client_connection, reset_during_an_upload_ends_no_body_without_length)
+{
+    const std::string complete = "HTTP/1.1 200 OK\r\nAzureladder-Response-Seal: s\r\n\r\nbody";
+    for (std::size_t size = 0; size <= complete.size(); ++size) {
+        SCOPED_TRACE(size);
+        const auto outcome = outcome_of_unread_upload([&](loopback_server::connection& server) {
+            server.send(complete.substr(0, size));
+            server.reset();
+        });
+        EXPECT_EQ(outcome.m_result, exchange_result::incomplete);
+    }
+}
+
+// Guards against the rejection of a whole body because its server does not read the upload: the end
+// of the body arrives before the reset.
+TEST(client_connection, orderly_end_during_an_upload_ends_a_body_without_length)
+{
+    for (const bool is_closed : {false, true}) {
+        SCOPED_TRACE(is_closed);
+        const auto outcome = outcome_of_unread_upload([&](loopback_server::connection& server) {
+            server.send("HTTP/1.1 200 OK\r\n\r\nbody");
+            server.shutdown_sending();
+            if (is_closed)
+                server.close();
+        });
+        EXPECT_EQ(outcome.m_result, exchange_result::answered) << outcome.m_cause;
+        EXPECT_EQ(outcome.m_response.m_body, "body");
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(client_connection, unbounded_response,
                          testing::ValuesIn(unbounded_response_cases()),
                          [](const auto& info) { return info.param.m_name; });
--- a/libs/sidecar_runtime/tests/loopback_server.hpp
+++ b/libs/sidecar_runtime/tests/loopback_server.hpp
@@ -50,6 +50,13 @@
             m_socket.close(ignored);
         }
 
+        /// Ends the output in an orderly way; the input stays open.
+        void shutdown_sending()
+        {
+            error_code ignored;
+            m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+        }
+
         void reset()
         {
             m_socket.set_option(asio::socket_base::linger(true, 0));
--- a/tests/hostile/hostile_clients_test.cpp
+++ b/tests/hostile/hostile_clients_test.cpp
@@ -187,15 +187,7 @@
 
     int announce()
     {
-        const std::string body = R"({"address":"127.0.0.1:)" + std::to_string(m_backend.port()) +
-                                 R"(","born":1000,"info":{"service":"s","zone":"z-1","slots":8},)"
-                                 R"("status":{"state":"ready","seq":)" +
-                                 std::to_string(++m_sequence) + "}}";
-        return status_of(ask(m_node.ports().m_registry,
-                             "PUT /v1/instances/i-1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
-                             "Content-Length: " +
-                                 std::to_string(body.size()) + "\r\n\r\n" + body,
-                             patience_s));
+        return announce_backend(m_node.ports(), m_backend.port(), ++m_sequence, patience_s);
     }
 
     int ask_readiness() const
--- a/tests/hostile/node_process.cpp
+++ b/tests/hostile/node_process.cpp
@@ -159,4 +159,18 @@
     return response.size() < 12 ? 0 : std::atoi(response.substr(9, 3).c_str());
 }
 
+int announce_backend(const node_ports& node, std::uint16_t backend_port, int sequence,
+                     int patience_s)
+{
+    const std::string body = R"({"address":)" + quoted_address(backend_port) +
+                             R"(,"born":1000,"info":{"service":"s","zone":"z-1","slots":8},)"
+                             R"("status":{"state":"ready","seq":)" +
+                             std::to_string(sequence) + "}}";
+    return status_of(ask(node.m_registry,
+                         "PUT /v1/instances/i-1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                         "Content-Length: " +
+                             std::to_string(body.size()) + "\r\n\r\n" + body,
+                         patience_s));
+}
+
 } // namespace azureladder::hostile
--- a/tests/hostile/node_process.hpp
+++ b/tests/hostile/node_process.hpp
@@ -48,4 +48,9 @@
 /// Status of a response, 0 if there is none.
 int status_of(const std::string& response);
 
+/// Announces the backend server "i-1" of the service "s" on the loopback interface. `sequence`
+/// increases with each call. Returns the status of the response, 0 if there is none.
+int announce_backend(const node_ports& node, std::uint16_t backend_port, int sequence,
+                     int patience_s);
+
 } // namespace azureladder::hostile
