Test with a real process that no response with status 000 reaches a client

The new one runs the node as a process, with a body of a given length and one that ends with the connection.

--- a/tests/hostile/broken_responses_test.cpp
+++ b/tests/hostile/broken_responses_test.cpp
@@ -31,6 +31,18 @@
 const std::string required_fields = "Azureladder-Request-Id: q\r\nAzureladder-Response-Seal: s\r\n";
 const std::string length_and_body = "Content-Length: 4\r\n\r\nbody";
 
+/// Name of a test case and the bytes that the backend server sends.
+struct response_case
+{
+    std::string m_name;
+    std::string m_bytes;
+};
+
+const std::vector<response_case> malformed_heads = {
+    {"status_000", "HTTP/1.1 000 OK\r\n" + required_fields + length_and_body},
+    {"status_000_without_length", "HTTP/1.1 000 OK\r\n" + required_fields + "\r\nbody"},
+};
+
 /// A node whose backend server sends the bytes that a test defines.
 class broken_responses : public testing::Test
 {
@@ -80,6 +92,11 @@
     }
 };
 
+class malformed_response_head : public broken_responses,
+                                public testing::WithParamInterface<response_case>
+{
+};
+
 } // namespace
 
 // Guards against a truncated body that reaches the client as complete: the write of the upload
@@ -98,4 +115,14 @@
     }
 }
 
+// Guards against a response with an invalid status that reaches the client.
+TEST_P(malformed_response_head, is_a_failure_of_the_backend_server)
+{
+    m_script = send_and_close(GetParam().m_bytes);
+    EXPECT_EQ(request_status(0), 502);
+}
+
+INSTANTIATE_TEST_SUITE_P(heads, malformed_response_head, testing::ValuesIn(malformed_heads),
+                         [](const auto& info) { return info.param.m_name; });
+
 } // namespace azureladder::hostile
