--- a/libs/sidecar_runtime/tests/client_connection_test.cpp
+++ b/libs/sidecar_runtime/tests/client_connection_test.cpp
@@ -341,6 +341,33 @@
     }
 }
 
+// Guards against a field whose name begins with a blank: its line was joined to the value of the
+// field before, and a length in it was ignored.
+TEST(client_connection, rejects_lines_that_continue_a_field_in_any_segments)
+{
+    const std::string response = "HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 2\r\n\r\nok";
+    for (std::size_t size = 1; size <= response.size(); ++size) {
+        SCOPED_TRACE(response.substr(0, size));
+        asio::io_context io;
+        asio::steady_timer pause(io);
+        loopback_server server(io, [&](loopback_server::connection& connection, const auto&) {
+            connection.send(response.substr(0, size));
+            pause.expires_after(milliseconds(2));
+            pause.async_wait([&](error_code) {
+                connection.send(response.substr(size));
+                connection.close();
+            });
+        });
+        const auto connection =
+            std::make_shared<client_connection>(io, server.address(), milliseconds(500));
+        exchange_record record;
+        start_exchange(*connection, record, milliseconds(2000));
+        while (!record.m_outcome)
+            io.run_one_for(milliseconds(100));
+        EXPECT_EQ(record.m_outcome->m_result, exchange_result::incomplete);
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(client_connection, unbounded_response,
                          testing::ValuesIn(unbounded_response_cases()),
                          [](const auto& info) { return info.param.m_name; });
--- a/tests/hostile/broken_responses_test.cpp
+++ b/tests/hostile/broken_responses_test.cpp
@@ -41,6 +41,17 @@
 const std::vector<response_case> malformed_heads = {
     {"status_000", "HTTP/1.1 000 OK\r\n" + required_fields + length_and_body},
     {"status_000_without_length", "HTTP/1.1 000 OK\r\n" + required_fields + "\r\nbody"},
+    {"blank_in_name", status_line + required_fields + "X Y: 1\r\n" + length_and_body},
+    {"blank_after_name", status_line + required_fields + "X : 1\r\n" + length_and_body},
+    {"blank_after_framing_name",
+     status_line + required_fields + "Content-Length : 4\r\n\r\nbody and more"},
+    {"blank_before_first_name", status_line + " X: 1\r\n" + required_fields + length_and_body},
+    {"blank_before_name", status_line + required_fields + " X: 1\r\n" + length_and_body},
+    {"tab_before_name", status_line + required_fields + "\tX: 1\r\n" + length_and_body},
+    {"blank_before_framing_name", status_line + required_fields + " " + length_and_body},
+    {"control_byte_in_name", status_line + required_fields + "X\x01Y: 1\r\n" + length_and_body},
+    {"line_feed_in_name", status_line + required_fields + "X\nY: 1\r\n" + length_and_body},
+    {"delete_in_name", status_line + required_fields + "X\x7f: 1\r\n" + length_and_body},
 };
 
 /// A node whose backend server sends the bytes that a test defines.
@@ -115,7 +126,7 @@
     }
 }
 
-// Guards against a response with an invalid status that reaches the client.
+// Guards against a response with an invalid status or field name that reaches the client.
 TEST_P(malformed_response_head, is_a_failure_of_the_backend_server)
 {
     m_script = send_and_close(GetParam().m_bytes);
