Take malformed responses of other nodes as failed attempts

A caller could get a response with status 000 or a malformed field name if the node beside the backend server passed it on.

Change: a response from another node whose status is not final, or which has a field name that is no token or a control byte in a field value, ends its attempt as failed. The request is repeated if its kind and the retry budget allow it, and otherwise answered with 502.

--- a/libs/sidecar/include/azureladder/sidecar/server_response.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/server_response.hpp
@@ -15,6 +15,11 @@
     std::string m_body;
 };
 
+/// Why a response can't be passed on to a caller in HTTP/1.1: its status is not final (200 to 599),
+/// the name of a field is not a token, or its value has a control byte other than a tab (RFC 9110,
+/// sections 5 and 15). Null if it can.
+const char* find_defect(const server_response& response);
+
 using server_response_ptr = std::shared_ptr<const server_response>;
 
 } // namespace azureladder::sidecar
--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -338,6 +338,10 @@
     if (request == nullptr)
         return;
     update_load_report(context, attempt_of(*request, frame.m_id).m_node, frame.m_report);
+    if (const char* defect = find_defect(*frame.m_response)) {
+        after_failed_attempt(context, *request, frame.m_id, defect);
+        return;
+    }
     if (frame.m_response->m_status < 500) {
         end_attempt(context, *request, frame.m_id);
         ++request->m_executions;
--- a/libs/sidecar/tests/ingress_test.cpp
+++ b/libs/sidecar/tests/ingress_test.cpp
@@ -258,4 +258,35 @@
     }
 }
 
+// Guards against a response with an invalid status or header field that another node, perhaps of
+// an older version, passes on: it reached the caller, as status 0 or with lines of its own.
+TEST(ingress, malformed_response_of_a_node_is_a_failed_attempt)
+{
+    const std::vector<server_response> malformed = {
+        {0, {}, "body"},
+        {99, {}, "body"},
+        {101, {}, "body"},
+        {600, {}, "body"},
+        {-200, {}, "body"},
+        {200, {{"", "1"}}, "body"},
+        {200, {{" Content-Length", "1"}}, "body"},
+        {200, {{"X Y", "1"}}, "body"},
+        {200, {{"X\x01Y", "1"}}, "body"},
+        {200, {{"X\x7f", "1"}}, "body"},
+        {200, {{"X", "1\r\nY: 2"}}, "body"},
+        {500, {{"X:", "1"}}, "body"},
+    };
+    for (std::size_t i = 0; i < malformed.size(); ++i) {
+        SCOPED_TRACE(i);
+        node_state state = make_connected_node({"a"});
+        const auto sent = sent_request(step(state, make_request(), start_time));
+        response_frame frame;
+        frame.m_id = sent.second;
+        frame.m_response = std::make_shared<server_response>(malformed[i]);
+        const auto done =
+            step(state, frame_received{sent.first, frame}, start_time + milliseconds(50));
+        EXPECT_EQ(response_status(done), 502);
+    }
+}
+
 } // namespace azureladder::sidecar
