Fail responses with a transfer coding other than chunked

Callers could get a body that was still in a transfer coding such as gzip, as a complete answer without the header that names the coding. Found while all places that read responses were checked; not seen in operation.

Cause: the parser removes the coding chunked and ignores others, and Transfer-Encoding is not passed on. A length beside another coding was used although the coding determines the length.

Change: a response whose Transfer-Encoding is anything but chunked fails the exchange, as in libs/http.

--- a/libs/sidecar_runtime/src/client_connection.cpp
+++ b/libs/sidecar_runtime/src/client_connection.cpp
@@ -3,6 +3,7 @@
 #include "byte_budget.hpp"
 
 #include <boost/beast/core/read_size.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <sys/socket.h>
@@ -64,6 +65,16 @@
     return false;
 }
 
+/// Whether the parser removes all transfer codings of a response; it removes chunked only. The
+/// Transfer-Encoding header is not passed on, so a receiver could not remove another one.
+bool has_supported_transfer_coding(const http::fields& fields)
+{
+    const auto codings = fields.equal_range(http::field::transfer_encoding);
+    return std::all_of(codings.first, codings.second, [](const auto& field) {
+        return boost::beast::iequals(field.value(), "chunked");
+    });
+}
+
 template <class Fields>
 std::size_t memory_of_fields(const Fields& fields)
 {
@@ -300,6 +311,10 @@
         fail_exchange(exchange_result::incomplete, "too many interim responses");
         return true;
     }
+    if (!has_supported_transfer_coding(message)) {
+        fail_exchange(exchange_result::incomplete, "unsupported transfer coding");
+        return true;
+    }
     exchange_outcome outcome;
     outcome.m_result = exchange_result::answered;
     outcome.m_response.m_status = static_cast<int>(status);
--- a/tests/hostile/broken_responses_test.cpp
+++ b/tests/hostile/broken_responses_test.cpp
@@ -51,6 +51,8 @@
     {"blank_before_framing_name", status_line + required_fields + " " + length_and_body},
     {"control_byte_in_name", status_line + required_fields + "X\x01Y: 1\r\n" + length_and_body},
     {"line_feed_in_name", status_line + required_fields + "X\nY: 1\r\n" + length_and_body},
+    {"unsupported_transfer_coding",
+     status_line + required_fields + "Transfer-Encoding: gzip\r\n\r\nbody"},
     {"delete_in_name", status_line + required_fields + "X\x7f: 1\r\n" + length_and_body},
 };
 
