Test that the node under libs/http takes and sends no broken response

Its client rejects status 000, blanks and control bytes in field names, continued lines, and every body without a length, so a reset during an upload can't end one; its server replaces a malformed response that another node passes on by 500, and closes the connection for status 0.

--- a/libs/http/tests/client_test.cpp
+++ b/libs/http/tests/client_test.cpp
@@ -122,6 +122,38 @@
         EXPECT_EQ(error_kind_of(reply), kind::malformed_reply) << reply;
 }
 
+// Guards against a response with an invalid status or field name that is taken as an answer.
+TEST(http_client, invalid_status_and_field_names_are_rejected)
+{
+    EXPECT_EQ(error_kind_of("HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody"),
+              kind::malformed_reply);
+    for (const auto* line : {"X Y: 1", "X : 1", " X: 1", "\tX: 1", "X\x01Y: 1", "X\nY: 1",
+                             "X\x7f: 1", " Content-Length: 4"})
+        EXPECT_EQ(error_kind_of("HTTP/1.1 200 OK\r\nA: b\r\n" + std::string(line) +
+                                "\r\nContent-Length: 4\r\n\r\nbody"),
+                  kind::malformed_reply)
+            << line;
+}
+
+// Guards against a part of a body that is taken as complete: the server responds before it has read
+// the request and resets the connection.
+TEST(http_client, reset_during_an_upload_ends_no_body_without_length)
+{
+    for (const std::string part : {"", "part"}) {
+        scripted_server server([&part](raw_socket& socket, int) {
+            socket.receive_until(end_of_head);
+            socket.send("HTTP/1.1 200 OK\r\n\r\n" + part);
+            std::this_thread::sleep_for(milliseconds(50));
+            // Closing with unread bytes resets the connection.
+            socket.close();
+        });
+        client caller(server.address());
+        request upload = post;
+        upload.m_body = std::string(16'000'000, 'b');
+        EXPECT_FALSE(caller.execute(upload, generous_timeout()));
+    }
+}
+
 // Guards against bytes that are lost or duplicated at segment boundaries.
 TEST(http_client, replies_in_single_bytes)
 {
--- a/libs/http/tests/server_test.cpp
+++ b/libs/http/tests/server_test.cpp
@@ -61,6 +61,31 @@
     EXPECT_THAT(answer, HasSubstr("Set-Cookie: a\r\nSet-Cookie: b\r\n"));
 }
 
+// Guards against a malformed response of another node that is passed on.
+TEST(http_server, malformed_responses_are_not_sent)
+{
+    response malformed;
+    server target({}, [&malformed](const request&) { return malformed; });
+    ASSERT_TRUE(target.start());
+    client caller(target.bound_address());
+    // Status 0 closes the connection (close_without_response).
+    malformed = {0, {}, "body"};
+    EXPECT_FALSE(caller.execute({"GET", "/", {}, {}, {}}));
+    for (const auto& candidate : std::vector<response>{{99, {}, "body"},
+                                                       {101, {}, "body"},
+                                                       {600, {}, "body"},
+                                                       {200, {{" X", "1"}}, "body"},
+                                                       {200, {{"X Y", "1"}}, "body"},
+                                                       {200, {{"X\x01", "1"}}, "body"}}) {
+        malformed = candidate;
+        const auto reply = caller.execute({"GET", "/", {{"Request-Id", "r1"}}, {}, {}});
+        ASSERT_TRUE(reply) << reply.error().m_message;
+        EXPECT_EQ(reply.value().m_status, 500);
+        EXPECT_TRUE(reply.value().m_body.empty());
+        EXPECT_EQ(*find_header(reply.value().m_headers, "Azureladder-Executed"), "unknown");
+    }
+}
+
 // Guards against response splitting, a header above the size limit, and a handler exception that
 // terminates the server.
 TEST(http_server, unsendable_responses_become_500)
