--- a/libs/sidecar_runtime/src/client_connection.hpp
+++ b/libs/sidecar_runtime/src/client_connection.hpp
@@ -144,7 +144,7 @@
     /// The write failed before its first byte. False until the write has completed.
     bool m_nothing_sent = false;
 
-    /// Cause of a write that failed.
+    /// Error of the write if it failed.
     error_code m_write_error;
     std::uint64_t m_idle_watch_id = 0;
 };
