--- a/libs/http/tests/client_test.cpp
+++ b/libs/http/tests/client_test.cpp
@@ -149,7 +149,7 @@
         });
         client caller(server.address());
         request upload = post;
-        upload.m_body = std::string(16'000'000, 'b');
+        upload.m_body = std::string(8'000'000, 'b');
         EXPECT_FALSE(caller.execute(upload, generous_timeout()));
     }
 }
