--- a/libs/sidecar_runtime/tests/client_connection_test.cpp
+++ b/libs/sidecar_runtime/tests/client_connection_test.cpp
@@ -371,14 +371,16 @@
 // Guards against a body that is passed on in a transfer coding whose header is not.
 TEST(client_connection, rejects_transfer_codings_other_than_chunked)
 {
-    const std::string start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: ";
-    const std::string chunks = "\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
-    EXPECT_EQ(exchange_result_of(start + "Chunked" + chunks, false), exchange_result::answered);
+    const auto result_with = [](const std::string& codings) {
+        return exchange_result_of("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + codings +
+                                      "\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                                  false);
+    };
+    EXPECT_EQ(result_with("Chunked"), exchange_result::answered);
     for (const char* codings :
          {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "identity", "",
           "gzip\r\nTransfer-Encoding: chunked", "gzip\r\nContent-Length: 4"})
-        EXPECT_EQ(exchange_result_of(start + codings + chunks, false), exchange_result::incomplete)
-            << codings;
+        EXPECT_EQ(result_with(codings), exchange_result::incomplete) << codings;
 }
 
 INSTANTIATE_TEST_SUITE_P(client_connection, unbounded_response,
