Take a response as proof that its request was executed

Callers of a non-idempotent request with a long body could get 503, or have the request sent to a second node, although the first node had returned a response that can't be passed on or a 5xx response.

Cause: an attempt whose body has not been fetched counts as not executed, and on_response treated a failed attempt by that mark alone. A response shows that the server had the request.

Evidence: ingress.unusable_response_before_the_body_ends_a_non_idempotent_request_as_executed failed in all three cases before (a second node got the request, no 502 or 500). Measured: the 16 tests of ingress pass now.

--- a/libs/sidecar/src/ingress.cpp
+++ b/libs/sidecar/src/ingress.cpp
@@ -13,27 +13,6 @@
 /// the timeout after which the node receives no new requests, because one execution is wasted.
 constexpr duration repeat_timeout = milliseconds(600);
 
-/// Calls that the execution of a request makes, as its node reports. Calls make no further ones.
-routing::calls_by_service calls_of(const node_state& state, const open_request& request,
-                                   const std::string& node)
-{
-    if (request.m_request->m_is_call)
-        return {};
-    if (node == state.m_options.m_node)
-        return routing::calls_per_execution(state.m_nested_calls);
-    const auto peer = state.m_peers.find(node);
-    return peer == state.m_peers.end() ? routing::calls_by_service()
-                                       : peer->second.m_status.m_calls_per_execution;
-}
-
-/// Takes a repeat of a request from the retry budgets. `node` is the one that had it last.
-bool take_retry(step_context& context, const open_request& request, const std::string& node)
-{
-    node_state& state = context.m_state;
-    return routing::take_retry(state.m_retry_budgets, request.m_request->m_service,
-                               calls_of(state, request, node));
-}
-
 /// Whether a request is idempotent and its attempts, deadline and retry budget allow a retry. Takes
 /// the retry from the budget. `node` is the one that had the request last.
 bool consume_retry(step_context& context, const open_request& request, const std::string& node)
@@ -337,7 +316,10 @@
     open_request* request = find_request(context, frame.m_id);
     if (request == nullptr)
         return;
-    update_load_report(context, attempt_of(*request, frame.m_id).m_node, frame.m_report);
+    request_attempt& attempt = attempt_of(*request, frame.m_id);
+    update_load_report(context, attempt.m_node, frame.m_report);
+    // A response shows that the server had the whole request.
+    attempt.m_lacks_body = false;
     if (const char* defect = find_defect(*frame.m_response)) {
         after_failed_attempt(context, *request, frame.m_id, defect);
         return;
--- a/libs/sidecar/src/ingress_dispatch.cpp
+++ b/libs/sidecar/src/ingress_dispatch.cpp
@@ -82,6 +82,25 @@
     send_to_node(context, node, std::move(frame));
 }
 
+routing::calls_by_service calls_of(const node_state& state, const open_request& request,
+                                   const std::string& node)
+{
+    if (request.m_request->m_is_call)
+        return {};
+    if (node == state.m_options.m_node)
+        return routing::calls_per_execution(state.m_nested_calls);
+    const auto peer = state.m_peers.find(node);
+    return peer == state.m_peers.end() ? routing::calls_by_service()
+                                       : peer->second.m_status.m_calls_per_execution;
+}
+
+bool take_retry(step_context& context, const open_request& request, const std::string& node)
+{
+    node_state& state = context.m_state;
+    return routing::take_retry(state.m_retry_budgets, request.m_request->m_service,
+                               calls_of(state, request, node));
+}
+
 void on_body_request(step_context& context, std::uint64_t link, const std::string& node,
                      const body_request_frame& frame)
 {
--- a/libs/sidecar/src/ingress_internal.hpp
+++ b/libs/sidecar/src/ingress_internal.hpp
@@ -71,6 +71,15 @@
 void send_request(step_context& context, open_request& request, const std::string& node);
 void dispatch(step_context& context, open_request& request);
 
+// Retries.
+
+/// Calls that the execution of a request makes, as its node reports. Calls make no further ones.
+routing::calls_by_service calls_of(const node_state& state, const open_request& request,
+                                   const std::string& node);
+
+/// Takes a repeat of a request from the retry budgets. `node` is the one that had it last.
+bool take_retry(step_context& context, const open_request& request, const std::string& node);
+
 // Organisations.
 
 /// Status and reason for the refusal of a request by the key that it carries.
--- a/libs/sidecar/tests/ingress_test.cpp
+++ b/libs/sidecar/tests/ingress_test.cpp
@@ -259,7 +259,7 @@
 }
 
 // Guards against a response with an invalid status or header field that another node, perhaps of
-// an older version, passes on: it reached the caller, as status 0 or with lines of its own.
+// an older version, passes on to the caller.
 TEST(ingress, malformed_response_of_a_node_is_a_failed_attempt)
 {
     const std::vector<server_response> malformed = {
@@ -289,4 +289,31 @@
     }
 }
 
+// Guards against a response that shows the execution of a request, but is taken as that of a node
+// without its body: the request was sent again, or refused with 503.
+TEST(ingress, unusable_response_before_the_body_ends_a_non_idempotent_request_as_executed)
+{
+    const std::vector<std::pair<server_response, int>> cases = {
+        {{0, {}, "body"}, 502}, {{200, {{"X Y", "1"}}, "b"}, 502}, {{500, {}, "body"}, 500}};
+    for (const auto& [response, expected_status] : cases) {
+        SCOPED_TRACE(response.m_status);
+        node_state state = make_connected_node({"a", "b"});
+        auto configuration = std::make_shared<routing::routing_configuration>(
+            *state.m_active_configuration.m_configuration);
+        configuration->m_routes.front().m_kind = routing::request_kind::non_idempotent;
+        state.m_active_configuration.m_configuration = configuration;
+        caller_request arrived = make_request();
+        arrived.m_request.m_body = std::string(state.m_options.m_separate_body_bytes + 1, 'b');
+        const auto sent = sent_request(step(state, arrived, start_time));
+        ASSERT_NE(sent.first, 0U);
+        response_frame frame;
+        frame.m_id = sent.second;
+        frame.m_response = std::make_shared<server_response>(response);
+        const auto done =
+            step(state, frame_received{sent.first, frame}, start_time + milliseconds(50));
+        EXPECT_EQ(sent_request(done).first, 0U);
+        EXPECT_EQ(response_status(done), expected_status);
+    }
+}
+
 } // namespace azureladder::sidecar
