Fail a response with a line that begins with a blank in its trailers

Callers could get a trailer whose name begins with a blank or a tab as a part of the trailer before it, in a response with status 200.

Cause: the parser joins continued lines in trailers as it does in heads; the search for them covered the head only.

Change: the parser runs step by step instead of eagerly, so that the last chunk and its trailers are consumed by a call of their own, whose bytes are searched too. Chunks may hold such lines.

--- a/libs/sidecar_runtime/src/client_connection.cpp
+++ b/libs/sidecar_runtime/src/client_connection.cpp
@@ -51,15 +51,15 @@
     return status >= 100 && status <= 599 && status != 101;
 }
 
-/// Whether a field of a header section continues on a further line (obs-fold in RFC 9112, section
-/// 5.2). Such a line may also be a field whose name begins with a blank.
-bool has_folded_field(std::string_view head)
+/// Whether a field of a header or trailer section continues on a further line (obs-fold in RFC
+/// 9112, section 5.2). Such a line may also be a field whose name begins with a blank.
+bool has_folded_field(std::string_view section)
 {
     constexpr std::string_view line_end = "\r\n";
-    for (auto at = head.find(line_end); at != std::string_view::npos;
-         at = head.find(line_end, at)) {
+    for (auto at = section.find(line_end); at != std::string_view::npos;
+         at = section.find(line_end, at)) {
         at += line_end.size();
-        if (at < head.size() && (head[at] == ' ' || head[at] == '\t'))
+        if (at < section.size() && (section[at] == ' ' || section[at] == '\t'))
             return true;
     }
     return false;
@@ -274,9 +274,7 @@
 {
     error_code error;
     while (m_buffer.size() > 0 && !m_parser->is_done()) {
-        // An eager parser continues after a header section that exceeds the limit.
         const bool is_header = !m_parser->is_header_done();
-        m_parser->eager(!is_header);
         std::size_t consumed_bytes = 0;
         try {
             consumed_bytes = m_parser->put(m_buffer.data(), error);
@@ -284,8 +282,10 @@
             // A header field is longer than the list of fields can hold.
             return http::error::header_limit;
         }
-        // The parser consumes a field together with all its lines.
-        if (is_header &&
+        // Without eager(), the parser stops behind the header section and each chunk, and consumes
+        // a field together with all its lines.
+        const bool is_trailer = m_parser->is_done() && m_parser->chunked();
+        if ((is_header || is_trailer) &&
             has_folded_field({static_cast<const char*>(m_buffer.data().data()), consumed_bytes}))
             return http::error::bad_field;
         m_buffer.consume(consumed_bytes);
--- a/libs/sidecar_runtime/tests/client_connection_test.cpp
+++ b/libs/sidecar_runtime/tests/client_connection_test.cpp
@@ -345,27 +345,35 @@
 // field before, and a length in it was ignored.
 TEST(client_connection, rejects_lines_that_continue_a_field_in_any_segments)
 {
-    const std::string response = "HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 2\r\n\r\nok";
-    for (std::size_t size = 1; size <= response.size(); ++size) {
-        SCOPED_TRACE(response.substr(0, size));
-        asio::io_context io;
-        asio::steady_timer pause(io);
-        loopback_server server(io, [&](loopback_server::connection& connection, const auto&) {
-            connection.send(response.substr(0, size));
-            pause.expires_after(milliseconds(2));
-            pause.async_wait([&](error_code) {
-                connection.send(response.substr(size));
-                connection.close();
+    const std::string start = "HTTP/1.1 200 OK\r\nA: b\r\n";
+    for (const std::string& response :
+         {start + " Content-Length: 2\r\n\r\nok",
+          start + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nT: u\r\n X: 1\r\n\r\n"}) {
+        for (std::size_t size = 1; size <= response.size(); ++size) {
+            SCOPED_TRACE(response.substr(0, size));
+            asio::io_context io;
+            asio::steady_timer pause(io);
+            loopback_server server(io, [&](loopback_server::connection& connection, const auto&) {
+                connection.send(response.substr(0, size));
+                pause.expires_after(milliseconds(2));
+                pause.async_wait([&](error_code) {
+                    connection.send(response.substr(size));
+                    connection.close();
+                });
             });
-        });
-        const auto connection =
-            std::make_shared<client_connection>(io, server.address(), milliseconds(500));
-        exchange_record record;
-        start_exchange(*connection, record, milliseconds(2000));
-        while (!record.m_outcome)
-            io.run_one_for(milliseconds(100));
-        EXPECT_EQ(record.m_outcome->m_result, exchange_result::incomplete);
+            const auto connection =
+                std::make_shared<client_connection>(io, server.address(), milliseconds(500));
+            exchange_record record;
+            start_exchange(*connection, record, milliseconds(2000));
+            while (!record.m_outcome)
+                io.run_one_for(milliseconds(100));
+            EXPECT_EQ(record.m_outcome->m_result, exchange_result::incomplete);
+        }
     }
+    // Chunks may hold such lines.
+    EXPECT_EQ(exchange_result_of(
+                  start + "Transfer-Encoding: chunked\r\n\r\n6\r\no\r\n k \r\n0\r\n\r\n", false),
+              exchange_result::answered);
 }
 
 // Guards against a body that is passed on in a transfer coding whose header is not.
