Test a reset at each step of an upload that the server reads

A truncated body could be accepted if the end of the input were handled before the failure of the write. The former test resets the connection while the server reads nothing; this one resets it after 0 to 39 handlers of the event loop while the server reads the upload, with and without a part of the body.

--- a/libs/sidecar_runtime/tests/client_connection_test.cpp
+++ b/libs/sidecar_runtime/tests/client_connection_test.cpp
@@ -324,6 +324,55 @@
     }
 }
 
+namespace {
+
+/// Outcome of an upload to a server that has sent `response` and reads the upload, and resets the
+/// connection after `handlers` handlers of the event loop.
+exchange_outcome outcome_of_reset_after(int handlers, const std::string& response)
+{
+    asio::io_context server_io;
+    tcp::acceptor acceptor(server_io, {asio::ip::make_address("127.0.0.1"), 0});
+    tcp::socket server(server_io);
+    asio::io_context io;
+    const auto connection = std::make_shared<client_connection>(
+        io, endpoint{"127.0.0.1", acceptor.local_endpoint().port()}, milliseconds(500));
+    http_request request = make_request();
+    request.m_body = std::string(32 * megabyte, 'x');
+    std::optional<exchange_outcome> result;
+    connection->exchange(request, milliseconds(2000), nullptr,
+                         [&](const exchange_outcome& outcome) { result = outcome; });
+    acceptor.accept(server);
+    server.non_blocking(true);
+    asio::write(server, asio::buffer(response));
+    std::vector<char> upload(megabyte);
+    for (int step = 0; !result; ++step) {
+        error_code error;
+        while (step < handlers && !error)
+            server.read_some(asio::buffer(upload), error);
+        if (step == handlers) {
+            server.set_option(asio::socket_base::linger(true, 0));
+            server.close();
+        }
+        if (io.poll_one() == 0 && step > handlers)
+            io.run_one_for(milliseconds(100));
+    }
+    return *result;
+}
+
+} // namespace
+
+// Guards against a truncated body that is accepted because the end of the input is handled before
+// the failure of the write.
+TEST(client_connection, reset_during_an_upload_ends_no_body_in_any_order_of_events)
+{
+    for (const std::string response : {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nbody"}) {
+        for (int handlers = 0; handlers < 40; ++handlers)
+            EXPECT_NE(outcome_of_reset_after(handlers, response).m_result,
+                      exchange_result::answered)
+                << handlers;
+    }
+}
+
 // Guards against the rejection of a whole body because its server does not read the upload: the end
 // of the body arrives before the reset.
 TEST(client_connection, orderly_end_during_an_upload_ends_a_body_without_length)
