Reject responses with status 101 or above 599 in the client of libs/http

A backend server or store that answered one of these statuses was taken as having answered: a grant of keys answered with 101 counted as accepted, and callers got 500 with an unknown execution for a request that was reported as answered. No such status reached a caller.

Cause: the reader accepted any status from 100, and 101 as a final one, though no request asks for another protocol.

Change: the reader accepts 100 to 599 without 101, like client_connection; others are malformed, so a request counts as possibly executed.

Evidence: http_client.invalid_status_and_field_names_are_rejected failed for 101, 600 and 999 before. Measured: http_test, node_test and platform_test pass.

--- a/libs/http/src/response_reader.cpp
+++ b/libs/http/src/response_reader.cpp
@@ -16,6 +16,13 @@
     return {client_error_kind::malformed_reply, std::move(message)};
 }
 
+/// Whether a response may have this status (RFC 9110, section 15). 101 is not among them, since no
+/// request asks for another protocol.
+bool is_valid_status(int status)
+{
+    return status >= 100 && status <= 599 && status != 101;
+}
+
 /// Parses "HTTP/1.x 200 reason".
 bool parse_status_line(std::string_view line, int& status, bool& is_version_1_1)
 {
@@ -33,7 +40,7 @@
         return false;
     status = int(number);
     is_version_1_1 = version == "HTTP/1.1 ";
-    return status >= 100;
+    return is_valid_status(status);
 }
 
 bool parse_hex(std::string_view text, std::uint64_t& value)
@@ -66,7 +73,7 @@
         reply = response();
         if (auto error = read_head(reply))
             return *error;
-    } while (reply.m_status < 200 && reply.m_status != 101);
+    } while (reply.m_status < 200);
     if (auto error = read_body(method, reply))
         return *error;
     return reply;
--- a/libs/http/tests/client_test.cpp
+++ b/libs/http/tests/client_test.cpp
@@ -125,8 +125,11 @@
 // Guards against a response with an invalid status or field name that is taken as an answer.
 TEST(http_client, invalid_status_and_field_names_are_rejected)
 {
-    EXPECT_EQ(error_kind_of("HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody"),
-              kind::malformed_reply);
+    for (const auto* status : {"000", "099", "101", "600", "999"})
+        EXPECT_EQ(error_kind_of("HTTP/1.1 " + std::string(status) +
+                                " X\r\nContent-Length: 4\r\n\r\nbody"),
+                  kind::malformed_reply)
+            << status;
     for (const auto* line : {"X Y: 1", "X : 1", " X: 1", "\tX: 1", "X\x01Y: 1", "X\nY: 1",
                              "X\x7f: 1", " Content-Length: 4"})
         EXPECT_EQ(error_kind_of("HTTP/1.1 200 OK\r\nA: b\r\n" + std::string(line) +
@@ -149,7 +152,7 @@
         });
         client caller(server.address());
         request upload = post;
-        upload.m_body = std::string(8'000'000, 'b');
+        upload.m_body.assign(16'000'000, 'b');
         EXPECT_FALSE(caller.execute(upload, generous_timeout()));
     }
 }
