--- a/libs/sidecar_runtime/src/client_connection.cpp
+++ b/libs/sidecar_runtime/src/client_connection.cpp
@@ -240,13 +240,14 @@
 
 bool client_connection::is_broken_off() const
 {
-    // EPIPE says that the server had ended its output before its side of the connection failed.
+    // A write gets EPIPE if the end of the server's output arrived before the failure.
     return m_write_error && m_write_error != asio::error::broken_pipe;
 }
 
 void client_connection::on_read(error_code error)
 {
-    // The system reports the failure of a connection once, here to the write.
+    // The system reports a failure of the connection only once. If the write got it, the read sees
+    // an ordinary end of input.
     if (error == asio::error::eof && is_broken_off())
         error = m_write_error;
     for (;;) {
--- a/libs/sidecar_runtime/tests/client_connection_test.cpp
+++ b/libs/sidecar_runtime/tests/client_connection_test.cpp
@@ -425,6 +425,38 @@
               exchange_result::answered);
 }
 
+// Guards against a response to HEAD that is read like one with a body: it would wait for a body, or
+// count as complete before the end of its head.
+TEST(client_connection, response_to_head_ends_with_its_head)
+{
+    const std::string start = "HTTP/1.1 200 OK\r\nA: b\r\n";
+    for (const std::string& response :
+         {start + "\r\n", start + "Content-Length: 4\r\n\r\n",
+          start + "Transfer-Encoding: chunked\r\n\r\n",
+          "HTTP/1.1 100 Continue\r\n\r\n" + start + "Content-Length: 4\r\n\r\n"}) {
+        for (std::size_t size = 0; size <= response.size(); ++size) {
+            SCOPED_TRACE(response.substr(0, size));
+            asio::io_context io;
+            loopback_server server(io, [&](loopback_server::connection& connection, const auto&) {
+                connection.send(response.substr(0, size));
+                connection.reset();
+            });
+            const auto connection =
+                std::make_shared<client_connection>(io, server.address(), milliseconds(500));
+            http_request request = make_request();
+            request.m_method = "HEAD";
+            std::optional<exchange_outcome> result;
+            connection->exchange(request, milliseconds(2000), nullptr,
+                                 [&](const exchange_outcome& outcome) { result = outcome; });
+            while (!result)
+                io.run_one_for(milliseconds(100));
+            EXPECT_EQ(result->m_result, size == response.size() ? exchange_result::answered
+                                                                : exchange_result::incomplete);
+            EXPECT_EQ(result->m_response.m_body, "");
+        }
+    }
+}
+
 // Guards against a body that is passed on in a transfer coding whose header is not.
 TEST(client_connection, rejects_transfer_codings_other_than_chunked)
 {
