Log on what the acknowledgement of a departure rests

The logs did not show why: the acknowledgement left no line, nor did the read of the departures at the start of a process, and backend_joined did not tell which announcement it rests on.

Hypotheses: (1) the acknowledgement rests on processes alone; (2) the departure is stored, and the new process doesn't read it; (3) a delayed write replaces it; (4) the silence of the server is not noticed; (5) announcements that were sent before the departure arrive after the restart.

The new process has no departures_read, because there is nothing to read: (1), neither (2) nor (3). Its backend_joined has sequence 10, whose successor 11 is the last one, both sent before the departure: (5). backend_silent follows 3 s after number 11: the silence is noticed (not 4), and late.

Change: log lines only.

--- a/libs/sidecar/src/backend_announcements.cpp
+++ b/libs/sidecar/src/backend_announcements.cpp
@@ -112,6 +112,7 @@
              {"service", announced.m_service},
              {"slots", announced.m_slots},
              {"born_ms", announced.m_started_at_ms},
+             {"sequence", announced.m_sequence},
              {"former", local_owner_incarnation(state)},
              {"grants_in_force", state.m_ownership.m_grants.size()},
              {"cold_ms", to_ms(announced.m_cold_time_left)}});
--- a/libs/sidecar/src/backend_departures.cpp
+++ b/libs/sidecar/src/backend_departures.cpp
@@ -73,7 +73,9 @@
 
 void on_departures_read(step_context& context, const departures_read& read)
 {
-    add_departures(context, read.m_departed);
+    const bool is_new = add_departures(context, read.m_departed);
+    log(context, log_level::info, "departures_read",
+        {{"departures", to_text(read.m_departed)}, {"new", is_new}});
     if (context.m_state.m_departed_servers != read.m_departed)
         emit(context, store_departures{context.m_state.m_departed_servers});
 }
--- a/libs/sidecar_runtime/src/store_client_departures.cpp
+++ b/libs/sidecar_runtime/src/store_client_departures.cpp
@@ -87,7 +87,12 @@
             callback();
     };
     m_departure_callbacks.push_back(run_once);
-    run_after(m_options.m_departure_write_timeout, run_once);
+    run_after(m_options.m_departure_write_timeout, [this, pending, run_once] {
+        if (*pending)
+            m_on_log_line(log_level::warning, "departure_acknowledged_unstored",
+                          {{"departures", m_departures_text}});
+        run_once();
+    });
 }
 
 void store_client::run_departure_callbacks()
