Acknowledge a departure only when late announcements can't undo it

Cause: while the store was down, the acknowledgement was sent after 0.4 s and rested on the processes alone. When all of them ended, announcements that the server had sent before its departure were still under way and made it a ready one.

Change: the reducer answers messages about departures: when the store has the departure, or when no earlier announcement is under way (none missing before draining, else the next one overdue by a quarter of the learned interval, else 3 s after the departure). Other announcements are answered at once; they waited for the departure of a former server.

Why it works: what could undo the acknowledgement has arrived before it is given, whatever the delay. The server gets no requests meanwhile, and how servers are used is unchanged, so healthy ones with late announcements keep their work.

--- a/libs/sidecar/include/azureladder/sidecar/effects.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/effects.hpp
@@ -33,6 +33,14 @@
     duration m_retry_after{};
 };
 
+/// Answers a message of the backend server about itself. One about its departure is acknowledged
+/// when the departure can't be forgotten any more.
+struct respond_to_backend
+{
+    std::uint64_t m_message = 0;
+    bool m_is_acknowledged = true;
+};
+
 struct connect_node
 {
     std::string m_node;
@@ -154,10 +162,10 @@
 {
 };
 
-using effect = std::variant<forward_response, respond_to_caller, connect_node, close_link,
-                            send_frame, start_execution, cancel_execution, grant_keys, release_keys,
-                            decode_configuration, enter_store_era, read_table, write_table,
-                            store_departures, record_request, log_line, stop_process>;
+using effect = std::variant<forward_response, respond_to_caller, respond_to_backend, connect_node,
+                            close_link, send_frame, start_execution, cancel_execution, grant_keys,
+                            release_keys, decode_configuration, enter_store_era, read_table,
+                            write_table, store_departures, record_request, log_line, stop_process>;
 
 using effects = std::vector<effect>;
 
--- a/libs/sidecar/include/azureladder/sidecar/events.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/events.hpp
@@ -145,6 +145,10 @@
 struct backend_announced
 {
     backend_announcement m_announcement;
+
+    /// Id of the message, assigned by the runtime. The node answers each with one
+    /// `respond_to_backend`.
+    std::uint64_t m_message = 0;
 };
 
 /// The backend server removed its registration. A draining announcement need not precede it.
@@ -155,6 +159,15 @@
     /// Wall-clock time of receipt in Unix milliseconds, set by the runtime. The message does not
     /// name the incarnation that ends, but that incarnation started before this time.
     std::int64_t m_received_ms = 0;
+
+    /// Id of the message, as in `backend_announced`.
+    std::uint64_t m_message = 0;
+};
+
+/// A write of departures to the store succeeded.
+struct departures_stored
+{
+    departed_servers m_departed;
 };
 
 /// Departures of backend servers, acknowledged by this node or its previous processes, were read
@@ -244,8 +257,8 @@
 
 using event = std::variant<caller_request, caller_disconnected, link_opened, link_closed,
                            connect_failed, frame_received, execution_ended, key_command_ended,
-                           backend_announced, backend_removed, departures_read, operator_documents,
-                           configuration_decoded, store_era_seen, table_read, table_written,
-                           nodes_listed, timer_tick, stop_requested>;
+                           backend_announced, backend_removed, departures_stored, departures_read,
+                           operator_documents, configuration_decoded, store_era_seen, table_read,
+                           table_written, nodes_listed, timer_tick, stop_requested>;
 
 } // namespace azureladder::sidecar
--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -99,6 +99,14 @@
     std::uint32_t m_missed_announcement_limit = 3;
     duration m_min_announcement_lifetime = milliseconds(3000);
 
+    /// Time for which the acknowledgement of a departure waits for the store alone. Peers receive
+    /// the departure meanwhile.
+    duration m_departure_store_wait = milliseconds(400);
+
+    /// Longest time without announcements for which one that is under way is still expected from a
+    /// server whose departure is not stored.
+    duration m_max_announcement_silence = milliseconds(3000);
+
     /// Delays after which members take over the ranges of an unreachable owner.
     staggered_delay m_takeover_delay{milliseconds(1500), milliseconds(1500)};
 
--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -14,8 +14,10 @@
 #include <azureladder/sidecar/open_request.hpp>
 #include <azureladder/sidecar/peer_index.hpp>
 #include <azureladder/sidecar/peer_state.hpp>
+#include <azureladder/sidecar/pending_acknowledgement.hpp>
 #include <azureladder/sidecar/quota_counting.hpp>
 #include <azureladder/sidecar/separate_bodies.hpp>
+#include <azureladder/sidecar/unstored_departure.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -38,6 +40,9 @@
     /// Interval between its announcements, learned from the second one on; zero before.
     duration m_announcement_interval{};
 
+    /// Number of its announcements before the latest one that have not arrived.
+    std::int64_t m_missing_announcements = 0;
+
     /// Its announcements have stopped, and time at which this was noticed.
     bool m_silent = false;
     time_point m_silent_since;
@@ -132,6 +137,11 @@
     /// Local backend server: admission and executions.
     std::optional<local_backend> m_backend;
     departed_servers m_departed_servers;
+
+    /// Those of the departures that the store is not known to have, by server id, and the messages
+    /// that wait for their acknowledgement, oldest first.
+    std::map<std::string, unstored_departure> m_unstored_departures;
+    std::deque<pending_acknowledgement> m_pending_acknowledgements;
     routing::admission_controller m_admission_controller;
     std::map<std::uint64_t, backend_execution> m_executions;
     std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> m_execution_of_frame;
--- a/libs/sidecar/src/backend_announcements.cpp
+++ b/libs/sidecar/src/backend_announcements.cpp
@@ -17,6 +17,9 @@
 /// Share of the learned interval that is kept at each announcement.
 constexpr double interval_decay = 0.75;
 
+/// Limit of the counted missing announcements, whose numbers come from outside.
+constexpr std::int64_t max_counted_announcements = 1'000'000;
+
 /// Time after the latest announcement from which a server counts as silent.
 duration announcement_lifetime(const node_state& state, const local_backend& backend)
 {
@@ -41,6 +44,23 @@
         std::min(std::max(elapsed / count, decayed), max_announcement_interval);
 }
 
+/// Counts the announcements between the latest one and the next.
+void record_missing_announcements(local_backend& backend, const backend_announcement& next)
+{
+    const std::int64_t skipped = next.m_sequence - backend.m_announcement.m_sequence - 1;
+    if (skipped > 0)
+        backend.m_missing_announcements =
+            std::min(backend.m_missing_announcements, max_counted_announcements) +
+            std::min(skipped, max_counted_announcements);
+}
+
+/// Counts the arrival of an announcement that was missing.
+void record_delayed_announcement(local_backend& backend)
+{
+    if (backend.m_missing_announcements > 0)
+        --backend.m_missing_announcements;
+}
+
 std::string_view host_of(std::string_view address)
 {
     return address.substr(0, address.rfind(':'));
@@ -84,6 +104,7 @@
 void on_backend_announced(step_context& context, const backend_announcement& announced)
 {
     node_state& state = context.m_state;
+    record_announcement_of_departed(context, announced);
     const bool same_incarnation =
         state.m_backend &&
         incarnation_of(state.m_backend->m_announcement) == incarnation_of(announced);
@@ -95,6 +116,8 @@
             acknowledge_departures(context, {{announced.m_id, announced.m_started_at_ms}});
     }
     if (cause != nullptr) {
+        if (same_incarnation && announced.m_sequence < state.m_backend->m_announcement.m_sequence)
+            record_delayed_announcement(*state.m_backend);
         log(context, log_level::info, "announcement_ignored",
             {{"backend", announced.m_id},
              {"service", announced.m_service},
@@ -105,7 +128,11 @@
         return;
     }
     if (same_incarnation) {
-        record_interval(context, *state.m_backend, announced);
+        // The announcement of a departure may overtake others, whose number would shorten the
+        // interval.
+        if (!announced.m_draining)
+            record_interval(context, *state.m_backend, announced);
+        record_missing_announcements(*state.m_backend, announced);
     } else {
         log(context, log_level::info, "backend_joined",
             {{"backend", announced.m_id},
@@ -128,14 +155,18 @@
         log(context, log_level::info, "backend_heard_again",
             {{"backend", announced.m_id},
              {"silent_ms", to_ms(context.m_now - backend.m_announced_at)}});
+    // The time of the latest announcement before the departure is still known here.
+    if (announced.m_draining) {
+        acknowledge_departures(context, {{announced.m_id, announced.m_started_at_ms}});
+        if (same_incarnation && backend.m_missing_announcements == 0)
+            complete_announcements(context, announced.m_id);
+    }
     backend.m_announcement = announced;
     backend.m_announced_at = context.m_now;
     backend.m_silent = false;
     backend.m_unreachable = false;
     backend.m_cold_until = context.m_now + announced.m_cold_time_left;
     state.m_cold_until_announced = {};
-    if (announced.m_draining)
-        acknowledge_departures(context, {{announced.m_id, announced.m_started_at_ms}});
     apply_departures(context);
     update_limits(context);
     start_waiting(context);
--- a/libs/sidecar/src/backend_departures.cpp
+++ b/libs/sidecar/src/backend_departures.cpp
@@ -52,12 +52,20 @@
 bool add_departures(step_context& context, const departed_servers& departed)
 {
     departed_servers& servers = context.m_state.m_departed_servers;
+    const departed_servers former = servers;
     if (!merge(servers, departed))
         return false;
     while (servers.size() > max_departed_servers) {
-        servers.erase(
+        const auto oldest =
             std::min_element(servers.begin(), servers.end(),
-                             [](const auto& a, const auto& b) { return a.second < b.second; }));
+                             [](const auto& a, const auto& b) { return a.second < b.second; });
+        context.m_state.m_unstored_departures.erase(oldest->first);
+        servers.erase(oldest);
+    }
+    for (const auto& [id, started_at_ms] : servers) {
+        const auto known = former.find(id);
+        if (known == former.end() || known->second != started_at_ms)
+            add_unstored_departure(context, id, started_at_ms);
     }
     apply_departures(context);
     return true;
@@ -76,6 +84,7 @@
     const bool is_new = add_departures(context, read.m_departed);
     log(context, log_level::info, "departures_read",
         {{"departures", to_text(read.m_departed)}, {"new", is_new}});
+    on_departures_stored(context, read.m_departed);
     if (context.m_state.m_departed_servers != read.m_departed)
         emit(context, store_departures{context.m_state.m_departed_servers});
 }
@@ -90,6 +99,7 @@
         is_known ? state.m_backend->m_announcement.m_started_at_ms : removed.m_received_ms;
     acknowledge_departures(context, {{removed.m_id, started_at_ms}});
     broadcast_status(context);
+    acknowledge_when_safe(context, {removed.m_message, removed.m_id, started_at_ms, context.m_now});
 }
 
 } // namespace azureladder::sidecar
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -89,8 +89,10 @@
         // Announcements may have arrived that were not read yet.
         if (state.m_backend)
             state.m_backend->m_announced_at = context.m_now;
+        restart_announcement_silence(context);
     }
     state.m_last_tick = context.m_now;
+    check_pending_acknowledgements(context);
     check_peers(context);
     check_outdated_documents(context);
     check_retained_evacuations(context);
@@ -146,8 +148,10 @@
     void operator()(const backend_announced& e)
     {
         on_backend_announced(m_context, e.m_announcement);
+        respond_to_announcement(m_context, e);
     }
     void operator()(const backend_removed& e) { on_backend_removed(m_context, e); }
+    void operator()(const departures_stored& e) { on_departures_stored(m_context, e.m_departed); }
     void operator()(const departures_read& e) { on_departures_read(m_context, e); }
     void operator()(const operator_documents& e) { on_operator_documents(m_context, e); }
     void operator()(const configuration_decoded& e) { on_configuration_decoded(m_context, e); }
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -94,6 +94,30 @@
 
 /// Marks the current server as leaving if its departure is recorded.
 void apply_departures(step_context& context);
+
+/// Records that the store may not have a departure, with what is known of the server's
+/// announcements.
+void add_unstored_departure(step_context& context, const std::string& id,
+                            std::int64_t started_at_ms);
+
+/// Records that all announcements before that of a departure have arrived.
+void complete_announcements(step_context& context, const std::string& id);
+
+/// Records an announcement that arrives after the departure of its server.
+void record_announcement_of_departed(step_context& context, const backend_announcement& announced);
+
+/// Counts the silence of departed servers from now on. Their announcements may have arrived that
+/// were not read yet.
+void restart_announcement_silence(step_context& context);
+
+/// Answers an announcement: at once, or when its departure can be acknowledged.
+void respond_to_announcement(step_context& context, const backend_announced& announced);
+
+/// Answers a message about a departure when the store has the departure, or when no announcement
+/// is under way that could make the server a ready one again.
+void acknowledge_when_safe(step_context& context, const pending_acknowledgement& pending);
+void check_pending_acknowledgements(step_context& context);
+void on_departures_stored(step_context& context, const departed_servers& stored);
 void check_backend_executions(step_context& context);
 
 /// Limits the slots for new requests to what the load reports of the called services allow.
--- a/libs/sidecar/src/store_eras.cpp
+++ b/libs/sidecar/src/store_eras.cpp
@@ -64,6 +64,8 @@
     state.m_ownership.m_next_read_at = context.m_now;
     state.m_ownership.m_new_era.reset();
     emit(context, enter_store_era{era});
+    for (const auto& [id, started_at_ms] : state.m_departed_servers)
+        add_unstored_departure(context, id, started_at_ms);
     if (!state.m_departed_servers.empty())
         emit(context, store_departures{state.m_departed_servers});
     broadcast_status(context);
--- a/libs/sidecar_runtime/src/node_runtime_http.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_http.cpp
@@ -180,22 +180,39 @@
             exchange.m_number, {400, {{"Content-Type", "text/plain"}}, error->m_reason + "\n"});
         return;
     }
+    const std::uint64_t number = m_next_registry_message++;
+    m_exchange_of_registry_message[number] = exchange;
     if (auto* announced = std::get_if<sidecar::backend_announced>(&message)) {
+        announced->m_message = number;
         if (announced->m_announcement.m_service != m_state.m_options.m_service)
             refresh_service();
         enqueue(std::move(*announced));
     } else {
         auto& removed = std::get<sidecar::backend_removed>(message);
         removed.m_received_ms = m_clock.wall_time_us() / 1000;
+        removed.m_message = number;
         enqueue(removed);
     }
     process_events();
-    // The response acknowledges the removal of a server, which must be stored first so that a
-    // restarted process can read it.
-    m_store_client.call_after_departures_written([exchange] {
-        exchange.m_session->respond(exchange.m_number,
-                                    {200, {{"Content-Type", "application/json"}}, "{}"});
-    });
+}
+
+void node_runtime::impl::respond_to_registry_message(std::uint64_t number,
+                                                     const http_response& response)
+{
+    const auto found = m_exchange_of_registry_message.find(number);
+    if (found == m_exchange_of_registry_message.end())
+        return;
+    const caller_exchange exchange = std::move(found->second);
+    m_exchange_of_registry_message.erase(found);
+    exchange.m_session->respond(exchange.m_number, response);
+}
+
+void node_runtime::impl::execute(const sidecar::respond_to_backend& command)
+{
+    http_response response{200, {{"Content-Type", "application/json"}}, "{}"};
+    if (!command.m_is_acknowledged)
+        response = {503, {{"Content-Type", "text/plain"}}, "departure is not acknowledged\n"};
+    respond_to_registry_message(command.m_message, response);
 }
 
 void node_runtime::impl::on_readiness_probe(const caller_exchange& exchange,
@@ -233,6 +250,10 @@
     m_metrics.set_counter("gate_late_starts_total",
                           m_state.m_admission_controller.m_late_start_count);
     m_metrics.set_gauge("quota_buckets", static_cast<double>(m_state.m_quotas.m_buckets.size()));
+    m_metrics.set_gauge("departures_unstored",
+                        static_cast<double>(m_state.m_unstored_departures.size()));
+    m_metrics.set_gauge("departures_unacknowledged",
+                        static_cast<double>(m_state.m_pending_acknowledgements.size()));
     m_metrics.set_gauge("peers", static_cast<double>(m_state.m_peers.size()));
     m_metrics.set_counter("store_calls_total", m_store_client.call_count());
     m_metrics.set_counter("log_lines_dropped_total", m_log.dropped_lines());
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -83,6 +83,15 @@
     return static_cast<std::uint64_t>(device()) << 32 | device();
 }
 
+/// Number of the registry message that an event stems from; 0 if it stems from none.
+std::uint64_t registry_message_of(const sidecar::event& input_event)
+{
+    if (const auto* announced = std::get_if<sidecar::backend_announced>(&input_event))
+        return announced->m_message;
+    const auto* removed = std::get_if<sidecar::backend_removed>(&input_event);
+    return removed == nullptr ? 0 : removed->m_message;
+}
+
 sidecar::node_options make_node_options(const sidecar_settings& settings)
 {
     sidecar::node_options options;
@@ -264,6 +273,8 @@
         report_exception("event", error);
         if (const auto* arrived = std::get_if<sidecar::caller_request>(&input_event))
             respond(arrived->m_caller, {failed_handler_status, {}, "request failed\n"});
+        respond_to_registry_message(registry_message_of(input_event),
+                                    {failed_handler_status, {}, "message failed\n"});
     }
     for (const auto& command : commands) {
         try {
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -67,6 +67,7 @@
 
     void execute(const sidecar::forward_response& command);
     void execute(const sidecar::respond_to_caller& command);
+    void execute(const sidecar::respond_to_backend& command);
     void execute(const sidecar::connect_node& command);
     void execute(const sidecar::close_link& command);
     void execute(const sidecar::send_frame& command);
@@ -96,6 +97,9 @@
     bool on_caller_request(const caller_exchange& exchange, const http_request& request);
     void on_caller_disconnected(const http_session& session, std::uint64_t number);
     void on_registry_request(const caller_exchange& exchange, const http_request& request);
+
+    /// Sends the response to a message of the backend server about itself, once.
+    void respond_to_registry_message(std::uint64_t number, const http_response& response);
     void on_readiness_probe(const caller_exchange& exchange, const http_request& request);
     void on_metrics_request(const caller_exchange& exchange);
 
@@ -175,6 +179,10 @@
     std::map<std::pair<const http_session*, std::uint64_t>, std::uint64_t> m_caller_of_exchange;
     std::uint64_t m_next_caller_id = 1;
 
+    /// Messages of the backend server that have no response yet.
+    std::map<std::uint64_t, caller_exchange> m_exchange_of_registry_message;
+    std::uint64_t m_next_registry_message = 1;
+
     tcp::acceptor m_peer_acceptor;
     asio::steady_timer m_peer_accept_timer;
     std::unique_ptr<http_listener> m_caller_listener;
--- a/libs/sidecar_runtime/src/store_client.hpp
+++ b/libs/sidecar_runtime/src/store_client.hpp
@@ -52,11 +52,6 @@
     /// Interval between reads of the list of nodes after the first. Nodes that join later connect
     /// to this node themselves.
     milliseconds m_node_list_interval{30'000};
-
-    /// Longest time that the acknowledgement of a backend server's departure waits for its record
-    /// to be stored. A backend server stops waiting after 1 s and leaves without the
-    /// acknowledgement.
-    milliseconds m_departure_write_timeout{400};
 };
 
 /// Makes all calls of one node to the store. Keeps the current operator documents and reports
@@ -76,12 +71,9 @@
     void read_table(const sidecar::read_table& command);
     void write_table(const sidecar::write_table& command);
 
-    /// Writes the departures to the store and retries until the write succeeds.
+    /// Writes the departures to the store, retries until the write succeeds and reports it.
     void write_departures(const sidecar::store_departures& command);
 
-    /// Calls `action` when no write of departures is pending, or after m_departure_write_timeout.
-    void call_after_departures_written(std::function<void()> action);
-
     /// Learns of an era of the store from a peer. Responses of former eras are dropped, and what
     /// this node has written is written again.
     void enter_era(std::uint64_t era);
@@ -127,8 +119,8 @@
     std::string departures_key() const;
     void apply_departures(const store_item& item);
     void put_departures();
-    void on_departures_put(const std::string& text, const exchange_outcome& outcome);
-    void run_departure_callbacks();
+    void on_departures_put(const sidecar::departed_servers& departed,
+                           const exchange_outcome& outcome);
 
     asio::io_context& m_io;
     const clock& m_clock;
@@ -162,12 +154,11 @@
     std::map<std::string, std::string> m_loading_nodes;
     bool m_has_listed_nodes = false;
 
-    /// Departures of this node's backend servers: the latest text to store, the revision of the
-    /// stored text, whether a write is pending, and the callbacks that wait for it.
-    std::string m_departures_text;
+    /// Departures of this node's backend servers: the latest to store, the revision of those that
+    /// are stored, and whether a write is pending.
+    sidecar::departed_servers m_departures;
     std::uint64_t m_departures_revision = 0;
     bool m_is_writing_departures = false;
-    std::vector<std::function<void()>> m_departure_callbacks;
 
     bool m_is_reachable = true;
     std::uint64_t m_call_count = 0;
--- a/libs/sidecar_runtime/src/store_client_departures.cpp
+++ b/libs/sidecar_runtime/src/store_client_departures.cpp
@@ -2,8 +2,6 @@
 
 #include "store_keys.hpp"
 
-#include <utility>
-
 namespace azureladder::sidecar_runtime {
 
 std::string store_client::departures_key() const
@@ -25,7 +23,7 @@
 
 void store_client::write_departures(const sidecar::store_departures& command)
 {
-    m_departures_text = sidecar::to_text(command.m_departed);
+    m_departures = command.m_departed;
     if (!m_is_writing_departures)
         put_departures();
 }
@@ -34,15 +32,17 @@
 {
     m_is_writing_departures = true;
     // A write without a response may take effect late. The expected revision prevents it from
-    // replacing a newer text.
-    call(m_codec.encode_put(departures_key(), m_departures_text, m_departures_revision, 0),
+    // replacing newer departures.
+    call(m_codec.encode_put(departures_key(), sidecar::to_text(m_departures), m_departures_revision,
+                            0),
          m_options.m_call_timeout,
-         [this, text = m_departures_text](const exchange_outcome& outcome) {
-             on_departures_put(text, outcome);
+         [this, departed = m_departures](const exchange_outcome& outcome) {
+             on_departures_put(departed, outcome);
          });
 }
 
-void store_client::on_departures_put(const std::string& text, const exchange_outcome& outcome)
+void store_client::on_departures_put(const sidecar::departed_servers& departed,
+                                     const exchange_outcome& outcome)
 {
     store_put_response put_response;
     if (outcome.m_result == exchange_result::answered)
@@ -52,20 +52,17 @@
         m_on_log_line(log_level::info, "departures_written",
                       {{"revision", put_response.m_revision}});
         m_is_writing_departures = false;
-        if (m_departures_text == text)
-            run_departure_callbacks();
-        else
+        m_on_event(sidecar::departures_stored{departed});
+        if (m_departures != departed)
             put_departures();
         return;
     }
     if (put_response.m_result == sidecar::write_result::conflict &&
         !put_response.m_current_items.empty()) {
         // The reducer merges the stored departures with its own and requests another write if the
-        // stored text is incomplete.
+        // stored ones are incomplete.
         m_is_writing_departures = false;
         apply_departures(put_response.m_current_items.front());
-        if (!m_is_writing_departures)
-            run_departure_callbacks();
         return;
     }
     if (put_response.m_result == sidecar::write_result::conflict)
@@ -75,30 +72,4 @@
     run_after(with_jitter(m_options.m_retry_delay), [this] { put_departures(); });
 }
 
-void store_client::call_after_departures_written(std::function<void()> action)
-{
-    if (!m_is_writing_departures) {
-        action();
-        return;
-    }
-    const auto pending = std::make_shared<std::function<void()>>(std::move(action));
-    const auto run_once = [pending] {
-        if (const auto callback = std::exchange(*pending, nullptr))
-            callback();
-    };
-    m_departure_callbacks.push_back(run_once);
-    run_after(m_options.m_departure_write_timeout, [this, pending, run_once] {
-        if (*pending)
-            m_on_log_line(log_level::warning, "departure_acknowledged_unstored",
-                          {{"departures", m_departures_text}});
-        run_once();
-    });
-}
-
-void store_client::run_departure_callbacks()
-{
-    for (const auto& run_once : std::exchange(m_departure_callbacks, {}))
-        run_once();
-}
-
 } // namespace azureladder::sidecar_runtime
