Replace a record of departures that can't be read

Callers saw: nothing yet; found while looking for what an acknowledged departure rests on.

Cause: if another writer had replaced the record of a node's departures by one that can't be read, the write of a new departure met a conflict, the record was logged as departures_unreadable, and the write was not repeated. The departure was acknowledged and never stored, so it was lost with all processes.

Evidence: store_client.unreadable_departures_are_replaced failed before: one write, nothing stored.

Change: a write whose conflict returns nothing that can be read is repeated over that revision, after the usual delay.

--- a/libs/sidecar_runtime/src/store_client.hpp
+++ b/libs/sidecar_runtime/src/store_client.hpp
@@ -117,7 +117,9 @@
     void schedule_node_lists();
 
     std::string departures_key() const;
-    void apply_departures(const store_item& item);
+
+    /// Reports the departures of a newer item. Returns whether they could be read.
+    bool apply_departures(const store_item& item);
     void put_departures();
     void on_departures_put(const sidecar::departed_servers& departed,
                            const exchange_outcome& outcome);
--- a/libs/sidecar_runtime/src/store_client_departures.cpp
+++ b/libs/sidecar_runtime/src/store_client_departures.cpp
@@ -9,16 +9,17 @@
     return std::string(node_key_prefix) + m_options.m_node + std::string(departures_suffix);
 }
 
-void store_client::apply_departures(const store_item& item)
+bool store_client::apply_departures(const store_item& item)
 {
     if (item.m_key != departures_key() || item.m_revision <= m_departures_revision)
-        return;
+        return false;
     m_departures_revision = item.m_revision;
     const auto incarnations = sidecar::parse_departed_servers(item.m_value);
     if (incarnations)
         m_on_event(sidecar::departures_read{*incarnations});
     else
         m_on_log_line(log_level::warning, "departures_unreadable", {{"key", item.m_key}});
+    return incarnations.has_value();
 }
 
 void store_client::write_departures(const sidecar::store_departures& command)
@@ -57,16 +58,16 @@
             put_departures();
         return;
     }
-    if (put_response.m_result == sidecar::write_result::conflict &&
-        !put_response.m_current_items.empty()) {
-        // The reducer merges the stored departures with its own and requests another write if the
-        // stored ones are incomplete.
-        m_is_writing_departures = false;
-        apply_departures(put_response.m_current_items.front());
-        return;
+    if (put_response.m_result == sidecar::write_result::conflict) {
+        if (put_response.m_current_items.empty()) {
+            m_departures_revision = 0;
+        } else if (apply_departures(put_response.m_current_items.front())) {
+            // The reducer merges the stored departures with its own and requests another write if
+            // the stored ones are incomplete.
+            m_is_writing_departures = false;
+            return;
+        }
     }
-    if (put_response.m_result == sidecar::write_result::conflict)
-        m_departures_revision = 0;
     m_on_log_line(log_level::warning, "departures_not_written",
                   {{"cause", failure_cause(outcome)}});
     run_after(with_jitter(m_options.m_retry_delay), [this] { put_departures(); });
