Keep a responding server in use while its announcements become late

Cause: a server counted as silent 3 s after its latest announcement, whatever it did. The rule exists for a server whose departure was acknowledged by an earlier process; responses can't tell the two apart right after a restart.

Evidence: announced_server.stays_in_use_while_it_responds_and_its_announcements_become_late failed before: closed from 3 s after the latest announcement on.

--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -99,6 +99,9 @@
     std::uint32_t m_missed_announcement_limit = 3;
     duration m_min_announcement_lifetime = milliseconds(3000);
 
+    /// Longest delay of an announcement on its way.
+    duration m_max_announcement_delay = milliseconds(6000);
+
     /// Time for which the acknowledgement of a departure waits for the store alone. Peers receive
     /// the departure meanwhile.
     duration m_departure_store_wait = milliseconds(400);
--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -40,6 +40,13 @@
     /// Interval between its announcements, learned from the second one on; zero before.
     duration m_announcement_interval{};
 
+    /// An announcement was sent after the start of this process, so no earlier process can have
+    /// acknowledged the server's departure.
+    bool m_is_current = false;
+
+    /// Latest response of the server to a request.
+    time_point m_responded_at;
+
     /// Number of its announcements before the latest one that have not arrived.
     std::int64_t m_missing_announcements = 0;
 
@@ -136,6 +143,9 @@
 
     /// Local backend server: admission and executions.
     std::optional<local_backend> m_backend;
+
+    /// Time from which on arriving announcements were sent after the start of this process.
+    time_point m_current_announcements_from;
     departed_servers m_departed_servers;
 
     /// Those of the departures that the store is not known to have, by server id, and the messages
--- a/libs/sidecar/src/backend_announcements.cpp
+++ b/libs/sidecar/src/backend_announcements.cpp
@@ -61,6 +61,13 @@
         --backend.m_missing_announcements;
 }
 
+/// Latest announcement, or response of a server that is known not to have left.
+time_point last_sign_of_life(const local_backend& backend)
+{
+    return backend.m_is_current ? std::max(backend.m_announced_at, backend.m_responded_at)
+                                : backend.m_announced_at;
+}
+
 std::string_view host_of(std::string_view address)
 {
     return address.substr(0, address.rfind(':'));
@@ -163,6 +170,8 @@
     }
     backend.m_announcement = announced;
     backend.m_announced_at = context.m_now;
+    if (context.m_now >= state.m_current_announcements_from)
+        backend.m_is_current = true;
     backend.m_silent = false;
     backend.m_unreachable = false;
     backend.m_cold_until = context.m_now + announced.m_cold_time_left;
@@ -179,7 +188,7 @@
         return;
     local_backend& backend = *state.m_backend;
     const duration age = context.m_now - backend.m_announced_at;
-    if (age <= announcement_lifetime(state, backend))
+    if (context.m_now - last_sign_of_life(backend) <= announcement_lifetime(state, backend))
         return;
     backend.m_silent = true;
     backend.m_silent_since = context.m_now;
--- a/libs/sidecar/tests/departure_acknowledgement_test.cpp
+++ b/libs/sidecar/tests/departure_acknowledgement_test.cpp
@@ -28,6 +28,7 @@
     {
         m_state = make_connected_node({}, "orders");
         m_state.m_started_at = m_state.m_last_tick = m_now;
+        m_state.m_current_announcements_from = m_now + m_state.m_options.m_max_announcement_delay;
     }
 
     void receive(const event& input)
