Start the record of a departure anew for the next incarnation of a server

Callers saw: nothing yet; found on reading the change.

Cause: the record of a departure that is not stored was kept by server id, and so was its note that all announcements had arrived.

Evidence: leaving_server.next_incarnation_is_not_acknowledged_by_the_announcements_of_the_former fails if the note is kept.

Change: a departure of the local backend server starts a new record. acknowledge_departures, which records them, is called record_departures now.

--- a/libs/sidecar/src/backend_announcements.cpp
+++ b/libs/sidecar/src/backend_announcements.cpp
@@ -120,7 +120,7 @@
         cause = outranked_cause(*state.m_backend, announced);
         // The departure is acknowledged, so this server must not be used later either.
         if (cause != nullptr && announced.m_draining && !same_incarnation)
-            acknowledge_departures(context, {{announced.m_id, announced.m_started_at_ms}});
+            record_departures(context, {{announced.m_id, announced.m_started_at_ms}});
     }
     if (cause != nullptr) {
         if (same_incarnation && announced.m_sequence < state.m_backend->m_announcement.m_sequence)
@@ -164,7 +164,7 @@
              {"silent_ms", to_ms(context.m_now - backend.m_announced_at)}});
     // The time of the latest announcement before the departure is still known here.
     if (announced.m_draining) {
-        acknowledge_departures(context, {{announced.m_id, announced.m_started_at_ms}});
+        record_departures(context, {{announced.m_id, announced.m_started_at_ms}});
         if (same_incarnation && backend.m_missing_announcements == 0)
             complete_announcements(context, announced.m_id);
     }
--- a/libs/sidecar/src/backend_departures.cpp
+++ b/libs/sidecar/src/backend_departures.cpp
@@ -73,7 +73,7 @@
 
 } // namespace
 
-void acknowledge_departures(step_context& context, const departed_servers& departed)
+void record_departures(step_context& context, const departed_servers& departed)
 {
     if (add_departures(context, departed))
         emit(context, store_departures{context.m_state.m_departed_servers});
@@ -97,7 +97,7 @@
     const bool is_known = state.m_backend && state.m_backend->m_announcement.m_id == removed.m_id;
     const std::int64_t started_at_ms =
         is_known ? state.m_backend->m_announcement.m_started_at_ms : removed.m_received_ms;
-    acknowledge_departures(context, {{removed.m_id, started_at_ms}});
+    record_departures(context, {{removed.m_id, started_at_ms}});
     broadcast_status(context);
     acknowledge_when_safe(context, {removed.m_message, removed.m_id, started_at_ms, context.m_now});
 }
--- a/libs/sidecar/src/departure_acknowledgements.cpp
+++ b/libs/sidecar/src/departure_acknowledgements.cpp
@@ -138,18 +138,18 @@
                             std::int64_t started_at_ms)
 {
     node_state& state = context.m_state;
-    unstored_departure& departure = state.m_unstored_departures[id];
-    const bool is_current = state.m_backend && state.m_backend->m_announcement.m_id == id &&
-                            state.m_backend->m_announcement.m_started_at_ms <= started_at_ms;
-    // A server that this process does not know has no start time: each of its removals names a
-    // later one, and the first of them counts.
-    if (is_current || departure.m_started_at_ms == 0)
-        departure.m_recorded_at = context.m_now;
+    const auto [entry, is_new] = state.m_unstored_departures.try_emplace(id);
+    unstored_departure& departure = entry->second;
+    const bool is_local_backend = state.m_backend && state.m_backend->m_announcement.m_id == id &&
+                                  state.m_backend->m_announcement.m_started_at_ms <= started_at_ms;
+    if (is_local_backend)
+        departure = {started_at_ms, context.m_now, state.m_backend->m_announced_at,
+                     state.m_backend->m_announcement_interval, false};
+    else if (is_new)
+        departure = {started_at_ms, context.m_now, {}, {}, false};
+    // The start of a server that this process does not know is unknown: each of its removals names
+    // a later one, and the first of them counts.
     departure.m_started_at_ms = started_at_ms;
-    if (!is_current)
-        return;
-    departure.m_last_announced_at = state.m_backend->m_announced_at;
-    departure.m_announcement_interval = state.m_backend->m_announcement_interval;
 }
 
 void complete_announcements(step_context& context, const std::string& id)
--- a/libs/sidecar/src/peers.cpp
+++ b/libs/sidecar/src/peers.cpp
@@ -280,7 +280,7 @@
     peer_state& peer = place->second;
     peer.m_zone = frame.m_zone;
     peer.m_last_activity_at = context.m_now;
-    acknowledge_departures(context, frame.m_departed_servers);
+    record_departures(context, frame.m_departed_servers);
     if (accepted) {
         state.m_node_of_link[link] = frame.m_node;
         accepted_link& opened = state.m_accepted_links[link];
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -90,7 +90,7 @@
 void on_departures_read(step_context& context, const departures_read& read);
 
 /// Records departures of backend servers. Delayed announcements cannot undo a departure.
-void acknowledge_departures(step_context& context, const departed_servers& departed);
+void record_departures(step_context& context, const departed_servers& departed);
 
 /// Marks the current server as leaving if its departure is recorded.
 void apply_departures(step_context& context);
--- a/libs/sidecar/tests/departure_acknowledgement_test.cpp
+++ b/libs/sidecar/tests/departure_acknowledgement_test.cpp
@@ -248,6 +248,30 @@
     }
 }
 
+// Guards against the removal of a server that counts on the announcements of the former one with
+// its id.
+TEST_F(leaving_server, next_incarnation_is_not_acknowledged_by_the_announcements_of_the_former)
+{
+    run_for(seconds(8));
+    m_is_draining = true;
+    run_for(seconds(2));
+    ASSERT_TRUE(m_state.m_unstored_departures.at("i-1").m_has_all_announcements);
+    m_is_announcing = false;
+    backend_announcement next = m_state.m_backend->m_announcement;
+    next.m_started_at_ms = 5000;
+    next.m_draining = false;
+    for (next.m_sequence = 1; next.m_sequence < 6; ++next.m_sequence) {
+        receive(backend_announced{next, 0});
+        run_for(heartbeat);
+    }
+    receive(backend_announced{next, 0});
+    remove();
+    run_for(m_state.m_options.m_departure_store_wait + tick);
+    EXPECT_FALSE(is_acknowledged());
+    run_for(heartbeat);
+    EXPECT_TRUE(is_acknowledged());
+}
+
 // Guards against an acknowledgement that precedes announcements which a paused process has not
 // read yet.
 TEST_F(leaving_server, pause_of_the_process_does_not_count_as_silence)
