Pass on the departures that other nodes have stored

Callers saw: nothing yet; suspected while looking for what else can forget an acknowledged departure.

Cause: a departure is stored and acknowledged, all processes end, and the store refuses one node while it serves the others (as in a partial outage). That node receives the configuration from its peers and can't read its departures, and the new processes of its peers don't know them.

Evidence: peer_departures.read_from_the_store_are_sent_when_the_peer_connects fails if listed departures are not kept; store_client.departures_of_other_nodes_are_listed covers the list.

Change: the list of nodes, which each node reads at its start, contains the departures of all. They are kept for the peers, and go out with the hello frame, whose receiver already counts them. Items with more entries than a node stores are left out. No additional store call.

--- a/libs/sidecar/include/azureladder/sidecar/departed_servers.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/departed_servers.hpp
@@ -2,6 +2,7 @@
 
 #include <azureladder/base/json.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -13,6 +14,10 @@
 /// of the newest incarnation that left. A server may return under its id with a later start time.
 using departed_servers = std::map<std::string, std::int64_t>;
 
+/// Departures retained per node. A VM runs few servers per day, and announcements are delayed by
+/// seconds at most.
+inline constexpr std::size_t max_departed_servers = 16;
+
 /// Adds the departures of `other`. Returns whether any was new.
 bool merge(departed_servers& servers, const departed_servers& other);
 
--- a/libs/sidecar/include/azureladder/sidecar/events.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/events.hpp
@@ -241,10 +241,13 @@
     time_point m_sent_at;
 };
 
-/// Names and addresses of the nodes registered in the store.
+/// Nodes registered in the store, by name.
 struct nodes_listed
 {
     std::map<std::string, std::string> m_addresses;
+
+    /// Departures that the other nodes have stored.
+    std::map<std::string, departed_servers> m_departed_servers;
 };
 
 struct timer_tick
--- a/libs/sidecar/include/azureladder/sidecar/peer_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/peer_state.hpp
@@ -31,7 +31,7 @@
     std::uint32_t m_open_requests = 0;
     std::uint32_t m_sent_since_status = 0;
 
-    /// Departures that the current and previous processes of the peer have reported.
+    /// Departures that the current and previous processes of the peer have reported or stored.
     departed_servers m_departed_servers;
 
     /// Cancels that the peer may not have received, oldest first. A response to a later ping
--- a/libs/sidecar/src/backend_departures.cpp
+++ b/libs/sidecar/src/backend_departures.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-/// Departures retained per node. A VM runs few servers per day, and announcements are delayed by
-/// seconds at most.
-constexpr std::size_t max_departed_servers = 16;
-
 bool has_departed(const node_state& state, const backend_announcement& announcement)
 {
     const auto found = state.m_departed_servers.find(announcement.m_id);
--- a/libs/sidecar/src/peers.cpp
+++ b/libs/sidecar/src/peers.cpp
@@ -245,6 +245,12 @@
 {
     for (const auto& [node, address] : listed.m_addresses)
         update_peer_address(context, node, address);
+    // A node that can't read them itself receives them when it is connected.
+    for (const auto& [node, departed] : listed.m_departed_servers) {
+        const auto peer = context.m_state.m_peers.find(node);
+        if (peer != context.m_state.m_peers.end())
+            merge(peer->second.m_departed_servers, departed);
+    }
     context.m_state.m_quotas.m_known_nodes = std::max<std::size_t>(listed.m_addresses.size(), 1);
 }
 
--- a/libs/sidecar_runtime/src/store_client.cpp
+++ b/libs/sidecar_runtime/src/store_client.cpp
@@ -406,7 +406,7 @@
 void store_client::list_nodes(bool stale, const std::string& after_key)
 {
     if (after_key.empty())
-        m_loading_nodes.clear();
+        m_loading_nodes = {};
     call(m_codec.encode_list(std::string(node_key_prefix), after_key, stale),
          m_options.m_call_timeout, [this, stale](const exchange_outcome& outcome) {
              const auto decoded = m_codec.decode_store_items(outcome.m_response);
@@ -422,6 +422,7 @@
                      // A stale list may not contain the newest departures.
                      if (!stale)
                          apply_departures(item);
+                     load_peer_departures(item);
                      continue;
                  }
                  const json record = json::parse(item.m_value, nullptr, false);
@@ -432,13 +433,13 @@
                                    {{"key", item.m_key}});
                      continue;
                  }
-                 m_loading_nodes[*node] = *address;
+                 m_loading_nodes.m_addresses[*node] = *address;
              }
              if (page->m_has_more && !page->m_items.empty()) {
                  list_nodes(stale, page->m_items.back().m_key);
                  return;
              }
-             m_on_event(sidecar::nodes_listed{m_loading_nodes});
+             m_on_event(m_loading_nodes);
          });
 }
 
--- a/libs/sidecar_runtime/src/store_client.hpp
+++ b/libs/sidecar_runtime/src/store_client.hpp
@@ -120,6 +120,9 @@
 
     /// Reports the departures of a newer item. Returns whether they could be read.
     bool apply_departures(const store_item& item);
+
+    /// Adds the departures of another node to the list that is being read.
+    void load_peer_departures(const store_item& item);
     void put_departures();
     void on_departures_put(const sidecar::departed_servers& departed,
                            const exchange_outcome& outcome);
@@ -153,7 +156,7 @@
     bool m_configuration_changed = false;
     std::set<std::string> m_evacuated_zones;
     std::set<std::string> m_loading_zones;
-    std::map<std::string, std::string> m_loading_nodes;
+    sidecar::nodes_listed m_loading_nodes;
     bool m_has_listed_nodes = false;
 
     /// Departures of this node's backend servers: the latest to store, the revision of those that
--- a/libs/sidecar_runtime/src/store_client_departures.cpp
+++ b/libs/sidecar_runtime/src/store_client_departures.cpp
@@ -22,6 +22,19 @@
     return incarnations.has_value();
 }
 
+void store_client::load_peer_departures(const store_item& item)
+{
+    const std::size_t fixed_size = node_key_prefix.size() + departures_suffix.size();
+    if (item.m_key == departures_key() || item.m_key.size() <= fixed_size)
+        return;
+    const std::string node =
+        item.m_key.substr(node_key_prefix.size(), item.m_key.size() - fixed_size);
+    const auto departed = sidecar::parse_departed_servers(item.m_value);
+    // A node stores no more; the item is of another writer.
+    if (departed && departed->size() <= sidecar::max_departed_servers)
+        m_loading_nodes.m_departed_servers[node] = *departed;
+}
+
 void store_client::write_departures(const sidecar::store_departures& command)
 {
     m_departures = command.m_departed;
