Take a single late announcement for no proof that a server runs

Callers saw: nothing yet; found on reading the change again.

Cause: after a restart of all processes, one announcement made a server a ready one for 2.5 s, whenever it came. One that comes 0.5 to 6 s after the restart kept a departed server in use when the acknowledged departure bound the process again.

Evidence: leaving_server.single_late_announcement_does_not_restore_it_for_long failed before, for arrivals from 1 s after the restart on.

Change: from 2.9 s after the start of a process on, a server is used once its first announcement, or two at some interval, have arrived. Before, one is enough, so a server that announces itself in time loses nothing at a restart.

--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -95,6 +95,11 @@
     /// has arrived. The first may have been delayed, and the server may have left.
     duration m_first_announcement_lifetime = milliseconds(2500);
 
+    /// Time from the start of a process in which a single announcement is enough for a server to be
+    /// used, less than the time after which an acknowledged departure binds the process. Later, a
+    /// second one at some interval has to follow, because a single one may be delayed.
+    duration m_unconfirmed_use_time = milliseconds(2900);
+
     /// Number of missed announcements after which a server counts as silent, and shortest time.
     std::uint32_t m_missed_announcement_limit = 3;
     duration m_min_announcement_lifetime = milliseconds(3000);
--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -40,6 +40,10 @@
     /// Interval between its announcements, learned from the second one on; zero before.
     duration m_announcement_interval{};
 
+    /// Its first announcement, or two at some interval, have arrived. A single later one may be a
+    /// delayed one of a server that has left.
+    bool m_is_confirmed = false;
+
     /// An announcement was sent after the start of this process, so no earlier process can have
     /// acknowledged the server's departure.
     bool m_is_current = false;
@@ -144,6 +148,9 @@
     /// Local backend server: admission and executions.
     std::optional<local_backend> m_backend;
 
+    /// Time from which on a single announcement is not enough for a server to be used.
+    time_point m_confirmation_needed_from;
+
     /// Time from which on arriving announcements were sent after the start of this process.
     time_point m_current_announcements_from;
     departed_servers m_departed_servers;
--- a/libs/sidecar/src/backend_announcements.cpp
+++ b/libs/sidecar/src/backend_announcements.cpp
@@ -20,6 +20,9 @@
 /// Limit of the counted missing announcements, whose numbers come from outside.
 constexpr std::int64_t max_counted_announcements = 1'000'000;
 
+/// Sequence number of the first announcement of an incarnation.
+constexpr std::int64_t first_sequence = 1;
+
 /// Time after the latest announcement from which a server counts as silent.
 duration announcement_lifetime(const node_state& state, const local_backend& backend)
 {
@@ -61,6 +64,11 @@
         --backend.m_missing_announcements;
 }
 
+bool needs_confirmation(const node_state& state, const local_backend& backend, time_point now)
+{
+    return !backend.m_is_confirmed && now >= state.m_confirmation_needed_from;
+}
+
 /// Latest announcement, or response of a server that is known not to have left.
 time_point last_sign_of_life(const local_backend& backend)
 {
@@ -158,10 +166,7 @@
         state.m_admission_controller.m_failure_share = 0.0;
     }
     local_backend& backend = *state.m_backend;
-    if (backend.m_silent)
-        log(context, log_level::info, "backend_heard_again",
-            {{"backend", announced.m_id},
-             {"silent_ms", to_ms(context.m_now - backend.m_announced_at)}});
+    const duration age = context.m_now - backend.m_announced_at;
     // The time of the latest announcement before the departure is still known here.
     if (announced.m_draining) {
         record_departures(context, {{announced.m_id, announced.m_started_at_ms}});
@@ -172,7 +177,19 @@
     backend.m_announced_at = context.m_now;
     if (context.m_now >= state.m_current_announcements_from)
         backend.m_is_current = true;
-    backend.m_silent = false;
+    if (announced.m_sequence <= first_sequence ||
+        backend.m_announcement_interval > duration::zero())
+        backend.m_is_confirmed = true;
+    const bool was_silent = backend.m_silent;
+    backend.m_silent = needs_confirmation(state, backend, context.m_now);
+    if (backend.m_silent && !was_silent) {
+        backend.m_silent_since = context.m_now;
+        log(context, log_level::info, "backend_unconfirmed",
+            {{"backend", announced.m_id}, {"sequence", announced.m_sequence}});
+    } else if (was_silent && !backend.m_silent) {
+        log(context, log_level::info, "backend_heard_again",
+            {{"backend", announced.m_id}, {"silent_ms", to_ms(age)}});
+    }
     backend.m_unreachable = false;
     backend.m_cold_until = context.m_now + announced.m_cold_time_left;
     state.m_cold_until_announced = {};
@@ -188,7 +205,8 @@
         return;
     local_backend& backend = *state.m_backend;
     const duration age = context.m_now - backend.m_announced_at;
-    if (context.m_now - last_sign_of_life(backend) <= announcement_lifetime(state, backend))
+    if (context.m_now - last_sign_of_life(backend) <= announcement_lifetime(state, backend) &&
+        !needs_confirmation(state, backend, context.m_now))
         return;
     backend.m_silent = true;
     backend.m_silent_since = context.m_now;
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -89,7 +89,9 @@
         // Announcements may have arrived that were not read yet.
         if (state.m_backend)
             state.m_backend->m_announced_at = context.m_now;
-        state.m_current_announcements_from += context.m_now - state.m_last_tick;
+        const duration pause = context.m_now - state.m_last_tick;
+        state.m_confirmation_needed_from += pause;
+        state.m_current_announcements_from += pause;
         restart_announcement_silence(context);
     }
     state.m_last_tick = context.m_now;
@@ -181,6 +183,7 @@
     state.m_options = options;
     state.m_started_at = now;
     state.m_last_tick = now;
+    state.m_confirmation_needed_from = now + options.m_unconfirmed_use_time;
     state.m_current_announcements_from = now + options.m_max_announcement_delay;
     state.m_random.seed(seed);
     state.m_ownership.m_grants = key_ranges::make_grant_history(now);
--- a/libs/sidecar/tests/backend_announcements_test.cpp
+++ b/libs/sidecar/tests/backend_announcements_test.cpp
@@ -173,6 +173,30 @@
     EXPECT_FALSE(is_open());
 }
 
+// Guards against a new server that receives no requests for an interval because its first
+// announcements were held up and arrive together.
+TEST_F(announced_server, new_server_is_used_when_its_first_announcements_arrive_together)
+{
+    run_for(seconds(10));
+    m_announcement.m_sequence = 1;
+    announce();
+    EXPECT_TRUE(is_open());
+    announce();
+    EXPECT_TRUE(is_open());
+}
+
+// Guards against requests to a server that has left, and against a healthy one that stays unused:
+// a single later announcement is not enough, two at some interval are.
+TEST_F(announced_server, later_server_is_used_from_its_second_announcement_on)
+{
+    run_for(seconds(10));
+    announce();
+    EXPECT_FALSE(is_open());
+    run_for(heartbeat);
+    announce();
+    EXPECT_TRUE(is_open());
+}
+
 // Guards against requests to a server that has left and still serves: it is not known yet whether
 // its announcements are current.
 TEST_F(announced_server, responses_do_not_prolong_the_use_after_a_restart)
--- a/libs/sidecar/tests/departure_acknowledgement_test.cpp
+++ b/libs/sidecar/tests/departure_acknowledgement_test.cpp
@@ -29,6 +29,7 @@
         m_state = make_connected_node({}, "orders");
         m_state.m_started_at = m_state.m_last_tick = m_now;
         m_state.m_current_announcements_from = m_now + m_state.m_options.m_max_announcement_delay;
+        m_state.m_confirmation_needed_from = m_now + m_state.m_options.m_unconfirmed_use_time;
     }
 
     void receive(const event& input)
@@ -189,6 +190,27 @@
 INSTANTIATE_TEST_SUITE_P(delays, late_leaving_server, testing::Values(900, 1700, 2500, 4000, 6000),
                          [](const auto& info) { return std::to_string(info.param) + "_ms"; });
 
+// Guards against requests to a server that has left, once the nodes are in touch again after the
+// restart of all processes: a copy of its last announcement arrives alone.
+TEST_F(leaving_server, single_late_announcement_does_not_restore_it_for_long)
+{
+    run_for(seconds(8));
+    const backend_announcement last = m_state.m_backend->m_announcement;
+    remove();
+    run_until_acknowledged(seconds(20));
+    for (const int arrival_ms : {50, 400, 1000, 2000, 2800, 3500, 5000}) {
+        restart();
+        const time_point restarted_at = m_now;
+        run_for(milliseconds(arrival_ms));
+        receive(backend_announced{last, 0});
+        while (m_now - restarted_at < seconds(8)) {
+            const bool is_in_touch = m_now - restarted_at >= contact;
+            EXPECT_FALSE(is_in_touch && accepts_requests(m_state, m_now)) << arrival_ms;
+            run_for(milliseconds(50));
+        }
+    }
+}
+
 // Guards against acknowledgements that wait although the store has the departure.
 TEST_F(leaving_server, stored_departure_is_acknowledged_at_once)
 {
