Record which announcements have arrived instead of how many

Callers saw: nothing yet; found on reading the change again.

Cause: announcements that were missing before draining were counted, and each late one lowered the count. The users' platform repeats announcements, so a copy could stand for one that was still under way, and the departure was acknowledged too early during an outage. A new process also took all before the first one that it heard for received.

Evidence: leaving_server.draining_waits_for_an_announcement_that_was_overtaken failed before, with a copy added.

Change: a sliding window over the latest 64 sequence numbers. Until it is full, the wait by time applies.

--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -17,6 +17,7 @@
 #include <azureladder/sidecar/pending_acknowledgement.hpp>
 #include <azureladder/sidecar/quota_counting.hpp>
 #include <azureladder/sidecar/separate_bodies.hpp>
+#include <azureladder/sidecar/sequence_window.hpp>
 #include <azureladder/sidecar/unstored_departure.hpp>
 
 #include <cstdint>
@@ -51,8 +52,8 @@
     /// Latest response of the server to a request.
     time_point m_responded_at;
 
-    /// Number of its announcements before the latest one that have not arrived.
-    std::int64_t m_missing_announcements = 0;
+    /// Which of its latest announcements have arrived.
+    sequence_window m_announcements_received;
 
     /// Its announcements have stopped, and time at which this was noticed.
     bool m_silent = false;
--- a/libs/sidecar/src/backend_announcements.cpp
+++ b/libs/sidecar/src/backend_announcements.cpp
@@ -17,9 +17,6 @@
 /// Share of the learned interval that is kept at each announcement.
 constexpr double interval_decay = 0.75;
 
-/// Limit of the counted missing announcements, whose numbers come from outside.
-constexpr std::int64_t max_counted_announcements = 1'000'000;
-
 /// Sequence number of the first announcement of an incarnation.
 constexpr std::int64_t first_sequence = 1;
 
@@ -47,23 +44,7 @@
         std::min(std::max(elapsed / count, decayed), max_announcement_interval);
 }
 
-/// Counts the announcements between the latest one and the next.
-void record_missing_announcements(local_backend& backend, const backend_announcement& next)
-{
-    const std::int64_t skipped = next.m_sequence - backend.m_announcement.m_sequence - 1;
-    if (skipped > 0)
-        backend.m_missing_announcements =
-            std::min(backend.m_missing_announcements, max_counted_announcements) +
-            std::min(skipped, max_counted_announcements);
-}
-
-/// Counts the arrival of an announcement that was missing.
-void record_delayed_announcement(local_backend& backend)
-{
-    if (backend.m_missing_announcements > 0)
-        --backend.m_missing_announcements;
-}
-
+/// Whether the announcements so far may be a delayed one of a server that has left.
 bool needs_confirmation(const node_state& state, const local_backend& backend, time_point now)
 {
     return !backend.m_is_confirmed && now >= state.m_confirmation_needed_from;
@@ -123,6 +104,8 @@
     const bool same_incarnation =
         state.m_backend &&
         incarnation_of(state.m_backend->m_announcement) == incarnation_of(announced);
+    if (same_incarnation)
+        record_sequence(state.m_backend->m_announcements_received, announced.m_sequence);
     const char* cause = foreign_cause(state.m_options, announced);
     if (cause == nullptr && state.m_backend) {
         cause = outranked_cause(*state.m_backend, announced);
@@ -131,8 +114,6 @@
             record_departures(context, {{announced.m_id, announced.m_started_at_ms}});
     }
     if (cause != nullptr) {
-        if (same_incarnation && announced.m_sequence < state.m_backend->m_announcement.m_sequence)
-            record_delayed_announcement(*state.m_backend);
         log(context, log_level::info, "announcement_ignored",
             {{"backend", announced.m_id},
              {"service", announced.m_service},
@@ -147,7 +128,6 @@
         // interval.
         if (!announced.m_draining)
             record_interval(context, *state.m_backend, announced);
-        record_missing_announcements(*state.m_backend, announced);
     } else {
         log(context, log_level::info, "backend_joined",
             {{"backend", announced.m_id},
@@ -162,6 +142,7 @@
             clear_range_leases(context);
         state.m_ownership.m_owner_load = {};
         state.m_backend.emplace();
+        record_sequence(state.m_backend->m_announcements_received, announced.m_sequence);
         state.m_ownership.m_next_table_check_at = context.m_now;
         state.m_admission_controller.m_failure_share = 0.0;
     }
@@ -170,7 +151,7 @@
     // The time of the latest announcement before the departure is still known here.
     if (announced.m_draining) {
         record_departures(context, {{announced.m_id, announced.m_started_at_ms}});
-        if (same_incarnation && backend.m_missing_announcements == 0)
+        if (is_complete(backend.m_announcements_received))
             complete_announcements(context, announced.m_id);
     }
     backend.m_announcement = announced;
--- a/libs/sidecar/tests/departure_acknowledgement_test.cpp
+++ b/libs/sidecar/tests/departure_acknowledgement_test.cpp
@@ -243,11 +243,13 @@
               m_state.m_options.m_departure_store_wait + tick * 2);
 }
 
-// The same if an earlier announcement has arrived out of order, and not if it is still missing.
+// The same if an earlier announcement has arrived out of order, and not if it is still missing,
+// even if another one arrives twice.
 TEST_F(leaving_server, draining_waits_for_an_announcement_that_was_overtaken)
 {
     for (const bool arrives : {true, false}) {
         restart();
+        m_sequence = 0;
         run_for(seconds(8));
         backend_announcement overtaken = m_state.m_backend->m_announcement;
         const auto send = [&](std::int64_t sequence, bool is_draining) {
@@ -258,8 +260,7 @@
         };
         m_sequence += 3;
         send(m_sequence - 1, false);
-        if (arrives)
-            send(m_sequence - 2, false);
+        send(arrives ? m_sequence - 2 : m_sequence - 3, false);
         m_responses.clear();
         m_is_announcing = false;
         send(m_sequence, true);
