Let a removal that another node has acknowledged bind the server's own node

Callers saw: nothing; the users' page says that a server calls its own node alone. Found when asked what an acknowledgement promises.

Cause: a removal was recorded and acknowledged by whichever node received it, but the node beside the server, the only way to it, did not look at the departures that others report.

Evidence: peer_departures.acknowledged_by_another_node_binds_the_node_of_the_server failed before.

Change: a node looks for its backend server among the departures of its peers, when these change and when a server joins, and records it with the server's own start, so later incarnations stay in use.

--- a/libs/sidecar/src/backend_announcements.cpp
+++ b/libs/sidecar/src/backend_announcements.cpp
@@ -175,6 +175,8 @@
     backend.m_cold_until = context.m_now + announced.m_cold_time_left;
     state.m_cold_until_announced = {};
     apply_departures(context);
+    if (!same_incarnation)
+        adopt_peer_departures(context);
     update_limits(context);
     start_waiting(context);
 }
--- a/libs/sidecar/src/backend_departures.cpp
+++ b/libs/sidecar/src/backend_departures.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-bool has_departed(const node_state& state, const backend_announcement& announcement)
+bool has_departed(const departed_servers& departed, const backend_announcement& announcement)
 {
-    const auto found = state.m_departed_servers.find(announcement.m_id);
-    return found != state.m_departed_servers.end() && announcement.m_started_at_ms <= found->second;
+    const auto found = departed.find(announcement.m_id);
+    return found != departed.end() && announcement.m_started_at_ms <= found->second;
 }
 
 } // namespace
@@ -34,7 +34,7 @@
 {
     node_state& state = context.m_state;
     if (!state.m_backend || state.m_backend->m_leaving ||
-        !has_departed(state, state.m_backend->m_announcement))
+        !has_departed(state.m_departed_servers, state.m_backend->m_announcement))
         return;
     state.m_backend->m_leaving = true;
     state.m_backend->m_leaving_since = context.m_now;
@@ -75,6 +75,20 @@
         emit(context, store_departures{context.m_state.m_departed_servers});
 }
 
+void adopt_peer_departures(step_context& context)
+{
+    const node_state& state = context.m_state;
+    if (!state.m_backend || state.m_backend->m_leaving)
+        return;
+    const backend_announcement announcement = state.m_backend->m_announcement;
+    const bool is_recorded =
+        std::any_of(state.m_peers.begin(), state.m_peers.end(), [&](const auto& entry) {
+            return has_departed(entry.second.m_departed_servers, announcement);
+        });
+    if (is_recorded)
+        record_departures(context, {{announcement.m_id, announcement.m_started_at_ms}});
+}
+
 void on_departures_read(step_context& context, const departures_read& read)
 {
     const bool is_new = add_departures(context, read.m_departed);
--- a/libs/sidecar/src/peers.cpp
+++ b/libs/sidecar/src/peers.cpp
@@ -251,6 +251,7 @@
         if (peer != context.m_state.m_peers.end())
             merge(peer->second.m_departed_servers, departed);
     }
+    adopt_peer_departures(context);
     context.m_state.m_quotas.m_known_nodes = std::max<std::size_t>(listed.m_addresses.size(), 1);
 }
 
@@ -330,7 +331,8 @@
     if (peer.m_status.m_service != frame.m_status.m_service)
         state.m_peer_index.invalidate();
     peer.m_status = frame.m_status;
-    merge(peer.m_departed_servers, frame.m_status.m_departed_servers);
+    if (merge(peer.m_departed_servers, frame.m_status.m_departed_servers))
+        adopt_peer_departures(context);
     peer.m_reported_at = context.m_now;
     peer.m_sent_since_status = 0;
     const bool answers_ping = peer.m_ping_pending && frame.m_sequence == peer.m_ping_sequence;
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -95,6 +95,9 @@
 /// Marks the current server as leaving if its departure is recorded.
 void apply_departures(step_context& context);
 
+/// Records the departure of the current server if a peer has recorded it.
+void adopt_peer_departures(step_context& context);
+
 /// Records that the store may not have a departure, with what is known of the server's
 /// announcements.
 void add_unstored_departure(step_context& context, const std::string& id,
--- a/libs/sidecar/tests/peer_departures_test.cpp
+++ b/libs/sidecar/tests/peer_departures_test.cpp
@@ -1,4 +1,5 @@
 #include "connected_node.hpp"
+#include "step_context.hpp"
 
 #include <gtest/gtest.h>
 
@@ -20,4 +21,32 @@
     EXPECT_TRUE(is_sent);
 }
 
+// Guards against requests to a server whose removal another node has acknowledged. The node beside
+// the server learns of it from the other's status, before or after the server's announcement.
+TEST(peer_departures, acknowledged_by_another_node_binds_the_node_of_the_server)
+{
+    for (const bool is_announced_first : {true, false}) {
+        node_state state = make_connected_node({"a"}, "orders");
+        backend_announcement announced;
+        announced.m_id = "i-1";
+        announced.m_service = "orders";
+        announced.m_slots = 4;
+        announced.m_started_at_ms = 2000;
+        announced.m_sequence = 1;
+        status_frame status;
+        status.m_status.m_service = "orders";
+        status.m_status.m_departed_servers = {{"i-1", 9000}};
+        if (is_announced_first)
+            step(state, backend_announced{announced}, start_time);
+        step(state, frame_received{1, status}, start_time);
+        step(state, backend_announced{announced}, start_time);
+        EXPECT_FALSE(accepts_requests(state, start_time));
+        EXPECT_EQ(state.m_departed_servers, (departed_servers{{"i-1", 2000}}));
+        // A later incarnation has not left.
+        announced.m_started_at_ms = 9500;
+        step(state, backend_announced{announced}, start_time);
+        EXPECT_TRUE(accepts_requests(state, start_time));
+    }
+}
+
 } // namespace azureladder::sidecar
