Refuse to acknowledge a departure that the node ignores

Callers saw: nothing; found on reading what an acknowledgement promises.

Cause: the announcement of a departure that can't come from the node's own server was ignored and answered with 200, a promise that no node kept.

Evidence: leaving_server.ignored_departure_is_not_acknowledged failed before.

--- a/libs/sidecar/src/departure_acknowledgements.cpp
+++ b/libs/sidecar/src/departure_acknowledgements.cpp
@@ -68,11 +68,6 @@
 void acknowledge_when_safe(step_context& context, const pending_acknowledgement& pending)
 {
     node_state& state = context.m_state;
-    if (!covers(state.m_departed_servers, pending)) {
-        // The announcement was ignored: its sender is not the backend server of this VM.
-        emit(context, respond_to_backend{pending.m_message, true});
-        return;
-    }
     auto& waiting = state.m_pending_acknowledgements;
     waiting.push_back(pending);
     check_pending_acknowledgements(context);
@@ -87,7 +82,7 @@
     node_state& state = context.m_state;
     auto& waiting = state.m_pending_acknowledgements;
     const auto is_done = [&](const pending_acknowledgement& pending) {
-        // The departure gave way to newer ones.
+        // The announcement was ignored, or the departure gave way to newer ones.
         if (!covers(state.m_departed_servers, pending)) {
             respond(context, pending, acknowledgement_basis::none);
             return true;
--- a/libs/sidecar/tests/departure_acknowledgement_test.cpp
+++ b/libs/sidecar/tests/departure_acknowledgement_test.cpp
@@ -337,6 +337,19 @@
     EXPECT_EQ(m_responses.count(removal + 39), 0U);
 }
 
+// Guards against an acknowledged departure that no node keeps: the announcement of another service
+// is ignored.
+TEST_F(leaving_server, ignored_departure_is_not_acknowledged)
+{
+    run_for(seconds(2));
+    backend_announcement stray = m_state.m_backend->m_announcement;
+    stray.m_service = "telemetry";
+    stray.m_draining = true;
+    receive(backend_announced{stray, removal});
+    EXPECT_FALSE(m_responses.at(removal));
+    EXPECT_TRUE(accepts_requests(m_state, m_now));
+}
+
 // Guards against a response to each announcement that waits for a former server's departure.
 TEST_F(leaving_server, announcement_of_the_next_server_is_answered_at_once)
 {
