Read a node's departures before it uses a configuration from the store

Callers saw: nothing yet; found on reading the change again, for an outage that lasts longer than the restart.

Cause: a new process read the operator's documents at once, and its departures with the list of nodes, up to 1.6 s later after an outage. In between, late announcements made a departed server a ready one.

Change: one read of the node's own departures follows the first documents, which wait for it. It costs a process one store call at its start. A configuration that comes from peers does not wait: their hello frames carry the departures.

--- a/libs/sidecar_runtime/src/store_client.cpp
+++ b/libs/sidecar_runtime/src/store_client.cpp
@@ -180,7 +180,10 @@
              }
              m_evacuated_zones = m_loading_zones;
              m_revision = page.m_revision;
-             report_operator_documents(m_revision);
+             if (m_has_read_departures)
+                 report_operator_documents(m_revision);
+             else
+                 read_departures();
              watch();
          });
 }
@@ -205,6 +208,8 @@
 
 void store_client::report_operator_documents(std::uint64_t revision, bool missed_by_watch)
 {
+    if (!m_has_read_departures)
+        return;
     sidecar::operator_documents documents;
     documents.m_revision = key_ranges::store_revision(m_era, revision);
     documents.m_configuration_revision =
@@ -440,6 +445,8 @@
                  return;
              }
              m_on_event(m_loading_nodes);
+             if (!stale)
+                 finish_departures_read();
          });
 }
 
--- a/libs/sidecar_runtime/src/store_client.hpp
+++ b/libs/sidecar_runtime/src/store_client.hpp
@@ -121,6 +121,12 @@
     /// Reports the departures of a newer item. Returns whether they could be read.
     bool apply_departures(const store_item& item);
 
+    /// Reads the departures of this node until that succeeds once.
+    void read_departures();
+
+    /// Puts the operator's documents in effect that have waited for the departures.
+    void finish_departures_read();
+
     /// Adds the departures of another node to the list that is being read.
     void load_peer_departures(const store_item& item);
     void put_departures();
@@ -165,6 +171,10 @@
     std::uint64_t m_departures_revision = 0;
     bool m_is_writing_departures = false;
 
+    /// The departures that former processes have stored are known. The operator's documents wait
+    /// for it: without a configuration no server is used.
+    bool m_has_read_departures = false;
+
     bool m_is_reachable = true;
     std::uint64_t m_call_count = 0;
 };
--- a/libs/sidecar_runtime/src/store_client_departures.cpp
+++ b/libs/sidecar_runtime/src/store_client_departures.cpp
@@ -2,6 +2,8 @@
 
 #include "store_keys.hpp"
 
+#include <utility>
+
 namespace azureladder::sidecar_runtime {
 
 std::string store_client::departures_key() const
@@ -22,6 +24,39 @@
     return incarnations.has_value();
 }
 
+void store_client::read_departures()
+{
+    call(m_codec.encode_item_read(departures_key()), m_options.m_call_timeout,
+         [this](const exchange_outcome& outcome) {
+             if (m_has_read_departures)
+                 return;
+             const bool is_absent = outcome.m_result == exchange_result::answered &&
+                                    outcome.m_response.m_status == 404;
+             const auto decoded = m_codec.decode_store_items(outcome.m_response);
+             const auto* read = std::get_if<store_read_response>(&decoded);
+             if (!is_absent && (!is_success(outcome) || read == nullptr)) {
+                 run_after(with_jitter(m_options.m_retry_delay), [this] {
+                     if (!m_has_read_departures)
+                         read_departures();
+                 });
+                 return;
+             }
+             if (!is_absent) {
+                 for (const auto& item : read->m_items)
+                     apply_departures(item);
+             }
+             finish_departures_read();
+         });
+}
+
+void store_client::finish_departures_read()
+{
+    if (std::exchange(m_has_read_departures, true))
+        return;
+    if (m_revision > 0)
+        report_operator_documents(m_revision);
+}
+
 void store_client::load_peer_departures(const store_item& item)
 {
     const std::size_t fixed_size = node_key_prefix.size() + departures_suffix.size();
--- a/libs/sidecar_runtime/src/store_keys.hpp
+++ b/libs/sidecar_runtime/src/store_keys.hpp
@@ -15,7 +15,7 @@
 inline constexpr std::string_view table_key_prefix = "azureladder/keys/";
 
 /// Suffix, after the key of a node's record, of the key for departures that the node acknowledged.
-/// The list of nodes includes these items, so reading them needs no additional call.
+/// The list of nodes includes these items, so each node also reads those of the others.
 inline constexpr std::string_view departures_suffix = "/departures";
 
 inline bool is_success(const exchange_outcome& outcome)
