Use a server after a restart only once it has confirmed that it stays

Callers saw: orders at a server whose departure was acknowledged during an outage of the store. All processes were killed after the acknowledgement, and the last two announcements before the departure were 5 s late, all earlier ones in time.

Cause: a new process can't tell from an announcement when it was sent. The acknowledgement therefore waited until none was expected to be under way any more, by the learned interval, 3 s and 6 s, and the next process used a server again on such limits (2.9 s).

Evidence: with real processes, checked_departures.late_announcements_after_regular_ones_do_not_restore_the_server failed on the former code, whether or not the server states its health: five of five orders were executed.

Change: a process asks a server at its health check path when it first hears of it, and uses it after 200 with the server's own id. 503 means that it leaves or is unhealthy. Without a result, a later start than that of the process counts, and else announcements that still arrive 10 s after that start. The acknowledgement waits 0.4 s at most, for the store and the peers. A server whose announcements stop is asked too, and stays in use while it responds.

Why it works: the response is sent after the start of the process, by the server itself; no delay of announcements matters.

Removed, as needless: the wait for the end of announcements (end_of_announcements, sequence_window), the second announcement that a late server needed, and responses to requests as signs of life.

Tests: those of the removed waits are replaced by tests of what they guarded, which no longer allow any use after a restart (before: from 3 s on) and no acknowledgement later than 0.4 s (before: 1.25 intervals and the delay). server_with_delays draws delays, intervals, clock steps and the way of leaving by seed, each with the same server staying. Two tests of responses to requests as signs of life are replaced by those of checks. Tests with real processes name the start of their server, which was in 1970 before.

--- a/libs/routing/include/azureladder/routing/service_definition.hpp
+++ b/libs/routing/include/azureladder/routing/service_definition.hpp
@@ -15,6 +15,9 @@
     /// Request rate in 1/s that a backend server supports while cold; 0 for no limit.
     double m_cold_rate_per_s = 0.0;
 
+    /// Path at which a backend server states whether it is healthy and stays; empty if unknown.
+    std::string m_health_check_path;
+
     /// Whether the service is sharded, so that a backend server serves only the keys it owns.
     bool m_is_sharded = false;
 };
--- a/libs/sidecar/include/azureladder/sidecar/effects.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/effects.hpp
@@ -105,6 +105,16 @@
     std::uint64_t m_token = 0;
 };
 
+/// Asks the backend server whether it stays in service, at its health check path.
+struct check_backend
+{
+    /// Id of the check, from 1 on.
+    std::uint64_t m_check = 0;
+    std::string m_backend_id;
+    std::string m_backend_address;
+    std::string m_path;
+};
+
 struct decode_configuration
 {
     std::uint64_t m_revision = 0;
@@ -162,10 +172,11 @@
 {
 };
 
-using effect = std::variant<forward_response, respond_to_caller, respond_to_backend, connect_node,
-                            close_link, send_frame, start_execution, cancel_execution, grant_keys,
-                            release_keys, decode_configuration, enter_store_era, read_table,
-                            write_table, store_departures, record_request, log_line, stop_process>;
+using effect =
+    std::variant<forward_response, respond_to_caller, respond_to_backend, connect_node, close_link,
+                 send_frame, start_execution, cancel_execution, grant_keys, release_keys,
+                 check_backend, decode_configuration, enter_store_era, read_table, write_table,
+                 store_departures, record_request, log_line, stop_process>;
 
 using effects = std::vector<effect>;
 
--- a/libs/sidecar/include/azureladder/sidecar/events.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/events.hpp
@@ -142,6 +142,51 @@
     bool m_backend_replaced = false;
 };
 
+/// What a check of the backend server has shown.
+enum class backend_check_result
+{
+    /// The server states that it is healthy and not leaving.
+    in_service,
+
+    /// It states that it is leaving or unhealthy.
+    out_of_service,
+
+    /// The response came from another server.
+    replaced,
+
+    /// The response states none of these.
+    inconclusive,
+
+    /// The server did not handle the check, as when it is full.
+    rejected,
+
+    /// No usable response arrived in time.
+    unanswered,
+
+    /// No connection could be opened.
+    unreachable
+};
+
+inline constexpr enum_name<backend_check_result> backend_check_result_names[] = {
+    {backend_check_result::in_service, "in_service"},
+    {backend_check_result::out_of_service, "out_of_service"},
+    {backend_check_result::replaced, "replaced"},
+    {backend_check_result::inconclusive, "inconclusive"},
+    {backend_check_result::rejected, "rejected"},
+    {backend_check_result::unanswered, "unanswered"},
+    {backend_check_result::unreachable, "unreachable"},
+};
+
+/// A check of the backend server ended.
+struct backend_checked
+{
+    std::uint64_t m_check = 0;
+    backend_check_result m_result = backend_check_result::unanswered;
+
+    /// For logs: the HTTP status, or why no response arrived.
+    std::string m_cause;
+};
+
 struct backend_announced
 {
     backend_announcement m_announcement;
@@ -258,10 +303,11 @@
 {
 };
 
-using event = std::variant<caller_request, caller_disconnected, link_opened, link_closed,
-                           connect_failed, frame_received, execution_ended, key_command_ended,
-                           backend_announced, backend_removed, departures_stored, departures_read,
-                           operator_documents, configuration_decoded, store_era_seen, table_read,
-                           table_written, nodes_listed, timer_tick, stop_requested>;
+using event =
+    std::variant<caller_request, caller_disconnected, link_opened, link_closed, connect_failed,
+                 frame_received, execution_ended, key_command_ended, backend_checked,
+                 backend_announced, backend_removed, departures_stored, departures_read,
+                 operator_documents, configuration_decoded, store_era_seen, table_read,
+                 table_written, nodes_listed, timer_tick, stop_requested>;
 
 } // namespace azureladder::sidecar
--- a/libs/sidecar/include/azureladder/sidecar/node_options.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_options.hpp
@@ -23,6 +23,9 @@
 {
     std::string m_node;
     std::uint64_t m_incarnation = 0;
+
+    /// Start of the process in Unix milliseconds, by the clock of the VM.
+    std::int64_t m_started_at_ms = 0;
     std::string m_zone;
 
     /// Service of the local backend server.
@@ -91,30 +94,26 @@
     /// unresponsive.
     std::uint32_t m_unanswered_limit = 4;
 
-    /// Time after the first announcement of a server at which it counts as silent if no second one
-    /// has arrived. The first may have been delayed, and the server may have left.
+    /// Time after the first announcement of a server at which it is checked if no second one has
+    /// arrived.
     duration m_first_announcement_lifetime = milliseconds(2500);
 
-    /// Time from the start of a process in which a single announcement is enough for a server to be
-    /// used, less than the time after which an acknowledged departure binds the process. Later, a
-    /// second one at some interval has to follow, because a single one may be delayed.
-    duration m_unconfirmed_use_time = milliseconds(2900);
-
-    /// Number of missed announcements after which a server counts as silent, and shortest time.
+    /// Number of missed announcements after which a server is checked, and shortest time.
     std::uint32_t m_missed_announcement_limit = 3;
     duration m_min_announcement_lifetime = milliseconds(3000);
 
-    /// Longest delay of an announcement on its way.
-    duration m_max_announcement_delay = milliseconds(6000);
+    /// Shortest time between two checks of a server.
+    duration m_min_check_interval = milliseconds(500);
 
-    /// Time for which the acknowledgement of a departure waits for the store alone. Peers receive
+    /// Time after the start of a process from which on the announcements of a server that does not
+    /// respond to checks count as sent after that start. Less than the shortest `recovery` bound,
+    /// 15 s, in which a service has to be back after the end of all processes.
+    duration m_max_announcement_delay = milliseconds(10'000);
+
+    /// Longest time for which the acknowledgement of a departure waits for the store. Peers receive
     /// the departure meanwhile.
     duration m_departure_store_wait = milliseconds(400);
 
-    /// Longest time without announcements for which one that is under way is still expected from a
-    /// server whose departure is not stored.
-    duration m_max_announcement_silence = milliseconds(3000);
-
     /// Delays after which members take over the ranges of an unreachable owner.
     staggered_delay m_takeover_delay{milliseconds(1500), milliseconds(1500)};
 
--- a/libs/sidecar/include/azureladder/sidecar/node_state.hpp
+++ b/libs/sidecar/include/azureladder/sidecar/node_state.hpp
@@ -9,6 +9,7 @@
 #include <azureladder/sidecar/accepted_link.hpp>
 #include <azureladder/sidecar/backend_announcement.hpp>
 #include <azureladder/sidecar/backend_execution.hpp>
+#include <azureladder/sidecar/backend_standing.hpp>
 #include <azureladder/sidecar/key_ownership.hpp>
 #include <azureladder/sidecar/node_options.hpp>
 #include <azureladder/sidecar/open_request.hpp>
@@ -17,7 +18,6 @@
 #include <azureladder/sidecar/pending_acknowledgement.hpp>
 #include <azureladder/sidecar/quota_counting.hpp>
 #include <azureladder/sidecar/separate_bodies.hpp>
-#include <azureladder/sidecar/sequence_window.hpp>
 #include <azureladder/sidecar/unstored_departure.hpp>
 
 #include <cstdint>
@@ -41,23 +41,23 @@
     /// Interval between its announcements, learned from the second one on; zero before.
     duration m_announcement_interval{};
 
-    /// Its first announcement, or two at some interval, have arrived. A single later one may be a
-    /// delayed one of a server that has left.
-    bool m_is_confirmed = false;
+    backend_standing m_standing = backend_standing::unconfirmed;
 
-    /// An announcement was sent after the start of this process, so no earlier process can have
-    /// acknowledged the server's departure.
-    bool m_is_current = false;
+    /// Its announcements have stopped, and it does not respond to checks.
+    bool m_silent = false;
 
-    /// Latest response of the server to a request.
-    time_point m_responded_at;
+    /// Time since which it is unconfirmed or silent, if it is.
+    time_point m_unused_since;
 
-    /// Which of its latest announcements have arrived.
-    sequence_window m_announcements_received;
+    /// Check in progress, 0 if there is none, and start of the latest one.
+    std::uint64_t m_check = 0;
+    time_point m_checked_at;
 
-    /// Its announcements have stopped, and time at which this was noticed.
-    bool m_silent = false;
-    time_point m_silent_since;
+    /// Latest response to a check.
+    time_point m_check_answered_at;
+
+    /// It does not respond to checks as a backend server does, so it is not checked any more.
+    bool m_is_uncheckable = false;
 
     /// The server has announced its departure, and time of the announcement.
     bool m_leaving = false;
@@ -149,9 +149,6 @@
     /// Local backend server: admission and executions.
     std::optional<local_backend> m_backend;
 
-    /// Time from which on a single announcement is not enough for a server to be used.
-    time_point m_confirmation_needed_from;
-
     /// Time from which on arriving announcements were sent after the start of this process.
     time_point m_current_announcements_from;
     departed_servers m_departed_servers;
--- a/libs/sidecar/src/backend_announcements.cpp
+++ b/libs/sidecar/src/backend_announcements.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string_view>
+#include <utility>
 
 namespace azureladder::sidecar {
 
@@ -17,19 +18,6 @@
 /// Share of the learned interval that is kept at each announcement.
 constexpr double interval_decay = 0.75;
 
-/// Sequence number of the first announcement of an incarnation.
-constexpr std::int64_t first_sequence = 1;
-
-/// Time after the latest announcement from which a server counts as silent.
-duration announcement_lifetime(const node_state& state, const local_backend& backend)
-{
-    const node_options& options = state.m_options;
-    if (backend.m_announcement_interval == duration::zero())
-        return options.m_first_announcement_lifetime;
-    return std::max(options.m_min_announcement_lifetime,
-                    backend.m_announcement_interval * options.m_missed_announcement_limit);
-}
-
 /// Updates the interval between the announcements of a server with the next one.
 void record_interval(step_context& context, local_backend& backend,
                      const backend_announcement& announced)
@@ -44,19 +32,6 @@
         std::min(std::max(elapsed / count, decayed), max_announcement_interval);
 }
 
-/// Whether the announcements so far may be a delayed one of a server that has left.
-bool needs_confirmation(const node_state& state, const local_backend& backend, time_point now)
-{
-    return !backend.m_is_confirmed && now >= state.m_confirmation_needed_from;
-}
-
-/// Latest announcement, or response of a server that is known not to have left.
-time_point last_sign_of_life(const local_backend& backend)
-{
-    return backend.m_is_current ? std::max(backend.m_announced_at, backend.m_responded_at)
-                                : backend.m_announced_at;
-}
-
 std::string_view host_of(std::string_view address)
 {
     return address.substr(0, address.rfind(':'));
@@ -75,7 +50,7 @@
 
 /// Why an announcement does not count beside the current server; null if it does. A later
 /// incarnation replaces the current one at its address, where only one of them can listen. Any
-/// other server does so only when the current one can't be reached or heard any more.
+/// other server does so only when the current one is not in use or can't be reached any more.
 const char* outranked_cause(const local_backend& current, const backend_announcement& announced)
 {
     const backend_announcement& known = current.m_announcement;
@@ -89,7 +64,7 @@
     }
     if (announced.m_started_at_ms < known.m_started_at_ms)
         return "the current server started later";
-    const bool is_available = !current.m_leaving && !current.m_unreachable;
+    const bool is_available = is_in_use(current) && !current.m_leaving && !current.m_unreachable;
     return known.m_address != announced.m_address && is_available
                ? "the current server announces itself at another address"
                : nullptr;
@@ -100,12 +75,9 @@
 void on_backend_announced(step_context& context, const backend_announcement& announced)
 {
     node_state& state = context.m_state;
-    record_announcement_of_departed(context, announced);
     const bool same_incarnation =
         state.m_backend &&
         incarnation_of(state.m_backend->m_announcement) == incarnation_of(announced);
-    if (same_incarnation)
-        record_sequence(state.m_backend->m_announcements_received, announced.m_sequence);
     const char* cause = foreign_cause(state.m_options, announced);
     if (cause == nullptr && state.m_backend) {
         cause = outranked_cause(*state.m_backend, announced);
@@ -142,61 +114,28 @@
             clear_range_leases(context);
         state.m_ownership.m_owner_load = {};
         state.m_backend.emplace();
-        record_sequence(state.m_backend->m_announcements_received, announced.m_sequence);
+        state.m_backend->m_unused_since = context.m_now;
         state.m_ownership.m_next_table_check_at = context.m_now;
         state.m_admission_controller.m_failure_share = 0.0;
     }
     local_backend& backend = *state.m_backend;
     const duration age = context.m_now - backend.m_announced_at;
-    // The time of the latest announcement before the departure is still known here.
-    if (announced.m_draining) {
+    if (announced.m_draining)
         record_departures(context, {{announced.m_id, announced.m_started_at_ms}});
-        if (is_complete(backend.m_announcements_received))
-            complete_announcements(context, announced.m_id);
-    }
     backend.m_announcement = announced;
     backend.m_announced_at = context.m_now;
-    if (context.m_now >= state.m_current_announcements_from)
-        backend.m_is_current = true;
-    if (announced.m_sequence <= first_sequence ||
-        backend.m_announcement_interval > duration::zero())
-        backend.m_is_confirmed = true;
-    const bool was_silent = backend.m_silent;
-    backend.m_silent = needs_confirmation(state, backend, context.m_now);
-    if (backend.m_silent && !was_silent) {
-        backend.m_silent_since = context.m_now;
-        log(context, log_level::info, "backend_unconfirmed",
-            {{"backend", announced.m_id}, {"sequence", announced.m_sequence}});
-    } else if (was_silent && !backend.m_silent) {
+    if (std::exchange(backend.m_silent, false))
         log(context, log_level::info, "backend_heard_again",
             {{"backend", announced.m_id}, {"silent_ms", to_ms(age)}});
-    }
     backend.m_unreachable = false;
     backend.m_cold_until = context.m_now + announced.m_cold_time_left;
     state.m_cold_until_announced = {};
     apply_departures(context);
     if (!same_incarnation)
         adopt_peer_departures(context);
+    check_backend_presence(context);
     update_limits(context);
     start_waiting(context);
 }
 
-void check_announcement_age(step_context& context)
-{
-    node_state& state = context.m_state;
-    if (!state.m_backend || state.m_backend->m_silent)
-        return;
-    local_backend& backend = *state.m_backend;
-    const duration age = context.m_now - backend.m_announced_at;
-    if (context.m_now - last_sign_of_life(backend) <= announcement_lifetime(state, backend) &&
-        !needs_confirmation(state, backend, context.m_now))
-        return;
-    backend.m_silent = true;
-    backend.m_silent_since = context.m_now;
-    log(context, log_level::warning, "backend_silent",
-        {{"backend", backend.m_announcement.m_id},
-         {"age_ms", to_ms(age)},
-         {"interval_ms", to_ms(backend.m_announcement_interval)}});
-}
-
 } // namespace azureladder::sidecar
--- a/libs/sidecar/src/backend_executions.cpp
+++ b/libs/sidecar/src/backend_executions.cpp
@@ -154,7 +154,7 @@
 
 refusal_reason unavailable_reason(const node_state& state, const forwarded_request& request)
 {
-    if (!state.m_backend || state.m_backend->m_unreachable || state.m_backend->m_silent ||
+    if (!state.m_backend || state.m_backend->m_unreachable || !is_in_use(*state.m_backend) ||
         state.m_backend->m_announcement.m_service != request.m_service)
         return refusal_reason::no_server;
     return refusal_reason::closed;
@@ -176,7 +176,7 @@
 {
     // Without a configuration the rate limit of a cold server is unknown.
     if (!state.m_backend || !state.m_active_configuration.m_configuration ||
-        state.m_backend->m_silent || is_draining_or_evacuated(state) || state.m_stopping)
+        !is_in_use(*state.m_backend) || is_draining_or_evacuated(state) || state.m_stopping)
         return false;
     if (state.m_backend->m_unreachable)
         return now >= state.m_backend->m_next_probe_at;
@@ -200,7 +200,7 @@
     }
     const bool may_accept_while_stopping =
         state.m_stopping && context.m_now - state.m_stop_requested_at < stop_propagation_time &&
-        state.m_backend && !state.m_backend->m_silent && !is_draining_or_evacuated(state);
+        state.m_backend && is_in_use(*state.m_backend) && !is_draining_or_evacuated(state);
     if (!(accepts_requests(state, context.m_now) || may_accept_while_stopping) ||
         !state.m_backend || state.m_backend->m_announcement.m_service != request.m_service) {
         // A node that releases its ranges names the new owner, so that the origin can send the
@@ -405,7 +405,7 @@
 void check_backend_executions(step_context& context)
 {
     node_state& state = context.m_state;
-    check_announcement_age(context);
+    check_backend_presence(context);
     update_limits(context);
     const bool evacuated =
         state.m_active_configuration.m_evacuated_zones.count(state.m_options.m_zone) != 0;
@@ -414,7 +414,7 @@
         context.m_now - state.m_backend->m_leaving_since > state.m_options.m_drain_start_window;
     if (evacuated || left)
         refuse_all_waiting(context, refusal_reason::closed);
-    if (state.m_backend && state.m_backend->m_silent)
+    if (state.m_backend && !is_in_use(*state.m_backend))
         refuse_all_waiting(context, refusal_reason::no_server);
     refuse_requests_of_silent_origins(context);
     refuse_late_bodies(context);
--- a/libs/sidecar/src/departure_acknowledgements.cpp
+++ b/libs/sidecar/src/departure_acknowledgements.cpp
@@ -17,14 +17,14 @@
     /// The next process of this node reads the departure from the store.
     stored,
 
-    /// No announcement is under way that could make the server a ready one again.
-    announcements_ended
+    /// The next process of this node uses the server only once it is confirmed.
+    confirmation
 };
 
 constexpr enum_name<acknowledgement_basis> acknowledgement_basis_names[] = {
     {acknowledgement_basis::none, "none"},
     {acknowledgement_basis::stored, "stored"},
-    {acknowledgement_basis::announcements_ended, "announcements_ended"},
+    {acknowledgement_basis::confirmation, "confirmation"},
 };
 
 bool covers(const departed_servers& servers, const pending_acknowledgement& pending)
@@ -39,15 +39,9 @@
     const auto found = state.m_unstored_departures.find(pending.m_backend_id);
     if (found == state.m_unstored_departures.end())
         return acknowledgement_basis::stored;
-    // After a pause of the process, announcements may have arrived that were not read yet.
-    if (context.m_now - state.m_last_tick > max_tick_interval)
-        return acknowledgement_basis::none;
-    const unstored_departure& departure = found->second;
-    const time_point earliest =
-        std::max(departure.m_recorded_at + state.m_options.m_departure_store_wait,
-                 end_of_announcements(departure, state.m_options.m_max_announcement_silence));
-    return context.m_now < earliest ? acknowledgement_basis::none
-                                    : acknowledgement_basis::announcements_ended;
+    const duration waited = context.m_now - found->second.m_recorded_at;
+    return waited < state.m_options.m_departure_store_wait ? acknowledgement_basis::none
+                                                           : acknowledgement_basis::confirmation;
 }
 
 void respond(step_context& context, const pending_acknowledgement& pending,
@@ -107,51 +101,18 @@
     check_pending_acknowledgements(context);
 }
 
-void record_announcement_of_departed(step_context& context, const backend_announcement& announced)
-{
-    node_state& state = context.m_state;
-    const auto found = state.m_unstored_departures.find(announced.m_id);
-    if (found == state.m_unstored_departures.end() || announced.m_draining ||
-        announced.m_started_at_ms > found->second.m_started_at_ms)
-        return;
-    found->second.m_last_announced_at = context.m_now;
-    if (state.m_backend && state.m_backend->m_announcement.m_id == announced.m_id)
-        found->second.m_announcement_interval = state.m_backend->m_announcement_interval;
-    log(context, log_level::info, "announcement_after_departure",
-        {{"backend", announced.m_id},
-         {"sequence", announced.m_sequence},
-         {"departed_ms_ago", to_ms(context.m_now - found->second.m_recorded_at)}});
-}
-
-void restart_announcement_silence(step_context& context)
-{
-    for (auto& [id, departure] : context.m_state.m_unstored_departures)
-        departure.m_last_announced_at = context.m_now;
-}
-
 void add_unstored_departure(step_context& context, const std::string& id,
                             std::int64_t started_at_ms)
 {
     node_state& state = context.m_state;
-    const auto [entry, is_new] = state.m_unstored_departures.try_emplace(id);
-    unstored_departure& departure = entry->second;
     const bool is_local_backend = state.m_backend && state.m_backend->m_announcement.m_id == id &&
                                   state.m_backend->m_announcement.m_started_at_ms <= started_at_ms;
-    if (is_local_backend)
-        departure = {started_at_ms, context.m_now, state.m_backend->m_announced_at,
-                     state.m_backend->m_announcement_interval, false};
-    else if (is_new)
-        departure = {started_at_ms, context.m_now, {}, {}, false};
-    // The start of a server that this process does not know is unknown: each of its removals names
-    // a later one, and the first of them counts.
-    departure.m_started_at_ms = started_at_ms;
-}
-
-void complete_announcements(step_context& context, const std::string& id)
-{
-    const auto found = context.m_state.m_unstored_departures.find(id);
-    if (found != context.m_state.m_unstored_departures.end())
-        found->second.m_has_all_announcements = true;
+    const auto [entry, is_new] = state.m_unstored_departures.try_emplace(id);
+    entry->second.m_started_at_ms = started_at_ms;
+    // Each removal of a server that this process does not know names a later start. The time of the
+    // first one counts.
+    if (is_new || is_local_backend)
+        entry->second.m_recorded_at = context.m_now;
 }
 
 void respond_to_announcement(step_context& context, const backend_announced& announced)
--- a/libs/sidecar/src/documents.cpp
+++ b/libs/sidecar/src/documents.cpp
@@ -180,6 +180,7 @@
     // Otherwise peers learn of the revision with their next ping, which many peers send rarely.
     if (known.m_missed_revision == known.m_revision)
         broadcast_status(context);
+    check_backend_presence(context);
     retry_waiting_requests(context);
 }
 
--- a/libs/sidecar/src/execution_results.cpp
+++ b/libs/sidecar/src/execution_results.cpp
@@ -128,7 +128,6 @@
     local_backend& backend = *context.m_state.m_backend;
     if (ended.m_result == execution_result::answered ||
         ended.m_result == execution_result::rejected) {
-        backend.m_responded_at = context.m_now;
         backend.m_unanswered_executions = 0;
         backend.m_resets_while_full = 0;
         backend.m_unreachable = false;
--- a/libs/sidecar/src/range_transfers.cpp
+++ b/libs/sidecar/src/range_transfers.cpp
@@ -139,8 +139,8 @@
         return true;
     if (!state.m_backend)
         return now - state.m_started_at > unavailable_grace_period * 4;
-    if (state.m_backend->m_silent)
-        return now - state.m_backend->m_silent_since > unavailable_grace_period;
+    if (!is_in_use(*state.m_backend))
+        return now - state.m_backend->m_unused_since > unavailable_grace_period;
     if (state.m_backend->m_unreachable)
         return now - state.m_backend->m_unreachable_since > unavailable_grace_period;
     return state.m_backend->m_leaving ||
--- a/libs/sidecar/src/step.cpp
+++ b/libs/sidecar/src/step.cpp
@@ -90,9 +90,7 @@
         if (state.m_backend)
             state.m_backend->m_announced_at = context.m_now;
         const duration pause = context.m_now - state.m_last_tick;
-        state.m_confirmation_needed_from += pause;
         state.m_current_announcements_from += pause;
-        restart_announcement_silence(context);
     }
     state.m_last_tick = context.m_now;
     check_pending_acknowledgements(context);
@@ -148,6 +146,7 @@
     void operator()(const frame_received& e) { on_frame(m_context, e); }
     void operator()(const execution_ended& e) { on_execution_ended(m_context, e); }
     void operator()(const key_command_ended& e) { on_key_command_ended(m_context, e); }
+    void operator()(const backend_checked& e) { on_backend_checked(m_context, e); }
     void operator()(const backend_announced& e)
     {
         on_backend_announced(m_context, e.m_announcement);
@@ -183,7 +182,6 @@
     state.m_options = options;
     state.m_started_at = now;
     state.m_last_tick = now;
-    state.m_confirmation_needed_from = now + options.m_unconfirmed_use_time;
     state.m_current_announcements_from = now + options.m_max_announcement_delay;
     state.m_random.seed(seed);
     state.m_ownership.m_grants = key_ranges::make_grant_history(now);
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -79,9 +79,13 @@
                          std::uint64_t incarnation);
 void on_backend_announced(step_context& context, const backend_announcement& announced);
 
-/// Marks the server as silent when its announcements have stopped. It may have left, and its
-/// departure may be unknown because all processes were restarted.
-void check_announcement_age(step_context& context);
+/// Whether requests may be sent to a server, as far as its presence is concerned.
+bool is_in_use(const local_backend& backend);
+
+/// Checks a server of which this process does not know whether it has left before, or whose
+/// announcements have stopped.
+void check_backend_presence(step_context& context);
+void on_backend_checked(step_context& context, const backend_checked& checked);
 
 /// Starts or refuses queued requests according to the current limits.
 void start_waiting(step_context& context);
@@ -98,26 +102,15 @@
 /// Records the departure of the current server if a peer has recorded it.
 void adopt_peer_departures(step_context& context);
 
-/// Records that the store may not have a departure, with what is known of the server's
-/// announcements.
+/// Records that the store may not have a departure.
 void add_unstored_departure(step_context& context, const std::string& id,
                             std::int64_t started_at_ms);
 
-/// Records that all announcements before that of a departure have arrived.
-void complete_announcements(step_context& context, const std::string& id);
-
-/// Records an announcement that arrives after the departure of its server.
-void record_announcement_of_departed(step_context& context, const backend_announcement& announced);
-
-/// Counts the silence of departed servers from now on. Their announcements may have arrived that
-/// were not read yet.
-void restart_announcement_silence(step_context& context);
-
 /// Answers an announcement: at once, or when its departure can be acknowledged.
 void respond_to_announcement(step_context& context, const backend_announced& announced);
 
-/// Answers a message about a departure when the store has the departure, or when no announcement
-/// is under way that could make the server a ready one again.
+/// Answers a message about a departure when the store has the departure, or after a short wait for
+/// it. The next process of this node finds out by itself whether the server has left.
 void acknowledge_when_safe(step_context& context, const pending_acknowledgement& pending);
 void check_pending_acknowledgements(step_context& context);
 void on_departures_stored(step_context& context, const departed_servers& stored);
--- a/libs/sidecar_runtime/include/azureladder/sidecar_runtime/protocol_codec.hpp
+++ b/libs/sidecar_runtime/include/azureladder/sidecar_runtime/protocol_codec.hpp
@@ -87,6 +87,11 @@
     virtual sidecar::key_command_ended
     decode_key_command_response(std::uint64_t command_id, const http_response& response) const = 0;
 
+    virtual http_request encode_backend_check(const sidecar::check_backend& command) const = 0;
+    virtual sidecar::backend_checked
+    decode_backend_check_response(const sidecar::check_backend& command,
+                                  const http_response& response) const = 0;
+
     /// Prefix of the store keys that operators write.
     virtual std::string operator_key_prefix() const = 0;
     virtual bool is_configuration_key(const std::string& key) const = 0;
--- a/libs/sidecar_runtime/src/node_runtime_impl.cpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.cpp
@@ -92,11 +92,12 @@
     return removed == nullptr ? 0 : removed->m_message;
 }
 
-sidecar::node_options make_node_options(const sidecar_settings& settings)
+sidecar::node_options make_node_options(const sidecar_settings& settings, const clock& time)
 {
     sidecar::node_options options;
     options.m_node = settings.m_node;
     options.m_incarnation = random_u64();
+    options.m_started_at_ms = time.wall_time_us() / 1000;
     options.m_zone = settings.m_zone;
     options.m_service = settings.m_service;
     options.m_peer_address = to_string(settings.m_peer_address);
@@ -135,7 +136,7 @@
       m_peer_input_budget(memory_share(settings, peer_frame_share)),
       m_peer_output_budget(memory_share(settings, peer_frame_share)),
       m_connection_limits(connection_limits_for(descriptor_limit())),
-      m_options(make_node_options(settings)),
+      m_options(make_node_options(settings, time)),
       m_log(time, {m_options.m_node, m_options.m_incarnation}, STDOUT_FILENO),
       m_state(sidecar::make_node(m_options, time.now(), random_u64())),
       m_backend_connections(
@@ -143,6 +144,8 @@
           [this](sidecar::event input_event) { enqueue(std::move(input_event)); }),
       m_key_commands(m_io, time, codec, m_backend_response_budget, {},
                      [this](sidecar::event input_event) { enqueue(std::move(input_event)); }),
+      m_backend_checker(m_io, codec, m_backend_response_budget, {},
+                        [this](sidecar::event input_event) { enqueue(std::move(input_event)); }),
       m_store_client(
           m_io, time, codec, m_store_response_budget, make_store_options(settings),
           [this](sidecar::event input_event) { enqueue(std::move(input_event)); },
@@ -424,7 +427,7 @@
     m_settings.m_retry_ratio = read.m_retry_ratio;
     m_settings.m_drain_ms = read.m_drain_ms;
     m_settings.m_stop_grace_ms = read.m_stop_grace_ms;
-    const sidecar::node_options reloaded_options = make_node_options(m_settings);
+    const sidecar::node_options reloaded_options = make_node_options(m_settings, m_clock);
     m_state.m_options.m_retry = reloaded_options.m_retry;
     m_state.m_options.m_drain_start_window = reloaded_options.m_drain_start_window;
     sidecar::set_max_stop_time(m_state.m_options, reloaded_options.m_max_stop_time);
--- a/libs/sidecar_runtime/src/node_runtime_impl.hpp
+++ b/libs/sidecar_runtime/src/node_runtime_impl.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "backend_checker.hpp"
 #include "backend_connection_pool.hpp"
 #include "byte_budget.hpp"
 #include "connection_limits.hpp"
@@ -78,6 +79,7 @@
     }
     void execute(const sidecar::grant_keys& command) { m_key_commands.grant(command); }
     void execute(const sidecar::release_keys& command) { m_key_commands.release(command); }
+    void execute(const sidecar::check_backend& command) { m_backend_checker.check(command); }
     void execute(const sidecar::decode_configuration& command);
     void execute(const sidecar::enter_store_era& command)
     {
@@ -168,6 +170,7 @@
 
     backend_connection_pool m_backend_connections;
     key_command_sender m_key_commands;
+    backend_checker m_backend_checker;
     store_client m_store_client;
     peer_link::callbacks m_link_callbacks;
     std::map<std::uint64_t, std::shared_ptr<peer_link>> m_links;
