--- a/libs/sidecar/tests/sidecar_cluster.hpp
+++ b/libs/sidecar/tests/sidecar_cluster.hpp
@@ -162,6 +162,9 @@
     const std::vector<std::string>& violations() const { return m_violations; }
 
 private:
+    /// Rate of a link of 10 Mbit/s for bodies, in bytes a second.
+    static constexpr double body_rate = 750'000;
+
     struct machine
     {
         std::unique_ptr<node_state> m_state;
