--- a/libs/sidecar/tests/fake_backend.cpp
+++ b/libs/sidecar/tests/fake_backend.cpp
@@ -71,6 +71,15 @@
     return ended;
 }
 
+backend_checked fake_backend::check(const check_backend& command) const
+{
+    const auto result = !m_alive                       ? backend_check_result::unreachable
+                        : command.m_backend_id != m_id ? backend_check_result::replaced
+                        : m_draining                   ? backend_check_result::out_of_service
+                                                       : backend_check_result::in_service;
+    return {command.m_check, result, ""};
+}
+
 bool fake_backend::has_lease(std::uint32_t key, time_point now) const
 {
     if (!m_alive)
--- a/libs/sidecar/tests/fake_backend.hpp
+++ b/libs/sidecar/tests/fake_backend.hpp
@@ -24,6 +24,9 @@
     key_command_ended grant(const grant_keys& command, time_point now);
     key_command_ended release(const release_keys& command);
 
+    /// Response to a health check.
+    backend_checked check(const check_backend& command) const;
+
     /// Whether the server executes a request. A request with a key requires a lease.
     bool accepts(const forwarded_request& request, time_point now) const;
     bool has_lease(std::uint32_t key, time_point now) const;
--- a/libs/sidecar/tests/sidecar_cluster.cpp
+++ b/libs/sidecar/tests/sidecar_cluster.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <limits>
 
 namespace azureladder::sidecar {
 
@@ -44,6 +45,8 @@
     result->m_services["orders"].m_name = "orders";
     result->m_services["shelf"].m_name = "shelf";
     result->m_services["shelf"].m_is_sharded = true;
+    for (auto& [name, service] : result->m_services)
+        service.m_health_check_path = "/health";
     result->m_has_organisations = !organisations.empty();
     for (const auto& [name, limit] : organisations) {
         result->m_organisations[name] = {name, 1, limit};
@@ -130,6 +133,8 @@
     node_options options;
     options.m_node = node;
     options.m_incarnation = m_random();
+    // Later than all starts of backend servers, so that each of them has to be checked.
+    options.m_started_at_ms = std::numeric_limits<std::int64_t>::max();
     options.m_zone = wanted.m_zone;
     options.m_service = wanted.m_service;
     options.m_peer_address = node + ":0";
@@ -329,6 +334,8 @@
         execute(node, *started);
     } else if (const auto* cancelled = std::get_if<cancel_execution>(&wanted)) {
         backend(node).m_running.erase({incarnation, cancelled->m_execution});
+    } else if (const auto* check = std::get_if<check_backend>(&wanted)) {
+        later(milliseconds(1), backend(node).check(*check));
     } else if (const auto* granted = std::get_if<grant_keys>(&wanted)) {
         grant(node, *granted);
     } else if (const auto* released = std::get_if<release_keys>(&wanted)) {
