--- a/libs/sidecar/src/backend_checks.cpp
+++ b/libs/sidecar/src/backend_checks.cpp
@@ -58,7 +58,8 @@
                     backend.m_announcement_interval * options.m_missed_announcement_limit);
 }
 
-/// Whether it has to be found out whether the server stays.
+/// Whether a check of a server is due. An unconfirmed one is checked when it announces itself, a
+/// confirmed one when its announcements have stopped.
 bool needs_check(const node_state& state, const local_backend& backend, time_point now)
 {
     if (backend.m_standing != backend_standing::confirmed)
--- a/libs/sidecar/src/step_context.hpp
+++ b/libs/sidecar/src/step_context.hpp
@@ -79,7 +79,7 @@
                          std::uint64_t incarnation);
 void on_backend_announced(step_context& context, const backend_announcement& announced);
 
-/// Whether requests may be sent to a server, as far as its presence is concerned.
+/// Whether a server is confirmed and not silent. It may still be leaving, unreachable or evacuated.
 bool is_in_use(const local_backend& backend);
 
 /// Checks a server of which this process does not know whether it has left before, or whose
